--- /dev/null
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line and the one binary.
+ */
+package io.lentilslip.application;
--- /dev/null
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry process: HTTP towards callers, links towards sidecars.
+ */
+package io.lentilslip.entry;
--- /dev/null
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The process beside an upstream.
+ */
+package io.lentilslip.sidecar;
--- /dev/null
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered events and metrics.
+ */
+package io.lentilslip.telemetry;
--- /dev/null
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of whole processes, dependency rules and benchmarks.
+ */
+package io.lentilslip.verification;
