Add numbered notices and measurements as values that reducers emit

Cause: decisions are to report what happened and what it cost without a logging or metrics library in the core.

Change: NoticeCode is the catalogue (number, level, meaning, action, fields); NoticeCode.X.with(FieldName, value) makes a Notice and refuses a field that the code does not list.

--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What is measured, as values that reducers emit.
+ */
+package io.lentilslip.core.measurement;
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -0,0 +1,530 @@
+package io.lentilslip.core.notice;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * The catalogue of numbered events. The comment of a code tells those who emit it when
+ * that is; its meaning and action are for operators. A number is never used again for
+ * another event, and its thousands tell the {@link Range}. The page
+ * {@code docs/EVENTS.md} has a row for each code. Safe for use by several threads.
+ */
+public enum NoticeCode {
+
+	/**
+	 * Written once, before any port is opened.
+	 */
+	PROCESS_STARTED(1001, Level.INFO, "A process started and has read its settings.", "Nothing.", FieldName.ROLE,
+			FieldName.VM, FieldName.ZONE, FieldName.INCARNATION),
+
+	/**
+	 * Written once for each error in the settings, before the exit.
+	 */
+	SETTINGS_REFUSED(1002, Level.ERROR, "The settings have an error, and the process does not start.",
+			"Correct the settings at the named line and start again.", FieldName.FILE, FieldName.LINE, FieldName.REASON,
+			FieldName.EXPECTED),
+
+	/**
+	 * Written when the first configuration is in force and the port is open.
+	 */
+	PROCESS_READY(1003, Level.INFO, "The process takes work.", "Nothing.", FieldName.ROLE, FieldName.VM,
+			FieldName.ADDRESS, FieldName.MILLISECONDS),
+
+	/**
+	 * Written at the first stop signal or order to drain; {@code COUNT} is of requests
+	 * under way.
+	 */
+	DRAINING_BEGAN(1004, Level.INFO, "The process takes no new work and lets requests under way end.",
+			"Wait for the end of draining before the VM is taken away.", FieldName.ROLE, FieldName.VM, FieldName.COUNT,
+			FieldName.LIMIT, FieldName.REASON),
+
+	/**
+	 * Written when nothing is under way or the limit is met, whichever is first.
+	 */
+	DRAINING_ENDED(1005, Level.INFO,
+			"Draining is over, and the process ends; the count is of requests that were still under way.",
+			"If the count is not zero, raise the limit of draining.", FieldName.ROLE, FieldName.VM, FieldName.COUNT,
+			FieldName.MILLISECONDS, FieldName.REASON),
+
+	/**
+	 * Written at a stop signal that arrives while draining.
+	 */
+	SECOND_STOP_SIGNAL(1006, Level.WARN, "A second stop signal came while draining, and the process ends at once.",
+			"Send one signal and wait; the calls counted here were cut off.", FieldName.ROLE, FieldName.VM,
+			FieldName.COUNT),
+
+	/**
+	 * Written by each process that puts a version in force; {@code COUNT} is of groups.
+	 */
+	CONFIGURATION_ACCEPTED(2001, Level.INFO, "A configuration is in force in this process.", "Nothing.",
+			FieldName.VERSION, FieldName.OFFSET, FieldName.COUNT),
+
+	/**
+	 * Written once for each error of a published configuration.
+	 */
+	CONFIGURATION_REFUSED(2002, Level.ERROR, "A configuration is refused whole, and the one before it stays in force.",
+			"Correct the named line and publish again.", FieldName.VERSION, FieldName.OFFSET, FieldName.FILE,
+			FieldName.LINE, FieldName.REASON, FieldName.EXPECTED),
+
+	/**
+	 * Written when a record's base is no longer the newest version.
+	 */
+	CONFIGURATION_SUPERSEDED(2003, Level.WARN,
+			"Another publication from the same base came first, so this one has no effect.",
+			"Compare with the version in force and publish again.", FieldName.VERSION, FieldName.OFFSET,
+			FieldName.REASON),
+
+	/**
+	 * Written when a record's base is a version that was never read.
+	 */
+	CONFIGURATION_GAP(2004, Level.WARN,
+			"Records of the configuration are missing from the log; the newest known version stays in force.",
+			"If it does not heal by a version from a peer, publish again.", FieldName.VERSION, FieldName.OFFSET,
+			FieldName.REASON),
+
+	/**
+	 * Written again after each wait for a first configuration.
+	 */
+	CONFIGURATION_AWAITED(2005, Level.WARN, "No configuration is known yet, and the process takes no calls.",
+			"Check the log service; publish if nothing was ever published.", FieldName.REASON, FieldName.MILLISECONDS),
+
+	/**
+	 * Written when a peer's version is newer than any read from the log.
+	 */
+	CONFIGURATION_FROM_PEER(2006, Level.INFO, "A newer configuration was taken from a peer.", "Nothing.",
+			FieldName.VERSION, FieldName.VM),
+
+	/**
+	 * Written by the entry when the handshake ends.
+	 */
+	SIDECAR_LINKED(3001, Level.INFO, "A sidecar is linked to this entry.", "Nothing.", FieldName.VM, FieldName.ZONE,
+			FieldName.ADDRESS, FieldName.INCARNATION),
+
+	/**
+	 * Written by both ends, each for itself.
+	 */
+	LINK_LOST(3002, Level.WARN, "The link to a peer is lost; the count is of calls whose outcome it leaves open.",
+			"If it does not come back, check the VM and the network between the zones.", FieldName.VM, FieldName.ZONE,
+			FieldName.ADDRESS, FieldName.INCARNATION, FieldName.REASON, FieldName.COUNT),
+
+	/**
+	 * Written at the first evidence: the VM list, an announcement or a stop of the
+	 * sidecar.
+	 */
+	UPSTREAM_LEAVING(3003, Level.INFO, "An upstream is leaving and receives no new work.", "Nothing.", FieldName.VM,
+			FieldName.ZONE, FieldName.INCARNATION, FieldName.REASON),
+
+	/**
+	 * Written when a known VM links with an incarnation not seen before.
+	 */
+	UPSTREAM_REPLACED(3004, Level.INFO,
+			"An upstream is back as another incarnation, and what was known of the earlier one is dropped.",
+			"Nothing, unless it repeats: then look for what ends the process.", FieldName.VM, FieldName.ZONE,
+			FieldName.ADDRESS, FieldName.INCARNATION),
+
+	/**
+	 * Written when a message fails its check; {@code COUNT} is of those refused on the
+	 * connection.
+	 */
+	MESSAGE_REFUSED(3005, Level.WARN,
+			"A message between processes is forged or unreadable, and its connection is closed.",
+			"Check who sends from that address, and that both processes run neighbouring versions.", FieldName.VM,
+			FieldName.ADDRESS, FieldName.REASON, FieldName.COUNT),
+
+	/**
+	 * Written once for each silence, not for each heartbeat that is missing.
+	 */
+	HEARTBEAT_LATE(3006, Level.WARN, "A peer's heartbeat is late, so it is passed over for new work.",
+			"If it persists, check the VM's load and the network.", FieldName.VM, FieldName.ZONE,
+			FieldName.MILLISECONDS),
+
+	/**
+	 * Written when the claim is read back from the log as the valid one.
+	 */
+	PROGRAM_CLAIMED(4001, Level.DEBUG, "A program has a home in this epoch.", "Nothing.", FieldName.PROGRAM,
+			FieldName.VM, FieldName.EPOCH, FieldName.OFFSET),
+
+	/**
+	 * Written when a higher epoch is read for a program that this process held.
+	 */
+	CLAIM_LOST(4002, Level.WARN, "A claim to a program was overtaken, so this process stops acting for the program.",
+			"Nothing, unless it is frequent: then check for VMs that pause.", FieldName.PROGRAM, FieldName.VM,
+			FieldName.EPOCH, FieldName.OFFSET, FieldName.REASON),
+
+	/**
+	 * Written by the new home, with the tokens that were prefilled or imported.
+	 */
+	PROGRAM_MOVED(4003, Level.INFO, "A program continues on another upstream.", "Nothing.", FieldName.PROGRAM,
+			FieldName.VM, FieldName.EPOCH, FieldName.REASON, FieldName.TOKENS),
+
+	/**
+	 * Written when the append of a turn is acknowledged.
+	 */
+	TURN_COMMITTED(4004, Level.DEBUG, "A turn is in the log and counts as acknowledged.", "Nothing.", FieldName.PROGRAM,
+			FieldName.CALL, FieldName.EPOCH, FieldName.OFFSET),
+
+	/**
+	 * Written once for each turn that waits for the log service.
+	 */
+	TURN_PENDING(4005, Level.WARN,
+			"A turn could not be written because the log service is unavailable; it is kept and written later.",
+			"Bring the log service back; see the 7xxx events.", FieldName.PROGRAM, FieldName.CALL, FieldName.EPOCH,
+			FieldName.REASON),
+
+	/**
+	 * Written by each reader of the log that leaves such a turn out.
+	 */
+	TURN_SUPERSEDED(4006, Level.WARN, "A turn came from an old epoch and is not part of the history.",
+			"Nothing, unless it is frequent: then check for VMs that pause.", FieldName.PROGRAM, FieldName.CALL,
+			FieldName.EPOCH, FieldName.OFFSET, FieldName.REASON),
+
+	/**
+	 * Written by the home, whatever the reason.
+	 */
+	PROGRAM_ENDED(4007, Level.DEBUG, "A program ended after the counted calls, and what it held is released.",
+			"Nothing.", FieldName.PROGRAM, FieldName.REASON, FieldName.COUNT, FieldName.MILLISECONDS),
+
+	/**
+	 * Written by the home, before {@link #PROGRAM_ENDED}.
+	 */
+	PROGRAM_IDLE_LIMIT(4008, Level.INFO,
+			"A program was silent for longer than its limit and was ended with its children.",
+			"If such programs are wanted, raise the idle limit of the group.", FieldName.PROGRAM, FieldName.LIMIT,
+			FieldName.COUNT),
+
+	/**
+	 * Written with the number of the first turn that differs as {@code COUNT}.
+	 */
+	HISTORY_MISMATCH(4009, Level.WARN,
+			"A caller sent a history that differs from the one held, and the call was refused.",
+			"Tell the caller's owner: two clients may use one program name.", FieldName.PROGRAM, FieldName.CALL,
+			FieldName.COUNT, FieldName.REASON),
+
+	/**
+	 * Written with the number that was expected as {@code COUNT}.
+	 */
+	CALL_OUT_OF_ORDER(4010, Level.WARN, "A call came with a number that is not the next one of its program.",
+			"Tell the caller's owner if it is frequent.", FieldName.PROGRAM, FieldName.CALL, FieldName.COUNT,
+			FieldName.REASON),
+
+	/**
+	 * Written for refusals that have no code of their own.
+	 */
+	CALL_REFUSED(4011, Level.INFO, "A call was refused with the named cause.",
+			"Go by the cause; the counter of refusals shows how many.", FieldName.GROUP, FieldName.PROGRAM,
+			FieldName.CALL, FieldName.SERVICE, FieldName.VERDICT, FieldName.REASON),
+
+	/**
+	 * Written when an attempt ends with neither an answer nor proof that it did not run.
+	 */
+	OUTCOME_UNKNOWN(4012, Level.WARN, "A call may have run, and its answer is lost.",
+			"Ask the service or the upstream itself before the call is sent under a new key.", FieldName.GROUP,
+			FieldName.PROGRAM, FieldName.CALL, FieldName.ATTEMPT, FieldName.VM, FieldName.SERVICE, FieldName.REASON),
+
+	/**
+	 * Written when the answer of the first run is still held.
+	 */
+	DUPLICATE_ANSWERED(4013, Level.DEBUG, "A repeated call was answered from the record of its first run.", "Nothing.",
+			FieldName.GROUP, FieldName.PROGRAM, FieldName.CALL, FieldName.KEY, FieldName.OFFSET),
+
+	/**
+	 * Written when the digests of the two bodies differ.
+	 */
+	KEY_REUSED(4014, Level.WARN, "An idempotency key came again with another body, and the call was refused.",
+			"Tell the caller's owner: each request needs its own key.", FieldName.GROUP, FieldName.PROGRAM,
+			FieldName.CALL, FieldName.KEY),
+
+	/**
+	 * Written at the crash that meets the limit, and at each later attempt.
+	 */
+	REQUEST_STOPPED(4015, Level.ERROR, "A request crashed as many upstreams as it may and is not run again.",
+			"Look at the request and the engine's own log of the crash.", FieldName.GROUP, FieldName.PROGRAM,
+			FieldName.CALL, FieldName.KEY, FieldName.COUNT, FieldName.LIMIT),
+
+	/**
+	 * Written when a call is taken out of the queue for its deadline.
+	 */
+	DEADLINE_PASSED(4016, Level.INFO,
+			"A call's deadline passed in the queue, and the call was taken out without running.",
+			"If it is frequent, add upstreams or raise the deadline.", FieldName.GROUP, FieldName.PROGRAM,
+			FieldName.CALL, FieldName.MILLISECONDS),
+
+	/**
+	 * Written once for each group and period.
+	 */
+	BUDGET_EXHAUSTED(5001, Level.WARN, "A group has used its budget, and its calls are refused until the next period.",
+			"Raise the budget, or leave it.", FieldName.GROUP, FieldName.COUNT, FieldName.LIMIT),
+
+	/**
+	 * Written when the reservation is read back from the log as valid.
+	 */
+	SLICE_RESERVED(5002, Level.DEBUG, "A slice of a group's budget is reserved for this entry.", "Nothing.",
+			FieldName.GROUP, FieldName.TOKENS, FieldName.OFFSET, FieldName.LIMIT),
+
+	/**
+	 * Written for slices that are given back and for those of lost entries.
+	 */
+	SLICE_RETURNED(5003, Level.DEBUG, "The unused part of a slice is back in the group's budget.", "Nothing.",
+			FieldName.GROUP, FieldName.TOKENS, FieldName.OFFSET, FieldName.VM, FieldName.REASON),
+
+	/**
+	 * Written when a queue becomes full, not for each call that it refuses.
+	 */
+	QUEUE_FULL(5004, Level.WARN, "A queue is full, and further calls are refused without running.",
+			"Add upstreams, or lower the callers' rate.", FieldName.GROUP, FieldName.COUNT, FieldName.LIMIT),
+
+	/**
+	 * Written by the sidecar when the engine's connections end without answers.
+	 */
+	ENGINE_CRASHED(6001, Level.ERROR, "An engine ended while the counted requests were running.",
+			"Look at the engine's own log; see whether REQUEST_STOPPED follows.", FieldName.VM, FieldName.ZONE,
+			FieldName.MODEL, FieldName.INCARNATION, FieldName.REASON, FieldName.COUNT),
+
+	/**
+	 * Written by the sidecar when the engine answers after a crash.
+	 */
+	ENGINE_BACK(6002, Level.INFO, "An engine takes work again, with an empty cache.", "Nothing.", FieldName.VM,
+			FieldName.ZONE, FieldName.MODEL, FieldName.INCARNATION, FieldName.MILLISECONDS),
+
+	/**
+	 * Written by the sidecar when the engine has confirmed the release.
+	 */
+	KV_RELEASED(6003, Level.DEBUG, "Engine memory held for a program is released.", "Nothing.", FieldName.VM,
+			FieldName.PROGRAM, FieldName.TOKENS, FieldName.REASON),
+
+	/**
+	 * Written by the sidecar, which enforces leases by its own clock.
+	 */
+	KV_LEASE_ENDED(6004, Level.WARN, "A lease on engine memory ended without renewal, and the memory is released.",
+			"Nothing, unless it is frequent: then check for entries that vanish.", FieldName.VM, FieldName.PROGRAM,
+			FieldName.TOKENS, FieldName.LIMIT),
+
+	/**
+	 * Written by the sidecar or on the engine's refusal, before anything is done.
+	 */
+	ORDER_REFUSED(6005, Level.WARN, "An order to an engine carried an old fencing number and was refused.",
+			"Nothing: the newer holder's order stands.", FieldName.VM, FieldName.MODEL, FieldName.EPOCH,
+			FieldName.REASON),
+
+	/**
+	 * Written when an answer reports fewer cached tokens than believed.
+	 */
+	CACHE_BELIEF_CORRECTED(6006, Level.DEBUG, "A prefix believed to be cached was not, and the belief was corrected.",
+			"Nothing, unless it is frequent: then check the engine's memory.", FieldName.VM, FieldName.PROGRAM,
+			FieldName.TOKENS, FieldName.REASON),
+
+	/**
+	 * Written once for each outage and stream.
+	 */
+	LOG_UNAVAILABLE(7001, Level.ERROR, "The log service does not answer.",
+			"Bring the log service back; work that needs no append goes on.", FieldName.STREAM, FieldName.REASON,
+			FieldName.MILLISECONDS),
+
+	/**
+	 * Written once at the end of an outage.
+	 */
+	LOG_BACK(7002, Level.INFO, "The log service answers again, and the counted records that waited are being written.",
+			"Nothing.", FieldName.STREAM, FieldName.OFFSET, FieldName.MILLISECONDS, FieldName.COUNT),
+
+	/**
+	 * Written when an append times out or its connection is reset.
+	 */
+	APPEND_UNKNOWN(7003, Level.WARN,
+			"The answer to an append is lost; the log is read to learn whether it took effect.",
+			"Nothing, unless it is frequent: then check the network to the log service.", FieldName.STREAM,
+			FieldName.OFFSET, FieldName.REASON),
+
+	/**
+	 * Written when the first offset that the log still has is later than the one needed.
+	 */
+	RETENTION_GAP(7004, Level.ERROR, "Records that were still needed have passed the retention of the log.",
+			"Lengthen the retention; calls that depended on them are refused as possibly run.", FieldName.STREAM,
+			FieldName.OFFSET, FieldName.COUNT, FieldName.REASON);
+
+	private final int number;
+
+	private final Level level;
+
+	private final String meaning;
+
+	private final String action;
+
+	private final Set<FieldName> fields;
+
+	NoticeCode(int number, Level level, String meaning, String action, FieldName... fields) {
+		this.number = number;
+		this.level = level;
+		this.meaning = meaning;
+		this.action = action;
+		Set<FieldName> names = EnumSet.noneOf(FieldName.class);
+		names.addAll(Arrays.asList(fields));
+		this.fields = Collections.unmodifiableSet(names);
+	}
+
+	/**
+	 * Returns the number by which operators look the event up.
+	 * @return a number of four digits
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns how urgent the event is.
+	 * @return the level it is logged at
+	 */
+	public Level level() {
+		return this.level;
+	}
+
+	/**
+	 * Returns the concept that the event belongs to.
+	 * @return the range of the number
+	 */
+	public Range range() {
+		return Range.of(this.number);
+	}
+
+	/**
+	 * Returns what the event means.
+	 * @return one sentence
+	 */
+	public String meaning() {
+		return this.meaning;
+	}
+
+	/**
+	 * Returns what an operator does about the event.
+	 * @return one sentence
+	 */
+	public String action() {
+		return this.action;
+	}
+
+	/**
+	 * Returns the fields that a notice of this code may carry.
+	 * @return the names, in the order of their declaration; unmodifiable
+	 */
+	public Set<FieldName> fields() {
+		return this.fields;
+	}
+
+	/**
+	 * Returns a notice of this code with a field.
+	 * @param name the name of the field
+	 * @param value the value, written by its {@code toString}
+	 * @return the notice, to which further fields can be added
+	 * @throws IllegalArgumentException if this code does not list the field
+	 */
+	public Notice with(FieldName name, Object value) {
+		return withoutFields().with(name, value);
+	}
+
+	/**
+	 * Returns a notice of this code that has no fields yet.
+	 * @return the notice
+	 */
+	public Notice withoutFields() {
+		return new Notice(this, List.of());
+	}
+
+	/**
+	 * How urgent an event is. Safe for use by several threads.
+	 */
+	public enum Level {
+
+		/**
+		 * Something is lost or stays refused until an operator acts.
+		 */
+		ERROR,
+
+		/**
+		 * Something went wrong and heals by itself, or is the matter of a caller.
+		 */
+		WARN,
+
+		/**
+		 * A change that operators follow.
+		 */
+		INFO,
+
+		/**
+		 * A step of ordinary work, too frequent to be written by default.
+		 */
+		DEBUG
+
+	}
+
+	/**
+	 * The concept that a thousand of numbers belongs to; events of one range share a
+	 * logger. Safe for use by several threads.
+	 */
+	public enum Range {
+
+		/**
+		 * The life of a process.
+		 */
+		PROCESS(1),
+
+		/**
+		 * Configuration that operators publish.
+		 */
+		CONFIGURATION(2),
+
+		/**
+		 * Membership and the links between processes.
+		 */
+		MEMBERSHIP(3),
+
+		/**
+		 * Programs and their calls.
+		 */
+		PROGRAMS(4),
+
+		/**
+		 * Budgets and shares.
+		 */
+		BUDGETS(5),
+
+		/**
+		 * Engines and their memory.
+		 */
+		ENGINES(6),
+
+		/**
+		 * The log service.
+		 */
+		LOG_SERVICE(7);
+
+		private static final int SIZE = 1000;
+
+		private final int thousand;
+
+		Range(int thousand) {
+			this.thousand = thousand;
+		}
+
+		/**
+		 * Returns the word for this range in names of loggers.
+		 * @return the name in lower case
+		 */
+		public String label() {
+			return name().toLowerCase(Locale.ROOT);
+		}
+
+		private static Range of(int number) {
+			for (Range range : values()) {
+				if (range.thousand == number / SIZE) {
+					return range;
+				}
+			}
+			throw new IllegalArgumentException("no range holds the number " + number);
+		}
+
+	}
+
+}
