Define calls, link messages and the ledger that the log's order decides

Cause: entries and sidecars need one vocabulary, and homes, turns and claims must be decided the same way in every process with none in charge. Change: values of calls, outcomes and link messages; a ledger that reads the stream of records: the first claim of an epoch wins, a turn counts only in its epoch and order, a call has one executor until that executor releases it. Its state per program does not grow with the turns: each turn names the place of the one before it. Conclusion: a repeated or delayed append is void and harms nothing, so an append whose answer was lost can simply be sent again.

--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/call/CallFailure.java
@@ -0,0 +1,73 @@
+package io.lentilslip.core.call;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.lentilslip.core.verdict.Verdict;
+
+/**
+ * A call that had no answer, and what is known of its execution. Immutable and safe for
+ * use by several threads.
+ *
+ * @param verdict whether the request may have run
+ * @param cause why there is no answer
+ * @param message a sentence for the caller, without details of the system's inside
+ * @param retryAfter when the caller may ask again, if that makes sense
+ */
+public record CallFailure(Verdict verdict, FailureCause cause, String message, Optional<Duration> retryAfter) {
+
+	/**
+	 * Creates a failure.
+	 * @param verdict whether the request may have run
+	 * @param cause why there is no answer
+	 * @param message a sentence for the caller, without details of the system's inside
+	 * @param retryAfter when the caller may ask again, if that makes sense
+	 */
+	public CallFailure {
+		Objects.requireNonNull(verdict, "verdict");
+		Objects.requireNonNull(cause, "cause");
+		Objects.requireNonNull(message, "message");
+		Objects.requireNonNull(retryAfter, "retryAfter");
+	}
+
+	/**
+	 * Returns the failure of a request that surely did not run.
+	 * @param cause why there is no answer
+	 * @param message a sentence for the caller
+	 * @return the failure
+	 */
+	public static CallFailure notRun(FailureCause cause, String message) {
+		return new CallFailure(Verdict.NOT_RUN, cause, message, Optional.empty());
+	}
+
+	/**
+	 * Returns the failure of a request that may have run.
+	 * @param cause why there is no answer
+	 * @param message a sentence for the caller
+	 * @return the failure
+	 */
+	public static CallFailure mayHaveRun(FailureCause cause, String message) {
+		return new CallFailure(Verdict.MAY_HAVE_RUN, cause, message, Optional.empty());
+	}
+
+	/**
+	 * Returns this failure with a time after which the caller may ask again.
+	 * @param delay the time to wait
+	 * @return a failure with the time
+	 */
+	public CallFailure retryAfter(Duration delay) {
+		return new CallFailure(this.verdict, this.cause, this.message, Optional.of(delay));
+	}
+
+	/**
+	 * Returns this failure after an earlier attempt of the same request: the verdict is
+	 * never better than that of the earlier attempt.
+	 * @param earlier the verdict of the earlier attempt
+	 * @return a failure with the verdict over both attempts
+	 */
+	public CallFailure after(Verdict earlier) {
+		return new CallFailure(this.verdict.and(earlier), this.cause, this.message, this.retryAfter);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -0,0 +1,325 @@
+package io.lentilslip.core.ledger;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.ledger.LedgerChange.VoidReason;
+import io.lentilslip.core.verdict.Verdict;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Queue;
+import io.vavr.collection.Set;
+
+/**
+ * The reading of the stream {@code programs}. Every process that applies the same records
+ * in the order of the log holds the same ledger: no clock but the log's own is used. An
+ * epoch of a program only grows, a turn is added once and in its order, and a call has at
+ * most one executor at a time. Immutable and safe for use by several threads.
+ */
+public final class Ledger {
+
+	private final Map<ProgramId, ProgramState> programs;
+
+	private final Map<ProgramId, Set<ProgramId>> children;
+
+	private final Map<CallKey, ClaimState> claims;
+
+	private final Queue<Expiry> expiries;
+
+	private final Duration memory;
+
+	private Ledger(Map<ProgramId, ProgramState> programs, Map<ProgramId, Set<ProgramId>> children,
+			Map<CallKey, ClaimState> claims, Queue<Expiry> expiries, Duration memory) {
+		this.programs = programs;
+		this.children = children;
+		this.claims = claims;
+		this.expiries = expiries;
+		this.memory = memory;
+	}
+
+	/**
+	 * Returns a ledger without records.
+	 * @param memory how long, by the log's time, ended programs and settled calls are
+	 * remembered; it must be shorter than the log's retention, so that a process that
+	 * starts anew remembers as much as the others
+	 * @return an empty ledger
+	 */
+	public static Ledger remembering(Duration memory) {
+		return new Ledger(HashMap.empty(), HashMap.empty(), HashMap.empty(), Queue.empty(), memory);
+	}
+
+	/**
+	 * Returns the state of a program.
+	 * @param program the program
+	 * @return the state, or an empty result if the log does not know the program
+	 */
+	public Optional<ProgramState> program(ProgramId program) {
+		return this.programs.get(program).toJavaOptional();
+	}
+
+	/**
+	 * Returns the state of a claimed call.
+	 * @param key the key of the call
+	 * @return the claim, or an empty result if there is none
+	 */
+	public Optional<ClaimState> claim(CallKey key) {
+		return this.claims.get(key).toJavaOptional();
+	}
+
+	/**
+	 * Returns the number of programs held, ended ones included.
+	 * @return the number of programs
+	 */
+	public int programCount() {
+		return this.programs.size();
+	}
+
+	/**
+	 * Returns the number of claimed calls held.
+	 * @return the number of claims
+	 */
+	public int claimCount() {
+		return this.claims.size();
+	}
+
+	/**
+	 * Returns what follows from the next record of the stream.
+	 * @param position where the record stands
+	 * @param time the log's time of the record
+	 * @param record the record
+	 * @return the ledger after the record and what changed
+	 */
+	public Reading apply(Position position, Instant time, LedgerRecord record) {
+		Ledger current = forgetBefore(time.minus(this.memory));
+		return switch (record) {
+			case LedgerRecord.ProgramClaimed claimed -> current.claimProgram(position, claimed);
+			case LedgerRecord.TurnCommitted committed -> current.addTurn(position, committed);
+			case LedgerRecord.ProgramEnded ended -> current.endProgram(time, ended);
+			case LedgerRecord.CallClaimed claimed -> current.claimCall(position, time, claimed);
+			case LedgerRecord.CallSettled settled -> current.settleCall(time, settled);
+		};
+	}
+
+	private Reading claimProgram(Position position, LedgerRecord.ProgramClaimed record) {
+		ProgramId program = record.program();
+		Optional<ProgramState> known = program(program);
+		if (known.isPresent() && known.get().ended().isPresent()) {
+			return voided(record, VoidReason.PROGRAM_ENDED);
+		}
+		Epoch epoch = known.map(ProgramState::epoch).orElse(Epoch.NONE);
+		if (!record.epoch().equals(epoch.next())) {
+			return voided(record, VoidReason.EPOCH_TAKEN);
+		}
+		if (known.isPresent()) {
+			ProgramState moved = known.get().movedTo(record.home(), record.epoch(), position);
+			return with(program, moved, new LedgerChange.HomeChanged(program, moved, known.get().home()));
+		}
+		// A child of an ended parent would never be ended again: nobody would wait for
+		// it, and its engine memory would stay held. Voiding its first claim is enough,
+		// since a program without a home runs nothing.
+		if (record.parent().flatMap(this::program).flatMap(ProgramState::ended).isPresent()) {
+			return voided(record, VoidReason.PROGRAM_ENDED);
+		}
+		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), position, 0,
+				Optional.empty(), Optional.empty());
+		Ledger next = record.parent().map((parent) -> withChild(parent, program)).orElse(this);
+		return next.with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
+	}
+
+	private Reading addTurn(Position position, LedgerRecord.TurnCommitted record) {
+		Optional<ProgramState> known = program(record.program());
+		if (known.isEmpty()) {
+			return voided(record, VoidReason.UNKNOWN);
+		}
+		ProgramState state = known.get();
+		if (state.ended().isPresent()) {
+			return voided(record, VoidReason.PROGRAM_ENDED);
+		}
+		if (!state.epoch().equals(record.epoch())) {
+			return voided(record, VoidReason.EPOCH_SUPERSEDED);
+		}
+		if (record.turn().number() != state.lastCall() + 1) {
+			return voided(record, VoidReason.TURN_NOT_NEXT);
+		}
+		ProgramState longer = state.withTurn(record.turn().number(), position);
+		return with(record.program(), longer, new LedgerChange.TurnAdded(record.program(), longer, record.turn()));
+	}
+
+	private Reading endProgram(Instant time, LedgerRecord.ProgramEnded record) {
+		Optional<ProgramState> known = program(record.program());
+		if (known.isEmpty()) {
+			return voided(record, VoidReason.UNKNOWN);
+		}
+		if (known.get().ended().isPresent()) {
+			return voided(record, VoidReason.PROGRAM_ENDED);
+		}
+		List<LedgerChange> changes = new ArrayList<>();
+		Ledger next = close(record.program(), record.reason(), time, changes);
+		return new Reading(next, changes);
+	}
+
+	// Ends a program and all its descendants. The work list is explicit, since a chain of
+	// sub-agents may be deeper than the stack.
+	private Ledger close(ProgramId program, EndReason reason, Instant time, List<LedgerChange> changes) {
+		Map<ProgramId, ProgramState> states = this.programs;
+		Queue<Expiry> due = this.expiries;
+		Queue<ProgramId> open = Queue.of(program);
+		while (!open.isEmpty()) {
+			ProgramId next = open.head();
+			open = open.tail().appendAll(this.children.getOrElse(next, HashSet.empty()));
+			Optional<ProgramState> state = states.get(next).toJavaOptional();
+			if (state.isEmpty() || state.get().ended().isPresent()) {
+				continue;
+			}
+			EndReason why = (next.equals(program)) ? reason : EndReason.WITH_PARENT;
+			ProgramState ended = state.get().endedFor(why);
+			states = states.put(next, ended);
+			due = due.enqueue(new Expiry.ForProgram(time, next));
+			changes.add(new LedgerChange.ProgramClosed(next, ended, why));
+		}
+		return new Ledger(states, this.children, this.claims, due, this.memory);
+	}
+
+	private Reading claimCall(Position position, Instant time, LedgerRecord.CallClaimed record) {
+		if (this.claims.containsKey(record.key())) {
+			return voided(record, VoidReason.CALL_TAKEN);
+		}
+		ClaimState state = new ClaimState(record.content(), record.executor(), position, Optional.empty());
+		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), position, false));
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), state), due, this.memory);
+		return new Reading(next, List.of(new LedgerChange.CallTaken(record.key(), state)));
+	}
+
+	private Reading settleCall(Instant time, LedgerRecord.CallSettled record) {
+		Optional<ClaimState> known = claim(record.key());
+		if (known.isEmpty()) {
+			return voided(record, VoidReason.UNKNOWN);
+		}
+		ClaimState state = known.get();
+		if (state.outcome().isPresent() || !state.executor().equals(record.executor())) {
+			return voided(record, VoidReason.NOT_EXECUTOR);
+		}
+		if (record.outcome().verdict() == Verdict.NOT_RUN) {
+			Ledger next = new Ledger(this.programs, this.children, this.claims.remove(record.key()), this.expiries,
+					this.memory);
+			return new Reading(next, List.of(new LedgerChange.CallReleased(record.key(), record.executor())));
+		}
+		ClaimState settled = state.settled(record.outcome());
+		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), state.claimed(), true));
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), settled), due,
+				this.memory);
+		return new Reading(next, List.of(new LedgerChange.CallDone(record.key(), settled)));
+	}
+
+	private Ledger withChild(ProgramId parent, ProgramId child) {
+		Set<ProgramId> siblings = this.children.getOrElse(parent, HashSet.empty()).add(child);
+		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.expiries, this.memory);
+	}
+
+	private Reading with(ProgramId program, ProgramState state, LedgerChange change) {
+		Ledger next = new Ledger(this.programs.put(program, state), this.children, this.claims, this.expiries,
+				this.memory);
+		return new Reading(next, List.of(change));
+	}
+
+	private Reading voided(LedgerRecord record, VoidReason reason) {
+		return new Reading(this, List.of(new LedgerChange.Voided(record, reason)));
+	}
+
+	// Drops what ended before a time. Without it the memory of a process grows with every
+	// program there ever was; with the log's time as measure all processes drop the same.
+	private Ledger forgetBefore(Instant time) {
+		Ledger next = this;
+		while (!next.expiries.isEmpty() && next.expiries.head().since().isBefore(time)) {
+			next = next.forget(next.expiries.head());
+		}
+		return next;
+	}
+
+	private Ledger forget(Expiry expiry) {
+		Queue<Expiry> rest = this.expiries.tail();
+		return switch (expiry) {
+			case Expiry.ForProgram due -> forgetProgram(due.program(), rest);
+			case Expiry.ForClaim due -> forgetClaim(due, rest);
+		};
+	}
+
+	private Ledger forgetProgram(ProgramId program, Queue<Expiry> rest) {
+		Map<ProgramId, Set<ProgramId>> families = this.children.remove(program);
+		Optional<ProgramId> parent = program(program).flatMap(ProgramState::parent);
+		if (parent.isPresent()) {
+			families = families.computeIfPresent(parent.get(), (key, siblings) -> siblings.remove(program))._2();
+		}
+		return new Ledger(this.programs.remove(program), families, this.claims, rest, this.memory);
+	}
+
+	// Drops a claim once its last record is old. The entry queued at the claim is skipped
+	// for a claim that was settled since, which has a later entry of its own, and for one
+	// that was released and made anew.
+	private Ledger forgetClaim(Expiry.ForClaim due, Queue<Expiry> rest) {
+		Optional<ClaimState> state = claim(due.key()).filter((claim) -> claim.claimed().equals(due.claimed()))
+			.filter((claim) -> claim.outcome().isPresent() == due.settled());
+		Map<CallKey, ClaimState> left = (state.isPresent()) ? this.claims.remove(due.key()) : this.claims;
+		return new Ledger(this.programs, this.children, left, rest, this.memory);
+	}
+
+	/**
+	 * The ledger after a record, and what the record changed.
+	 *
+	 * @param ledger the ledger after the record
+	 * @param changes what changed, at least one item
+	 */
+	public record Reading(Ledger ledger, List<LedgerChange> changes) {
+
+		/**
+		 * Creates a reading.
+		 * @param ledger the ledger after the record
+		 * @param changes what changed, at least one item
+		 */
+		public Reading {
+			changes = List.copyOf(changes);
+		}
+
+	}
+
+	/**
+	 * A thing to forget once it is old.
+	 */
+	private sealed interface Expiry {
+
+		/**
+		 * Returns the log's time since which it is old.
+		 * @return the time
+		 */
+		Instant since();
+
+		/**
+		 * An ended program.
+		 *
+		 * @param since the log's time of its end
+		 * @param program the program
+		 */
+		record ForProgram(Instant since, ProgramId program) implements Expiry {
+
+		}
+
+		/**
+		 * A claimed call.
+		 *
+		 * @param since the log's time of its last record
+		 * @param key the key of the call
+		 * @param claimed where the claim stands
+		 * @param settled whether the last record was the outcome
+		 */
+		record ForClaim(Instant since, CallKey key, Position claimed, boolean settled) implements Expiry {
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
@@ -0,0 +1,37 @@
+package io.lentilslip.core.ledger;
+
+import java.util.Optional;
+
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramId;
+
+/**
+ * What the log says of a program. Its size does not grow with the number of turns.
+ * Immutable and safe for use by several threads.
+ *
+ * @param epoch the epoch of the home
+ * @param home the sidecar that is the home
+ * @param parent the program whose sub-agent this one is, if there is one
+ * @param claimed where the claim of the epoch stands
+ * @param lastCall the number of the last turn in the log, or 0
+ * @param lastTurn where the last turn stands, if there is one
+ * @param ended why the program ended, if it has
+ */
+public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Position claimed, int lastCall,
+		Optional<Position> lastTurn, Optional<EndReason> ended) {
+
+	ProgramState movedTo(ProcessId newHome, Epoch newEpoch, Position position) {
+		return new ProgramState(newEpoch, newHome, this.parent, position, this.lastCall, this.lastTurn, this.ended);
+	}
+
+	ProgramState withTurn(int number, Position position) {
+		return new ProgramState(this.epoch, this.home, this.parent, this.claimed, number, Optional.of(position),
+				this.ended);
+	}
+
+	ProgramState endedFor(EndReason reason) {
+		return new ProgramState(this.epoch, this.home, this.parent, this.claimed, this.lastCall, this.lastTurn,
+				Optional.of(reason));
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between entries and sidecars.
+ */
+package io.lentilslip.core.link;
