--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryEvent.java
@@ -0,0 +1,142 @@
+package io.lentilslip.core.entry;
+
+import java.time.Instant;
+
+import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramName;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.role.LogEvent;
+import io.lentilslip.core.role.NodeEvent;
+
+/**
+ * An event in the life of an entry. Implementations are immutable and safe for use by
+ * several threads.
+ */
+public sealed interface EntryEvent {
+
+	/**
+	 * Returns the time of the event.
+	 * @return the time
+	 */
+	Instant now();
+
+	/**
+	 * Something was learned of the log service.
+	 *
+	 * @param event what was learned
+	 */
+	record LogSpoke(LogEvent event) implements EntryEvent {
+
+		@Override
+		public Instant now() {
+			return this.event.now();
+		}
+
+	}
+
+	/**
+	 * Something happened that happens to a process of any role.
+	 *
+	 * @param event what happened
+	 */
+	record NodeSpoke(NodeEvent event) implements EntryEvent {
+
+		@Override
+		public Instant now() {
+			return this.event.now();
+		}
+
+	}
+
+	/**
+	 * A caller sent a request.
+	 *
+	 * @param ticket the request
+	 * @param submission what it says
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 * @param seed a random number for the decisions that follow
+	 */
+	record CallArrived(Ticket ticket, Submission submission, Instant now, long seed) implements EntryEvent {
+
+	}
+
+	/**
+	 * The caller gave its request up.
+	 *
+	 * @param ticket the request
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record CallerGone(Ticket ticket, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A caller asks for the state of a program.
+	 *
+	 * @param ticket the request
+	 * @param caller the digest of the key that the caller showed
+	 * @param program the program
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record ProgramAsked(Ticket ticket, Digest caller, ProgramName program, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A caller ends a program.
+	 *
+	 * @param ticket the request
+	 * @param caller the digest of the key that the caller showed
+	 * @param program the program
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record ProgramEndAsked(Ticket ticket, Digest caller, ProgramName program, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A link to a sidecar opened.
+	 *
+	 * @param vm the VM of the sidecar, as configured
+	 * @param sidecar the process that answered
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record SidecarLinked(VmName vm, ProcessId sidecar, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A link to a sidecar ended, or could not be opened.
+	 *
+	 * @param vm the VM of the sidecar
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record SidecarUnlinked(VmName vm, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A sidecar sent a message.
+	 *
+	 * @param sidecar the sidecar
+	 * @param message the message
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record SidecarSpoke(ProcessId sidecar, LinkMessage.FromSidecar message, Instant now) implements EntryEvent {
+
+	}
+
+	/**
+	 * A message was surely not sent, since no link to its receiver was open.
+	 *
+	 * @param sidecar the receiver
+	 * @param message the message
+	 * @param now the time of the event, by a clock of this process that never goes back
+	 */
+	record SendRefused(ProcessId sidecar, LinkMessage.ToSidecar message, Instant now) implements EntryEvent {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Payload.java
@@ -0,0 +1,55 @@
+package io.lentilslip.core.entry;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.call.ServiceMessage;
+import io.lentilslip.core.identity.ModelName;
+import io.lentilslip.core.identity.ServiceName;
+
+/**
+ * What a caller asks for, before its group is known. Implementations are immutable and
+ * safe for use by several threads.
+ */
+public sealed interface Payload {
+
+	/**
+	 * A call of a model.
+	 *
+	 * @param model the model
+	 * @param mode how the messages relate to the history
+	 * @param messages the messages, each a JSON object in canonical text
+	 * @param maximumTokens the most tokens to generate, if the caller set it
+	 * @param parameters the further fields of the request, a JSON object
+	 * @param streamed whether the caller wants the answer as it is generated
+	 */
+	record ForModel(ModelName model, HistoryMode mode, List<String> messages, Optional<Integer> maximumTokens,
+			String parameters, boolean streamed) implements Payload {
+
+		/**
+		 * Creates a value.
+		 * @param model the model
+		 * @param mode how the messages relate to the history
+		 * @param messages the messages, each a JSON object in canonical text
+		 * @param maximumTokens the most tokens to generate, if the caller set it
+		 * @param parameters the further fields of the request, a JSON object
+		 * @param streamed whether the caller wants the answer as it is generated
+		 */
+		public ForModel {
+			messages = List.copyOf(messages);
+		}
+
+	}
+
+	/**
+	 * A call of a plain service.
+	 *
+	 * @param service the service
+	 * @param message the HTTP request to pass on
+	 */
+	record ForService(ServiceName service, ServiceMessage message) implements Payload {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/GenerationOrder.java
@@ -0,0 +1,38 @@
+package io.lentilslip.core.sidecar;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.identity.ModelName;
+import io.lentilslip.core.identity.ProgramId;
+
+/**
+ * What an engine is asked to generate. Immutable and safe for use by several threads.
+ *
+ * @param model the model
+ * @param messages the whole conversation, each message a JSON object
+ * @param continued whether the last message is the begun answer, to be continued
+ * @param maximumTokens the most tokens to generate
+ * @param parameters the further fields of the request, a JSON object
+ * @param session the program whose cache is to be held, if it belongs to one
+ * @param lease how long the engine holds the cache without a further request
+ */
+public record GenerationOrder(ModelName model, List<String> messages, boolean continued, int maximumTokens,
+		String parameters, Optional<ProgramId> session, Duration lease) {
+
+	/**
+	 * Creates an order.
+	 * @param model the model
+	 * @param messages the whole conversation, each message a JSON object
+	 * @param continued whether the last message is the begun answer, to be continued
+	 * @param maximumTokens the most tokens to generate
+	 * @param parameters the further fields of the request, a JSON object
+	 * @param session the program whose cache is to be held, if it belongs to one
+	 * @param lease how long the engine holds the cache without a further request
+	 */
+	public GenerationOrder {
+		messages = List.copyOf(messages);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Decisions of the process beside an upstream: order, deduplication, queueing, history
+ * and engine memory.
+ */
+package io.lentilslip.core.sidecar;
