Send HTTP requests at most once and know how far each came

Cause: every client of the systems outside has to tell a request that never left from one that may have run, and the HTTP library repeats requests by itself: after a reset connection, and on an answer 503 with "Retry-After: 0".

Change: HttpSender makes one attempt with redirects and retries off, bounds on time, calls under way and answer size, and an outcome that carries how far the request came, recorded by a listener of the connection.

Conclusion: refused, reset, cut off, timed out, oversized and surplus calls each give the verdict that is true of them.

--- /dev/null
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpSender.java
@@ -0,0 +1,220 @@
+package io.lentilslip.platform.http;
+
+import java.io.IOException;
+import java.net.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Dispatcher;
+import okhttp3.Interceptor;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.Buffer;
+import okio.BufferedSource;
+
+/**
+ * A sender that makes one attempt for each request and tells what is known of it. It
+ * never sends a request twice and never follows a redirect. Every stage it returns
+ * completes, and never exceptionally. Safe for use by several threads.
+ */
+public final class HttpSender implements AutoCloseable {
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final long READ_STEP = 8192;
+
+	private final HttpLimits limits;
+
+	private final ExecutorService executor;
+
+	private final OkHttpClient client;
+
+	private final Semaphore freeCalls;
+
+	/**
+	 * Creates a sender.
+	 * @param limits the bounds within which requests are sent
+	 */
+	public HttpSender(HttpLimits limits) {
+		this.limits = limits;
+		this.executor = Executors.newVirtualThreadPerTaskExecutor();
+		this.client = createClient(limits, this.executor);
+		this.freeCalls = new Semaphore(limits.maximumCalls());
+	}
+
+	private static OkHttpClient createClient(HttpLimits limits, ExecutorService executor) {
+		Dispatcher dispatcher = new Dispatcher(executor);
+		dispatcher.setMaxRequests(limits.maximumCalls());
+		dispatcher.setMaxRequestsPerHost(limits.maximumCalls());
+		return new OkHttpClient.Builder().dispatcher(dispatcher)
+			.protocols(List.of(Protocol.HTTP_1_1))
+			.proxy(Proxy.NO_PROXY)
+			.connectTimeout(limits.connectTimeout())
+			.readTimeout(limits.readTimeout())
+			.writeTimeout(limits.readTimeout())
+			.callTimeout(limits.callTimeout())
+			// The library would send a request again after a reset connection, though
+			// the first may have run. Off, each attempt ends as a failure that we see.
+			.retryOnConnectionFailure(false)
+			// A redirect is a second request, to an address that nobody configured.
+			.followRedirects(false)
+			.followSslRedirects(false)
+			.eventListenerFactory(TransmissionRecorder.factory())
+			.addNetworkInterceptor(HttpSender::withholdImmediateRetry)
+			.build();
+	}
+
+	/**
+	 * Takes "Retry-After: 0" off an answer 503. The library answers that header by
+	 * sending the request again at once, whatever its settings, and the service would see
+	 * it twice. Without the header it hands the answer to us, and no other answer makes
+	 * it repeat a request here: redirects and retries are off and no authenticator is
+	 * set.
+	 * @param chain the rest of the exchange
+	 * @return the answer without the header
+	 * @throws IOException if the exchange fails
+	 */
+	private static Response withholdImmediateRetry(Interceptor.Chain chain) throws IOException {
+		Response response = chain.proceed(chain.request());
+		if (response.code() != UNAVAILABLE) {
+			return response;
+		}
+		if (RetryAfter.parse(response.header(RetryAfter.HEADER)).filter(Duration::isPositive).isPresent()) {
+			return response;
+		}
+		return response.newBuilder().removeHeader(RetryAfter.HEADER).build();
+	}
+
+	/**
+	 * Returns the client underneath, for answers that are read as a stream. A request
+	 * must carry a {@link TransmissionRecorder} for its sending to be known.
+	 * @return the client, closed together with this sender
+	 */
+	public OkHttpClient client() {
+		return this.client;
+	}
+
+	/**
+	 * Sends a request within the usual call timeout.
+	 * @param request the request
+	 * @return the outcome
+	 */
+	public CompletionStage<Exchange> send(Request.Builder request) {
+		return send(request, this.limits.callTimeout());
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param callTimeout the longest time to the whole answer; zero for no bound
+	 * @return the outcome
+	 */
+	public CompletionStage<Exchange> send(Request.Builder request, Duration callTimeout) {
+		// Calls past the limit would wait in the library's queue, which has no bound.
+		// Refused here, before anything is sent, the caller knows that they did not run.
+		if (!this.freeCalls.tryAcquire()) {
+			return CompletableFuture
+				.completedFuture(new Exchange.Unanswered(Transmission.NEVER_SENT, "too many calls under way"));
+		}
+		TransmissionRecorder recorder = TransmissionRecorder.attachTo(request);
+		Call call = this.client.newCall(request.build());
+		call.timeout().timeout(callTimeout.toNanos(), TimeUnit.NANOSECONDS);
+		CompletableFuture<Exchange> outcome = new CompletableFuture<>();
+		call.enqueue(new WholeAnswer(recorder, outcome));
+		return outcome;
+	}
+
+	/**
+	 * Ends all calls under way, each with what is known of it, and closes all
+	 * connections.
+	 */
+	@Override
+	public void close() {
+		this.client.dispatcher().cancelAll();
+		this.executor.shutdown();
+		this.client.connectionPool().evictAll();
+	}
+
+	/**
+	 * A callback that reads the whole answer and completes one call's outcome. Called
+	 * once, by the thread that runs the call.
+	 */
+	private final class WholeAnswer implements Callback {
+
+		private final TransmissionRecorder recorder;
+
+		private final CompletableFuture<Exchange> outcome;
+
+		WholeAnswer(TransmissionRecorder recorder, CompletableFuture<Exchange> outcome) {
+			this.recorder = recorder;
+			this.outcome = outcome;
+		}
+
+		@Override
+		public void onFailure(Call call, IOException ex) {
+			complete(new Exchange.Unanswered(this.recorder.transmission(), describe(ex)));
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			complete(read(response));
+		}
+
+		private Exchange read(Response response) {
+			try (ResponseBody body = response.body()) {
+				Optional<byte[]> bytes = readBounded(body.source());
+				if (bytes.isEmpty()) {
+					return unanswered("answer longer than " + HttpSender.this.limits.maximumAnswerBytes() + " bytes");
+				}
+				return new Exchange.Answered(response.code(), response.headers(), bytes.get());
+			}
+			catch (IOException ex) {
+				return unanswered("answer cut off: " + describe(ex));
+			}
+		}
+
+		/**
+		 * Reads a body in steps. Its stated length may be absent or false, and an endless
+		 * body would fill the memory.
+		 * @param source the body
+		 * @return the whole body, or an empty result if it is too long
+		 * @throws IOException if the body ends early
+		 */
+		private Optional<byte[]> readBounded(BufferedSource source) throws IOException {
+			Buffer buffer = new Buffer();
+			while (source.read(buffer, READ_STEP) != -1) {
+				if (buffer.size() > HttpSender.this.limits.maximumAnswerBytes()) {
+					return Optional.empty();
+				}
+			}
+			return Optional.of(buffer.readByteArray());
+		}
+
+		private Exchange unanswered(String reason) {
+			return new Exchange.Unanswered(Transmission.MAY_HAVE_BEEN_SENT, reason);
+		}
+
+		private String describe(IOException ex) {
+			return ex.getClass().getSimpleName() + ": " + ex.getMessage();
+		}
+
+		private void complete(Exchange exchange) {
+			HttpSender.this.freeCalls.release();
+			this.outcome.complete(exchange);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
@@ -0,0 +1,163 @@
+package io.lentilslip.platform.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jooby.Context;
+import io.jooby.StatusCode;
+import io.lentilslip.core.verdict.Verdict;
+import io.lentilslip.standin.http.StandInServer;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HttpSenderTests {
+
+	private static final Duration LONG = Duration.ofSeconds(20);
+
+	private final AtomicInteger arrived = new AtomicInteger();
+
+	private final CompletableFuture<Context> held = new CompletableFuture<>();
+
+	private final StandInServer server = StandInServer.start(StandInServer.ANY_PORT, (application, running) -> {
+		application.get("/whole", (context) -> "text");
+		application.post("/unavailable", (context) -> {
+			this.arrived.incrementAndGet();
+			context.setResponseHeader("Retry-After", "0");
+			return context.send(StatusCode.SERVICE_UNAVAILABLE);
+		});
+		application.get("/elsewhere", (context) -> context.sendRedirect("/whole"));
+		application.post("/reset", (context) -> {
+			this.arrived.incrementAndGet();
+			running.reset(context);
+			return context;
+		});
+		application.get("/held", (context) -> {
+			this.held.complete(context);
+			return context;
+		});
+		application.get("/cut", (context) -> {
+			context.setResponseLength(100);
+			context.detach((detached) -> detached)
+				.responseSender()
+				.write(new byte[10], (sent, failure) -> running.reset(sent));
+			return context;
+		});
+	});
+
+	private final HttpSender sender = new HttpSender(HttpLimits.defaults().withTimeouts(LONG, LONG));
+
+	@AfterEach
+	void stop() {
+		this.sender.close();
+		this.server.close();
+	}
+
+	@Test
+	void bringsTheWholeAnswer() {
+		Exchange exchange = get(this.sender, "/whole");
+		assertThat(exchange).isInstanceOfSatisfying(Exchange.Answered.class, (answer) -> {
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.text()).isEqualTo("text");
+		});
+	}
+
+	// Nothing listens on the port any more, so the connect is refused. No byte
+	// of the request has left, and the caller may be told that it did not run.
+	@Test
+	void aRefusedConnectWasNeverSent() {
+		this.server.close();
+		assertUnanswered(get(this.sender, "/whole"), Transmission.NEVER_SENT, Verdict.NOT_RUN);
+	}
+
+	// The server takes the request and resets the connection without an
+	// answer. A library that tries again by itself would run it twice.
+	@Test
+	void aResetMayHaveBeenSentAndIsNotSentAgain() {
+		assertUnanswered(post("/reset"), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		assertThat(this.arrived).hasValue(1);
+	}
+
+	// An answer 503 asks to come back after 0 seconds, which the library does
+	// at once by itself. The server must see one request, the caller the 503.
+	@Test
+	void anImmediateRetryIsNotTakenUp() {
+		assertThat(post("/unavailable")).isInstanceOfSatisfying(Exchange.Answered.class,
+				(answer) -> assertThat(answer.status()).isEqualTo(503));
+		assertThat(this.arrived).hasValue(1);
+	}
+
+	@Test
+	void aRedirectIsNotFollowed() {
+		assertThat(get(this.sender, "/elsewhere")).isInstanceOfSatisfying(Exchange.Answered.class,
+				(answer) -> assertThat(answer.status()).isEqualTo(302));
+	}
+
+	// The connection is reset after ten of a hundred bytes of the answer. The
+	// status has been seen, but the caller must not get a part for the whole.
+	@Test
+	void anAnswerCutOffMayHaveBeenSent() {
+		Exchange exchange = get(this.sender, "/cut");
+		assertUnanswered(exchange, Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		assertThat(((Exchange.Unanswered) exchange).reason()).startsWith("answer cut off");
+	}
+
+	// The server holds the answer back until the read has timed out. The
+	// request has left, so running out of time does not mean that it never ran.
+	@Test
+	void aTimeoutAfterSendingMayHaveBeenSent() {
+		try (HttpSender impatient = new HttpSender(HttpLimits.defaults().withTimeouts(Duration.ofMillis(200), LONG))) {
+			assertUnanswered(get(impatient, "/held"), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		}
+	}
+
+	@Test
+	void anAnswerOverTheLimitIsNotTakenForWhole() {
+		try (HttpSender small = new HttpSender(HttpLimits.defaults().withMaximumAnswerBytes(3))) {
+			assertUnanswered(get(small, "/whole"), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		}
+	}
+
+	// One call is under way and one is all that is allowed. The second is
+	// refused before anything is sent, in place of waiting without a bound.
+	@Test
+	void aCallOverTheLimitWasNeverSent() {
+		try (HttpSender narrow = new HttpSender(HttpLimits.defaults().withMaximumCalls(1))) {
+			CompletableFuture<Exchange> first = narrow.send(request("/held").get()).toCompletableFuture();
+			Context context = this.held.join();
+			assertUnanswered(get(narrow, "/whole"), Transmission.NEVER_SENT, Verdict.NOT_RUN);
+			context.send("late");
+			assertThat(first.join()).isInstanceOf(Exchange.Answered.class);
+		}
+	}
+
+	private void assertUnanswered(Exchange exchange, Transmission transmission, Verdict verdict) {
+		assertThat(exchange).isInstanceOfSatisfying(Exchange.Unanswered.class, (unanswered) -> {
+			assertThat(unanswered.transmission()).isEqualTo(transmission);
+			assertThat(unanswered.transmission().verdict()).isEqualTo(verdict);
+		});
+	}
+
+	private Exchange get(HttpSender sender, String path) {
+		return sender.send(request(path).get()).toCompletableFuture().join();
+	}
+
+	private Exchange post(String path) {
+		return this.sender.send(request(path).post(RequestBody.create(new byte[] { 1 }))).toCompletableFuture().join();
+	}
+
+	private Request.Builder request(String path) {
+		HttpUrl url = new HttpUrl.Builder().scheme("http")
+			.host("127.0.0.1")
+			.port(this.server.address().getPort())
+			.encodedPath(path)
+			.build();
+		return new Request.Builder().url(url);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP server that all stand-ins run on.
+ */
+package io.lentilslip.standin.http;
