--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/share/QueueBounds.java
@@ -0,0 +1,73 @@
+package io.lentilslip.core.share;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.Limits;
+import io.lentilslip.core.identity.GroupName;
+
+/**
+ * What a queue may hold at most. Immutable and safe for use by several threads.
+ *
+ * @param callsInAll the most waiting calls
+ * @param callsPerGroup the most waiting calls of a group that has no bound of its own
+ * @param ownBounds the bounds of groups that have one of their own
+ * @param programs the most programs whose service is remembered
+ */
+public record QueueBounds(int callsInAll, int callsPerGroup, Map<GroupName, Integer> ownBounds, int programs) {
+
+	/**
+	 * The programs remembered beside one engine, far above those that share its memory.
+	 */
+	public static final int DEFAULT_PROGRAMS = 4096;
+
+	/**
+	 * Creates bounds.
+	 * @param callsInAll the most waiting calls
+	 * @param callsPerGroup the most waiting calls of a group that has no bound of its own
+	 * @param ownBounds the bounds of groups that have one of their own
+	 * @param programs the most programs whose service is remembered
+	 * @throws IllegalArgumentException if a bound is not positive
+	 */
+	public QueueBounds {
+		ownBounds = Map.copyOf(ownBounds);
+		if (callsInAll < 1 || callsPerGroup < 1 || programs < 1
+				|| ownBounds.values().stream().anyMatch((bound) -> bound < 1)) {
+			throw new IllegalArgumentException("a bound must be positive");
+		}
+	}
+
+	/**
+	 * Returns bounds that are the same for each group.
+	 * @param callsInAll the most waiting calls
+	 * @param callsPerGroup the most waiting calls of one group
+	 * @return the bounds
+	 */
+	public static QueueBounds of(int callsInAll, int callsPerGroup) {
+		return new QueueBounds(callsInAll, callsPerGroup, Map.of(), DEFAULT_PROGRAMS);
+	}
+
+	/**
+	 * Returns the bounds that a configuration gives.
+	 * @param configuration the configuration
+	 * @return the bounds
+	 */
+	public static QueueBounds in(Configuration configuration) {
+		Map<GroupName, Integer> ownBounds = new HashMap<>();
+		configuration.groups()
+			.forEach((group) -> group.queueBound().ifPresent((bound) -> ownBounds.put(group.name(), bound)));
+		Limits.QueueLimits limits = configuration.limits().queues();
+		return new QueueBounds(limits.callsInAll(), limits.callsPerGroup(), ownBounds, DEFAULT_PROGRAMS);
+	}
+
+	/**
+	 * Returns the most waiting calls of a group.
+	 * @param group the group
+	 * @return its own bound, else that of all groups
+	 */
+	public int of(GroupName group) {
+		return this.ownBounds.getOrDefault(group, this.callsPerGroup);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/share/Shares.java
@@ -0,0 +1,65 @@
+package io.lentilslip.core.share;
+
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.GroupPolicy;
+import io.lentilslip.core.identity.GroupName;
+
+/**
+ * The weights of groups against each other. A group that is not listed has the weight of
+ * one. Immutable and safe for use by several threads.
+ *
+ * @param weights the weight of each listed group
+ */
+public record Shares(Map<GroupName, Long> weights) {
+
+	/**
+	 * Shares by which all groups are due the same.
+	 */
+	public static final Shares EQUAL = new Shares(Map.of());
+
+	private static final long UNLISTED = 1;
+
+	/**
+	 * Creates shares.
+	 * @param weights the weight of each listed group
+	 * @throws IllegalArgumentException if a weight is not positive
+	 */
+	public Shares {
+		weights = Map.copyOf(weights);
+		if (weights.values().stream().anyMatch((weight) -> weight <= 0)) {
+			throw new IllegalArgumentException("a share must be positive");
+		}
+	}
+
+	/**
+	 * Returns the shares that a configuration gives.
+	 * @param configuration the configuration
+	 * @return the shares of its groups
+	 */
+	public static Shares in(Configuration configuration) {
+		return new Shares(
+				configuration.groups().stream().collect(Collectors.toMap(GroupPolicy::name, GroupPolicy::share)));
+	}
+
+	/**
+	 * Returns the weight of a group.
+	 * @param group the group
+	 * @return its weight, one if it is not listed
+	 */
+	public long of(GroupName group) {
+		return this.weights.getOrDefault(group, UNLISTED);
+	}
+
+	/**
+	 * Returns whether a group is listed.
+	 * @param group the group
+	 * @return whether its weight is given
+	 */
+	public boolean lists(GroupName group) {
+		return this.weights.containsKey(group);
+	}
+
+}
