Add the clients of the platform's services and their stand-ins

Cause: the roles need the log service, the list of VMs, the weight store and plain services, and have to know of each failure whether the request may have taken effect.

A plain call is passed on unchanged or refused, is never repeated, and carries its verdict. Failed exchanges say in which way they failed, so that a timeout is not taken for a crash, and can be cancelled.

The stand-ins' server sends each part of an answer at once: an answer given later by the same event loop was left unsent.

--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/Exchange.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/Exchange.java
@@ -56,17 +56,20 @@
 	 * the answer was longer than allowed.
 	 *
 	 * @param transmission how far the request came
+	 * @param kind the way in which the attempt failed
 	 * @param reason what failed, for people
 	 */
-	record Unanswered(Transmission transmission, String reason) implements Exchange {
+	record Unanswered(Transmission transmission, FailureKind kind, String reason) implements Exchange {
 
 		/**
 		 * Creates the outcome of an attempt without a whole answer.
 		 * @param transmission how far the request came
+		 * @param kind the way in which the attempt failed
 		 * @param reason what failed, for people
 		 */
 		public Unanswered {
 			Objects.requireNonNull(transmission, "transmission");
+			Objects.requireNonNull(kind, "kind");
 			Objects.requireNonNull(reason, "reason");
 		}
 
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpSender.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpSender.java
@@ -1,6 +1,7 @@
 package io.lentilslip.platform.http;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.Proxy;
 import java.time.Duration;
 import java.util.List;
@@ -91,7 +92,7 @@
 		if (response.code() != UNAVAILABLE) {
 			return response;
 		}
-		if (RetryAfter.parse(response.header(RetryAfter.HEADER)).filter(Duration::isPositive).isPresent()) {
+		if (RetryAfter.of(response).filter(Duration::isPositive).isPresent()) {
 			return response;
 		}
 		return response.newBuilder().removeHeader(RetryAfter.HEADER).build();
@@ -112,28 +113,30 @@
 	 * @return the outcome
 	 */
 	public CompletionStage<Exchange> send(Request.Builder request) {
-		return send(request, this.limits.callTimeout());
+		return start(request, this.limits.callTimeout()).outcome();
 	}
 
 	/**
-	 * Sends a request.
+	 * Starts to send a request.
 	 * @param request the request
 	 * @param callTimeout the longest time to the whole answer; zero for no bound
-	 * @return the outcome
+	 * @return the attempt under way
 	 */
-	public CompletionStage<Exchange> send(Request.Builder request, Duration callTimeout) {
+	public PendingExchange start(Request.Builder request, Duration callTimeout) {
 		// Calls past the limit would wait in the library's queue, which has no bound.
 		// Refused here, before anything is sent, the caller knows that they did not run.
 		if (!this.freeCalls.tryAcquire()) {
-			return CompletableFuture
-				.completedFuture(new Exchange.Unanswered(Transmission.NEVER_SENT, "too many calls under way"));
+			Exchange refused = new Exchange.Unanswered(Transmission.NEVER_SENT, FailureKind.NOT_STARTED,
+					"too many calls under way");
+			return new PendingExchange(CompletableFuture.completedFuture(refused), () -> {
+			});
 		}
 		TransmissionRecorder recorder = TransmissionRecorder.attachTo(request);
 		Call call = this.client.newCall(request.build());
 		call.timeout().timeout(callTimeout.toNanos(), TimeUnit.NANOSECONDS);
-		CompletableFuture<Exchange> outcome = new CompletableFuture<>();
-		call.enqueue(new WholeAnswer(recorder, outcome));
-		return outcome;
+		WholeAnswer answer = new WholeAnswer(call, recorder);
+		call.enqueue(answer);
+		return new PendingExchange(answer.outcome, answer::cancel);
 	}
 
 	/**
@@ -148,23 +151,32 @@
 	}
 
 	/**
-	 * A callback that reads the whole answer and completes one call's outcome. Called
-	 * once, by the thread that runs the call.
+	 * A callback that reads the whole answer to one call and completes its outcome.
+	 * Called once, by the thread that runs the call; cancelled by any thread.
 	 */
 	private final class WholeAnswer implements Callback {
 
+		private final CompletableFuture<Exchange> outcome = new CompletableFuture<>();
+
+		private final Call call;
+
 		private final TransmissionRecorder recorder;
 
-		private final CompletableFuture<Exchange> outcome;
+		private volatile boolean givenUp;
 
-		WholeAnswer(TransmissionRecorder recorder, CompletableFuture<Exchange> outcome) {
+		WholeAnswer(Call call, TransmissionRecorder recorder) {
+			this.call = call;
 			this.recorder = recorder;
-			this.outcome = outcome;
+		}
+
+		void cancel() {
+			this.givenUp = true;
+			this.call.cancel();
 		}
 
 		@Override
 		public void onFailure(Call call, IOException ex) {
-			complete(new Exchange.Unanswered(this.recorder.transmission(), describe(ex)));
+			complete(unanswered(kindOf(ex), describe(ex)));
 		}
 
 		@Override
@@ -176,12 +188,13 @@
 			try (ResponseBody body = response.body()) {
 				Optional<byte[]> bytes = readBounded(body.source());
 				if (bytes.isEmpty()) {
-					return unanswered("answer longer than " + HttpSender.this.limits.maximumAnswerBytes() + " bytes");
+					return unanswered(FailureKind.TOO_LONG,
+							"answer longer than " + HttpSender.this.limits.maximumAnswerBytes() + " bytes");
 				}
 				return new Exchange.Answered(response.code(), response.headers(), bytes.get());
 			}
 			catch (IOException ex) {
-				return unanswered("answer cut off: " + describe(ex));
+				return unanswered(kindOf(ex), "answer cut off: " + describe(ex));
 			}
 		}
 
@@ -202,8 +215,26 @@
 			return Optional.of(buffer.readByteArray());
 		}
 
-		private Exchange unanswered(String reason) {
-			return new Exchange.Unanswered(Transmission.MAY_HAVE_BEEN_SENT, reason);
+		/**
+		 * Tells an end that this process chose from one that the other side brought
+		 * about. A call that ran out of time fails as a closed socket now and then; taken
+		 * for a crash of the upstream, it would count against an innocent request.
+		 * @param ex the failure
+		 * @return the way in which the attempt failed
+		 */
+		private FailureKind kindOf(IOException ex) {
+			if (this.givenUp) {
+				return FailureKind.CANCELLED;
+			}
+			if (ex instanceof InterruptedIOException || this.call.isCanceled()) {
+				return FailureKind.TIMED_OUT;
+			}
+			boolean sent = this.recorder.transmission() == Transmission.MAY_HAVE_BEEN_SENT;
+			return sent ? FailureKind.BROKEN_OFF : FailureKind.NOT_CONNECTED;
+		}
+
+		private Exchange unanswered(FailureKind kind, String reason) {
+			return new Exchange.Unanswered(this.recorder.transmission(), kind, reason);
 		}
 
 		private String describe(IOException ex) {
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/RetryAfter.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/RetryAfter.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 
+import okhttp3.Response;
+
 /**
  * A reader of the HTTP header {@code Retry-After} in its form of whole seconds. Safe for
  * use by several threads.
@@ -29,6 +31,15 @@
 		return parse(answer.headers().get(HEADER));
 	}
 
+	/**
+	 * Returns the time that an answer asks to wait.
+	 * @param response the answer, whose body may still be unread
+	 * @return the time to wait, or an empty result if none is stated in seconds
+	 */
+	public static Optional<Duration> of(Response response) {
+		return parse(response.header(HEADER));
+	}
+
 	static Optional<Duration> parse(String text) {
 		if (text == null || !SECONDS.matcher(text).matches()) {
 			return Optional.empty();
--- /dev/null
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/log/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The client of the log service: appends whose fate may stay unknown, and reads that show
+ * gaps.
+ */
+package io.lentilslip.platform.log;
--- /dev/null
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/service/PlainService.java
@@ -0,0 +1,168 @@
+package io.lentilslip.platform.service;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import io.lentilslip.core.call.Answer;
+import io.lentilslip.core.call.Body;
+import io.lentilslip.core.call.Header;
+import io.lentilslip.core.call.ServiceMessage;
+import io.lentilslip.core.configuration.Endpoint;
+import io.lentilslip.platform.http.Exchange;
+import io.lentilslip.platform.http.FailureKind;
+import io.lentilslip.platform.http.HttpLimits;
+import io.lentilslip.platform.http.HttpSender;
+import io.lentilslip.platform.http.PendingExchange;
+import io.lentilslip.platform.http.Transmission;
+import okhttp3.Headers;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+
+/**
+ * A client of plain services. Each call is one attempt, never repeated, and its outcome
+ * says whether the request may have run. Implementations are safe for use by several
+ * threads.
+ */
+public interface PlainService extends AutoCloseable {
+
+	/**
+	 * Sends a request.
+	 * @param upstream the address of the service
+	 * @param message the request
+	 * @param timeout how long to wait for the whole answer
+	 * @return the call under way
+	 */
+	PendingCall call(Endpoint upstream, ServiceMessage message, Duration timeout);
+
+	@Override
+	void close();
+
+	/**
+	 * Plain services that are reached by HTTP. Safe for use by several threads.
+	 */
+	final class ForHttp implements PlainService {
+
+		private static final Set<String> METHODS = Set.of("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT");
+
+		private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
+
+		private static final Set<String> METHODS_THAT_NEED_BODY = Set.of("PATCH", "POST", "PUT");
+
+		private final HttpSender sender;
+
+		/**
+		 * Creates a client.
+		 * @param limits the bounds of a call; the read timeout should be no shorter than
+		 * the longest timeout of a call
+		 */
+		public ForHttp(HttpLimits limits) {
+			this.sender = new HttpSender(limits);
+		}
+
+		@Override
+		public PendingCall call(Endpoint upstream, ServiceMessage message, Duration timeout) {
+			Optional<String> fault = findFault(message);
+			if (fault.isPresent()) {
+				return refuse(fault.get());
+			}
+			HttpUrl url = HttpUrl.parse("http://" + upstream + message.path());
+			if (url == null || !sendsUnchanged(url, message.path())) {
+				return refuse("the path has characters or segments that must be escaped");
+			}
+			Request.Builder request = new Request.Builder().url(url).method(message.method(), requestBody(message));
+			try {
+				HopByHop.remove(message.headers())
+					.forEach((header) -> request.addHeader(header.name(), header.value()));
+			}
+			catch (IllegalArgumentException ex) {
+				return refuse("a header has characters that are not allowed");
+			}
+			PendingExchange pending = this.sender.start(request, timeout);
+			return new PendingCall(pending.outcome().thenApply(ForHttp::outcome), pending::cancel);
+		}
+
+		@Override
+		public void close() {
+			this.sender.close();
+		}
+
+		private static PendingCall refuse(String reason) {
+			return new PendingCall(CompletableFuture.completedFuture(new ServiceOutcome.Invalid(reason)), () -> {
+			});
+		}
+
+		private static Optional<String> findFault(ServiceMessage message) {
+			if (!METHODS.contains(message.method())) {
+				return Optional.of("the method is not passed on");
+			}
+			// Right after the address, a text such as "@elsewhere" would change the host.
+			if (!message.path().startsWith("/")) {
+				return Optional.of("the path does not begin with a slash");
+			}
+			if (METHODS_WITHOUT_BODY.contains(message.method()) && message.body().length() > 0) {
+				return Optional.of("a body is not passed on with this method");
+			}
+			return Optional.empty();
+		}
+
+		/**
+		 * Returns whether the URL holds the path exactly as it was given. The library
+		 * resolves segments such as ".."; a call that was allowed to be repeated by its
+		 * path as given would then run as another call, which may not be.
+		 * @param url the URL that would be sent
+		 * @param path the path with its query, as given
+		 * @return {@code true} if they are the same
+		 */
+		private static boolean sendsUnchanged(HttpUrl url, String path) {
+			String query = url.encodedQuery();
+			String sent = (query != null) ? url.encodedPath() + "?" + query : url.encodedPath();
+			return sent.equals(path);
+		}
+
+		private static RequestBody requestBody(ServiceMessage message) {
+			Body body = message.body();
+			if (body.length() == 0 && !METHODS_THAT_NEED_BODY.contains(message.method())) {
+				return null;
+			}
+			return RequestBody.create(body.toBytes(), null);
+		}
+
+		private static ServiceOutcome outcome(Exchange exchange) {
+			return switch (exchange) {
+				case Exchange.Answered answer -> new ServiceOutcome.Answered(toAnswer(answer));
+				case Exchange.Unanswered unanswered -> outcome(unanswered);
+			};
+		}
+
+		/**
+		 * Tells a request that never left from one that may have run. Every failure after
+		 * the first byte counts as "may have run", even a reset in the middle of the
+		 * request: the service may have acted on what it had, and told otherwise the
+		 * caller would send a call that may not be repeated again.
+		 * @param unanswered the failed attempt
+		 * @return its outcome
+		 */
+		private static ServiceOutcome outcome(Exchange.Unanswered unanswered) {
+			if (unanswered.transmission() == Transmission.NEVER_SENT) {
+				return new ServiceOutcome.NotSent(unanswered.reason());
+			}
+			return new ServiceOutcome.Lost(unanswered.reason(), unanswered.kind() == FailureKind.BROKEN_OFF);
+		}
+
+		private static Answer.FromService toAnswer(Exchange.Answered answer) {
+			Headers received = answer.headers();
+			List<Header> headers = new ArrayList<>(received.size());
+			for (int i = 0; i < received.size(); i++) {
+				headers.add(new Header(received.name(i), received.value(i)));
+			}
+			return new Answer.FromService(answer.status(), HopByHop.remove(headers), Body.of(answer.body()));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The client of plain services, whose calls may not be repeatable.
+ */
+package io.lentilslip.platform.service;
--- /dev/null
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/weight/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The client of the weight store.
+ */
+package io.lentilslip.platform.weight;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
+++ b/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
@@ -42,10 +42,7 @@
 			return context;
 		});
 		application.get("/cut", (context) -> {
-			context.setResponseLength(100);
-			context.detach((detached) -> detached)
-				.responseSender()
-				.write(new byte[10], (sent, failure) -> running.reset(sent));
+			running.cutOff(context, new byte[10], 100);
 			return context;
 		});
 	});
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/http/StandInServer.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/http/StandInServer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -16,11 +17,12 @@
 import io.jooby.internal.netty.NettyHandler;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -113,13 +115,25 @@
 		connection.close();
 	}
 
+	/**
+	 * Sends the beginning of an answer and resets the connection.
+	 * @param context the request
+	 * @param part what is sent of the body
+	 * @param length the length that the answer states, more than that of the part
+	 */
+	public void cutOff(Context context, byte[] part, long length) {
+		context.setResponseLength(length);
+		context.responseSender().write(part, (sent, failure) -> reset(sent));
+	}
+
 	/**
 	 * Runs a task later, on an event loop.
 	 * @param delay the time until then
 	 * @param task the task, which must not block
+	 * @return a handle by which the task is cancelled
 	 */
-	public void after(Duration delay, Runnable task) {
-		this.loops.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+	public Future<?> after(Duration delay, Runnable task) {
+		return this.loops.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
 	}
 
 	/**
@@ -254,10 +268,11 @@
 
 	/**
 	 * A registry of the open connections, which marks each request with the connection it
-	 * came by. A route knows only the request, and needs the connection to reset it.
+	 * came by, and sends answers without delay. A route knows only the request, and needs
+	 * the connection to reset it.
 	 */
 	@Sharable
-	private final class ConnectionRegistry extends ChannelInboundHandlerAdapter {
+	private final class ConnectionRegistry extends ChannelDuplexHandler {
 
 		private static final String HEADER = "Stand-In-Connection";
 
@@ -281,6 +296,16 @@
 			super.channelRead(context, message);
 		}
 
+		/**
+		 * Sends each part of an answer at once. Jooby leaves that to the end of the read
+		 * that brought the request; an answer given later by the same event loop would
+		 * stay in the buffer until the caller sends something else.
+		 */
+		@Override
+		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+			context.writeAndFlush(message, promise);
+		}
+
 		private String name(ChannelHandlerContext context) {
 			return context.channel().id().asLongText();
 		}
--- /dev/null
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of the log service.
+ */
+package io.lentilslip.standin.log;
--- /dev/null
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/weight/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of the weight store.
+ */
+package io.lentilslip.standin.weight;
