--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.identity.Digest;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.ledger.LedgerChange.VoidReason;
 import io.lentilslip.core.verdict.Verdict;
@@ -29,15 +30,18 @@
 
 	private final Map<CallKey, ClaimState> claims;
 
+	private final Map<Digest, Integer> blames;
+
 	private final Queue<Expiry> expiries;
 
 	private final Duration memory;
 
 	private Ledger(Map<ProgramId, ProgramState> programs, Map<ProgramId, Set<ProgramId>> children,
-			Map<CallKey, ClaimState> claims, Queue<Expiry> expiries, Duration memory) {
+			Map<CallKey, ClaimState> claims, Map<Digest, Integer> blames, Queue<Expiry> expiries, Duration memory) {
 		this.programs = programs;
 		this.children = children;
 		this.claims = claims;
+		this.blames = blames;
 		this.expiries = expiries;
 		this.memory = memory;
 	}
@@ -50,7 +54,7 @@
 	 * @return an empty ledger
 	 */
 	public static Ledger remembering(Duration memory) {
-		return new Ledger(HashMap.empty(), HashMap.empty(), HashMap.empty(), Queue.empty(), memory);
+		return new Ledger(HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty(), Queue.empty(), memory);
 	}
 
 	/**
@@ -71,6 +75,15 @@
 		return this.claims.get(key).toJavaOptional();
 	}
 
+	/**
+	 * Returns the number of crashes that a request is blamed for.
+	 * @param content the digest of the request
+	 * @return the number of crashes, 0 for a request that no crash is known of
+	 */
+	public int crashes(Digest content) {
+		return this.blames.getOrElse(content, 0);
+	}
+
 	/**
 	 * Returns the number of programs held, ended ones included.
 	 * @return the number of programs
@@ -79,6 +92,14 @@
 		return this.programs.size();
 	}
 
+	/**
+	 * Returns the number of requests blamed for crashes.
+	 * @return the number of requests
+	 */
+	public int blameCount() {
+		return this.blames.size();
+	}
+
 	/**
 	 * Returns the number of claimed calls held.
 	 * @return the number of claims
@@ -102,6 +123,8 @@
 			case LedgerRecord.ProgramEnded ended -> current.endProgram(time, ended);
 			case LedgerRecord.CallClaimed claimed -> current.claimCall(position, time, claimed);
 			case LedgerRecord.CallSettled settled -> current.settleCall(time, settled);
+			case LedgerRecord.RequestBlamed blamed -> current.blame(time, blamed);
+			case LedgerRecord.RequestCleared cleared -> current.clear(cleared);
 		};
 	}
 
@@ -182,7 +205,7 @@
 			due = due.enqueue(new Expiry.ForProgram(time, next));
 			changes.add(new LedgerChange.ProgramClosed(next, ended, why));
 		}
-		return new Ledger(states, this.children, this.claims, due, this.memory);
+		return new Ledger(states, this.children, this.claims, this.blames, due, this.memory);
 	}
 
 	private Reading claimCall(Position position, Instant time, LedgerRecord.CallClaimed record) {
@@ -191,7 +214,8 @@
 		}
 		ClaimState state = new ClaimState(record.content(), record.executor(), position, Optional.empty());
 		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), position, false));
-		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), state), due, this.memory);
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), state), this.blames, due,
+				this.memory);
 		return new Reading(next, List.of(new LedgerChange.CallTaken(record.key(), state)));
 	}
 
@@ -205,25 +229,44 @@
 			return voided(record, VoidReason.NOT_EXECUTOR);
 		}
 		if (record.outcome().verdict() == Verdict.NOT_RUN) {
-			Ledger next = new Ledger(this.programs, this.children, this.claims.remove(record.key()), this.expiries,
-					this.memory);
+			Ledger next = new Ledger(this.programs, this.children, this.claims.remove(record.key()), this.blames,
+					this.expiries, this.memory);
 			return new Reading(next, List.of(new LedgerChange.CallReleased(record.key(), record.executor())));
 		}
 		ClaimState settled = state.settled(record.outcome());
 		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), state.claimed(), true));
-		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), settled), due,
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), settled), this.blames, due,
 				this.memory);
 		return new Reading(next, List.of(new LedgerChange.CallDone(record.key(), settled)));
 	}
 
+	// A crash in company blames every request that ran, so the innocent ones among them
+	// must not be stopped for it: it counts only once. From then on the request runs
+	// alone, where a crash proves its guilt and the end without one its innocence.
+	private Reading blame(Instant time, LedgerRecord.RequestBlamed record) {
+		int before = crashes(record.content());
+		int after = (record.alone()) ? before + 1 : Math.max(before, 1);
+		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForBlame(time, record.content(), after));
+		Ledger next = new Ledger(this.programs, this.children, this.claims, this.blames.put(record.content(), after),
+				due, this.memory);
+		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), after)));
+	}
+
+	private Reading clear(LedgerRecord.RequestCleared record) {
+		Ledger next = new Ledger(this.programs, this.children, this.claims, this.blames.remove(record.content()),
+				this.expiries, this.memory);
+		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), 0)));
+	}
+
 	private Ledger withChild(ProgramId parent, ProgramId child) {
 		Set<ProgramId> siblings = this.children.getOrElse(parent, HashSet.empty()).add(child);
-		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.expiries, this.memory);
+		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.blames, this.expiries,
+				this.memory);
 	}
 
 	private Reading with(ProgramId program, ProgramState state, LedgerChange change) {
-		Ledger next = new Ledger(this.programs.put(program, state), this.children, this.claims, this.expiries,
-				this.memory);
+		Ledger next = new Ledger(this.programs.put(program, state), this.children, this.claims, this.blames,
+				this.expiries, this.memory);
 		return new Reading(next, List.of(change));
 	}
 
@@ -246,6 +289,7 @@
 		return switch (expiry) {
 			case Expiry.ForProgram due -> forgetProgram(due.program(), rest);
 			case Expiry.ForClaim due -> forgetClaim(due, rest);
+			case Expiry.ForBlame due -> forgetBlame(due, rest);
 		};
 	}
 
@@ -255,7 +299,7 @@
 		if (parent.isPresent()) {
 			families = families.computeIfPresent(parent.get(), (key, siblings) -> siblings.remove(program))._2();
 		}
-		return new Ledger(this.programs.remove(program), families, this.claims, rest, this.memory);
+		return new Ledger(this.programs.remove(program), families, this.claims, this.blames, rest, this.memory);
 	}
 
 	// Drops a claim once its last record is old. The entry queued at the claim is skipped
@@ -265,7 +309,13 @@
 		Optional<ClaimState> state = claim(due.key()).filter((claim) -> claim.claimed().equals(due.claimed()))
 			.filter((claim) -> claim.outcome().isPresent() == due.settled());
 		Map<CallKey, ClaimState> left = (state.isPresent()) ? this.claims.remove(due.key()) : this.claims;
-		return new Ledger(this.programs, this.children, left, rest, this.memory);
+		return new Ledger(this.programs, this.children, left, this.blames, rest, this.memory);
+	}
+
+	private Ledger forgetBlame(Expiry.ForBlame due, Queue<Expiry> rest) {
+		boolean latest = crashes(due.content()) == due.count();
+		Map<Digest, Integer> left = (latest) ? this.blames.remove(due.content()) : this.blames;
+		return new Ledger(this.programs, this.children, this.claims, left, rest, this.memory);
 	}
 
 	/**
@@ -320,6 +370,17 @@
 
 		}
 
+		/**
+		 * A request blamed for crashes.
+		 *
+		 * @param since the log's time of the last crash
+		 * @param content the digest of the request
+		 * @param count the crashes counted then
+		 */
+		record ForBlame(Instant since, Digest content, int count) implements Expiry {
+
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerChange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerChange.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.ledger;
 
+import io.lentilslip.core.identity.Digest;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.ProgramId;
 
@@ -72,6 +73,16 @@
 
 	}
 
+	/**
+	 * The crashes that a request is blamed for have another number.
+	 *
+	 * @param content the digest of the request
+	 * @param count the crashes counted
+	 */
+	record CrashCounted(Digest content, int count) implements LedgerChange {
+
+	}
+
 	/**
 	 * A record that took no effect.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerRecord.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerRecord.java
@@ -77,4 +77,26 @@
 
 	}
 
+	/**
+	 * A crash of an upstream while it ran a request. In company any of the requests may
+	 * have caused it; alone it is certain.
+	 *
+	 * @param content the digest of the request
+	 * @param sidecar the sidecar beside the upstream
+	 * @param alone whether nothing else ran there
+	 */
+	record RequestBlamed(Digest content, ProcessId sidecar, boolean alone) implements LedgerRecord {
+
+	}
+
+	/**
+	 * The proof that a blamed request is harmless: it ran alone and nothing crashed.
+	 *
+	 * @param content the digest of the request
+	 * @param sidecar the sidecar beside the upstream
+	 */
+	record RequestCleared(Digest content, ProcessId sidecar) implements LedgerRecord {
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -57,6 +57,22 @@
 			"Send one signal and wait; the calls counted here were cut off.", FieldName.ROLE, FieldName.VM,
 			FieldName.COUNT),
 
+	/**
+	 * Written when the reducer or the runner of its effects throws, right before the
+	 * exit.
+	 */
+	PROCESS_FAILED(1007, Level.ERROR,
+			"A fault in the program itself ended the process; its state could not be trusted.",
+			"Report the fault with this line; another life of the process takes over.", FieldName.ROLE, FieldName.VM,
+			FieldName.REASON),
+
+	/**
+	 * Written when the mailbox begins to refuse and at most once a second after that.
+	 */
+	MAILBOX_FULL(1008, Level.WARN, "More work arrives than the process can decide on, and the rest is refused.",
+			"Lower the load, or add entries and upstreams.", FieldName.ROLE, FieldName.VM, FieldName.COUNT,
+			FieldName.LIMIT),
+
 	/**
 	 * Written by each process that puts a version in force; {@code COUNT} is of groups.
 	 */
@@ -343,7 +359,14 @@
 	 */
 	RETENTION_GAP(7004, Level.ERROR, "Records that were still needed have passed the retention of the log.",
 			"Lengthen the retention; calls that depended on them are refused as possibly run.", FieldName.STREAM,
-			FieldName.OFFSET, FieldName.COUNT, FieldName.REASON);
+			FieldName.OFFSET, FieldName.COUNT, FieldName.REASON),
+
+	/**
+	 * Written once for each such record; the reader goes on behind it.
+	 */
+	LOG_RECORD_UNREADABLE(7005, Level.ERROR, "A record of the log can't be decoded and counts as empty.",
+			"Look for another writer of the stream, or for a process of a much newer version.", FieldName.STREAM,
+			FieldName.OFFSET, FieldName.REASON);
 
 	private final int number;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/GenerationOrder.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/GenerationOrder.java
@@ -11,21 +11,22 @@
  * What an engine is asked to generate. Immutable and safe for use by several threads.
  *
  * @param model the model
- * @param messages the whole conversation, each message a JSON object
- * @param continued whether the last message is the begun answer, to be continued
+ * @param messages the conversation, each message a JSON object
+ * @param begun the text of the answer that is there already and is to be continued, or an
+ * empty text; the answer reported at the end holds it too
  * @param maximumTokens the most tokens to generate
  * @param parameters the further fields of the request, a JSON object
  * @param session the program whose cache is to be held, if it belongs to one
  * @param lease how long the engine holds the cache without a further request
  */
-public record GenerationOrder(ModelName model, List<String> messages, boolean continued, int maximumTokens,
+public record GenerationOrder(ModelName model, List<String> messages, String begun, int maximumTokens,
 		String parameters, Optional<ProgramId> session, Duration lease) {
 
 	/**
 	 * Creates an order.
 	 * @param model the model
-	 * @param messages the whole conversation, each message a JSON object
-	 * @param continued whether the last message is the begun answer, to be continued
+	 * @param messages the conversation, each message a JSON object
+	 * @param begun the text of the answer that is there already, or an empty text
 	 * @param maximumTokens the most tokens to generate
 	 * @param parameters the further fields of the request, a JSON object
 	 * @param session the program whose cache is to be held, if it belongs to one
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunResult.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunResult.java
@@ -13,8 +13,7 @@
 	/**
 	 * The engine answered whole.
 	 *
-	 * @param message the assistant's message as a JSON object; if the answer was
-	 * continued, only the rest
+	 * @param message the assistant's whole message as a JSON object
 	 * @param finishReason why the generation ended
 	 * @param usage the tokens taken
 	 */
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/LogSettingsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/LogSettingsTests.java
@@ -16,6 +16,8 @@
 import io.lentilslip.core.notice.NoticeCode;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Chars;
+import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -53,7 +55,8 @@
 	}
 
 	@Property(tries = 500, seed = "42")
-	void anyValueStaysOnItsLine(@ForAll String value) {
+	void anyValueStaysOnItsLine(@ForAll @StringLength(max = 300) @Chars({ 'a', ' ', '=', '"', '\\', '\n', '\r', '\t',
+			'\u000b', '\f', '\u0085', '\u2028', '\u2029' }) String value) {
 		this.output.reset();
 		apply(LogSettings.defaults());
 		write(NoticeCode.CALL_REFUSED.with(FieldName.REASON, value));
