Read INI files in one pass, and bound times

Cause: the parser was started once for each line and took a fresh buffer each time. A time of more than 292 years overflowed wherever it is counted in nanoseconds. Change: the parser reads a whole file through a reader that gives out one line at a time, and is started again only behind an error.

--- a/lentilslip-settings/src/main/java/io/lentilslip/settings/ini/IniFile.java
+++ b/lentilslip-settings/src/main/java/io/lentilslip/settings/ini/IniFile.java
@@ -1,13 +1,14 @@
 package io.lentilslip.settings.ini;
 
 import java.io.IOException;
-import java.io.StringReader;
+import java.io.Reader;
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
 import java.nio.charset.CharsetDecoder;
 import java.nio.charset.CoderResult;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,7 +51,7 @@
 	 * @return the readable part of the file
 	 */
 	public static IniFile read(String name, byte[] bytes, Problems problems) {
-		return decode(name, bytes, problems).map((text) -> new LineByLine(name, problems).read(text))
+		return decode(name, bytes, problems).map((text) -> new Collector(name, text, problems).collect())
 			.orElseGet(() -> new IniFile(name, List.of()));
 	}
 
@@ -84,21 +85,19 @@
 	}
 
 	/**
-	 * Hands the lines of a file to the library's parser one at a time. The parser tells
-	 * its handler no line numbers and stops at the first error; called for each line, it
-	 * gives the line of every key, and all errors of a file at once. Line continuations,
-	 * escapes and includes are off, so a line means the same whatever stands around it.
-	 * Not safe for use by several threads.
+	 * Collects what the library's parser finds. The parser tells its handler no line
+	 * numbers and stops at the first error. It reads through {@link Lines}, which knows
+	 * the line it is at, and is started again behind each error, so that all errors of a
+	 * file are found at once. Line continuations, escapes and includes are off, so a line
+	 * means the same whatever stands around it. Not safe for use by several threads.
 	 */
-	private static final class LineByLine implements IniHandler {
-
-		private static final Config STRICT = strict();
+	private static final class Collector implements IniHandler {
 
 		private final String name;
 
 		private final Problems problems;
 
-		private final IniParser parser = IniParser.newInstance(STRICT);
+		private final Lines lines;
 
 		private final Map<SectionName, IniSection> sections = new LinkedHashMap<>();
 
@@ -106,59 +105,56 @@
 
 		private SectionName section;
 
-		private String opened;
-
-		private boolean keyRead;
-
 		private int sectionLine;
 
-		private int line;
-
-		private LineByLine(String name, Problems problems) {
+		private Collector(String name, String text, Problems problems) {
 			this.name = name;
+			this.lines = new Lines(text);
 			this.problems = problems;
 		}
 
-		private static Config strict() {
+		private static IniParser strictParser() {
 			Config config = new Config();
 			config.setEscape(false);
 			config.setEscapeNewline(false);
 			config.setInclude(false);
 			config.setGlobalSection(true);
-			return config;
+			return IniParser.newInstance(config);
 		}
 
-		private IniFile read(String text) {
-			for (String next : text.lines().toList()) {
-				this.line++;
-				readLine(next);
+		private IniFile collect() {
+			IniParser parser = strictParser();
+			while (this.lines.hasMore()) {
+				parseUpToNextError(parser);
 			}
 			closeSection();
 			return new IniFile(this.name, new ArrayList<>(this.sections.values()));
 		}
 
-		private void readLine(String text) {
-			this.opened = null;
-			this.keyRead = false;
+		private void parseUpToNextError(IniParser parser) {
 			try {
-				this.parser.parse(new StringReader(text), this);
+				parser.parse(this.lines, this);
 			}
 			catch (InvalidFileFormatException ex) {
-				problem("", "'" + text.strip() + "'", "[section], key = value, or a comment");
-				return;
+				problem("", "'" + this.lines.current().strip() + "'", "[section], key = value, or a comment");
 			}
 			catch (IOException ex) {
 				throw new IllegalStateException("a text in memory can't fail to be read", ex);
 			}
-			if (this.opened != null && !this.keyRead) {
-				openSection(this.opened);
-			}
 		}
 
-		private void openSection(String text) {
-			closeSection();
-			this.section = SectionName.of(text);
-			this.sectionLine = this.line;
+		/**
+		 * Opens a section. The parser also opens one of its own for keys that follow its
+		 * start; such keys belong to the section that was open before the error.
+		 * @param header the text between brackets
+		 */
+		@Override
+		public void startSection(String header) {
+			if (this.lines.current().strip().startsWith("[")) {
+				closeSection();
+				this.section = SectionName.of(header);
+				this.sectionLine = this.lines.number();
+			}
 		}
 
 		private void closeSection() {
@@ -174,20 +170,14 @@
 			this.entries = new LinkedHashMap<>();
 		}
 
-		@Override
-		public void startSection(String sectionName) {
-			this.opened = sectionName;
-		}
-
 		@Override
 		public void handleOption(String key, String value) {
-			this.keyRead = true;
 			if (this.section == null) {
 				problem(key, "a key before any section", "a [section] first");
 				return;
 			}
-			String text = (value != null) ? value.strip() : "";
-			IniEntry earlier = this.entries.putIfAbsent(key, new IniEntry(key, text, this.name, this.line));
+			IniEntry read = new IniEntry(key, value.strip(), this.name, this.lines.number());
+			IniEntry earlier = this.entries.putIfAbsent(key, read);
 			if (earlier != null) {
 				problem(key, "a second value (the first is on line " + earlier.line() + ")",
 						"each key once in a section");
@@ -196,7 +186,7 @@
 
 		private void problem(String key, String found, String expected) {
 			String header = (this.section != null) ? this.section.toString() : "";
-			this.problems.add(new ConfigurationProblem(this.name, this.line, header, key, found, expected));
+			this.problems.add(new ConfigurationProblem(this.name, this.lines.number(), header, key, found, expected));
 		}
 
 		@Override
@@ -217,4 +207,58 @@
 
 	}
 
+	/**
+	 * A text that is given out one line a read. Whoever buffers it asks for the next line
+	 * only after the last one was used up, so the line given out last is the one that is
+	 * worked on. Stays open after a close, so that a parser can go on behind an error.
+	 * Not safe for use by several threads.
+	 */
+	private static final class Lines extends Reader {
+
+		private final Iterator<String> remaining;
+
+		private String current = "";
+
+		private int number;
+
+		private int position;
+
+		private Lines(String text) {
+			this.remaining = text.lines().iterator();
+		}
+
+		private boolean hasMore() {
+			return this.remaining.hasNext();
+		}
+
+		private String current() {
+			return this.current;
+		}
+
+		private int number() {
+			return this.number;
+		}
+
+		@Override
+		public int read(char[] buffer, int offset, int length) {
+			if (this.position == this.current.length()) {
+				if (!hasMore()) {
+					return -1;
+				}
+				this.current = this.remaining.next() + "\n";
+				this.number++;
+				this.position = 0;
+			}
+			int count = Math.min(length, this.current.length() - this.position);
+			this.current.getChars(this.position, this.position + count, buffer, offset);
+			this.position += count;
+			return count;
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
 }
--- a/lentilslip-settings/src/main/java/io/lentilslip/settings/ini/ValueKind.java
+++ b/lentilslip-settings/src/main/java/io/lentilslip/settings/ini/ValueKind.java
@@ -41,10 +41,10 @@
 		.where((endpoint) -> endpoint.port() != 0);
 
 	/**
-	 * A time longer than nothing.
+	 * A time longer than nothing and short enough to be counted in nanoseconds.
 	 */
-	public static final ValueKind<Duration> DURATION = new ValueKind<>("a time such as 500ms, 30s, 5m, 12h or 7d",
-			ValueKind::parseDuration);
+	public static final ValueKind<Duration> DURATION = new ValueKind<>(
+			"a time such as 500ms, 30s, 5m, 12h or 7d, up to 366d", ValueKind::parseDuration);
 
 	/**
 	 * Yes or no.
@@ -70,6 +70,8 @@
 
 	private static final Pattern NUMBER_TEXT = Pattern.compile("-?\\d{1,18}");
 
+	private static final Duration LONGEST_DURATION = Duration.ofDays(366);
+
 	private static final int SHOWN_NAMES = 8;
 
 	/**
@@ -180,7 +182,7 @@
 			case "h" -> Duration.ofHours(amount);
 			default -> Duration.ofDays(amount);
 		};
-		return Optional.of(duration).filter(Duration::isPositive);
+		return Optional.of(duration).filter((time) -> time.isPositive() && time.compareTo(LONGEST_DURATION) <= 0);
 	}
 
 	private static Optional<Long> parseBytes(String text) {
