--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -24,6 +24,15 @@
  */
 public final class Ledger {
 
+	/**
+	 * How long a program is remembered after its first claim, by the log's time. All
+	 * processes must use the same value, since it decides which records take effect. No
+	 * program may live longer, and the log must keep records for twice as long: then a
+	 * process that reads what the log still has forgets the same programs as one that
+	 * has read all of it.
+	 */
+	public static final Duration MEMORY = Duration.ofHours(26);
+
 	private final Map<ProgramId, ProgramState> programs;
 
 	private final Map<ProgramId, Set<ProgramId>> children;
@@ -48,9 +57,8 @@
 
 	/**
 	 * Returns a ledger without records.
-	 * @param memory how long, by the log's time, ended programs and settled calls are
-	 * remembered; it must be shorter than the log's retention, so that a process that
-	 * starts anew remembers as much as the others
+	 * @param memory how long, by the log's time, a program is remembered after its first
+	 * claim and a call or a crash after its last record
 	 * @return an empty ledger
 	 */
 	public static Ledger remembering(Duration memory) {
@@ -118,9 +126,9 @@
 	public Reading apply(Position position, Instant time, LedgerRecord record) {
 		Ledger current = forgetBefore(time.minus(this.memory));
 		return switch (record) {
-			case LedgerRecord.ProgramClaimed claimed -> current.claimProgram(position, claimed);
+			case LedgerRecord.ProgramClaimed claimed -> current.claimProgram(position, time, claimed);
 			case LedgerRecord.TurnCommitted committed -> current.addTurn(position, committed);
-			case LedgerRecord.ProgramEnded ended -> current.endProgram(time, ended);
+			case LedgerRecord.ProgramEnded ended -> current.endProgram(ended);
 			case LedgerRecord.CallClaimed claimed -> current.claimCall(position, time, claimed);
 			case LedgerRecord.CallSettled settled -> current.settleCall(time, settled);
 			case LedgerRecord.RequestBlamed blamed -> current.blame(time, blamed);
@@ -128,7 +136,7 @@
 		};
 	}
 
-	private Reading claimProgram(Position position, LedgerRecord.ProgramClaimed record) {
+	private Reading claimProgram(Position position, Instant time, LedgerRecord.ProgramClaimed record) {
 		ProgramId program = record.program();
 		Optional<ProgramState> known = program(program);
 		if (known.isPresent() && known.get().ended().isPresent()) {
@@ -148,10 +156,10 @@
 		if (record.parent().flatMap(this::program).flatMap(ProgramState::ended).isPresent()) {
 			return voided(record, VoidReason.PROGRAM_ENDED);
 		}
-		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), position, 0,
+		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), time, position, 0,
 				Optional.empty(), Optional.empty());
 		Ledger next = record.parent().map((parent) -> withChild(parent, program)).orElse(this);
-		return next.with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
+		return next.dueAt(new Expiry.ForProgram(time, program)).with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
 	}
 
 	private Reading addTurn(Position position, LedgerRecord.TurnCommitted record) {
@@ -173,7 +181,7 @@
 		return with(record.program(), longer, new LedgerChange.TurnAdded(record.program(), longer, record.turn()));
 	}
 
-	private Reading endProgram(Instant time, LedgerRecord.ProgramEnded record) {
+	private Reading endProgram(LedgerRecord.ProgramEnded record) {
 		Optional<ProgramState> known = program(record.program());
 		if (known.isEmpty()) {
 			return voided(record, VoidReason.UNKNOWN);
@@ -182,15 +190,14 @@
 			return voided(record, VoidReason.PROGRAM_ENDED);
 		}
 		List<LedgerChange> changes = new ArrayList<>();
-		Ledger next = close(record.program(), record.reason(), time, changes);
+		Ledger next = close(record.program(), record.reason(), changes);
 		return new Reading(next, changes);
 	}
 
 	// Ends a program and all its descendants. The work list is explicit, since a chain of
 	// sub-agents may be deeper than the stack.
-	private Ledger close(ProgramId program, EndReason reason, Instant time, List<LedgerChange> changes) {
+	private Ledger close(ProgramId program, EndReason reason, List<LedgerChange> changes) {
 		Map<ProgramId, ProgramState> states = this.programs;
-		Queue<Expiry> due = this.expiries;
 		Queue<ProgramId> open = Queue.of(program);
 		while (!open.isEmpty()) {
 			ProgramId next = open.head();
@@ -202,10 +209,9 @@
 			EndReason why = (next.equals(program)) ? reason : EndReason.WITH_PARENT;
 			ProgramState ended = state.get().endedFor(why);
 			states = states.put(next, ended);
-			due = due.enqueue(new Expiry.ForProgram(time, next));
 			changes.add(new LedgerChange.ProgramClosed(next, ended, why));
 		}
-		return new Ledger(states, this.children, this.claims, this.blames, due, this.memory);
+		return new Ledger(states, this.children, this.claims, this.blames, this.expiries, this.memory);
 	}
 
 	private Reading claimCall(Position position, Instant time, LedgerRecord.CallClaimed record) {
@@ -258,6 +264,11 @@
 		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), 0)));
 	}
 
+	private Ledger dueAt(Expiry expiry) {
+		return new Ledger(this.programs, this.children, this.claims, this.blames, this.expiries.enqueue(expiry),
+				this.memory);
+	}
+
 	private Ledger withChild(ProgramId parent, ProgramId child) {
 		Set<ProgramId> siblings = this.children.getOrElse(parent, HashSet.empty()).add(child);
 		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.blames, this.expiries,
@@ -274,7 +285,7 @@
 		return new Reading(this, List.of(new LedgerChange.Voided(record, reason)));
 	}
 
-	// Drops what ended before a time. Without it the memory of a process grows with every
+	// Drops what began before a time. Without it the memory of a process grows with every
 	// program there ever was; with the log's time as measure all processes drop the same.
 	private Ledger forgetBefore(Instant time) {
 		Ledger next = this;
@@ -349,9 +360,9 @@
 		Instant since();
 
 		/**
-		 * An ended program.
+		 * A program.
 		 *
-		 * @param since the log's time of its end
+		 * @param since the log's time of its first claim
 		 * @param program the program
 		 */
 		record ForProgram(Instant since, ProgramId program) implements Expiry {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.ledger;
 
+import java.time.Instant;
 import java.util.Optional;
 
 import io.lentilslip.core.identity.ProcessId;
@@ -12,25 +13,27 @@
  * @param epoch the epoch of the home
  * @param home the sidecar that is the home
  * @param parent the program whose sub-agent this one is, if there is one
+ * @param born the log's time of the first claim
  * @param claimed where the claim of the epoch stands
  * @param lastCall the number of the last turn in the log, or 0
  * @param lastTurn where the last turn stands, if there is one
  * @param ended why the program ended, if it has
  */
-public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Position claimed, int lastCall,
+public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Instant born,
+		Position claimed, int lastCall,
 		Optional<Position> lastTurn, Optional<EndReason> ended) {
 
 	ProgramState movedTo(ProcessId newHome, Epoch newEpoch, Position position) {
-		return new ProgramState(newEpoch, newHome, this.parent, position, this.lastCall, this.lastTurn, this.ended);
+		return new ProgramState(newEpoch, newHome, this.parent, this.born, position, this.lastCall, this.lastTurn, this.ended);
 	}
 
 	ProgramState withTurn(int number, Position position) {
-		return new ProgramState(this.epoch, this.home, this.parent, this.claimed, number, Optional.of(position),
+		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, number, Optional.of(position),
 				this.ended);
 	}
 
 	ProgramState endedFor(EndReason reason) {
-		return new ProgramState(this.epoch, this.home, this.parent, this.claimed, this.lastCall, this.lastTurn,
+		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, this.lastCall, this.lastTurn,
 				Optional.of(reason));
 	}
 
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Duty.java
@@ -0,0 +1,86 @@
+package io.lentilslip.core.sidecar;
+
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.link.AttemptId;
+
+/**
+ * Something to look at when its time comes. It may have become needless by then.
+ * Implementations are immutable and safe for use by several threads.
+ */
+sealed interface Duty {
+
+	/**
+	 * The outcome of a job should be in the log.
+	 *
+	 * @param key the job
+	 */
+	record TellOutcome(JobKey key) implements Duty {
+
+	}
+
+	/**
+	 * Someone should have asked again for the answer of a job that nobody waits for.
+	 *
+	 * @param key the job
+	 */
+	record StopOrphan(JobKey key) implements Duty {
+
+	}
+
+	/**
+	 * A record whose append failed may be appended again.
+	 *
+	 * @param record the record
+	 */
+	record AppendAgain(LedgerRecord record) implements Duty {
+
+	}
+
+	/**
+	 * The engine may be told again to release the cache of a program.
+	 *
+	 * @param program the program
+	 */
+	record ReleaseAgain(ProgramId program) implements Duty {
+
+	}
+
+	/**
+	 * A program may have been silent for too long.
+	 *
+	 * @param program the program
+	 */
+	record CheckIdle(ProgramId program) implements Duty {
+
+	}
+
+	/**
+	 * A program may have lived for too long.
+	 *
+	 * @param program the program
+	 */
+	record CheckLifetime(ProgramId program) implements Duty {
+
+	}
+
+	/**
+	 * The log should have been read up to what an attempt names.
+	 *
+	 * @param attempt the attempt
+	 */
+	record GiveUpParked(AttemptId attempt) implements Duty {
+
+	}
+
+	/**
+	 * The calls before a waiting one should have arrived, or its deadline has come.
+	 *
+	 * @param program the program
+	 * @param attempt the attempt
+	 */
+	record CheckWaiting(ProgramId program, AttemptId attempt) implements Duty {
+
+	}
+
+}
