--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -28,8 +28,8 @@
 	 * How long a program is remembered after its first claim, by the log's time. All
 	 * processes must use the same value, since it decides which records take effect. No
 	 * program may live longer, and the log must keep records for twice as long: then a
-	 * process that reads what the log still has forgets the same programs as one that
-	 * has read all of it.
+	 * process that reads what the log still has forgets the same programs as one that has
+	 * read all of it.
 	 */
 	public static final Duration MEMORY = Duration.ofHours(26);
 
@@ -159,7 +159,8 @@
 		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), time, position, 0,
 				Optional.empty(), Optional.empty());
 		Ledger next = record.parent().map((parent) -> withChild(parent, program)).orElse(this);
-		return next.dueAt(new Expiry.ForProgram(time, program)).with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
+		return next.dueAt(new Expiry.ForProgram(time, program))
+			.with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
 	}
 
 	private Reading addTurn(Position position, LedgerRecord.TurnCommitted record) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
@@ -19,22 +19,22 @@
  * @param lastTurn where the last turn stands, if there is one
  * @param ended why the program ended, if it has
  */
-public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Instant born,
-		Position claimed, int lastCall,
-		Optional<Position> lastTurn, Optional<EndReason> ended) {
+public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Instant born, Position claimed,
+		int lastCall, Optional<Position> lastTurn, Optional<EndReason> ended) {
 
 	ProgramState movedTo(ProcessId newHome, Epoch newEpoch, Position position) {
-		return new ProgramState(newEpoch, newHome, this.parent, this.born, position, this.lastCall, this.lastTurn, this.ended);
+		return new ProgramState(newEpoch, newHome, this.parent, this.born, position, this.lastCall, this.lastTurn,
+				this.ended);
 	}
 
 	ProgramState withTurn(int number, Position position) {
-		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, number, Optional.of(position),
-				this.ended);
+		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, number,
+				Optional.of(position), this.ended);
 	}
 
 	ProgramState endedFor(EndReason reason) {
-		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, this.lastCall, this.lastTurn,
-				Optional.of(reason));
+		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, this.lastCall,
+				this.lastTurn, Optional.of(reason));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/link/LinkMessage.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/link/LinkMessage.java
@@ -87,17 +87,6 @@
 
 	}
 
-	/**
-	 * A wish to end a program.
-	 *
-	 * @param attempt the number under which the outcome is reported
-	 * @param program the program
-	 * @param reason why it ends
-	 */
-	record EndProgram(AttemptId attempt, ProgramId program, EndReason reason) implements ToSidecar {
-
-	}
-
 	/**
 	 * A question for the state and history of a program.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Home.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Home.java
@@ -37,6 +37,11 @@
 				this.lastUsed);
 	}
 
+	Home inEpoch(Epoch newer) {
+		return new Home(this.program, newer, this.ready, this.turns, this.committed, false, this.active, this.waiting,
+				this.lastUsed);
+	}
+
 	Home withTurn(Turn turn, Instant now) {
 		return new Home(this.program, this.epoch, this.ready, this.turns.append(turn), this.committed, this.appending,
 				Optional.empty(), this.waiting, now);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Job.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Job.java
@@ -51,8 +51,7 @@
 	}
 
 	Job withText(Transcript longer, Vector<Listener> served) {
-		return new Job(this.key, this.call, this.added, served, this.stage, longer, this.begun, this.alone,
-				this.entry);
+		return new Job(this.key, this.call, this.added, served, this.stage, longer, this.begun, this.alone, this.entry);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarStatus.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarStatus.java
@@ -20,7 +20,7 @@
  * @param stopping whether the process takes no new work
  */
 public record SidecarStatus(ProcessId process, long configurationVersion, long logOffset, boolean upstreamUp,
-		int entries, int queued, int running, int limit, int homes, int pendingTurns, int heldSessions,
-		long heldTokens, boolean stopping) {
+		int entries, int queued, int running, int limit, int homes, int pendingTurns, int heldSessions, long heldTokens,
+		boolean stopping) {
 
 }
