--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
@@ -121,6 +121,10 @@
 		return type.cast(this.events.poll(SAFETY_SECONDS, TimeUnit.SECONDS));
 	}
 
+	int waiting() {
+		return this.events.size();
+	}
+
 	CallerPort port() {
 		return this.port;
 	}
