Release claims that never ran, and measure programs at their homes

Cause: a claimed call refused by a leaving sidecar stayed claimed for ever, and could only be answered as possibly run once that life ended. Change: the refusal is written to the log as a release before anyone is told. A program's latency is the log's time from first claim to last turn, measured by its home alone. What both roles read of the log moves to the common package. Conclusion: not_run for a claimed call is true and frees the key.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -127,7 +127,7 @@
 		Ledger current = forgetBefore(time.minus(this.memory));
 		return switch (record) {
 			case LedgerRecord.ProgramClaimed claimed -> current.claimProgram(position, time, claimed);
-			case LedgerRecord.TurnCommitted committed -> current.addTurn(position, committed);
+			case LedgerRecord.TurnCommitted committed -> current.addTurn(position, time, committed);
 			case LedgerRecord.ProgramEnded ended -> current.endProgram(ended);
 			case LedgerRecord.CallClaimed claimed -> current.claimCall(position, time, claimed);
 			case LedgerRecord.CallSettled settled -> current.settleCall(time, settled);
@@ -157,13 +157,13 @@
 			return voided(record, VoidReason.PROGRAM_ENDED);
 		}
 		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), time, position, 0,
-				Optional.empty(), Optional.empty());
+				Optional.empty(), time, Optional.empty());
 		Ledger next = record.parent().map((parent) -> withChild(parent, program)).orElse(this);
 		return next.dueAt(new Expiry.ForProgram(time, program))
 			.with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
 	}
 
-	private Reading addTurn(Position position, LedgerRecord.TurnCommitted record) {
+	private Reading addTurn(Position position, Instant time, LedgerRecord.TurnCommitted record) {
 		Optional<ProgramState> known = program(record.program());
 		if (known.isEmpty()) {
 			return voided(record, VoidReason.UNKNOWN);
@@ -178,7 +178,7 @@
 		if (record.turn().number() != state.lastCall() + 1) {
 			return voided(record, VoidReason.TURN_NOT_NEXT);
 		}
-		ProgramState longer = state.withTurn(record.turn().number(), position);
+		ProgramState longer = state.withTurn(record.turn().number(), position, time);
 		return with(record.program(), longer, new LedgerChange.TurnAdded(record.program(), longer, record.turn()));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
@@ -17,24 +17,25 @@
  * @param claimed where the claim of the epoch stands
  * @param lastCall the number of the last turn in the log, or 0
  * @param lastTurn where the last turn stands, if there is one
+ * @param lastTime the log's time of the last turn, or of the first claim
  * @param ended why the program ended, if it has
  */
 public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Instant born, Position claimed,
-		int lastCall, Optional<Position> lastTurn, Optional<EndReason> ended) {
+		int lastCall, Optional<Position> lastTurn, Instant lastTime, Optional<EndReason> ended) {
 
 	ProgramState movedTo(ProcessId newHome, Epoch newEpoch, Position position) {
 		return new ProgramState(newEpoch, newHome, this.parent, this.born, position, this.lastCall, this.lastTurn,
-				this.ended);
+				this.lastTime, this.ended);
 	}
 
-	ProgramState withTurn(int number, Position position) {
+	ProgramState withTurn(int number, Position position, Instant time) {
 		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, number,
-				Optional.of(position), this.ended);
+				Optional.of(position), time, this.ended);
 	}
 
 	ProgramState endedFor(EndReason reason) {
 		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, this.lastCall,
-				this.lastTurn, Optional.of(reason));
+				this.lastTurn, this.lastTime, Optional.of(reason));
 	}
 
 }
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/role/LogView.java
@@ -0,0 +1,79 @@
+package io.lentilslip.core.role;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import io.lentilslip.core.ledger.Ledger;
+
+/**
+ * What a process has read of the log. Immutable and safe for use by several threads.
+ *
+ * @param ledger the reading of the records
+ * @param next the offset of the next record to read
+ * @param time the log's time of the last record read
+ * @param unreachableSince since when the log cannot be read, if it cannot
+ */
+public record LogView(Ledger ledger, long next, Instant time, Optional<Instant> unreachableSince) {
+
+	/**
+	 * Returns the view of a process that has read nothing.
+	 * @return a view without records
+	 */
+	public static LogView unread() {
+		return new LogView(Ledger.remembering(Ledger.MEMORY), 0, Instant.EPOCH, Optional.empty());
+	}
+
+	/**
+	 * Returns whether a record has been read.
+	 * @param offset the offset of the record
+	 * @return whether it has been read
+	 */
+	public boolean hasRead(long offset) {
+		return offset < this.next;
+	}
+
+	/**
+	 * Returns this view with another ledger.
+	 * @param read the ledger
+	 * @return the view
+	 */
+	public LogView withLedger(Ledger read) {
+		return new LogView(read, this.next, this.time, this.unreachableSince);
+	}
+
+	/**
+	 * Returns this view after a record was read to its end.
+	 * @param offset the offset of the next record
+	 * @param at the log's time of the record
+	 * @return the view
+	 */
+	public LogView readTo(long offset, Instant at) {
+		return new LogView(this.ledger, offset, at, Optional.empty());
+	}
+
+	/**
+	 * Returns this view after the log could not be read.
+	 * @param now the time of this process
+	 * @return the view
+	 */
+	public LogView unreachable(Instant now) {
+		return new LogView(this.ledger, this.next, this.time, Optional.of(this.unreachableSince.orElse(now)));
+	}
+
+	/**
+	 * Returns this view after the log could be read.
+	 * @return the view
+	 */
+	public LogView reachable() {
+		return new LogView(this.ledger, this.next, this.time, Optional.empty());
+	}
+
+	/**
+	 * Returns whether the log can be read, as far as is known.
+	 * @return whether it can be read
+	 */
+	public boolean isReachable() {
+		return this.unreachableSince.isEmpty();
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Transcript.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/role/Transcript.java
@@ -1,4 +1,4 @@
-package io.lentilslip.core.sidecar;
+package io.lentilslip.core.role;
 
 import java.util.Optional;
 
@@ -11,14 +11,14 @@
  * @param pieces the pieces in their order
  * @param length the number of characters in all
  */
-record Transcript(Vector<String> pieces, int length) {
+public record Transcript(Vector<String> pieces, int length) {
 
 	/**
 	 * Returns a transcript that begins with a text.
 	 * @param text the text that is there already, which may be empty
 	 * @return the transcript
 	 */
-	static Transcript beginningWith(String text) {
+	public static Transcript beginningWith(String text) {
 		return new Transcript((text.isEmpty()) ? Vector.empty() : Vector.of(text), text.length());
 	}
 
@@ -27,7 +27,7 @@
 	 * @param piece the text that follows
 	 * @return the longer transcript
 	 */
-	Transcript with(String piece) {
+	public Transcript with(String piece) {
 		return new Transcript(this.pieces.append(piece), this.length + piece.length());
 	}
 
@@ -37,7 +37,7 @@
 	 * @return the rest, or an empty result if this transcript does not begin with the
 	 * part
 	 */
-	Optional<String> after(String delivered) {
+	public Optional<String> after(String delivered) {
 		String text = text();
 		return (text.startsWith(delivered)) ? Optional.of(text.substring(delivered.length())) : Optional.empty();
 	}
@@ -46,7 +46,7 @@
 	 * Returns the whole text.
 	 * @return the whole text
 	 */
-	String text() {
+	public String text() {
 		return this.pieces.mkString();
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/ClaimRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/ClaimRules.java
@@ -46,13 +46,15 @@
 			this.draft.finish(arrival.entry(), arrival.attempt(), claim.get().outcome().get());
 			return;
 		}
-		JobKey key = new JobKey.ForClaim(standing.key());
+		JobKey.ForClaim key = new JobKey.ForClaim(standing.key());
 		Optional<Job> job = this.draft.job(key);
 		if (job.isPresent()) {
 			meet(arrival, job.get());
 			return;
 		}
-		if (new EntryRules(this.draft).refusedAsNew(arrival)) {
+		Optional<CallFailure> refusal = new EntryRules(this.draft).refusalOfNew();
+		if (refusal.isPresent()) {
+			release(key, arrival, refusal.get());
 			return;
 		}
 		// This life holds the claim, has no outcome and no job for it: it never ran it,
@@ -61,6 +63,12 @@
 		new QueueRules(this.draft).enqueue(key, arrival, added);
 	}
 
+	private void release(JobKey.ForClaim key, Arrival arrival, CallFailure refusal) {
+		Job job = new QueueRules(this.draft).jobOf(key, arrival, List.of());
+		this.draft.attempts = this.draft.attempts.put(arrival.attempt(), key);
+		ended(job, key.key(), new CallOutcome.Failed(refusal));
+	}
+
 	private void meet(Arrival arrival, Job job) {
 		if (job.stage() instanceof Stage.Settling settling && settling.overdue()) {
 			this.draft.finish(arrival.entry(), arrival.attempt(), settling.outcome());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Draft.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Draft.java
@@ -20,6 +20,7 @@
 import io.lentilslip.core.reducer.Step;
 import io.lentilslip.core.role.Agenda;
 import io.lentilslip.core.role.AppendId;
+import io.lentilslip.core.role.LogView;
 import io.lentilslip.core.role.NodeEffect;
 import io.lentilslip.core.share.FairQueue;
 import io.lentilslip.core.sidecar.SidecarState.SessionPhase;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/EntryRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/EntryRules.java
@@ -92,7 +92,7 @@
 				if (!standing.home().equals(this.draft.self)) {
 					this.draft.refuse(arrival, notRunSoon(FailureCause.MOVED, "The program has another home."));
 				}
-				else if (hasRead(standing.offset())) {
+				else if (this.draft.log.hasRead(standing.offset())) {
 					new HomeRules(this.draft).arrive(arrival, standing);
 				}
 				else {
@@ -106,7 +106,7 @@
 					this.draft.refuse(arrival, CallFailure.mayHaveRun(FailureCause.OUTCOME_UNKNOWN,
 							"The process that was to run the request is gone."));
 				}
-				else if (hasRead(standing.offset())) {
+				else if (this.draft.log.hasRead(standing.offset())) {
 					new ClaimRules(this.draft).arrive(arrival, standing);
 				}
 				else {
@@ -131,19 +131,23 @@
 	 * @return whether it was refused
 	 */
 	boolean refusedAsNew(Arrival arrival) {
+		Optional<CallFailure> refusal = refusalOfNew();
+		refusal.ifPresent((failure) -> this.draft.refuse(arrival, failure));
+		return refusal.isPresent();
+	}
+
+	/**
+	 * Returns why no new work can be taken.
+	 * @return the refusal, or an empty result if new work can be taken
+	 */
+	Optional<CallFailure> refusalOfNew() {
 		if (this.draft.stopping) {
-			this.draft.refuse(arrival, notRunSoon(FailureCause.STOPPING, "The upstream is leaving."));
-			return true;
+			return Optional.of(notRunSoon(FailureCause.STOPPING, "The upstream is leaving."));
 		}
 		if (!this.draft.upstream.up()) {
-			this.draft.refuse(arrival, notRunSoon(FailureCause.NO_UPSTREAM, "The upstream does not answer."));
-			return true;
+			return Optional.of(notRunSoon(FailureCause.NO_UPSTREAM, "The upstream does not answer."));
 		}
-		return false;
-	}
-
-	private boolean hasRead(long offset) {
-		return offset < this.draft.log.next();
+		return Optional.empty();
 	}
 
 	private void park(Arrival arrival) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -24,6 +24,7 @@
 import io.lentilslip.core.link.AttemptId;
 import io.lentilslip.core.link.LinkMessage;
 import io.lentilslip.core.link.Standing;
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.sidecar.Job.Stage;
@@ -480,6 +481,36 @@
 		new SessionRules(this.draft).release(program);
 	}
 
+	/**
+	 * Closes the home of a program that ended, and measures the program: it took from its
+	 * first claim to its last turn, by the log's time. Only its home does so, or each
+	 * program would be counted by every process.
+	 * @param program the program
+	 * @param state its state
+	 * @param reason why it ended
+	 */
+	void ended(ProgramId program, ProgramState state, EndReason reason) {
+		if (state.home().equals(this.draft.self)) {
+			Duration latency = Duration.between(state.born(), state.lastTime());
+			this.draft
+				.measure(new Measurement.ProgramEnded(program.group(), latency, state.lastCall(), labelOf(reason)));
+			this.draft.report(NoticeCode.PROGRAM_ENDED.with(FieldName.PROGRAM, program)
+				.with(FieldName.REASON, reason)
+				.with(FieldName.COUNT, state.lastCall())
+				.with(FieldName.MILLISECONDS, latency.toMillis()));
+		}
+		close(program, FailureCause.PROGRAM_ENDED, "The program has ended.");
+	}
+
+	private static Measurement.ProgramEnded.Reason labelOf(EndReason reason) {
+		return switch (reason) {
+			case BY_CALLER -> Measurement.ProgramEnded.Reason.ENDED_BY_CALLER;
+			case WITH_PARENT -> Measurement.ProgramEnded.Reason.PARENT_ENDED;
+			case IDLE, LIFETIME -> Measurement.ProgramEnded.Reason.IDLE_LIMIT;
+			case GROUP_REMOVED -> Measurement.ProgramEnded.Reason.GROUP_REMOVED;
+		};
+	}
+
 	private void closeJob(JobKey key, FailureCause cause, String message) {
 		Optional<Job> job = this.draft.job(key);
 		if (job.isEmpty()) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Job.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Job.java
@@ -6,6 +6,7 @@
 import io.lentilslip.core.call.CallOutcome;
 import io.lentilslip.core.call.CallRequest;
 import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.role.Transcript;
 import io.lentilslip.core.share.FairQueue;
 import io.vavr.collection.Vector;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
@@ -14,6 +14,7 @@
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.role.AppendResult;
 import io.lentilslip.core.role.LogEvent;
+import io.lentilslip.core.role.LogView;
 
 /**
  * The rules for what the log says. Confined to one application of the reducer.
@@ -60,8 +61,7 @@
 		switch (change) {
 			case LedgerChange.HomeChanged changed -> homes.moved(changed.program(), changed.state());
 			case LedgerChange.TurnAdded added -> homes.committed(added.program(), added.state(), position);
-			case LedgerChange.ProgramClosed closed ->
-				homes.close(closed.program(), FailureCause.PROGRAM_ENDED, "The program has ended.");
+			case LedgerChange.ProgramClosed closed -> homes.ended(closed.program(), closed.state(), closed.reason());
 			case LedgerChange.CallTaken taken -> {
 			}
 			case LedgerChange.CallDone done -> new ClaimRules(this.draft).settled(done.key());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/QueueRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/QueueRules.java
@@ -16,6 +16,7 @@
 import io.lentilslip.core.configuration.TokenCost;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.role.Transcript;
 import io.lentilslip.core.share.FairQueue;
 import io.lentilslip.core.sidecar.Job.Stage;
 import io.vavr.collection.Vector;
@@ -69,7 +70,14 @@
 		};
 	}
 
-	private Job jobOf(JobKey key, Arrival arrival, List<String> added) {
+	/**
+	 * Returns the job of a call that an attempt brought.
+	 * @param key what identifies the job
+	 * @param arrival the attempt
+	 * @param added the messages that the call adds to the history of its program
+	 * @return the job, which waits nowhere yet
+	 */
+	Job jobOf(JobKey key, Arrival arrival, List<String> added) {
 		CallRequest call = arrival.call();
 		FairQueue.Entry<JobKey, JobKey> entry = new FairQueue.Entry<>(key, call.group(),
 				call.place().map(ProgramCall::program), classOf(call), this.draft.now, arrival.deadline(),
@@ -213,7 +221,14 @@
 			return;
 		}
 		take(key);
-		this.draft.finishAll(job.get(), new CallOutcome.Failed(failure));
+		CallOutcome outcome = new CallOutcome.Failed(failure);
+		if (key instanceof JobKey.ForClaim claim) {
+			// The claim is released in the log before anyone is told, so that another
+			// sidecar may run the call.
+			new ClaimRules(this.draft).ended(job.get(), claim.key(), outcome);
+			return;
+		}
+		this.draft.finishAll(job.get(), outcome);
 		new HomeRules(this.draft).afterJob(key);
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarState.java
@@ -13,6 +13,7 @@
 import io.lentilslip.core.link.LinkMessage;
 import io.lentilslip.core.role.Agenda;
 import io.lentilslip.core.role.AppendId;
+import io.lentilslip.core.role.LogView;
 import io.lentilslip.core.share.FairQueue;
 import io.lentilslip.core.share.Ordering;
 import io.lentilslip.core.share.QueueBounds;
