Test that a folder is refused when bytes change but names stay

Change: the test of a folder that changes also rewrites a file with as many bytes as before. Conclusion: the comparison of the two readings is held by a test.

--- a/lentilslip-settings/src/test/java/io/lentilslip/settings/folder/ConfigurationFolderTests.java
+++ b/lentilslip-settings/src/test/java/io/lentilslip/settings/folder/ConfigurationFolderTests.java
@@ -14,6 +14,8 @@
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,21 +37,25 @@
 		assertThat(folder.readConfiguration()).isEqualTo(ConfigurationReader.read(Sources.base()));
 	}
 
-	// An editor writes a file while the folder is read. The first reading sees the old
-	// bytes and the second the new ones; published as read, two files might not belong
-	// together. The operator is told which file moved and asks again.
-	@Test
-	void refusesAFolderThatChangesWhileItIsRead() {
+	// An editor writes a file while the folder is read, be it a new one or one with as
+	// many
+	// bytes as before. The first reading sees the old bytes and the second the new ones;
+	// published as read, two files might not belong together. The operator is told which
+	// file moved and asks again.
+	@ParameterizedTest
+	@ValueSource(strings = { "10.ini", "20.ini" })
+	void refusesAFolderThatChangesWhileItIsRead(String changing) {
 		write("10.ini", Sources.BASE);
 		ConfigurationFolder folder = new ConfigurationFolder(this.path);
-		Queue<String> writes = new ArrayDeque<>(List.of("[group late]\n", "[group later]\n"));
+		Queue<String> writes = new ArrayDeque<>(List.of(Sources.BASE.replace("share = 2", "share = 7"),
+				Sources.BASE.replace("share = 2", "share = 8")));
 		Either<ConfigurationProblem, ConfigurationSource> result = folder.readTwice(() -> {
 			Either<ConfigurationProblem, ConfigurationSource> reading = folder.readOnce();
-			write("20.ini", writes.remove());
+			write(changing, writes.remove());
 			return reading;
 		});
-		assertThat(result.getLeft()).hasToString(this.path
-				+ ": found 20.ini changing while the folder was read, expected a folder that stays the same while it is read");
+		assertThat(result.getLeft()).hasToString(this.path + ": found " + changing
+				+ " changing while the folder was read, expected a folder that stays the same while it is read");
 	}
 
 	@Test
