Bound streamed tool calls, and address engines as the other services

Cause: an engine that never ends a tool call could fill the client's memory; the engine client took a URI where the other clients take an endpoint, and told a timeout of a control call as a broken connection.

Conclusion: what the engine client keeps of an answer is bounded.

--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/Engine.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/Engine.java
@@ -1,7 +1,6 @@
 package io.lentilslip.platform.engine;
 
 import java.io.IOException;
-import java.net.URI;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -9,9 +8,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.verdict.Verdict;
 import io.lentilslip.platform.http.Exchange;
+import io.lentilslip.platform.http.FailureKind;
 import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.platform.http.HttpSender;
 import io.lentilslip.platform.http.TransmissionRecorder;
@@ -145,13 +146,12 @@
 
 		/**
 		 * Creates a client.
-		 * @param address the engine's address, without a path
+		 * @param service where the engine listens
 		 * @param limits the bounds of the calls; a generation has no bound in all, but
 		 * may not be silent for longer than the read timeout
-		 * @throws IllegalArgumentException if the address is not one of HTTP
 		 */
-		public ForHttp(URI address, HttpLimits limits) {
-			this.address = HttpUrl.get(address.toString());
+		public ForHttp(Endpoint service, HttpLimits limits) {
+			this.address = HttpUrl.get("http://" + service);
 			this.limits = limits;
 			this.sender = new HttpSender(limits);
 			this.freeGenerations = new Semaphore(limits.maximumCalls());
@@ -291,7 +291,9 @@
 		private static EngineFailure failure(Exchange.Unanswered unanswered) {
 			EngineFailure.Cause cause = switch (unanswered.transmission()) {
 				case NEVER_SENT -> new EngineFailure.Cause.NotReached(unanswered.reason());
-				case MAY_HAVE_BEEN_SENT -> new EngineFailure.Cause.Broken(unanswered.reason());
+				case MAY_HAVE_BEEN_SENT ->
+					(unanswered.kind() == FailureKind.TIMED_OUT) ? new EngineFailure.Cause.Timeout(unanswered.reason())
+							: new EngineFailure.Cause.Broken(unanswered.reason());
 			};
 			return new EngineFailure(unanswered.transmission().verdict(), cause);
 		}
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/StreamedGeneration.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/StreamedGeneration.java
@@ -48,7 +48,7 @@
 
 	private final ReentrantLock delivery = new ReentrantLock();
 
-	private final ToolCallAssembly toolCalls = new ToolCallAssembly();
+	private final ToolCallAssembly toolCalls;
 
 	private GenerationEnd.Usage usage = new GenerationEnd.Usage(0, 0, 0);
 
@@ -65,7 +65,7 @@
 	 * @param call the call
 	 * @param recorder what records how far the call's request comes
 	 * @param earlier what is known of earlier attempts of the same request
-	 * @param maximumLineBytes the longest line of the stream
+	 * @param maximumLineBytes the longest line of the stream, and the longest tool calls
 	 * @param listener what is told of the answer
 	 */
 	StreamedGeneration(Call call, TransmissionRecorder recorder, Verdict earlier, long maximumLineBytes,
@@ -74,6 +74,7 @@
 		this.recorder = recorder;
 		this.earlier = earlier;
 		this.maximumLineBytes = maximumLineBytes;
+		this.toolCalls = new ToolCallAssembly(maximumLineBytes);
 		this.listener = listener;
 	}
 
@@ -117,7 +118,7 @@
 		fail(broken("the answer broke off"));
 	}
 
-	private boolean accept(JsonNode part) {
+	private boolean accept(JsonNode part) throws IOException {
 		if (part.has("error")) {
 			fail(broken(part.path("error").path("message").asText("the engine reports an error")));
 			return false;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/ToolCallAssembly.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/ToolCallAssembly.java
@@ -1,5 +1,6 @@
 package io.lentilslip.platform.engine;
 
+import java.io.IOException;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -18,16 +19,34 @@
 
 	private static final String ARGUMENTS = "arguments";
 
+	private final long maximumCharacters;
+
 	private final TreeMap<Integer, ObjectNode> calls = new TreeMap<>();
 
 	private final TreeMap<Integer, StringBuilder> arguments = new TreeMap<>();
 
+	private long characters;
+
 	/**
-	 * Adds the parts of one chunk.
+	 * Creates an assembly without calls.
+	 * @param maximumCharacters the most characters that all parts may have together
+	 */
+	ToolCallAssembly(long maximumCharacters) {
+		this.maximumCharacters = maximumCharacters;
+	}
+
+	/**
+	 * Adds the parts of one chunk. Unlike text, parts are kept until the answer ends, so
+	 * that an engine which never ends a call would fill the memory; they are bounded.
 	 * @param parts the field {@code tool_calls} of a delta
+	 * @throws IOException if the calls are longer than allowed
 	 */
-	void add(JsonNode parts) {
+	void add(JsonNode parts) throws IOException {
 		for (JsonNode part : parts) {
+			this.characters += part.toString().length();
+			if (this.characters > this.maximumCharacters) {
+				throw new IOException("tool calls longer than " + this.maximumCharacters + " characters");
+			}
 			int index = part.path("index").asInt();
 			if (part instanceof ObjectNode object) {
 				this.calls.computeIfAbsent(index, (first) -> object.deepCopy());
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/engine/EngineTests.java
+++ b/lentilslip-platform/src/test/java/io/lentilslip/platform/engine/EngineTests.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -16,6 +16,7 @@
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.identity.ModelName;
 import io.lentilslip.core.verdict.Verdict;
+import io.lentilslip.platform.Endpoints;
 import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.engine.EngineLimits;
 import io.lentilslip.standin.engine.EngineSettings;
@@ -25,11 +26,14 @@
 import io.vavr.control.Either;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+// Only a bound for a run that would otherwise never end; no test depends on its length.
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class EngineTests {
 
 	private static final ModelName MODEL = new ModelName("danube-8b");
@@ -62,7 +66,7 @@
 
 	private void start(EngineSettings settings) {
 		this.standIn = EngineStandIn.start(settings);
-		this.engine = new Engine.ForHttp(this.standIn.address(), LIMITS);
+		this.engine = new Engine.ForHttp(Endpoints.of(this.standIn.address()), LIMITS);
 	}
 
 	@Test
@@ -291,7 +295,7 @@
 	@Test
 	void generationsPastTheBoundAreNotSent() {
 		this.standIn = EngineStandIn.start(SLOW);
-		this.engine = new Engine.ForHttp(this.standIn.address(), LIMITS.withMaximumCalls(1));
+		this.engine = new Engine.ForHttp(Endpoints.of(this.standIn.address()), LIMITS.withMaximumCalls(1));
 		generate(request("a", LONG)).awaitStart();
 		assertThat(generate(request("b", LONG)).awaitFailed().verdict()).isEqualTo(Verdict.NOT_RUN);
 		assertThat(this.standIn.runs("b")).isZero();
@@ -309,7 +313,7 @@
 		generate(request("a", prompt).withPin(pin)).awaitFinished();
 		byte[] exported = value(this.engine.exportSession("program-1"));
 		try (EngineStandIn otherStandIn = EngineStandIn.start(SETTINGS);
-				Engine other = new Engine.ForHttp(otherStandIn.address(), LIMITS)) {
+				Engine other = new Engine.ForHttp(Endpoints.of(otherStandIn.address()), LIMITS)) {
 			long tokens = value(other.importSession(pin, exported));
 			assertThat(value(other.held()).sessions()).singleElement()
 				.satisfies((held) -> assertThat(held.tokens()).isEqualTo(tokens));
@@ -393,7 +397,7 @@
 	}
 
 	private RecordingListener generateAt(ServerSocket server, HttpLimits limits) {
-		this.engine = new Engine.ForHttp(URI.create("http://127.0.0.1:" + server.getLocalPort()), limits);
+		this.engine = new Engine.ForHttp(Endpoints.of((InetSocketAddress) server.getLocalSocketAddress()), limits);
 		return generate(request("a", "x"));
 	}
 
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/engine/EngineRoutes.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/engine/EngineRoutes.java
@@ -106,7 +106,7 @@
 
 	private void resume(String id, QueryStringDecoder uri, EngineExchange exchange) {
 		AnswerWriter writer = AnswerWriter.of(true, exchange);
-		int from = (int) Math.min(Integer.MAX_VALUE, number(uri, "from_token", 0));
+		int from = Math.clamp(number(uri, "from_token", 0), 0, Integer.MAX_VALUE);
 		whenDone(this.life.resume(id, from, writer), exchange,
 				(kept) -> exchange.onDisconnect(() -> this.life.unsubscribe(kept, writer)));
 	}
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/engine/EngineStandIn.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/engine/EngineStandIn.java
@@ -1,6 +1,6 @@
 package io.lentilslip.standin.engine;
 
-import java.net.URI;
+import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
@@ -99,10 +99,10 @@
 
 	/**
 	 * Returns the address of the engine.
-	 * @return an address without a path
+	 * @return the address with the port in use
 	 */
-	public synchronized URI address() {
-		return URI.create("http://127.0.0.1:" + this.port);
+	public synchronized InetSocketAddress address() {
+		return new InetSocketAddress("127.0.0.1", this.port);
 	}
 
 	/**
--- a/lentilslip-standin/src/test/java/io/lentilslip/standin/engine/EngineStandInTests.java
+++ b/lentilslip-standin/src/test/java/io/lentilslip/standin/engine/EngineStandInTests.java
@@ -1,6 +1,7 @@
 package io.lentilslip.standin.engine;
 
 import java.io.IOException;
+import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -86,7 +87,8 @@
 	}
 
 	private HttpRequest.Builder request(String path) {
-		return HttpRequest.newBuilder(this.engine.address().resolve(path)).header("X-Request-Id", "a");
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.engine.address().getPort() + path))
+			.header("X-Request-Id", "a");
 	}
 
 	private HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
