--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
@@ -0,0 +1,352 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.CallRequest;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.call.ProgramCall;
+import io.lentilslip.core.call.ServiceMessage;
+import io.lentilslip.core.call.Usage;
+import io.lentilslip.core.configuration.CallerPolicy;
+import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.Limits.DeadlineLimits;
+import io.lentilslip.core.configuration.ModelPolicy;
+import io.lentilslip.core.configuration.ServicePolicy;
+import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.GroupName;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.identity.ProgramName;
+import io.lentilslip.core.ledger.CallKey;
+import io.lentilslip.core.ledger.EndReason;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.ProgramState;
+import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.link.LinkMessage.ProgramView;
+import io.lentilslip.core.measurement.Measurement;
+import io.vavr.Tuple2;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+
+/**
+ * The rules for what callers ask: who they are, what they may, and what the request must
+ * look like. Confined to one application of the reducer.
+ */
+final class CallerRules {
+
+	private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
+	private static final Duration ANSWER_WAIT = Duration.ofSeconds(3);
+
+	private static final int DEFAULT_TOKENS = 1024;
+
+	private final Draft draft;
+
+	CallerRules(Draft draft) {
+		this.draft = draft;
+	}
+
+	void arrived(EntryEvent.CallArrived event, long seed) {
+		Either<CallFailure, Call> call = check(event);
+		if (call.isLeft()) {
+			this.draft.run(new EntryEffect.Complete(event.ticket(), new CallOutcome.Failed(call.getLeft())));
+			measureRefusal(call.getLeft());
+			return;
+		}
+		this.draft.put(call.get());
+		this.draft.retries = this.draft.retries.afterFirstAttempt();
+		this.draft.remindAt(call.get().deadline().plus(RouteRules.DEADLINE_GRACE), new Duty.GiveUp(event.ticket()));
+		new RouteRules(this.draft, seed).go(call.get());
+	}
+
+	private void measureRefusal(CallFailure failure) {
+		this.draft.measure(new Measurement.CallRefused(Optional.empty(), Refusals.reasonOf(failure.cause())));
+	}
+
+	private Either<CallFailure, Call> check(EntryEvent.CallArrived event) {
+		Submission submission = event.submission();
+		if (this.draft.stopping) {
+			return refused(FailureCause.STOPPING, "This entry is stopping; another one takes the request.");
+		}
+		return callerOf(submission.caller()).flatMap((caller) -> placeOf(caller, submission))
+			.flatMap((place) -> place.group()
+				.map((group) -> requestOf(group, place.call(), submission))
+				.orElseGet(() -> refused(FailureCause.FORBIDDEN, "The caller's group is not configured.")))
+			.flatMap((request) -> routeOf(request).map((route) -> Call.of(event.ticket(), request, route, event.now(),
+					event.now().plus(timeFor(submission)))));
+	}
+
+	private static <T> Either<CallFailure, T> refused(FailureCause cause, String message) {
+		CallFailure failure = CallFailure.notRun(cause, message);
+		return Either.left((cause.isTransient()) ? failure.retryAfter(RETRY_SOON) : failure);
+	}
+
+	private Either<CallFailure, CallerPolicy> callerOf(Digest key) {
+		if (this.draft.setup.isEmpty()) {
+			return refused(FailureCause.NOT_READY, "This entry has no configuration yet.");
+		}
+		return configuration().caller(key)
+			.<Either<CallFailure, CallerPolicy>>map(Either::right)
+			.orElseGet(() -> refused(FailureCause.UNAUTHORIZED, "The key is not known."));
+	}
+
+	private Configuration configuration() {
+		return this.draft.setup.orElseThrow().configuration();
+	}
+
+	private Either<CallFailure, PlaceInGroup> placeOf(CallerPolicy caller, Submission submission) {
+		if (submission.program().isEmpty()) {
+			if (submission.parent().isPresent() || submission.number().isPresent()) {
+				return refused(FailureCause.INVALID, "A parent or a number needs a program.");
+			}
+			return Either.right(new PlaceInGroup(Optional.of(caller.group()), Optional.empty()));
+		}
+		ProgramName name = submission.program().get();
+		if (submission.parent().equals(submission.program())) {
+			return refused(FailureCause.INVALID, "A program is not its own parent.");
+		}
+		GroupName group = configuration().groupFor(caller, name);
+		Optional<ProgramId> parent = submission.parent()
+			.map((each) -> new ProgramId(configuration().groupFor(caller, each), each));
+		ProgramCall place = new ProgramCall(new ProgramId(group, name), parent, submission.number());
+		return Either.right(new PlaceInGroup(Optional.of(group), Optional.of(place)));
+	}
+
+	private Either<CallFailure, CallRequest> requestOf(GroupName group, Optional<ProgramCall> place,
+			Submission submission) {
+		if (configuration().group(group).isEmpty()) {
+			return refused(FailureCause.FORBIDDEN, "The caller's group is not configured.");
+		}
+		return switch (submission.payload()) {
+			case Payload.ForModel payload -> modelRequest(group, place, submission, payload);
+			case Payload.ForService payload -> serviceRequest(group, place, submission, payload);
+		};
+	}
+
+	private Either<CallFailure, CallRequest> modelRequest(GroupName group, Optional<ProgramCall> place,
+			Submission submission, Payload.ForModel payload) {
+		Optional<ModelPolicy> model = configuration().model(payload.model());
+		if (model.isEmpty()) {
+			return refused(FailureCause.NOT_FOUND, "The model is not served here.");
+		}
+		if (payload.messages().isEmpty()) {
+			return refused(FailureCause.INVALID, "A call needs a message.");
+		}
+		if (payload.mode() == HistoryMode.NEW && submission.number().isEmpty()) {
+			return refused(FailureCause.INVALID,
+					"A call that leaves the history to the system needs a program and a number.");
+		}
+		if (payload.messages().size() > configuration().limits().programs().messages()) {
+			return refused(FailureCause.TOO_LARGE, "Too many messages.");
+		}
+		long most = model.get().maximumOutputTokens();
+		int tokens = (int) Math.min(payload.maximumTokens().orElse(DEFAULT_TOKENS), most);
+		if (tokens < 1) {
+			return refused(FailureCause.INVALID, "The most tokens to generate must be positive.");
+		}
+		return Either.right(new CallRequest.ForModel(group, place, submission.key(), contentOf(payload, tokens),
+				payload.model(), payload.mode(), payload.messages(), tokens, payload.parameters(), payload.streamed()));
+	}
+
+	// Whether the answer is streamed is not part of the content: a resend may ask for the
+	// other form.
+	private static Digest contentOf(Payload.ForModel payload, int tokens) {
+		Digest digest = Digest.of(payload.model().value())
+			.then(Digest.of(payload.mode().name()))
+			.then(Digest.of(Integer.toString(tokens)))
+			.then(Digest.of(payload.parameters()));
+		for (String message : payload.messages()) {
+			digest = digest.then(Digest.of(message));
+		}
+		return digest;
+	}
+
+	private Either<CallFailure, CallRequest> serviceRequest(GroupName group, Optional<ProgramCall> place,
+			Submission submission, Payload.ForService payload) {
+		Optional<ServicePolicy> service = configuration().service(payload.service());
+		if (service.isEmpty()) {
+			return refused(FailureCause.NOT_FOUND, "The service is not configured.");
+		}
+		ServiceMessage message = payload.message();
+		Digest content = Digest.of(payload.service().value())
+			.then(Digest.of(message.method()))
+			.then(Digest.of(message.path()))
+			.then(message.body().digest());
+		return Either.right(new CallRequest.ForService(group, place, submission.key(), content, payload.service(),
+				message, service.get().isRepeatable(message.method(), message.path())));
+	}
+
+	private Either<CallFailure, Route> routeOf(CallRequest request) {
+		if (this.draft.log.ledger()
+			.crashes(request.content()) >= configuration().limits().faults().crashesBeforeStop()) {
+			return Either.left(CallFailure.mayHaveRun(FailureCause.CRASHES_UPSTREAMS,
+					"The request crashed upstreams before and is not run again."));
+		}
+		Optional<ProgramId> program = request.place().map(ProgramCall::program);
+		if (program.flatMap(this.draft.log.ledger()::program).flatMap(ProgramState::ended).isPresent()) {
+			return refused(FailureCause.PROGRAM_ENDED, "The program has ended.");
+		}
+		return Either.right(switch (request) {
+			case CallRequest.ForModel call when program.isPresent() -> new Route.ForHome(program.get());
+			case CallRequest.ForModel call -> byKey(call);
+			case CallRequest.ForService call -> serviceRoute(call);
+		});
+	}
+
+	private static Route byKey(CallRequest call) {
+		return call.key()
+			.<Route>map((key) -> new Route.ForClaim(new CallKey.ForIdempotencyKey(call.group(), key)))
+			.orElseGet(Route.ForAny::new);
+	}
+
+	private static Route serviceRoute(CallRequest.ForService call) {
+		Optional<ProgramCall> place = call.place().filter((each) -> each.number().isPresent());
+		if (call.key().isEmpty() && place.isPresent() && !call.repeatable()) {
+			return new Route.ForClaim(new CallKey.ForProgramCall(place.get().program(), call.service(),
+					place.get().number().orElseThrow()));
+		}
+		return byKey(call);
+	}
+
+	private Duration timeFor(Submission submission) {
+		DeadlineLimits limits = configuration().limits().deadlines();
+		Duration wanted = submission.timeLeft().orElse(limits.standard());
+		return (wanted.compareTo(limits.maximum()) > 0) ? limits.maximum() : wanted;
+	}
+
+	/**
+	 * Ends a request whose caller has gone.
+	 * @param ticket the request
+	 */
+	void gone(Ticket ticket) {
+		this.draft.questions = this.draft.questions.remove(ticket);
+		Optional<Call> call = this.draft.call(ticket);
+		if (call.isEmpty()) {
+			return;
+		}
+		this.draft.calls = this.draft.calls.remove(ticket);
+		this.draft.stopWaiting(call.get());
+		if (call.get().phase() instanceof Call.Phase.Sent sent) {
+			this.draft.forget(sent);
+			this.draft.run(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+		}
+		new CompletionRules(this.draft).measure(call.get(), Measurement.CallEnded.Outcome.CALLER_LEFT, Usage.NONE);
+	}
+
+	void asked(EntryEvent.ProgramAsked event) {
+		Optional<ProgramState> state = knownProgram(event.ticket(), event.caller(), event.program());
+		if (state.isEmpty()) {
+			return;
+		}
+		ProgramId program = programOf(event.caller(), event.program());
+		ProcessId home = state.get().home();
+		if (state.get().ended().isPresent()
+				|| this.draft.peer(home.vm()).filter((peer) -> peer.isLinkedTo(home)).isEmpty()) {
+			show(event.ticket(), program, state.get());
+			return;
+		}
+		AttemptId attempt = this.draft.nextAttempt();
+		this.draft.questions = this.draft.questions.put(event.ticket(), new Question.ForState(program, attempt));
+		this.draft.run(new EntryEffect.Send(home, new LinkMessage.AskProgram(attempt, program)));
+		this.draft.remind(ANSWER_WAIT, new Duty.GiveUpQuestion(event.ticket()));
+	}
+
+	private ProgramId programOf(Digest caller, ProgramName name) {
+		CallerPolicy policy = configuration().caller(caller).orElseThrow();
+		return new ProgramId(configuration().groupFor(policy, name), name);
+	}
+
+	private Optional<ProgramState> knownProgram(Ticket ticket, Digest caller, ProgramName name) {
+		Either<CallFailure, ProgramState> state = callerOf(caller).flatMap((policy) -> this.draft.log.ledger()
+			.program(new ProgramId(configuration().groupFor(policy, name), name))
+			.<Either<CallFailure, ProgramState>>map(Either::right)
+			.orElseGet(() -> refused(FailureCause.NOT_FOUND, "The program is not known.")));
+		if (state.isLeft()) {
+			this.draft.run(new EntryEffect.Complete(ticket, new CallOutcome.Failed(state.getLeft())));
+		}
+		return state.toJavaOptional();
+	}
+
+	// Shows what the log says, without the messages, since the home cannot be asked.
+	private void show(Ticket ticket, ProgramId program, ProgramState state) {
+		this.draft.run(new EntryEffect.ShowProgram(ticket,
+				new ProgramView(program, state.epoch(), state.lastCall(), 0, state.ended(), List.of())));
+	}
+
+	void answered(LinkMessage.ProgramAnswer answer) {
+		Option<Tuple2<Ticket, Question>> question = this.draft.questions
+			.find((each) -> each._2() instanceof Question.ForState state && state.attempt().equals(answer.attempt()));
+		if (question.isEmpty()) {
+			return;
+		}
+		Ticket ticket = question.get()._1();
+		ProgramId program = question.get()._2().program();
+		this.draft.questions = this.draft.questions.remove(ticket);
+		if (answer.view().isPresent()) {
+			this.draft.run(new EntryEffect.ShowProgram(ticket, answer.view().get()));
+			return;
+		}
+		this.draft.log.ledger().program(program).ifPresent((state) -> show(ticket, program, state));
+	}
+
+	void endAsked(EntryEvent.ProgramEndAsked event) {
+		Optional<ProgramState> state = knownProgram(event.ticket(), event.caller(), event.program());
+		if (state.isEmpty()) {
+			return;
+		}
+		ProgramId program = programOf(event.caller(), event.program());
+		if (state.get().ended().isPresent()) {
+			show(event.ticket(), program, state.get());
+			return;
+		}
+		this.draft.questions = this.draft.questions.put(event.ticket(), new Question.ForEnd(program));
+		this.draft.append(new LedgerRecord.ProgramEnded(program, EndReason.BY_CALLER));
+		this.draft.remind(ANSWER_WAIT, new Duty.GiveUpQuestion(event.ticket()));
+	}
+
+	/**
+	 * Answers those who asked for the end of a program.
+	 * @param program the program
+	 * @param state its state
+	 */
+	void ended(ProgramId program, ProgramState state) {
+		for (Tuple2<Ticket, Question> question : this.draft.questions) {
+			if (question._2().program().equals(program)) {
+				this.draft.questions = this.draft.questions.remove(question._1());
+				show(question._1(), program, state);
+			}
+		}
+	}
+
+	void giveUpQuestion(Ticket ticket) {
+		Option<Question> question = this.draft.questions.get(ticket);
+		if (question.isEmpty()) {
+			return;
+		}
+		this.draft.questions = this.draft.questions.remove(ticket);
+		CallFailure failure = switch (question.get()) {
+			case Question.ForState state ->
+				CallFailure.notRun(FailureCause.NO_UPSTREAM, "The home of the program does not answer.");
+			case Question.ForEnd end -> CallFailure.mayHaveRun(FailureCause.LOG_UNAVAILABLE,
+					"The end of the program could not be confirmed by the log.");
+		};
+		this.draft.run(new EntryEffect.Complete(ticket, new CallOutcome.Failed(failure.retryAfter(RETRY_SOON))));
+	}
+
+	/**
+	 * The place of a call and the group it is charged to.
+	 *
+	 * @param group the group
+	 * @param call the place in a program, if it belongs to one
+	 */
+	private record PlaceInGroup(Optional<GroupName> group, Optional<ProgramCall> call) {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CompletionRules.java
@@ -0,0 +1,107 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.lentilslip.core.call.Answer;
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.call.ProgramCall;
+import io.lentilslip.core.call.Usage;
+import io.lentilslip.core.configuration.ServiceClass;
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.verdict.Verdict;
+
+/**
+ * The rules for the end of a call. Confined to one application of the reducer.
+ */
+final class CompletionRules {
+
+	private final Draft draft;
+
+	CompletionRules(Draft draft) {
+		this.draft = draft;
+	}
+
+	/**
+	 * Gives a call its outcome. A failure never says better of the execution than what is
+	 * known from earlier attempts.
+	 * @param call the call
+	 * @param outcome the outcome of the last attempt
+	 */
+	void complete(Call call, CallOutcome outcome) {
+		this.draft.calls = this.draft.calls.remove(call.ticket());
+		this.draft.stopWaiting(call);
+		if (call.phase() instanceof Call.Phase.Sent sent) {
+			this.draft.forget(sent);
+		}
+		CallOutcome told = switch (outcome) {
+			case CallOutcome.Answered answered -> answered;
+			case CallOutcome.Failed failed -> new CallOutcome.Failed(failed.failure().after(call.verdict()));
+		};
+		this.draft.run(new EntryEffect.Complete(call.ticket(), told));
+		count(call, told);
+	}
+
+	void refuse(Call call, CallFailure failure) {
+		complete(call, new CallOutcome.Failed(failure));
+	}
+
+	private void count(Call call, CallOutcome outcome) {
+		switch (outcome) {
+			case CallOutcome.Answered answered ->
+				measure(call, Measurement.CallEnded.Outcome.ANSWERED, usageOf(answered.answer()));
+			case CallOutcome.Failed failed -> {
+				CallFailure failure = failed.failure();
+				this.draft.measure(new Measurement.CallRefused(Optional.of(call.request().group()),
+						Refusals.reasonOf(failure.cause())));
+				measure(call, labelOf(failure), Usage.NONE);
+				report(call, failure);
+			}
+		}
+	}
+
+	private static Measurement.CallEnded.Outcome labelOf(CallFailure failure) {
+		if (failure.verdict() == Verdict.NOT_RUN) {
+			return Measurement.CallEnded.Outcome.NOT_RUN;
+		}
+		return (failure.cause() == FailureCause.UPSTREAM_FAILED) ? Measurement.CallEnded.Outcome.UPSTREAM_ERROR
+				: Measurement.CallEnded.Outcome.UNKNOWN;
+	}
+
+	private void report(Call call, CallFailure failure) {
+		NoticeCode code = (failure.verdict() == Verdict.NOT_RUN) ? NoticeCode.CALL_REFUSED : NoticeCode.OUTCOME_UNKNOWN;
+		Notice notice = code.with(FieldName.GROUP, call.request().group()).with(FieldName.REASON, failure.cause());
+		Optional<ProgramId> program = call.request().place().map(ProgramCall::program);
+		this.draft.report(program.map((each) -> notice.with(FieldName.PROGRAM, each)).orElse(notice));
+	}
+
+	private static Usage usageOf(Answer answer) {
+		return switch (answer) {
+			case Answer.FromModel model -> model.usage();
+			case Answer.FromService service -> Usage.NONE;
+		};
+	}
+
+	void measure(Call call, Measurement.CallEnded.Outcome outcome, Usage usage) {
+		Optional<Duration> firstToken = call.firstToken().map((time) -> Duration.between(call.arrived(), time));
+		this.draft.measure(new Measurement.CallEnded(call.request().group(), classOf(call), outcome,
+				Duration.between(call.arrived(), this.draft.now), call.queueing(), firstToken, usage.promptTokens(),
+				usage.cachedTokens(), usage.generatedTokens()));
+	}
+
+	private String classOf(Call call) {
+		return this.draft.setup
+			.flatMap((setup) -> call.request()
+				.place()
+				.map((place) -> setup.configuration().classOf(call.request().group(), place.program().name())))
+			.orElse(ServiceClass.INTERACTIVE)
+			.name();
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Draft.java
@@ -0,0 +1,233 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+
+import io.lentilslip.core.configuration.UpstreamKind;
+import io.lentilslip.core.configuration.UpstreamPolicy;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.identity.ZoneName;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.placement.Candidate;
+import io.lentilslip.core.placement.Candidates;
+import io.lentilslip.core.reducer.Step;
+import io.lentilslip.core.retry.RetryBudget;
+import io.lentilslip.core.role.Agenda;
+import io.lentilslip.core.role.AppendId;
+import io.lentilslip.core.role.LogView;
+import io.lentilslip.core.role.NodeEffect;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+
+/**
+ * A state in the making: the working copy of one application of the reducer. Confined to
+ * that application and the thread that runs it.
+ */
+final class Draft {
+
+	final Instant now;
+
+	final ProcessId self;
+
+	final ZoneName zone;
+
+	Optional<Setup> setup;
+
+	LogView log;
+
+	Map<VmName, Peer> peers;
+
+	Map<Target, Candidates> candidates;
+
+	Map<Ticket, Call> calls;
+
+	Map<AttemptId, Ticket> attempts;
+
+	Map<VmName, Set<AttemptId>> sent;
+
+	Map<Route, Set<Ticket>> waiting;
+
+	Map<Route, Long> claims;
+
+	Map<AppendId, LedgerRecord> appends;
+
+	Map<Ticket, Question> questions;
+
+	Agenda<Duty> agenda;
+
+	RetryBudget retries;
+
+	Instant lastMeasured;
+
+	long nextNumber;
+
+	boolean stopping;
+
+	boolean stopped;
+
+	private final List<EntryEffect> effects = new ArrayList<>();
+
+	Draft(EntryState state, Instant now) {
+		this.now = now;
+		this.self = state.self;
+		this.zone = state.zone;
+		this.setup = state.setup;
+		this.log = state.log;
+		this.peers = state.peers;
+		this.candidates = state.candidates;
+		this.calls = state.calls;
+		this.attempts = state.attempts;
+		this.sent = state.sent;
+		this.waiting = state.waiting;
+		this.claims = state.claims;
+		this.appends = state.appends;
+		this.questions = state.questions;
+		this.agenda = state.agenda;
+		this.retries = state.retries;
+		this.lastMeasured = state.lastMeasured;
+		this.nextNumber = state.nextNumber;
+		this.stopping = state.stopping;
+		this.stopped = state.stopped;
+	}
+
+	Step<EntryState, EntryEffect> toStep() {
+		return new Step<>(new EntryState(this), this.effects);
+	}
+
+	void run(EntryEffect effect) {
+		this.effects.add(effect);
+	}
+
+	void run(NodeEffect effect) {
+		this.effects.add(new EntryEffect.ForNode(effect));
+	}
+
+	void report(Notice notice) {
+		run(new NodeEffect.Report(notice));
+	}
+
+	void measure(Measurement measurement) {
+		run(new NodeEffect.Measure(measurement));
+	}
+
+	void append(LedgerRecord record) {
+		AppendId id = new AppendId(nextNumber());
+		this.appends = this.appends.put(id, record);
+		run(new NodeEffect.Append(id, record));
+	}
+
+	void remind(Duration delay, Duty duty) {
+		remindAt(this.now.plus(delay), duty);
+	}
+
+	void remindAt(Instant time, Duty duty) {
+		this.agenda = this.agenda.with(time, duty);
+	}
+
+	long nextNumber() {
+		long number = this.nextNumber;
+		this.nextNumber = number + 1;
+		return number;
+	}
+
+	AttemptId nextAttempt() {
+		return new AttemptId(this.self.incarnation(), nextNumber());
+	}
+
+	Optional<Call> call(Ticket ticket) {
+		return this.calls.get(ticket).toJavaOptional();
+	}
+
+	void put(Call call) {
+		this.calls = this.calls.put(call.ticket(), call);
+	}
+
+	Optional<Peer> peer(VmName vm) {
+		return this.peers.get(vm).toJavaOptional();
+	}
+
+	/**
+	 * Puts a peer, and what placement knows of it, for everything its upstream serves.
+	 * @param peer the peer
+	 */
+	void put(Peer peer) {
+		this.peers = this.peers.put(peer.policy().vm(), peer);
+		Candidate candidate = peer.toCandidate(this.now);
+		for (Target target : targetsOf(peer.policy())) {
+			Candidates others = this.candidates.getOrElse(target, Candidates.NONE);
+			this.candidates = this.candidates.put(target, others.with(candidate));
+		}
+	}
+
+	void remove(Peer peer) {
+		VmName vm = peer.policy().vm();
+		this.peers = this.peers.remove(vm);
+		for (Target target : targetsOf(peer.policy())) {
+			this.candidates = this.candidates.put(target,
+					this.candidates.getOrElse(target, Candidates.NONE).without(vm));
+		}
+	}
+
+	static List<Target> targetsOf(UpstreamPolicy policy) {
+		return switch (policy.kind()) {
+			case UpstreamKind.ForEngine engine -> engine.models().stream().<Target>map(Target.ForModel::new).toList();
+			case UpstreamKind.ForService service ->
+				service.services().stream().<Target>map(Target.ForService::new).toList();
+		};
+	}
+
+	/**
+	 * Counts a call to or from an upstream, ahead of its next report of load.
+	 * @param vm the VM of the upstream
+	 * @param change the change of what placement knows
+	 */
+	void count(VmName vm, UnaryOperator<Candidate> change) {
+		peer(vm).ifPresent((peer) -> {
+			for (Target target : targetsOf(peer.policy())) {
+				this.candidates = this.candidates.put(target,
+						this.candidates.getOrElse(target, Candidates.NONE).changed(vm, change));
+			}
+		});
+	}
+
+	/**
+	 * Lets a call wait in the set of its route.
+	 * @param call the call
+	 */
+	void await(Call call) {
+		put(call.at(new Call.Phase.Waiting()));
+		this.waiting = this.waiting.put(call.route(),
+				this.waiting.getOrElse(call.route(), HashSet.empty()).add(call.ticket()));
+	}
+
+	/**
+	 * Takes a call out of the set of its route.
+	 * @param call the call
+	 */
+	void stopWaiting(Call call) {
+		Set<Ticket> others = this.waiting.getOrElse(call.route(), HashSet.empty()).remove(call.ticket());
+		this.waiting = (others.isEmpty()) ? this.waiting.remove(call.route()) : this.waiting.put(call.route(), others);
+	}
+
+	/**
+	 * Takes an attempt out of the maps of what was sent.
+	 * @param sent the attempt
+	 */
+	void forget(Call.Phase.Sent sent) {
+		VmName vm = sent.sidecar().vm();
+		this.attempts = this.attempts.remove(sent.attempt());
+		Set<AttemptId> others = this.sent.getOrElse(vm, HashSet.empty()).remove(sent.attempt());
+		this.sent = (others.isEmpty()) ? this.sent.remove(vm) : this.sent.put(vm, others);
+		count(vm, Candidate::ended);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryState.java
@@ -0,0 +1,153 @@
+package io.lentilslip.core.entry;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.Limits.FaultLimits;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.identity.ZoneName;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.placement.Candidates;
+import io.lentilslip.core.retry.RetryBudget;
+import io.lentilslip.core.role.Agenda;
+import io.lentilslip.core.role.AppendId;
+import io.lentilslip.core.role.LogView;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+
+/**
+ * All that an entry knows. Each call either waits, and then stands in the set of its
+ * route, or was sent, and then stands in the map of attempts and in the set of its VM.
+ * Immutable and safe for use by several threads.
+ */
+public final class EntryState {
+
+	private static final int NOTHING_CONFIGURED = -1;
+
+	final ProcessId self;
+
+	final ZoneName zone;
+
+	final Optional<Setup> setup;
+
+	final LogView log;
+
+	final Map<VmName, Peer> peers;
+
+	final Map<Target, Candidates> candidates;
+
+	final Map<Ticket, Call> calls;
+
+	final Map<AttemptId, Ticket> attempts;
+
+	final Map<VmName, Set<AttemptId>> sent;
+
+	final Map<Route, Set<Ticket>> waiting;
+
+	final Map<Route, Long> claims;
+
+	final Map<AppendId, LedgerRecord> appends;
+
+	final Map<Ticket, Question> questions;
+
+	final Agenda<Duty> agenda;
+
+	final RetryBudget retries;
+
+	final Instant lastMeasured;
+
+	final long nextNumber;
+
+	final boolean stopping;
+
+	final boolean stopped;
+
+	private EntryState(ProcessId self, ZoneName zone) {
+		this.self = self;
+		this.zone = zone;
+		this.setup = Optional.empty();
+		this.log = LogView.unread();
+		this.peers = HashMap.empty();
+		this.candidates = HashMap.empty();
+		this.calls = HashMap.empty();
+		this.attempts = HashMap.empty();
+		this.sent = HashMap.empty();
+		this.waiting = HashMap.empty();
+		this.claims = HashMap.empty();
+		this.appends = HashMap.empty();
+		this.questions = HashMap.empty();
+		this.agenda = Agenda.empty();
+		this.retries = RetryBudget.of(FaultLimits.DEFAULT.retryPercent(), RetryBudget.DEFAULT_BOUND);
+		this.lastMeasured = Instant.EPOCH;
+		this.nextNumber = 1;
+		this.stopping = false;
+		this.stopped = false;
+	}
+
+	EntryState(Draft draft) {
+		this.self = draft.self;
+		this.zone = draft.zone;
+		this.setup = draft.setup;
+		this.log = draft.log;
+		this.peers = draft.peers;
+		this.candidates = draft.candidates;
+		this.calls = draft.calls;
+		this.attempts = draft.attempts;
+		this.sent = draft.sent;
+		this.waiting = draft.waiting;
+		this.claims = draft.claims;
+		this.appends = draft.appends;
+		this.questions = draft.questions;
+		this.agenda = draft.agenda;
+		this.retries = draft.retries;
+		this.lastMeasured = draft.lastMeasured;
+		this.nextNumber = draft.nextNumber;
+		this.stopping = draft.stopping;
+		this.stopped = draft.stopped;
+	}
+
+	/**
+	 * Returns the state of an entry that has just started and knows nothing.
+	 * @param self the process
+	 * @param zone the availability zone it is in
+	 * @return the first state
+	 */
+	public static EntryState of(ProcessId self, ZoneName zone) {
+		return new EntryState(self, zone);
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, or an empty result before the first one
+	 */
+	public Optional<Configuration> configuration() {
+		return this.setup.map(Setup::configuration);
+	}
+
+	/**
+	 * Returns what operators see of this entry. Walks over all upstreams.
+	 * @return the status
+	 */
+	public EntryStatus status() {
+		List<EntryStatus.Upstream> upstreams = this.peers.values()
+			.map(EntryState::view)
+			.sortBy(EntryStatus.Upstream::vm)
+			.asJava();
+		return new EntryStatus(this.self, this.setup.map(Setup::version).orElse((long) NOTHING_CONFIGURED),
+				this.log.next(), this.log.isReachable(), this.calls.size(), this.log.ledger().programCount(), upstreams,
+				this.stopping);
+	}
+
+	private static EntryStatus.Upstream view(Peer peer) {
+		LinkMessage.LoadReport report = peer.report().orElse(new LinkMessage.LoadReport(0, 0, 0, 0, List.of()));
+		return new EntryStatus.Upstream(peer.policy().vm(), peer.policy().zone(), peer.process().isPresent(),
+				peer.leaving() || peer.listedLeaving(), report.queued(), report.running(), report.limit());
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryStatus.java
@@ -0,0 +1,55 @@
+package io.lentilslip.core.entry;
+
+import java.util.List;
+
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.identity.ZoneName;
+
+/**
+ * What operators see of an entry. Immutable and safe for use by several threads.
+ *
+ * @param process the process
+ * @param configurationVersion the version in force, or -1
+ * @param logOffset the offset of the next record to read
+ * @param logReachable whether the log can be read
+ * @param calls the calls that have no answer yet
+ * @param programs the programs the log knows, ended ones included
+ * @param upstreams the sidecars, in the order of their VMs
+ * @param stopping whether the process takes no new calls
+ */
+public record EntryStatus(ProcessId process, long configurationVersion, long logOffset, boolean logReachable, int calls,
+		int programs, List<Upstream> upstreams, boolean stopping) {
+
+	/**
+	 * Creates a value.
+	 * @param process the process
+	 * @param configurationVersion the version in force, or -1
+	 * @param logOffset the offset of the next record to read
+	 * @param logReachable whether the log can be read
+	 * @param calls the calls that have no answer yet
+	 * @param programs the programs the log knows, ended ones included
+	 * @param upstreams the sidecars, in the order of their VMs
+	 * @param stopping whether the process takes no new calls
+	 */
+	public EntryStatus {
+		upstreams = List.copyOf(upstreams);
+	}
+
+	/**
+	 * What an entry knows of a sidecar.
+	 *
+	 * @param vm the VM
+	 * @param zone the availability zone
+	 * @param linked whether it is linked
+	 * @param leaving whether it leaves
+	 * @param queued the calls waiting there
+	 * @param running the calls running there
+	 * @param limit the most calls running there at once
+	 */
+	public record Upstream(VmName vm, ZoneName zone, boolean linked, boolean leaving, int queued, int running,
+			int limit) {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/LedgerRules.java
@@ -0,0 +1,128 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import io.lentilslip.core.ledger.Ledger;
+import io.lentilslip.core.ledger.LedgerChange;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.Position;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.role.AppendResult;
+import io.lentilslip.core.role.LogEvent;
+import io.lentilslip.core.role.LogView;
+
+/**
+ * The rules for what the log says. Confined to one application of the reducer.
+ */
+final class LedgerRules {
+
+	private static final Duration PAUSE_BEFORE_APPEND_AGAIN = Duration.ofMillis(100);
+
+	private final Draft draft;
+
+	private final RouteRules routes;
+
+	LedgerRules(Draft draft, RouteRules routes) {
+		this.draft = draft;
+		this.routes = routes;
+	}
+
+	void learned(LogEvent event) {
+		switch (event) {
+			case LogEvent.BatchRead read -> read(read);
+			case LogEvent.CaughtUp caughtUp -> back(caughtUp.next());
+			case LogEvent.Unreachable unreachable -> unreachable();
+			case LogEvent.GapFound gap -> startAnew(gap);
+			case LogEvent.AppendEnded ended -> appended(ended);
+		}
+	}
+
+	private void read(LogEvent.BatchRead event) {
+		if (event.offset() < this.draft.log.next()) {
+			return;
+		}
+		int index = 0;
+		for (LedgerRecord record : event.batch()) {
+			Position position = new Position(event.offset(), index);
+			Ledger.Reading reading = this.draft.log.ledger().apply(position, event.time(), record);
+			this.draft.log = this.draft.log.withLedger(reading.ledger());
+			reading.changes().forEach(this::follow);
+			index++;
+		}
+		this.draft.log = this.draft.log.readTo(event.offset() + 1, event.time());
+	}
+
+	private void follow(LedgerChange change) {
+		switch (change) {
+			case LedgerChange.HomeChanged changed -> this.routes.claimDecided(new Route.ForHome(changed.program()));
+			case LedgerChange.ProgramClosed closed -> {
+				this.routes.claimDecided(new Route.ForHome(closed.program()));
+				new CallerRules(this.draft).ended(closed.program(), closed.state());
+			}
+			case LedgerChange.CallTaken taken -> this.routes.claimDecided(new Route.ForClaim(taken.key()));
+			case LedgerChange.CallDone done -> this.routes.claimDecided(new Route.ForClaim(done.key()));
+			case LedgerChange.CallReleased released -> this.routes.lookAgain(new Route.ForClaim(released.key()));
+			case LedgerChange.Voided voided -> voided(voided.record());
+			case LedgerChange.TurnAdded added -> {
+			}
+			case LedgerChange.CrashCounted counted -> {
+			}
+		}
+	}
+
+	private void voided(LedgerRecord record) {
+		switch (record) {
+			case LedgerRecord.ProgramClaimed claimed -> this.routes.claimDecided(new Route.ForHome(claimed.program()));
+			case LedgerRecord.CallClaimed claimed -> this.routes.claimDecided(new Route.ForClaim(claimed.key()));
+			default -> {
+			}
+		}
+	}
+
+	private void back(long next) {
+		if (!this.draft.log.isReachable()) {
+			this.draft.report(NoticeCode.LOG_BACK.with(FieldName.OFFSET, next));
+		}
+		this.draft.log = this.draft.log.reachable();
+	}
+
+	private void unreachable() {
+		if (this.draft.log.isReachable()) {
+			this.draft.report(NoticeCode.LOG_UNAVAILABLE.with(FieldName.STREAM, "programs"));
+		}
+		this.draft.log = this.draft.log.unreachable(this.draft.now);
+	}
+
+	// What was lost may have changed homes and claims: only what the log still has
+	// counts.
+	private void startAnew(LogEvent.GapFound gap) {
+		this.draft.report(NoticeCode.RETENTION_GAP.with(FieldName.OFFSET, gap.from())
+			.with(FieldName.COUNT, gap.first() - gap.from()));
+		this.draft.log = LogView.unread().readTo(gap.first(), Instant.EPOCH);
+	}
+
+	private void appended(LogEvent.AppendEnded event) {
+		Optional<LedgerRecord> record = this.draft.appends.get(event.append()).toJavaOptional();
+		this.draft.appends = this.draft.appends.remove(event.append());
+		if (record.isEmpty() || event.result() == AppendResult.APPENDED) {
+			return;
+		}
+		if (event.result() == AppendResult.UNKNOWN) {
+			this.draft.report(NoticeCode.APPEND_UNKNOWN.with(FieldName.STREAM, "programs"));
+		}
+		routeOf(record.get()).ifPresent(
+				(route) -> this.draft.remind(PAUSE_BEFORE_APPEND_AGAIN, new Duty.ClaimAgain(route, record.get())));
+	}
+
+	private static Optional<Route> routeOf(LedgerRecord record) {
+		return switch (record) {
+			case LedgerRecord.ProgramClaimed claimed -> Optional.of(new Route.ForHome(claimed.program()));
+			case LedgerRecord.CallClaimed claimed -> Optional.of(new Route.ForClaim(claimed.key()));
+			default -> Optional.empty();
+		};
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Peer.java
@@ -0,0 +1,79 @@
+package io.lentilslip.core.entry;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import io.lentilslip.core.configuration.UpstreamPolicy;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.placement.Candidate;
+import io.lentilslip.core.placement.Candidate.Availability;
+import io.lentilslip.core.placement.Candidate.Load;
+
+/**
+ * What an entry knows of a sidecar. Immutable and safe for use by several threads.
+ *
+ * @param policy what the configuration says of its upstream
+ * @param process the process that is linked, if one is
+ * @param since when the link opened or ended
+ * @param leaving whether it said that it leaves
+ * @param listedLeaving whether the list of VMs says that it leaves
+ * @param report its last report of load, if it sent one over this link
+ */
+record Peer(UpstreamPolicy policy, Optional<ProcessId> process, Instant since, boolean leaving, boolean listedLeaving,
+		Optional<LinkMessage.LoadReport> report) {
+
+	static Peer of(UpstreamPolicy policy, Instant now) {
+		return new Peer(policy, Optional.empty(), now, false, false, Optional.empty());
+	}
+
+	Peer with(UpstreamPolicy changed) {
+		return new Peer(changed, this.process, this.since, this.leaving, this.listedLeaving, this.report);
+	}
+
+	Peer linked(ProcessId sidecar, Instant now) {
+		return new Peer(this.policy, Optional.of(sidecar), now, false, this.listedLeaving, Optional.empty());
+	}
+
+	Peer unlinked(Instant now) {
+		Instant from = (this.process.isPresent()) ? now : this.since;
+		return new Peer(this.policy, Optional.empty(), from, false, this.listedLeaving, Optional.empty());
+	}
+
+	Peer announcedLeaving() {
+		return new Peer(this.policy, this.process, this.since, true, this.listedLeaving, this.report);
+	}
+
+	Peer listedAsLeaving(boolean value) {
+		return new Peer(this.policy, this.process, this.since, this.leaving, value, this.report);
+	}
+
+	Peer reporting(LinkMessage.LoadReport latest) {
+		return new Peer(this.policy, this.process, this.since, this.leaving, this.listedLeaving, Optional.of(latest));
+	}
+
+	boolean isLinkedTo(ProcessId sidecar) {
+		return this.process.equals(Optional.of(sidecar));
+	}
+
+	/**
+	 * Returns whether new programs and single calls may be sent. A sidecar whose upstream
+	 * is down reports that it takes no calls.
+	 * @return whether it takes new work, as far as is known
+	 */
+	Availability availability() {
+		if (this.process.isEmpty()) {
+			return Availability.UNLINKED;
+		}
+		boolean down = this.report.filter((latest) -> latest.limit() == 0).isPresent();
+		return (this.leaving || this.listedLeaving || down) ? Availability.LEAVING : Availability.LINKED;
+	}
+
+	Candidate toCandidate(Instant now) {
+		Load load = this.report
+			.map((latest) -> new Load(latest.queued(), latest.running(), Math.max(1, latest.limit()), now))
+			.orElseGet(() -> new Load(0, 0, Math.max(1, this.policy.maximumCalls()), now));
+		return Candidate.linked(this.policy.vm(), this.policy.zone(), load).with(availability());
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
@@ -0,0 +1,459 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallRequest;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.call.ProgramCall;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.ledger.ClaimState;
+import io.lentilslip.core.ledger.Epoch;
+import io.lentilslip.core.ledger.Ledger;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.ProgramState;
+import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.link.Standing;
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.placement.Candidate;
+import io.lentilslip.core.placement.Candidates;
+import io.lentilslip.core.placement.Placement;
+import io.lentilslip.core.placement.PlacementRequest;
+import io.lentilslip.core.retry.RetryBudget;
+import io.lentilslip.core.retry.RetryDecision;
+import io.lentilslip.core.retry.RetryPolicy;
+import io.lentilslip.core.retry.RetryPolicy.FailedAttempts;
+import io.lentilslip.core.verdict.Verdict;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+
+/**
+ * The rules by which a call finds the sidecar that runs it. Confined to one application
+ * of the reducer.
+ */
+final class RouteRules {
+
+	/**
+	 * How much longer than its deadline a call waits for the word of the sidecar, which
+	 * knows whether the call ran.
+	 */
+	static final Duration DEADLINE_GRACE = Duration.ofMillis(250);
+
+	private static final Duration TAKEOVER_TIME = Duration.ofSeconds(3);
+
+	private static final Duration CLAIM_WAIT = Duration.ofSeconds(2);
+
+	private static final Duration PAUSE_BEFORE_LOOK = Duration.ofMillis(50);
+
+	private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
+	private static final int MOST_ATTEMPTS = 6;
+
+	private static final int DECIDERS = 2;
+
+	private final Draft draft;
+
+	private final long seed;
+
+	RouteRules(Draft draft, long seed) {
+		this.draft = draft;
+		this.seed = seed;
+	}
+
+	/**
+	 * Sends a call, or lets it wait for what it needs.
+	 * @param call the call, which is neither sent nor waiting
+	 */
+	void go(Call call) {
+		switch (call.route()) {
+			case Route.ForHome route -> goHome(call, route);
+			case Route.ForClaim route -> goToExecutor(call, route);
+			case Route.ForAny route -> goAnywhere(call);
+		}
+	}
+
+	private void goHome(Call call, Route.ForHome route) {
+		Optional<ProgramState> known = this.draft.log.ledger().program(route.program());
+		if (known.isEmpty()) {
+			claimHome(call, route, Epoch.NONE.next(), Optional.empty());
+			return;
+		}
+		ProgramState state = known.get();
+		if (state.ended().isPresent()) {
+			refuse(call, CallFailure.notRun(FailureCause.PROGRAM_ENDED, "The program has ended."));
+			return;
+		}
+		Optional<Peer> peer = this.draft.peer(state.home().vm()).filter((each) -> serves(each, call));
+		if (peer.isEmpty() || isOtherLife(peer.get(), state.home())) {
+			claimHome(call, route, state.epoch().next(), Optional.empty());
+			return;
+		}
+		if (peer.get().isLinkedTo(state.home())) {
+			send(call, state.home(), new Standing.ForHome(state.home(), state.epoch(), state.claimed().offset()),
+					state.epoch());
+			return;
+		}
+		Instant takeover = peer.get().since().plus(TAKEOVER_TIME);
+		if (takeover.isAfter(this.draft.now)) {
+			waitUntil(takeover, call);
+			return;
+		}
+		claimHome(call, route, state.epoch().next(), Optional.of(state.home().vm()));
+	}
+
+	private static boolean isOtherLife(Peer peer, ProcessId known) {
+		return peer.process().isPresent() && !peer.isLinkedTo(known);
+	}
+
+	private static boolean serves(Peer peer, Call call) {
+		return Draft.targetsOf(peer.policy()).contains(Target.of(call.request()));
+	}
+
+	private void goToExecutor(Call call, Route.ForClaim route) {
+		Optional<ClaimState> known = this.draft.log.ledger().claim(route.key());
+		if (known.isEmpty()) {
+			claimCall(call, route);
+			return;
+		}
+		ClaimState claim = known.get();
+		if (!claim.content().equals(call.request().content())) {
+			refuse(call, CallFailure.notRun(FailureCause.KEY_REUSED, "This key belongs to a call with other content."));
+			return;
+		}
+		if (claim.outcome().isPresent()) {
+			new CompletionRules(this.draft).complete(call, claim.outcome().get());
+			return;
+		}
+		Optional<Peer> peer = this.draft.peer(claim.executor().vm());
+		if (peer.isEmpty() || isOtherLife(peer.get(), claim.executor())) {
+			// The life that could tell is over. Nobody else may run the call, and nobody
+			// can say that it did not run.
+			refuse(call, CallFailure.mayHaveRun(FailureCause.OUTCOME_UNKNOWN,
+					"The process that was to run the request is gone."));
+			return;
+		}
+		if (peer.get().isLinkedTo(claim.executor())) {
+			send(call, claim.executor(),
+					new Standing.ForClaimedCall(route.key(), claim.executor(), claim.claimed().offset()), Epoch.NONE);
+			return;
+		}
+		Instant patience = peer.get().since().plus(TAKEOVER_TIME);
+		if (patience.isAfter(this.draft.now)) {
+			waitUntil(patience, call);
+			return;
+		}
+		refuse(call,
+				CallFailure
+					.mayHaveRun(FailureCause.OUTCOME_UNKNOWN,
+							"The process that was to run the request cannot be reached.")
+					.retryAfter(RETRY_SOON));
+	}
+
+	private void goAnywhere(Call call) {
+		Optional<ProcessId> sidecar = choose(call, Optional.empty());
+		if (sidecar.isEmpty()) {
+			refuse(call, noUpstream());
+			return;
+		}
+		send(call, sidecar.get(), new Standing.ForSingleCall(), Epoch.NONE);
+	}
+
+	private static CallFailure noUpstream() {
+		return CallFailure.notRun(FailureCause.NO_UPSTREAM, "No upstream for this request can be reached.")
+			.retryAfter(RETRY_SOON);
+	}
+
+	private Optional<ProcessId> choose(Call call, Optional<VmName> excluded) {
+		Candidates all = this.draft.candidates.getOrElse(Target.of(call.request()), Candidates.NONE);
+		Candidates candidates = excluded.map(all::without).orElse(all);
+		PlacementRequest request = new PlacementRequest(this.draft.zone, List.of(), call.ticket().value(),
+				this.seed ^ call.ticket().value(), DECIDERS);
+		return Placement.Default.STANDARD.choose(candidates, request).flatMap(this.draft::peer).flatMap(Peer::process);
+	}
+
+	/**
+	 * Claims the home of a program for a sidecar chosen now, unless a claim is under way.
+	 * @param call the call that needs it
+	 * @param route the program
+	 * @param epoch the epoch to claim
+	 * @param excluded a VM that must not be chosen
+	 */
+	void claimHome(Call call, Route.ForHome route, Epoch epoch, Optional<VmName> excluded) {
+		if (this.draft.claims.containsKey(route)) {
+			this.draft.await(call);
+			return;
+		}
+		Optional<ProcessId> home = choose(call, excluded);
+		if (home.isEmpty()) {
+			refuse(call, noUpstream().after(unsentVerdict(call)));
+			return;
+		}
+		Optional<ProgramId> parent = call.request().place().flatMap(ProgramCall::parent);
+		claim(call, new LedgerRecord.ProgramClaimed(route.program(), epoch, home.get(), parent));
+	}
+
+	private void claimCall(Call call, Route.ForClaim route) {
+		if (this.draft.claims.containsKey(route)) {
+			this.draft.await(call);
+			return;
+		}
+		Optional<ProcessId> executor = choose(call, Optional.empty());
+		if (executor.isEmpty()) {
+			refuse(call, noUpstream().after(unsentVerdict(call)));
+			return;
+		}
+		claim(call, new LedgerRecord.CallClaimed(route.key(), call.request().content(), executor.get()));
+	}
+
+	private void claim(Call call, LedgerRecord record) {
+		if (!this.draft.log.isReachable()) {
+			refuse(call, logUnavailable().after(unsentVerdict(call)));
+			return;
+		}
+		long number = this.draft.nextNumber();
+		this.draft.claims = this.draft.claims.put(call.route(), number);
+		this.draft.await(call);
+		this.draft.append(record);
+		this.draft.remind(CLAIM_WAIT, new Duty.GiveUpClaim(call.route(), number));
+	}
+
+	private static CallFailure logUnavailable() {
+		return CallFailure.notRun(FailureCause.LOG_UNAVAILABLE, "The request needs the log, which cannot be reached.")
+			.retryAfter(RETRY_SOON);
+	}
+
+	// Returns what may be said of a call that this entry has not sent. Another entry may
+	// have sent it before: without the log, or with a claim in it, nobody can exclude
+	// that
+	// it ran, and an entry that said so would have the caller run it twice.
+	private Verdict unsentVerdict(Call call) {
+		Ledger ledger = this.draft.log.ledger();
+		boolean known = switch (call.route()) {
+			case Route.ForHome route -> ledger.program(route.program()).isPresent();
+			case Route.ForClaim route -> ledger.claim(route.key()).isPresent();
+			case Route.ForAny route -> false;
+		};
+		return (known || !this.draft.log.isReachable()) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+	}
+
+	private void refuse(Call call, CallFailure failure) {
+		new CompletionRules(this.draft).refuse(call, failure);
+	}
+
+	private void waitUntil(Instant time, Call call) {
+		this.draft.await(call);
+		this.draft.remindAt(time, new Duty.LookAgain(call.ticket()));
+	}
+
+	private void send(Call call, ProcessId sidecar, Standing standing, Epoch epoch) {
+		if (call.attempts() >= MOST_ATTEMPTS) {
+			refuse(call, noUpstream().after(unsentVerdict(call)));
+			return;
+		}
+		AttemptId attempt = this.draft.nextAttempt();
+		Call sent = call.at(new Call.Phase.Sent(attempt, sidecar, epoch, 0));
+		this.draft.stopWaiting(call);
+		this.draft.put(sent);
+		this.draft.attempts = this.draft.attempts.put(attempt, call.ticket());
+		Set<AttemptId> others = this.draft.sent.getOrElse(sidecar.vm(), HashSet.empty());
+		this.draft.sent = this.draft.sent.put(sidecar.vm(), others.add(attempt));
+		this.draft.count(sidecar.vm(), Candidate::sent);
+		Duration left = Duration.between(this.draft.now, call.deadline());
+		this.draft.run(new EntryEffect.Send(sidecar, new LinkMessage.Dispatch(attempt, call.request(), standing,
+				(left.isNegative()) ? Duration.ZERO : left, call.delivered().text())));
+	}
+
+	/**
+	 * Looks again at the calls that wait for a program or a claim.
+	 * @param route what they wait for
+	 */
+	void lookAgain(Route route) {
+		for (Ticket ticket : this.draft.waiting.getOrElse(route, HashSet.empty())) {
+			lookAgain(ticket);
+		}
+	}
+
+	void lookAgain(Ticket ticket) {
+		Optional<Call> call = this.draft.call(ticket).filter((each) -> each.phase() instanceof Call.Phase.Waiting);
+		if (call.isPresent() && !this.draft.claims.containsKey(call.get().route())) {
+			this.draft.stopWaiting(call.get());
+			go(call.get());
+		}
+	}
+
+	/**
+	 * Notes that a claim of a program or call was decided.
+	 * @param route what was claimed
+	 */
+	void claimDecided(Route route) {
+		this.draft.claims = this.draft.claims.remove(route);
+		lookAgain(route);
+	}
+
+	/**
+	 * Appends a claim again that is not in the log, as far as is known. If it is, the
+	 * second one is void.
+	 * @param route what is claimed
+	 * @param record the claim
+	 */
+	void claimAgain(Route route, LedgerRecord record) {
+		if (this.draft.claims.containsKey(route)) {
+			this.draft.append(record);
+		}
+	}
+
+	/**
+	 * Refuses the calls that wait for a claim that did not show in the log in time.
+	 * @param route what was claimed
+	 * @param claim the number of the claim
+	 */
+	void giveUpClaim(Route route, long claim) {
+		if (!this.draft.claims.get(route).contains(claim)) {
+			return;
+		}
+		this.draft.claims = this.draft.claims.remove(route);
+		for (Ticket ticket : this.draft.waiting.getOrElse(route, HashSet.empty())) {
+			this.draft.call(ticket).ifPresent((call) -> refuse(call, logUnavailable().after(unsentVerdict(call))));
+		}
+	}
+
+	/**
+	 * Decides what follows from an attempt that had no answer.
+	 * @param call the call, still as it was sent
+	 * @param sent the attempt
+	 * @param failure how it ended
+	 */
+	void failed(Call call, Call.Phase.Sent sent, CallFailure failure) {
+		this.draft.forget(sent);
+		Call known = call.knownAs(failure.verdict()).at(new Call.Phase.Waiting());
+		this.draft.put(known);
+		switch (call.route()) {
+			case Route.ForHome route -> afterHome(known, route, sent, failure);
+			case Route.ForClaim route -> afterExecutor(known, failure);
+			case Route.ForAny route -> afterAny(known, failure);
+		}
+	}
+
+	// A turn counts once whatever happens to the attempts: so another home may run the
+	// call even if this one may have begun.
+	private void afterHome(Call call, Route.ForHome route, Call.Phase.Sent sent, CallFailure failure) {
+		if (call.attempts() >= MOST_ATTEMPTS || !call.deadline().isAfter(this.draft.now)) {
+			refuse(call, failure);
+			return;
+		}
+		switch (failure.cause()) {
+			case MOVED, NOT_READY -> waitUntil(this.draft.now.plus(PAUSE_BEFORE_LOOK), call);
+			case STOPPING, NO_UPSTREAM, UPSTREAM_FAILED -> moveHome(call, route, sent, failure);
+			default -> refuse(call, failure);
+		}
+	}
+
+	private void moveHome(Call call, Route.ForHome route, Call.Phase.Sent sent, CallFailure failure) {
+		if (failure.verdict() == Verdict.MAY_HAVE_RUN) {
+			Optional<RetryBudget> left = this.draft.retries.afterRetry();
+			if (left.isEmpty()) {
+				refuse(call, failure);
+				return;
+			}
+			this.draft.retries = left.get();
+		}
+		Optional<ProgramState> state = this.draft.log.ledger().program(route.program());
+		if (state.isPresent() && state.get().epoch().equals(sent.epoch())) {
+			claimHome(call, route, sent.epoch().next(), Optional.of(sent.sidecar().vm()));
+			return;
+		}
+		go(call);
+	}
+
+	private void afterExecutor(Call call, CallFailure failure) {
+		boolean released = failure.verdict() == Verdict.NOT_RUN && call.verdict() == Verdict.NOT_RUN;
+		boolean goesOn = released && call.attempts() < MOST_ATTEMPTS && call.deadline().isAfter(this.draft.now);
+		switch (failure.cause()) {
+			case MOVED, STOPPING, NO_UPSTREAM, UPSTREAM_FAILED, NOT_READY -> {
+				if (goesOn) {
+					waitUntil(this.draft.now.plus(PAUSE_BEFORE_LOOK), call);
+				}
+				else {
+					refuse(call, failure);
+				}
+			}
+			default -> refuse(call, failure);
+		}
+	}
+
+	private void afterAny(Call call, CallFailure failure) {
+		Duration left = Duration.between(this.draft.now, call.deadline());
+		FailedAttempts attempts = new FailedAttempts(failure.after(call.verdict()), call.attempts(),
+				isRepeatable(call.request()), left);
+		switch (RetryPolicy.DEFAULT.decide(attempts, this.draft.retries)) {
+			case RetryDecision.GiveUp giveUp -> refuse(call, giveUp.failure());
+			case RetryDecision.RetryElsewhere retry -> {
+				this.draft.retries = retry.budget();
+				this.draft.measure(new Measurement.Retries(Measurement.Retries.Operation.CALL, 1, 0));
+				goAnywhere(call);
+			}
+		}
+	}
+
+	private boolean isRepeatable(CallRequest request) {
+		return switch (request) {
+			// A request that was running when an engine crashed is not sent to the next
+			// one by itself: whoever wants it asks again, when the log knows of the
+			// crash.
+			case CallRequest.ForModel model -> this.draft.log.ledger().crashes(model.content()) == 0;
+			case CallRequest.ForService service -> service.repeatable();
+		};
+	}
+
+	/**
+	 * Looks again at what was sent to a sidecar whose link ended. Homes and executors may
+	 * come back and be asked again: they know what they ran.
+	 * @param vm the VM of the sidecar
+	 */
+	void linkLost(VmName vm) {
+		for (AttemptId attempt : this.draft.sent.getOrElse(vm, HashSet.empty())) {
+			Optional<Call> call = this.draft.attempts.get(attempt).toJavaOptional().flatMap(this.draft::call);
+			if (call.isPresent() && call.get().phase() instanceof Call.Phase.Sent sent) {
+				lost(call.get(), sent);
+			}
+		}
+	}
+
+	private void lost(Call call, Call.Phase.Sent sent) {
+		CallFailure failure = CallFailure.mayHaveRun(FailureCause.UPSTREAM_FAILED,
+				"The link to the upstream's sidecar was lost.");
+		if (call.route() instanceof Route.ForAny) {
+			failed(call, sent, failure);
+			return;
+		}
+		this.draft.forget(sent);
+		Call known = call.knownAs(Verdict.MAY_HAVE_RUN).at(new Call.Phase.Waiting());
+		this.draft.put(known);
+		go(known);
+	}
+
+	/**
+	 * Ends a call whose deadline has passed without a word of the sidecar.
+	 * @param ticket the call
+	 */
+	void giveUp(Ticket ticket) {
+		Optional<Call> call = this.draft.call(ticket);
+		if (call.isEmpty()) {
+			return;
+		}
+		CallFailure failure = CallFailure.notRun(FailureCause.DEADLINE_PASSED, "The deadline passed.");
+		if (call.get().phase() instanceof Call.Phase.Sent sent) {
+			this.draft.run(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+			refuse(call.get(), failure.after(Verdict.MAY_HAVE_RUN));
+			return;
+		}
+		refuse(call.get(), failure.after(unsentVerdict(call.get())));
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Setup.java
@@ -0,0 +1,13 @@
+package io.lentilslip.core.entry;
+
+import io.lentilslip.core.configuration.Configuration;
+
+/**
+ * The configuration in force. Immutable and safe for use by several threads.
+ *
+ * @param version the version
+ * @param configuration the configuration
+ */
+record Setup(long version, Configuration configuration) {
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/SidecarRules.java
@@ -0,0 +1,146 @@
+package io.lentilslip.core.entry;
+
+import java.util.Optional;
+
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.link.AttemptId;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
+import io.vavr.collection.Set;
+
+/**
+ * The rules for what sidecars do and say. Confined to one application of the reducer.
+ */
+final class SidecarRules {
+
+	private final Draft draft;
+
+	private final RouteRules routes;
+
+	SidecarRules(Draft draft, RouteRules routes) {
+		this.draft = draft;
+		this.routes = routes;
+	}
+
+	void linked(EntryEvent.SidecarLinked event) {
+		Optional<Peer> peer = this.draft.peer(event.vm());
+		if (peer.isEmpty()) {
+			return;
+		}
+		// Whoever answers at the address must be the VM that the configuration names:
+		// else a call could reach a process that another one's claims do not bind.
+		if (!event.sidecar().vm().equals(event.vm())) {
+			this.draft.report(NoticeCode.MESSAGE_REFUSED.with(FieldName.REASON, "another VM answers"));
+			this.draft.run(new EntryEffect.Disconnect(event.vm()));
+			return;
+		}
+		this.routes.linkLost(event.vm());
+		this.draft.put(peer.get().linked(event.sidecar(), this.draft.now));
+		this.draft.report(NoticeCode.SIDECAR_LINKED.with(FieldName.VM, event.vm())
+			.with(FieldName.ZONE, peer.get().policy().zone()));
+		lookAgainAtAll();
+	}
+
+	void unlinked(EntryEvent.SidecarUnlinked event) {
+		Optional<Peer> peer = this.draft.peer(event.vm());
+		if (peer.isEmpty()) {
+			return;
+		}
+		if (peer.get().process().isPresent()) {
+			this.draft.report(NoticeCode.LINK_LOST.with(FieldName.COUNT,
+					this.draft.sent.get(event.vm()).map(Set::size).getOrElse(0)));
+		}
+		this.draft.put(peer.get().unlinked(this.draft.now));
+		this.routes.linkLost(event.vm());
+	}
+
+	private void lookAgainAtAll() {
+		this.draft.waiting.keySet().forEach(this.routes::lookAgain);
+	}
+
+	void spoke(EntryEvent.SidecarSpoke event) {
+		VmName vm = event.sidecar().vm();
+		Optional<Peer> peer = this.draft.peer(vm).filter((each) -> each.isLinkedTo(event.sidecar()));
+		if (peer.isEmpty()) {
+			return;
+		}
+		switch (event.message()) {
+			case LinkMessage.Accepted accepted -> {
+			}
+			case LinkMessage.Started started -> started(started);
+			case LinkMessage.Delta delta -> progressed(delta);
+			case LinkMessage.Finished finished -> finished(finished);
+			case LinkMessage.ProgramAnswer answer -> new CallerRules(this.draft).answered(answer);
+			case LinkMessage.LoadReport report -> this.draft.put(peer.get().reporting(report));
+			case LinkMessage.Leaving leaving -> leaving(peer.get());
+			case LinkMessage.Hello hello -> {
+			}
+			case LinkMessage.Heartbeat heartbeat -> {
+			}
+			case LinkMessage.ConfigurationOffer offer -> {
+			}
+		}
+	}
+
+	private void leaving(Peer peer) {
+		this.draft.put(peer.announcedLeaving());
+		this.draft.report(NoticeCode.UPSTREAM_LEAVING.with(FieldName.VM, peer.policy().vm()));
+	}
+
+	// An attempt that was given up is in no map: what still comes for it meets nothing.
+	private Optional<Call> callOf(AttemptId attempt) {
+		return this.draft.attempts.get(attempt).toJavaOptional().flatMap(this.draft::call);
+	}
+
+	private void started(LinkMessage.Started message) {
+		callOf(message.attempt()).ifPresent((call) -> this.draft.put(call.afterQueueing(message.queued())));
+	}
+
+	private void progressed(LinkMessage.Delta message) {
+		Optional<Call> call = callOf(message.attempt());
+		if (call.isEmpty() || !(call.get().phase() instanceof Call.Phase.Sent sent)) {
+			return;
+		}
+		if (sent.sequence() != message.sequence()) {
+			// A part is missing or came twice: the caller must not get a text with a gap.
+			this.draft.run(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+			this.routes.failed(call.get(), sent,
+					CallFailure.mayHaveRun(FailureCause.INTERNAL, "A part of the answer was lost."));
+			return;
+		}
+		this.draft.put(call.get().withText(message.text(), this.draft.now).at(sent.afterDelta()));
+		this.draft.run(new EntryEffect.Deliver(call.get().ticket(), message.text()));
+	}
+
+	private void finished(LinkMessage.Finished message) {
+		Optional<Call> call = callOf(message.attempt());
+		if (call.isEmpty() || !(call.get().phase() instanceof Call.Phase.Sent sent)) {
+			return;
+		}
+		switch (message.outcome()) {
+			case CallOutcome.Answered answered -> new CompletionRules(this.draft).complete(call.get(), answered);
+			case CallOutcome.Failed failed -> this.routes.failed(call.get(), sent, failed.failure());
+		}
+	}
+
+	/**
+	 * Notes that a message was surely not sent. A call goes on as if that attempt had not
+	 * been made.
+	 * @param event the message
+	 */
+	void sendRefused(EntryEvent.SendRefused event) {
+		if (!(event.message() instanceof LinkMessage.Dispatch dispatch)) {
+			return;
+		}
+		Optional<Call> call = callOf(dispatch.attempt());
+		if (call.isPresent() && call.get().phase() instanceof Call.Phase.Sent sent) {
+			this.routes.failed(call.get(), sent,
+					CallFailure.notRun(FailureCause.NOT_READY, "The link to the upstream's sidecar is not open."));
+		}
+	}
+
+}
