Give each call of a plain service a connection of its own

Cause: a service that died while its connection lay idle could not be told from one that dies of the next call: the bytes left and the connection was reset, so a call that may not be repeated came back as "may have run" though nothing had received it. The read timeout of the client also cut off calls whose own timeout was longer.

Change: the client of plain services uses no connection twice, so a dead service refuses the connection and the verdict is "not run". Its read timeout no longer ends a call before the call's own timeout. The test of a reset on a used connection stays, with the sender that still uses them again; the client has one for a reset after a call that ran.

With connections used again, the test of a service that died between two calls fails.

Conclusion: fewer calls end with an unknown outcome, at the price of one local connect for each.

--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpLimits.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpLimits.java
@@ -21,6 +21,11 @@
 
 	/**
 	 * Creates limits.
+	 * @param connectTimeout the longest time to connect
+	 * @param readTimeout the longest time without a byte arriving, or leaving
+	 * @param callTimeout the longest time from start to whole answer; zero for no bound
+	 * @param maximumCalls the most calls under way at once
+	 * @param maximumAnswerBytes the longest body of an answer
 	 * @throws IllegalArgumentException if a limit is negative, or one other than the call
 	 * timeout is zero
 	 */
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpSender.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/http/HttpSender.java
@@ -15,6 +15,7 @@
 
 import okhttp3.Call;
 import okhttp3.Callback;
+import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.Interceptor;
 import okhttp3.OkHttpClient;
@@ -45,21 +46,31 @@
 	private final Semaphore freeCalls;
 
 	/**
-	 * Creates a sender.
+	 * Creates a sender that uses connections again.
 	 * @param limits the bounds within which requests are sent
 	 */
 	public HttpSender(HttpLimits limits) {
+		this(limits, new ConnectionPool());
+	}
+
+	/**
+	 * Creates a sender.
+	 * @param limits the bounds within which requests are sent
+	 * @param connections the connections to use again
+	 */
+	public HttpSender(HttpLimits limits, ConnectionPool connections) {
 		this.limits = limits;
 		this.executor = Executors.newVirtualThreadPerTaskExecutor();
-		this.client = createClient(limits, this.executor);
+		this.client = createClient(limits, connections, this.executor);
 		this.freeCalls = new Semaphore(limits.maximumCalls());
 	}
 
-	private static OkHttpClient createClient(HttpLimits limits, ExecutorService executor) {
+	private static OkHttpClient createClient(HttpLimits limits, ConnectionPool connections, ExecutorService executor) {
 		Dispatcher dispatcher = new Dispatcher(executor);
 		dispatcher.setMaxRequests(limits.maximumCalls());
 		dispatcher.setMaxRequestsPerHost(limits.maximumCalls());
 		return new OkHttpClient.Builder().dispatcher(dispatcher)
+			.connectionPool(connections)
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.proxy(Proxy.NO_PROXY)
 			.connectTimeout(limits.connectTimeout())
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/log/LogRecord.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/log/LogRecord.java
@@ -15,6 +15,9 @@
 
 	/**
 	 * Creates a record.
+	 * @param offset the offset of the record
+	 * @param time the log's time of the record
+	 * @param data the bytes of the record
 	 */
 	public LogRecord {
 		Objects.requireNonNull(time, "time");
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/service/PlainService.java
+++ b/lentilslip-platform/src/main/java/io/lentilslip/platform/service/PlainService.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.Body;
@@ -18,6 +19,7 @@
 import io.lentilslip.platform.http.HttpSender;
 import io.lentilslip.platform.http.PendingExchange;
 import io.lentilslip.platform.http.Transmission;
+import okhttp3.ConnectionPool;
 import okhttp3.Headers;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
@@ -34,7 +36,7 @@
 	 * Sends a request.
 	 * @param upstream the address of the service
 	 * @param message the request
-	 * @param timeout how long to wait for the whole answer
+	 * @param timeout how long to wait for the whole answer, at most an hour
 	 * @return the call under way
 	 */
 	PendingCall call(Endpoint upstream, ServiceMessage message, Duration timeout);
@@ -47,6 +49,8 @@
 	 */
 	final class ForHttp implements PlainService {
 
+		private static final Duration MAXIMUM_TIMEOUT = Duration.ofHours(1);
+
 		private static final Set<String> METHODS = Set.of("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT");
 
 		private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
@@ -57,11 +61,18 @@
 
 		/**
 		 * Creates a client.
-		 * @param limits the bounds of a call; the read timeout should be no shorter than
-		 * the longest timeout of a call
+		 * @param limits the bounds of a call; in place of their read and call timeouts
+		 * each call has its own
 		 */
 		public ForHttp(HttpLimits limits) {
-			this.sender = new HttpSender(limits);
+			// A service that works on a call is silent, which is no failure before the
+			// call's own timeout.
+			HttpLimits bounds = limits.withTimeouts(MAXIMUM_TIMEOUT, MAXIMUM_TIMEOUT);
+			// Each call has a connection of its own. On one used before, a service that
+			// has died in the meantime looks like one that dies of the call: the bytes
+			// leave and the connection is reset. A new connection is refused, and the
+			// caller learns that the call did not run.
+			this.sender = new HttpSender(bounds, new ConnectionPool(0, 1, TimeUnit.SECONDS));
 		}
 
 		@Override
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
+++ b/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
@@ -80,6 +80,16 @@
 		assertThat(this.arrived).hasValue(1);
 	}
 
+	// A first call leaves its connection in the pool, and the second one uses
+	// it and is reset. A library that takes this for a stale connection sends
+	// the second call again on a new one.
+	@Test
+	void aResetOnAReusedConnectionIsNotSentAgain() {
+		assertThat(get(this.sender, "/whole")).isInstanceOf(Exchange.Answered.class);
+		assertUnanswered(post("/reset"), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		assertThat(this.arrived).hasValue(1);
+	}
+
 	// An answer 503 asks to come back after 0 seconds, which the library does
 	// at once by itself. The server must see one request, the caller the 503.
 	@Test
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/service/PlainServiceTests.java
+++ b/lentilslip-platform/src/test/java/io/lentilslip/platform/service/PlainServiceTests.java
@@ -37,7 +37,7 @@
 
 	private final ToolServiceStandIn tool = ToolServiceStandIn.start();
 
-	private final PlainService service = new PlainService.ForHttp(HttpLimits.defaults().withTimeouts(LONG, LONG));
+	private final PlainService service = new PlainService.ForHttp(HttpLimits.defaults());
 
 	@AfterEach
 	void stop() {
@@ -94,11 +94,20 @@
 		assertThat(runs()).isOne();
 	}
 
-	// A first call leaves its connection in the pool, and the second one uses
-	// it and is reset. A library that takes this for a stale connection sends
-	// the second call again on a new one.
+	// The service dies between two calls. Sent on the connection of the first,
+	// the second call would look as if it may have run, and a call that may not
+	// be repeated would be lost for nothing.
 	@Test
-	void aResetOnAReusedConnectionIsNotRepeated() {
+	void aServiceThatDiedBetweenCallsDidNotRun() {
+		checkIn();
+		this.tool.close();
+		assertThat(checkIn().verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	// A call succeeds and the next one is reset. A library that takes this for
+	// a stale connection sends the second call again on a new one.
+	@Test
+	void aResetAfterACallThatRanIsNotRepeated() {
 		checkIn();
 		this.tool.next(new ToolBehaviour.DropAfterRun(), 1);
 		assertLost(checkIn(), true);
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/log/LogLimits.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/log/LogLimits.java
@@ -20,6 +20,12 @@
 
 	/**
 	 * Creates limits.
+	 * @param appendsPerSecond the appends that a second allows, over all streams
+	 * @param keptRecords the most records kept of a stream
+	 * @param keptTime the longest time that a record is kept
+	 * @param keptBytes the most bytes kept of a stream
+	 * @param streams the most streams
+	 * @param waitingReads the most reads that wait for a record
 	 * @throws IllegalArgumentException if a limit is not positive
 	 */
 	public LogLimits {
