--- /dev/null
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The value that operators publish and every process reads.
+ */
+package io.lentilslip.wire.configuration;
