--- /dev/null
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/benchmark/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Micro-benchmarks of the decisions.
+ */
+package io.lentilslip.verification.benchmark;
