--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
@@ -75,6 +75,11 @@
 	/**
 	 * Records that wait for an append.
 	 */
-	APPEND_QUEUE
+	APPEND_QUEUE,
+
+	/**
+	 * Events that wait for the reducer.
+	 */
+	MAILBOX
 
 }
--- /dev/null
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a process learns of the VMs around it.
+ */
+package io.lentilslip.runtime.membership;
--- /dev/null
+++ b/lentilslip-runtime/src/test/java/io/lentilslip/runtime/node/StopSignalsTests.java
@@ -0,0 +1,35 @@
+package io.lentilslip.runtime.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StopSignalsTests {
+
+	private final List<String> done = new ArrayList<>();
+
+	private final StopSignals signals = new StopSignals(() -> this.done.add("second"));
+
+	@Test
+	void firstSignalDrainsAndSecondEnds() {
+		this.signals.onFirst(() -> this.done.add("first"));
+		this.signals.signal();
+		assertThat(this.done).containsExactly("first");
+		this.signals.signal();
+		this.signals.signal();
+		assertThat(this.done).containsExactly("first", "second");
+	}
+
+	// The platform stops the VM while the process still reads its settings. The signal
+	// is kept and acted on as soon as there is something to drain.
+	@Test
+	void signalAtTheVeryStartIsKept() {
+		this.signals.signal();
+		this.signals.onFirst(() -> this.done.add("first"));
+		assertThat(this.done).containsExactly("first");
+	}
+
+}
