--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/StopSignals.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/StopSignals.java
@@ -1,7 +1,11 @@
 package io.lentilslip.runtime.node;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.notice.NoticeCode;
 import sun.misc.Signal;
 
 /**
@@ -13,6 +17,11 @@
  */
 public final class StopSignals {
 
+	/**
+	 * The exit status after a second signal: that of a process which TERM ended.
+	 */
+	public static final int STATUS = 143;
+
 	private static final String[] NAMES = { "TERM", "INT" };
 
 	private final Runnable atSecond;
@@ -29,6 +38,23 @@
 		this.atSecond = atSecond;
 	}
 
+	/**
+	 * Returns a counter whose second signal is reported and ends this process at once.
+	 * @param role the role of the process
+	 * @param notices where the signal is reported
+	 * @return the counter, which has seen no signal
+	 */
+	public static StopSignals ofProcess(String role, Consumer<Notice> notices) {
+		return new StopSignals(() -> {
+			try {
+				notices.accept(NoticeCode.SECOND_STOP_SIGNAL.with(FieldName.ROLE, role));
+			}
+			finally {
+				Runtime.getRuntime().halt(STATUS);
+			}
+		});
+	}
+
 	/**
 	 * Sends the signals TERM and INT of this process here from now on.
 	 */
--- /dev/null
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What operators see of a sidecar over HTTP.
+ */
+package io.lentilslip.sidecar.admin;
--- /dev/null
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/history/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading the turns of a program back from the log.
+ */
+package io.lentilslip.sidecar.history;
--- /dev/null
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The links from entries.
+ */
+package io.lentilslip.sidecar.link;
--- /dev/null
+++ b/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/upstream/EngineRunsTests.java
@@ -0,0 +1,47 @@
+package io.lentilslip.sidecar.upstream;
+
+import io.lentilslip.core.sidecar.RunResult;
+import io.lentilslip.core.verdict.Verdict;
+import io.lentilslip.platform.engine.EngineFailure;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineRunsTests {
+
+	// The engine refuses the request as it is. No other engine would take it, so the
+	// caller is told the refusal instead of an attempt elsewhere.
+	@Test
+	void refusalOfTheRequestIsFinal() {
+		assertThat(EngineRuns.result(failure(Verdict.NOT_RUN, new EngineFailure.Cause.Rejected(422, "too long"))))
+			.isEqualTo(new RunResult.Rejected(422, "too long"));
+	}
+
+	// The engine itself is in trouble, or an earlier attempt may have run: neither is a
+	// refusal, which would be told to the caller as "not run".
+	@Test
+	void errorOfTheEngineIsNoRefusal() {
+		assertThat(EngineRuns.result(failure(Verdict.NOT_RUN, new EngineFailure.Cause.Rejected(503, "busy"))))
+			.isEqualTo(new RunResult.Failed(Verdict.NOT_RUN, "status 503", false));
+		assertThat(EngineRuns.result(failure(Verdict.MAY_HAVE_RUN, new EngineFailure.Cause.Rejected(422, "no"))))
+			.isEqualTo(new RunResult.Failed(Verdict.MAY_HAVE_RUN, "status 422", false));
+	}
+
+	// Only an answer that broke off counts as a crash: a crash is blamed on the request,
+	// and a silent or cancelled one is not its fault.
+	@Test
+	void onlyABrokenAnswerCountsAsACrash() {
+		assertThat(crashed(new EngineFailure.Cause.Broken("reset"))).isTrue();
+		assertThat(crashed(new EngineFailure.Cause.Timeout("silent"))).isFalse();
+		assertThat(crashed(new EngineFailure.Cause.Cancelled())).isFalse();
+	}
+
+	private static boolean crashed(EngineFailure.Cause cause) {
+		return ((RunResult.Failed) EngineRuns.result(failure(Verdict.MAY_HAVE_RUN, cause))).crashed();
+	}
+
+	private static EngineFailure failure(Verdict verdict, EngineFailure.Cause cause) {
+		return new EngineFailure(verdict, cause);
+	}
+
+}
