--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -39,14 +39,14 @@
 
 	private final Map<CallKey, ClaimState> claims;
 
-	private final Map<Digest, Integer> blames;
+	private final Map<Digest, Blame> blames;
 
 	private final Queue<Expiry> expiries;
 
 	private final Duration memory;
 
 	private Ledger(Map<ProgramId, ProgramState> programs, Map<ProgramId, Set<ProgramId>> children,
-			Map<CallKey, ClaimState> claims, Map<Digest, Integer> blames, Queue<Expiry> expiries, Duration memory) {
+			Map<CallKey, ClaimState> claims, Map<Digest, Blame> blames, Queue<Expiry> expiries, Duration memory) {
 		this.programs = programs;
 		this.children = children;
 		this.claims = claims;
@@ -89,7 +89,7 @@
 	 * @return the number of crashes, 0 for a request that no crash is known of
 	 */
 	public int crashes(Digest content) {
-		return this.blames.getOrElse(content, 0);
+		return this.blames.get(content).map(Blame::count).getOrElse(0);
 	}
 
 	/**
@@ -253,9 +253,9 @@
 	private Reading blame(Instant time, LedgerRecord.RequestBlamed record) {
 		int before = crashes(record.content());
 		int after = (record.alone()) ? before + 1 : Math.max(before, 1);
-		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForBlame(time, record.content(), after));
-		Ledger next = new Ledger(this.programs, this.children, this.claims, this.blames.put(record.content(), after),
-				due, this.memory);
+		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForBlame(time, record.content()));
+		Ledger next = new Ledger(this.programs, this.children, this.claims,
+				this.blames.put(record.content(), new Blame(after, time)), due, this.memory);
 		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), after)));
 	}
 
@@ -325,8 +325,8 @@
 	}
 
 	private Ledger forgetBlame(Expiry.ForBlame due, Queue<Expiry> rest) {
-		boolean latest = crashes(due.content()) == due.count();
-		Map<Digest, Integer> left = (latest) ? this.blames.remove(due.content()) : this.blames;
+		boolean latest = this.blames.get(due.content()).exists((blame) -> blame.last().equals(due.since()));
+		Map<Digest, Blame> left = (latest) ? this.blames.remove(due.content()) : this.blames;
 		return new Ledger(this.programs, this.children, this.claims, left, rest, this.memory);
 	}
 
@@ -349,6 +349,15 @@
 
 	}
 
+	/**
+	 * The crashes that a request is blamed for.
+	 *
+	 * @param count the crashes counted
+	 * @param last the log's time of the last one, counted or not
+	 */
+	private record Blame(int count, Instant last) {
+	}
+
 	/**
 	 * A thing to forget once it is old.
 	 */
@@ -387,9 +396,8 @@
 		 *
 		 * @param since the log's time of the last crash
 		 * @param content the digest of the request
-		 * @param count the crashes counted then
 		 */
-		record ForBlame(Instant since, Digest content, int count) implements Expiry {
+		record ForBlame(Instant since, Digest content) implements Expiry {
 
 		}
 
