--- /dev/null
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/role/StopRequests.java
@@ -0,0 +1,32 @@
+package io.lentilslip.application.role;
+
+import io.lentilslip.runtime.node.StopSignals;
+
+/**
+ * Where requests to stop a process come from. Implementations are safe for use by several
+ * threads.
+ */
+@FunctionalInterface
+public interface StopRequests {
+
+	/**
+	 * Begins to take requests; those that come before something is there to stop are
+	 * kept.
+	 * @param atSecond what is done at the second request
+	 * @return what counts the requests
+	 */
+	StopSignals take(Runnable atSecond);
+
+	/**
+	 * Returns the signals TERM and INT of this Java process.
+	 * @return the signals
+	 */
+	static StopRequests ofSignals() {
+		return (atSecond) -> {
+			StopSignals signals = new StopSignals(atSecond);
+			signals.install();
+			return signals;
+		};
+	}
+
+}
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/PublicationSearch.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/PublicationSearch.java
@@ -5,12 +5,14 @@
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 
+import io.lentilslip.core.call.Body;
 import io.lentilslip.platform.log.LogRecord;
 import io.lentilslip.platform.log.LogService;
 import io.lentilslip.platform.log.ReadOutcome;
 import io.lentilslip.runtime.configuration.ConfigurationLineage.Decision;
 import io.lentilslip.runtime.configuration.ConfigurationLineage.Effect;
 import io.lentilslip.runtime.log.LogStreams;
+import io.lentilslip.settings.folder.ConfigurationReader;
 import io.lentilslip.wire.codec.CodecProblem;
 import io.lentilslip.wire.codec.ConfigurationRecordCodec;
 import io.lentilslip.wire.configuration.PublishedConfiguration;
@@ -33,6 +35,8 @@
 
 	private Optional<Long> won = Optional.empty();
 
+	private Optional<PublishedVersion> newest = Optional.empty();
+
 	private boolean undecided;
 
 	/**
@@ -86,6 +90,11 @@
 		}
 		Decision decision = this.lineage.read(published.get().baseVersion());
 		this.lineage = decision.after();
+		if (decision.effect() == Effect.TAKEN) {
+			ConfigurationReader.read(published.get().files())
+				.peek((configuration) -> this.newest = Optional
+					.of(new PublishedVersion(record.offset(), Body.of(record.data()), configuration)));
+		}
 		if (!published.get().publicationId().equals(this.publication)) {
 			return;
 		}
@@ -113,6 +122,14 @@
 		return this.won;
 	}
 
+	/**
+	 * Returns the last version that took effect and has no problems.
+	 * @return the version, or an empty result if none was read so far
+	 */
+	Optional<PublishedVersion> newest() {
+		return this.newest;
+	}
+
 	/**
 	 * Returns whether a record of the publication was read whose effect can't be told
 	 * from the log alone.
