--- a/lentilslip-core/src/main/java/io/lentilslip/core/configuration/Budget.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/configuration/Budget.java
@@ -25,4 +25,18 @@
 		Requirement.positive("period", period);
 	}
 
+	/**
+	 * Returns this budget, or an equal part of it for an equal part of a period that is
+	 * longer than another time. A fraction of a token is left out.
+	 * @param longest the longest period
+	 * @return a budget whose periods are not longer
+	 */
+	public Budget inPartsOf(Duration longest) {
+		if (this.period.compareTo(longest) <= 0) {
+			return this;
+		}
+		long parts = Math.ceilDiv(this.period.toMillis(), longest.toMillis());
+		return new Budget(this.tokens / parts, this.period.dividedBy(parts));
+	}
+
 }
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/BudgetRules.java
@@ -0,0 +1,454 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.budget.Estimate;
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallRequest;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.call.ProgramCall;
+import io.lentilslip.core.configuration.Budget;
+import io.lentilslip.core.configuration.GroupPolicy;
+import io.lentilslip.core.identity.GroupName;
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.ledger.BudgetState;
+import io.lentilslip.core.ledger.ClaimState;
+import io.lentilslip.core.ledger.Ledger;
+import io.lentilslip.core.ledger.LedgerChange;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.ProgramState;
+import io.lentilslip.core.measurement.CollectionName;
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.verdict.Verdict;
+
+/**
+ * The rules for the budgets of groups: a call of a group with a budget runs once a slice
+ * pays for its estimate. A call of a group without one passes untouched. Confined to one
+ * application of the reducer.
+ */
+final class BudgetRules {
+
+	/**
+	 * How long a call waits for a slice. Tokens that lie unused in other entries are back
+	 * by then.
+	 */
+	static final Duration SLICE_WAIT = Account.IDLE_TIME.plusSeconds(2);
+
+	/**
+	 * The longest period that the log decides on. A longer one is cut into equal parts:
+	 * what the records of a longer one said would be forgotten within it.
+	 */
+	static final Duration LONGEST_PERIOD = Ledger.MEMORY.minusHours(2);
+
+	private static final Duration LOG_WAIT = Duration.ofSeconds(2);
+
+	private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
+	private final Draft draft;
+
+	private final RouteRules routes;
+
+	BudgetRules(Draft draft, RouteRules routes) {
+		this.draft = draft;
+		this.routes = routes;
+	}
+
+	/**
+	 * Lets a call run, or wait for a slice, or refuses it.
+	 * @param call the call, which was not sent yet
+	 */
+	void admit(Call call) {
+		GroupName group = call.request().group();
+		Optional<Terms> terms = termsOf(group);
+		if (terms.isEmpty() || isAnswered(call)) {
+			this.routes.go(call);
+			return;
+		}
+		long tokens = estimateOf(call.request());
+		if (tokens == 0) {
+			this.routes.go(call);
+			return;
+		}
+		Account<Ticket> account = accountOf(group, terms.get());
+		if (account.mayRun(tokens)) {
+			this.draft.put(group, account.running(call.ticket(), tokens, this.draft.now));
+			this.routes.go(call);
+			return;
+		}
+		this.draft.put(group, account);
+		Optional<CallFailure> refusal = refusalOf(group, terms.get(), account, tokens);
+		if (refusal.isPresent()) {
+			refuse(call, refusal.get());
+			return;
+		}
+		this.draft.put(call.at(new Call.Phase.Reserving()));
+		this.draft.putAndAdvance(group, account.waiting(call.ticket(), tokens));
+		this.draft.remind(SLICE_WAIT, new Duty.GiveUpSlice(call.ticket()));
+	}
+
+	private Optional<CallFailure> refusalOf(GroupName group, Terms terms, Account<Ticket> account, long tokens) {
+		if (tokens > terms.limit()) {
+			return Optional.of(CallFailure.notRun(FailureCause.BUDGET_EXHAUSTED,
+					"The request may take more than the whole budget of its group."));
+		}
+		if (!this.draft.log.isReachable()) {
+			return Optional.of(logUnavailable());
+		}
+		if (account.isFull()) {
+			return Optional
+				.of(CallFailure.notRun(FailureCause.QUEUE_FULL, "Too many requests wait for the budget of their group.")
+					.retryAfter(RETRY_SOON));
+		}
+		if (account.isExhausted() && account.lacks(tokens, leftOf(group, terms, account))) {
+			return Optional.of(exhausted(terms));
+		}
+		return Optional.empty();
+	}
+
+	private static CallFailure logUnavailable() {
+		return CallFailure
+			.notRun(FailureCause.LOG_UNAVAILABLE,
+					"The budget needs the log, which cannot be reached or does not answer.")
+			.retryAfter(RETRY_SOON);
+	}
+
+	private CallFailure exhausted(Terms terms) {
+		return CallFailure.notRun(FailureCause.BUDGET_EXHAUSTED, "The budget of the group is used for this period.")
+			.retryAfter(untilTurnover(terms));
+	}
+
+	private Duration untilTurnover(Terms terms) {
+		long length = terms.period().toMillis();
+		return this.draft.clock
+			.map((clock) -> Duration.ofMillis(length - Math.floorMod(clock.at(this.draft.now).toEpochMilli(), length)))
+			.orElse(RETRY_SOON);
+	}
+
+	private void refuse(Call call, CallFailure failure) {
+		new CompletionRules(this.draft).refuse(call, failure.after(verdictOf(call)));
+	}
+
+	// A call without key and number is no resend of another. Of any other one, another
+	// entry may know more.
+	private Verdict verdictOf(Call call) {
+		boolean single = call.request().key().isEmpty()
+				&& call.request().place().flatMap(ProgramCall::number).isEmpty();
+		return (single) ? Verdict.NOT_RUN : this.routes.unsentVerdict(call);
+	}
+
+	// The call that ran was charged. Refusing its resend would hide an answer that costs
+	// nothing.
+	private boolean isAnswered(Call call) {
+		Ledger ledger = this.draft.log.ledger();
+		return switch (call.route()) {
+			case Route.ForHome route -> {
+				int last = ledger.program(route.program()).map(ProgramState::lastCall).orElse(0);
+				yield call.request()
+					.place()
+					.flatMap(ProgramCall::number)
+					.filter((number) -> number <= last)
+					.isPresent();
+			}
+			case Route.ForClaim route -> ledger.claim(route.key()).flatMap(ClaimState::outcome).isPresent();
+			case Route.ForAny route -> false;
+		};
+	}
+
+	private long estimateOf(CallRequest request) {
+		return switch (request) {
+			case CallRequest.ForModel call -> Estimate.of(call, historyOf(call));
+			case CallRequest.ForService call -> 0;
+		};
+	}
+
+	private long historyOf(CallRequest.ForModel call) {
+		Optional<ProgramId> program = call.place().map(ProgramCall::program);
+		return program.flatMap(this.draft.log.ledger()::program).map(ProgramState::historyTokens).orElse(0L);
+	}
+
+	private Optional<Terms> termsOf(GroupName group) {
+		if (this.draft.setup.isEmpty()) {
+			return Optional.empty();
+		}
+		Setup setup = this.draft.setup.get();
+		Optional<Budget> budget = setup.configuration().group(group).flatMap(GroupPolicy::budget);
+		return budget.map((each) -> each.inPartsOf(LONGEST_PERIOD))
+			.map((each) -> this.draft.log.ledger()
+				.budget(group)
+				.filter((state) -> state.configurationVersion() > setup.version())
+				.map((state) -> new Terms(state.limit(), state.period(), each, setup.version()))
+				.orElseGet(() -> new Terms(each.tokens(), each.period(), each, setup.version())));
+	}
+
+	private Account<Ticket> accountOf(GroupName group, Terms terms) {
+		long index = indexOf(group, terms);
+		return this.draft.accounts.get(group)
+			.map((account) -> account.at(terms.period(), index))
+			.getOrElse(() -> Account.in(terms.period(), index));
+	}
+
+	private long indexOf(GroupName group, Terms terms) {
+		long read = stateOf(group, terms).map(BudgetState::index).orElse(Long.MIN_VALUE);
+		long now = this.draft.clock.map((clock) -> BudgetState.indexAt(clock.at(this.draft.now), terms.period()))
+			.orElse(Long.MIN_VALUE);
+		return Math.max(read, now);
+	}
+
+	private Optional<BudgetState> stateOf(GroupName group, Terms terms) {
+		return this.draft.log.ledger().budget(group).filter((state) -> state.period().equals(terms.period()));
+	}
+
+	private long leftOf(GroupName group, Terms terms, Account<Ticket> account) {
+		return Math.max(0, terms.limit() - reservedOf(group, terms, account.index()));
+	}
+
+	private long reservedOf(GroupName group, Terms terms, long index) {
+		return stateOf(group, terms).filter((state) -> state.index() >= index).map(BudgetState::reserved).orElse(0L);
+	}
+
+	/**
+	 * Notes that a slice was reserved, by this entry or another.
+	 * @param change what was reserved
+	 * @param offset where the record stands
+	 */
+	void granted(LedgerChange.SliceGranted change, long offset) {
+		LedgerRecord.SliceReserved record = change.record();
+		GroupName group = record.group();
+		if (!record.entry().equals(this.draft.self) || termsOf(group).isEmpty()) {
+			return;
+		}
+		Account<Ticket> account = accountOf(group, termsOf(group).get()).granted(change.state().period(),
+				change.state().index(), record.tokens(), this.draft.now);
+		putDecided(group, account, record.sequence());
+		this.draft.report(NoticeCode.SLICE_RESERVED.with(FieldName.GROUP, group)
+			.with(FieldName.TOKENS, record.tokens())
+			.with(FieldName.OFFSET, offset)
+			.with(FieldName.LIMIT, change.state().limit()));
+	}
+
+	/**
+	 * Notes that a slice came back, of this entry or another: there may be enough now for
+	 * a call that waits.
+	 * @param change what came back
+	 * @param offset where the record stands
+	 */
+	void givenBack(LedgerChange.SliceGivenBack change, long offset) {
+		LedgerRecord.SliceReturned record = change.record();
+		boolean own = record.entry().equals(this.draft.self);
+		for (Account<Ticket> account : this.draft.accounts.get(record.group())) {
+			this.draft.putAndAdvance(record.group(),
+					(own) ? account.decided(record.sequence(), this.draft.now) : account);
+		}
+		if (own) {
+			this.draft.report(NoticeCode.SLICE_RETURNED.with(FieldName.GROUP, record.group())
+				.with(FieldName.TOKENS, record.tokens())
+				.with(FieldName.OFFSET, offset)
+				.with(FieldName.REASON, "unused"));
+		}
+	}
+
+	/**
+	 * Notes that a record of this entry took no effect.
+	 * @param record the record
+	 */
+	void voided(LedgerRecord record) {
+		switch (record) {
+			case LedgerRecord.SliceReserved reserved when reserved.entry().equals(this.draft.self) ->
+				voided(reserved.group(), reserved.sequence());
+			case LedgerRecord.SliceReturned returned when returned.entry().equals(this.draft.self) ->
+				voided(returned.group(), returned.sequence());
+			default -> {
+			}
+		}
+	}
+
+	private void voided(GroupName group, long sequence) {
+		for (Account<Ticket> account : this.draft.accounts.get(group)) {
+			putDecided(group, account, sequence);
+		}
+	}
+
+	// Asks for the next slice at once, but not if the log is still in an earlier period
+	// than this entry believes: it would be refused until the log's clock is there, with
+	// an append for each refusal. Then the next tick asks.
+	private void putDecided(GroupName group, Account<Ticket> account, long sequence) {
+		Account<Ticket> decided = account.decided(sequence, this.draft.now);
+		this.draft.put(group, decided);
+		if (this.draft.log.ledger().budget(group).filter((state) -> state.index() >= decided.index()).isPresent()) {
+			this.draft.putAndAdvance(group, decided);
+		}
+	}
+
+	/**
+	 * Appends a record again that is not in the log, as far as is known. If it is, the
+	 * second one is void.
+	 * @param record the record
+	 */
+	void appendAgain(LedgerRecord record) {
+		boolean wanted = switch (record) {
+			case LedgerRecord.SliceReserved reserved ->
+				this.draft.accounts.get(reserved.group()).exists((account) -> account.awaits(reserved.sequence()));
+			case LedgerRecord.SliceReturned returned ->
+				this.draft.accounts.get(returned.group()).exists((account) -> account.awaits(returned.sequence()));
+			default -> false;
+		};
+		if (wanted) {
+			this.draft.append(record);
+		}
+	}
+
+	/**
+	 * Refuses a call that has waited for a slice long enough.
+	 * @param ticket the call
+	 */
+	void giveUp(Ticket ticket) {
+		Optional<Call> call = this.draft.call(ticket).filter((each) -> each.phase() instanceof Call.Phase.Reserving);
+		if (call.isEmpty()) {
+			return;
+		}
+		GroupName group = call.get().request().group();
+		Optional<Terms> terms = termsOf(group);
+		if (terms.isEmpty()) {
+			return;
+		}
+		Account<Ticket> account = accountOf(group, terms.get());
+		boolean silent = account.askingSince()
+			.filter((since) -> Duration.between(since, this.draft.now).compareTo(LOG_WAIT) >= 0)
+			.isPresent();
+		if (silent || !this.draft.log.isReachable()) {
+			refuse(call.get(), logUnavailable());
+			return;
+		}
+		long left = leftOf(group, terms.get(), account);
+		if (account.askingSince().isPresent() || !account.lacks(account.wantedFor(ticket), left)) {
+			// The log answers, and there may be enough: calls before this one are served.
+			this.draft.putAndAdvance(group, account);
+			this.draft.remind(LOG_WAIT, new Duty.GiveUpSlice(ticket));
+			return;
+		}
+		if (!account.isExhausted()) {
+			this.draft.report(NoticeCode.BUDGET_EXHAUSTED.with(FieldName.GROUP, group)
+				.with(FieldName.COUNT, reservedOf(group, terms.get(), account.index()))
+				.with(FieldName.LIMIT, terms.get().limit()));
+		}
+		this.draft.put(group, account.exhausted());
+		refuse(call.get(), exhausted(terms.get()));
+	}
+
+	/**
+	 * Follows a new configuration: a budget that was taken away, or lowered below what is
+	 * reserved.
+	 */
+	void configured() {
+		for (GroupName group : this.draft.accounts.keySet()) {
+			Account<Ticket> account = this.draft.accounts.get(group).get();
+			Optional<Terms> terms = termsOf(group);
+			if (terms.isPresent()) {
+				Account<Ticket> current = accountOf(group, terms.get());
+				boolean over = reservedOf(group, terms.get(), current.index()) > terms.get().limit();
+				account = (over) ? current.settingAside() : current;
+			}
+			this.draft.putAndAdvance(group, account);
+		}
+	}
+
+	/**
+	 * Sets idle slices aside, and looks at the calls that wait for the next period.
+	 */
+	void tick() {
+		for (GroupName group : this.draft.accounts.keySet()) {
+			Account<Ticket> account = this.draft.accounts.get(group).get();
+			Account<Ticket> current = termsOf(group).map((terms) -> accountOf(group, terms)).orElse(account);
+			this.draft.putAndAdvance(group, current.afterIdling(this.draft.now));
+		}
+	}
+
+	void measure() {
+		this.draft.setup.ifPresent((setup) -> setup.configuration().groups().forEach(this::measure));
+		this.draft.measure(new Measurement.CollectionSize(CollectionName.BUDGET_SLICES,
+				this.draft.accounts.values().count(Account::hasSlice), 0));
+	}
+
+	private void measure(GroupPolicy group) {
+		termsOf(group.name()).ifPresent((terms) -> this.draft.measure(new Measurement.BudgetUse(group.name(),
+				reservedOf(group.name(), terms, indexOf(group.name(), terms)), terms.limit())));
+	}
+
+	/**
+	 * Runs the waiting calls of the groups whose accounts changed, as far as slices pay
+	 * for them, and sends the log what follows.
+	 */
+	void advance() {
+		while (!this.draft.changedAccounts.isEmpty()) {
+			GroupName group = this.draft.changedAccounts.head();
+			this.draft.changedAccounts = this.draft.changedAccounts.remove(group);
+			Optional<Terms> terms = termsOf(group);
+			if (terms.isPresent()) {
+				advance(group, terms.get());
+			}
+			else {
+				release(group);
+			}
+		}
+	}
+
+	private void advance(GroupName group, Terms terms) {
+		Account<Ticket> account = accountOf(group, terms);
+		Optional<Account.Wish<Ticket>> ready = account.ready();
+		while (ready.isPresent()) {
+			Ticket ticket = ready.get().call();
+			this.draft.put(group, account.withdrawn(ticket).running(ticket, ready.get().tokens(), this.draft.now));
+			this.draft.call(ticket).ifPresent(this.routes::go);
+			account = accountOf(group, terms);
+			ready = account.ready();
+		}
+		this.draft.put(group, account);
+		ask(group, terms, account);
+	}
+
+	private void ask(GroupName group, Terms terms, Account<Ticket> account) {
+		if (account.askingSince().isPresent() || !this.draft.log.isReachable()) {
+			return;
+		}
+		if (account.surplus() > 0) {
+			long sequence = this.draft.nextNumber();
+			this.draft.put(group, account.returning(sequence, this.draft.now));
+			this.draft.append(new LedgerRecord.SliceReturned(group, account.index(), account.surplus(), this.draft.self,
+					sequence));
+			return;
+		}
+		Optional<Long> tokens = account.wanted(leftOf(group, terms, account), terms.limit(), this.draft.now);
+		if (tokens.isPresent()) {
+			long sequence = this.draft.nextNumber();
+			this.draft.put(group, account.asked(sequence, this.draft.now));
+			this.draft.append(new LedgerRecord.SliceReserved(group, tokens.get(), terms.own().tokens(),
+					terms.own().period(), terms.version(), this.draft.self, sequence));
+		}
+	}
+
+	// Lets the calls of a group go that has no budget any more.
+	private void release(GroupName group) {
+		Optional<Account<Ticket>> account = this.draft.accounts.get(group).toJavaOptional();
+		this.draft.accounts = this.draft.accounts.remove(group);
+		account.ifPresent(
+				(each) -> each.waiting().forEach((wish) -> this.draft.call(wish.call()).ifPresent(this.routes::go)));
+	}
+
+	/**
+	 * The budget of a group as this entry knows it.
+	 *
+	 * @param limit the tokens of a period in the newest configuration known, of this
+	 * entry or in the records
+	 * @param period the length of a period in it
+	 * @param own the budget in the configuration of this entry
+	 * @param version the version of that configuration
+	 */
+	private record Terms(long limit, Duration period, Budget own, long version) {
+
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
@@ -70,6 +70,13 @@
 
 		}
 
+		/**
+		 * It waits for a slice of the budget of its group.
+		 */
+		record Reserving() implements Phase {
+
+		}
+
 		/**
 		 * It was sent to a sidecar.
 		 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
@@ -30,6 +30,7 @@
 import io.lentilslip.core.link.LinkMessage;
 import io.lentilslip.core.link.LinkMessage.ProgramView;
 import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.verdict.Verdict;
 import io.vavr.Tuple2;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -62,7 +63,7 @@
 		this.draft.put(call.get());
 		this.draft.retries = this.draft.retries.afterFirstAttempt();
 		this.draft.remindAt(call.get().deadline().plus(RouteRules.DEADLINE_GRACE), new Duty.GiveUp(event.ticket()));
-		new RouteRules(this.draft, seed).go(call.get());
+		new BudgetRules(this.draft, new RouteRules(this.draft, seed)).admit(call.get());
 	}
 
 	private void measureRefusal(CallFailure failure) {
@@ -236,7 +237,10 @@
 			this.draft.forget(sent);
 			this.draft.run(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
 		}
-		new CompletionRules(this.draft).measure(call.get(), Measurement.CallEnded.Outcome.CALLER_LEFT, Usage.NONE);
+		CompletionRules completions = new CompletionRules(this.draft);
+		boolean mayRun = call.get().phase() instanceof Call.Phase.Sent;
+		completions.settle(call.get(), (mayRun) ? Verdict.MAY_HAVE_RUN : call.get().verdict(), Usage.NONE);
+		completions.measure(call.get(), Measurement.CallEnded.Outcome.CALLER_LEFT, Usage.NONE);
 	}
 
 	void asked(EntryEvent.ProgramAsked event) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CompletionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CompletionRules.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.lentilslip.core.budget.Account;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.CallFailure;
 import io.lentilslip.core.call.CallOutcome;
@@ -10,6 +11,7 @@
 import io.lentilslip.core.call.ProgramCall;
 import io.lentilslip.core.call.Usage;
 import io.lentilslip.core.configuration.ServiceClass;
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
@@ -46,6 +48,29 @@
 		};
 		this.draft.run(new EntryEffect.Complete(call.ticket(), told));
 		count(call, told);
+		switch (told) {
+			case CallOutcome.Answered answered -> settle(call, call.verdict(), usageOf(answered.answer()));
+			case CallOutcome.Failed failed -> settle(call, failed.failure().verdict(), Usage.NONE);
+		}
+	}
+
+	/**
+	 * Charges a call to the budget of its group. What an attempt of unknown outcome took
+	 * is not known, so all that was held for it is charged at least.
+	 * @param call the call
+	 * @param unanswered what is known of the attempts without an answer
+	 * @param usage what the answer took
+	 */
+	void settle(Call call, Verdict unanswered, Usage usage) {
+		GroupName group = call.request().group();
+		Optional<Account<Ticket>> account = this.draft.accounts.get(group).toJavaOptional();
+		if (account.isEmpty()) {
+			return;
+		}
+		Ticket ticket = call.ticket();
+		long least = (unanswered == Verdict.NOT_RUN) ? 0 : account.get().heldFor(ticket);
+		long tokens = (call.attempts() == 0) ? 0 : Math.max(least, usage.total());
+		this.draft.putAndAdvance(group, account.get().withdrawn(ticket).settled(ticket, tokens));
 	}
 
 	void refuse(Call call, CallFailure failure) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Draft.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Draft.java
@@ -7,8 +7,11 @@
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.budget.LogClock;
 import io.lentilslip.core.configuration.UpstreamKind;
 import io.lentilslip.core.configuration.UpstreamPolicy;
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
@@ -62,6 +65,12 @@
 
 	Map<Ticket, Question> questions;
 
+	Map<GroupName, Account<Ticket>> accounts;
+
+	Set<GroupName> changedAccounts = HashSet.empty();
+
+	Optional<LogClock> clock;
+
 	Agenda<Duty> agenda;
 
 	RetryBudget retries;
@@ -91,6 +100,8 @@
 		this.claims = state.claims;
 		this.appends = state.appends;
 		this.questions = state.questions;
+		this.accounts = state.accounts;
+		this.clock = state.clock;
 		this.agenda = state.agenda;
 		this.retries = state.retries;
 		this.lastMeasured = state.lastMeasured;
@@ -151,6 +162,20 @@
 		this.calls = this.calls.put(call.ticket(), call);
 	}
 
+	void put(GroupName group, Account<Ticket> account) {
+		this.accounts = this.accounts.put(group, account);
+	}
+
+	/**
+	 * Puts an account whose waiting calls may run now, or need another slice.
+	 * @param group the group
+	 * @param account its account
+	 */
+	void putAndAdvance(GroupName group, Account<Ticket> account) {
+		put(group, account);
+		this.changedAccounts = this.changedAccounts.add(group);
+	}
+
 	Optional<Peer> peer(VmName vm) {
 		return this.peers.get(vm).toJavaOptional();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Duty.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Duty.java
@@ -46,6 +46,24 @@
 
 	}
 
+	/**
+	 * A record of a slice that failed may be appended again.
+	 *
+	 * @param record the record
+	 */
+	record SliceAgain(LedgerRecord record) implements Duty {
+
+	}
+
+	/**
+	 * A call should have its slice.
+	 *
+	 * @param ticket the call
+	 */
+	record GiveUpSlice(Ticket ticket) implements Duty {
+
+	}
+
 	/**
 	 * A program that was to end should have ended, or a question should have its answer.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryReducer.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryReducer.java
@@ -20,6 +20,7 @@
 		Draft draft = new Draft(state, event.now());
 		RouteRules routes = new RouteRules(draft, seedOf(event));
 		follow(draft, routes, event);
+		new BudgetRules(draft, routes).advance();
 		new NodeRules(draft, routes).stopIfDone();
 		return draft.toStep();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryState.java
@@ -4,8 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.budget.LogClock;
+import io.lentilslip.core.configuration.Budget;
 import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.GroupPolicy;
 import io.lentilslip.core.configuration.Limits.FaultLimits;
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
@@ -23,8 +28,8 @@
 
 /**
  * All that an entry knows. Each call either waits, and then stands in the set of its
- * route, or was sent, and then stands in the map of attempts and in the set of its VM.
- * Immutable and safe for use by several threads.
+ * route or in the account of its group, or was sent, and then stands in the map of
+ * attempts and in the set of its VM. Immutable and safe for use by several threads.
  */
 public final class EntryState {
 
@@ -56,6 +61,10 @@
 
 	final Map<Ticket, Question> questions;
 
+	final Map<GroupName, Account<Ticket>> accounts;
+
+	final Optional<LogClock> clock;
+
 	final Agenda<Duty> agenda;
 
 	final RetryBudget retries;
@@ -82,6 +91,8 @@
 		this.claims = HashMap.empty();
 		this.appends = HashMap.empty();
 		this.questions = HashMap.empty();
+		this.accounts = HashMap.empty();
+		this.clock = Optional.empty();
 		this.agenda = Agenda.empty();
 		this.retries = RetryBudget.of(FaultLimits.DEFAULT.retryPercent(), RetryBudget.DEFAULT_BOUND);
 		this.lastMeasured = Instant.EPOCH;
@@ -104,6 +115,8 @@
 		this.claims = draft.claims;
 		this.appends = draft.appends;
 		this.questions = draft.questions;
+		this.accounts = draft.accounts;
+		this.clock = draft.clock;
 		this.agenda = draft.agenda;
 		this.retries = draft.retries;
 		this.lastMeasured = draft.lastMeasured;
@@ -141,7 +154,20 @@
 			.asJava();
 		return new EntryStatus(this.self, this.setup.map(Setup::version).orElse((long) NOTHING_CONFIGURED),
 				this.log.next(), this.log.isReachable(), this.calls.size(), this.log.ledger().programCount(), upstreams,
-				this.stopping);
+				groups(), this.stopping);
+	}
+
+	private List<EntryStatus.Group> groups() {
+		return configuration().stream().flatMap((each) -> each.groups().stream()).map(this::view).toList();
+	}
+
+	private EntryStatus.Group view(GroupPolicy policy) {
+		long used = this.log.ledger()
+			.budget(policy.name())
+			.map((state) -> this.clock.map((each) -> state.at(each.at(this.lastMeasured))).orElse(state).reserved())
+			.orElse(0L);
+		return new EntryStatus.Group(policy.name(), policy.share(), used,
+				policy.budget().map((budget) -> budget.inPartsOf(BudgetRules.LONGEST_PERIOD)).map(Budget::tokens));
 	}
 
 	private static EntryStatus.Upstream view(Peer peer) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryStatus.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryStatus.java
@@ -1,7 +1,9 @@
 package io.lentilslip.core.entry;
 
 import java.util.List;
+import java.util.Optional;
 
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
@@ -16,10 +18,11 @@
  * @param calls the calls that have no answer yet
  * @param programs the programs the log knows, ended ones included
  * @param upstreams the sidecars, in the order of their VMs
+ * @param groups the configured groups
  * @param stopping whether the process takes no new calls
  */
 public record EntryStatus(ProcessId process, long configurationVersion, long logOffset, boolean logReachable, int calls,
-		int programs, List<Upstream> upstreams, boolean stopping) {
+		int programs, List<Upstream> upstreams, List<Group> groups, boolean stopping) {
 
 	/**
 	 * Creates a value.
@@ -30,10 +33,24 @@
 	 * @param calls the calls that have no answer yet
 	 * @param programs the programs the log knows, ended ones included
 	 * @param upstreams the sidecars, in the order of their VMs
+	 * @param groups the configured groups
 	 * @param stopping whether the process takes no new calls
 	 */
 	public EntryStatus {
 		upstreams = List.copyOf(upstreams);
+		groups = List.copyOf(groups);
+	}
+
+	/**
+	 * What an entry knows of a group.
+	 *
+	 * @param group the group
+	 * @param share its weight against the other groups' weights
+	 * @param used the tokens of the present period that are used or reserved
+	 * @param limit the tokens of a period, if there is a limit
+	 */
+	public record Group(GroupName group, long share, long used, Optional<Long> limit) {
+
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/LedgerRules.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.budget.LogClock;
 import io.lentilslip.core.ledger.Ledger;
 import io.lentilslip.core.ledger.LedgerChange;
 import io.lentilslip.core.ledger.LedgerRecord;
@@ -25,9 +27,12 @@
 
 	private final RouteRules routes;
 
+	private final BudgetRules budgets;
+
 	LedgerRules(Draft draft, RouteRules routes) {
 		this.draft = draft;
 		this.routes = routes;
+		this.budgets = new BudgetRules(draft, routes);
 	}
 
 	void learned(LogEvent event) {
@@ -44,18 +49,19 @@
 		if (event.offset() < this.draft.log.next()) {
 			return;
 		}
+		this.draft.clock = Optional.of(LogClock.after(this.draft.clock, event.time(), this.draft.now));
 		int index = 0;
 		for (LedgerRecord record : event.batch()) {
 			Position position = new Position(event.offset(), index);
 			Ledger.Reading reading = this.draft.log.ledger().apply(position, event.time(), record);
 			this.draft.log = this.draft.log.withLedger(reading.ledger());
-			reading.changes().forEach(this::follow);
+			reading.changes().forEach((change) -> follow(change, event.offset()));
 			index++;
 		}
 		this.draft.log = this.draft.log.readTo(event.offset() + 1, event.time());
 	}
 
-	private void follow(LedgerChange change) {
+	private void follow(LedgerChange change, long offset) {
 		switch (change) {
 			case LedgerChange.HomeChanged changed -> this.routes.claimDecided(new Route.ForHome(changed.program()));
 			case LedgerChange.ProgramClosed closed -> {
@@ -66,6 +72,8 @@
 			case LedgerChange.CallDone done -> this.routes.claimDecided(new Route.ForClaim(done.key()));
 			case LedgerChange.CallReleased released -> this.routes.lookAgain(new Route.ForClaim(released.key()));
 			case LedgerChange.Voided voided -> voided(voided.record());
+			case LedgerChange.SliceGranted granted -> this.budgets.granted(granted, offset);
+			case LedgerChange.SliceGivenBack givenBack -> this.budgets.givenBack(givenBack, offset);
 			case LedgerChange.TurnAdded added -> {
 			}
 			case LedgerChange.CrashCounted counted -> {
@@ -77,8 +85,7 @@
 		switch (record) {
 			case LedgerRecord.ProgramClaimed claimed -> this.routes.claimDecided(new Route.ForHome(claimed.program()));
 			case LedgerRecord.CallClaimed claimed -> this.routes.claimDecided(new Route.ForClaim(claimed.key()));
-			default -> {
-			}
+			default -> this.budgets.voided(record);
 		}
 	}
 
@@ -102,6 +109,7 @@
 		this.draft.report(NoticeCode.RETENTION_GAP.with(FieldName.OFFSET, gap.from())
 			.with(FieldName.COUNT, gap.first() - gap.from()));
 		this.draft.log = LogView.unread().readTo(gap.first(), Instant.EPOCH);
+		this.draft.accounts = this.draft.accounts.mapValues(Account::withoutSlices);
 	}
 
 	private void appended(LogEvent.AppendEnded event) {
@@ -113,14 +121,17 @@
 		if (event.result() == AppendResult.UNKNOWN) {
 			this.draft.report(NoticeCode.APPEND_UNKNOWN.with(FieldName.STREAM, "programs"));
 		}
-		routeOf(record.get()).ifPresent(
-				(route) -> this.draft.remind(PAUSE_BEFORE_APPEND_AGAIN, new Duty.ClaimAgain(route, record.get())));
+		appendAgain(record.get()).ifPresent((duty) -> this.draft.remind(PAUSE_BEFORE_APPEND_AGAIN, duty));
 	}
 
-	private static Optional<Route> routeOf(LedgerRecord record) {
+	private static Optional<Duty> appendAgain(LedgerRecord record) {
 		return switch (record) {
-			case LedgerRecord.ProgramClaimed claimed -> Optional.of(new Route.ForHome(claimed.program()));
-			case LedgerRecord.CallClaimed claimed -> Optional.of(new Route.ForClaim(claimed.key()));
+			case LedgerRecord.ProgramClaimed claimed ->
+				Optional.of(new Duty.ClaimAgain(new Route.ForHome(claimed.program()), record));
+			case LedgerRecord.CallClaimed claimed ->
+				Optional.of(new Duty.ClaimAgain(new Route.ForClaim(claimed.key()), record));
+			case LedgerRecord.SliceReserved reserved -> Optional.of(new Duty.SliceAgain(record));
+			case LedgerRecord.SliceReturned returned -> Optional.of(new Duty.SliceAgain(record));
 			default -> Optional.empty();
 		};
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/NodeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/NodeRules.java
@@ -26,9 +26,12 @@
 
 	private final RouteRules routes;
 
+	private final BudgetRules budgets;
+
 	NodeRules(Draft draft, RouteRules routes) {
 		this.draft = draft;
 		this.routes = routes;
+		this.budgets = new BudgetRules(draft, routes);
 	}
 
 	void happened(NodeEvent event) {
@@ -54,6 +57,7 @@
 		}
 		configuration.upstreams().forEach(this::connect);
 		this.draft.waiting.keySet().forEach(this.routes::lookAgain);
+		this.budgets.configured();
 	}
 
 	private void connect(UpstreamPolicy policy) {
@@ -96,6 +100,8 @@
 			case Duty.LookAgain look -> this.routes.lookAgain(look.ticket());
 			case Duty.ClaimAgain again -> this.routes.claimAgain(again.route(), again.record());
 			case Duty.GiveUpClaim giveUp -> this.routes.giveUpClaim(giveUp.route(), giveUp.claim());
+			case Duty.SliceAgain again -> this.budgets.appendAgain(again.record());
+			case Duty.GiveUpSlice giveUp -> this.budgets.giveUp(giveUp.ticket());
 			case Duty.GiveUpQuestion giveUp -> new CallerRules(this.draft).giveUpQuestion(giveUp.ticket());
 		}
 	}
@@ -105,6 +111,8 @@
 			return;
 		}
 		this.draft.lastMeasured = this.draft.now;
+		this.budgets.tick();
+		this.budgets.measure();
 		int linked = this.draft.peers.values().count((peer) -> peer.process().isPresent());
 		this.draft
 			.measure(new Measurement.LinkState(Measurement.LinkState.Kind.SIDECAR, linked, this.draft.peers.size()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
@@ -228,11 +228,14 @@
 			.retryAfter(RETRY_SOON);
 	}
 
-	// Returns what may be said of a call that this entry has not sent. Another entry may
-	// have sent it before: without the log, or with a claim in it, nobody can exclude
-	// that
-	// it ran, and an entry that said so would have the caller run it twice.
-	private Verdict unsentVerdict(Call call) {
+	/**
+	 * Returns what may be said of a call that this entry has not sent. Another entry may
+	 * have sent it before: without the log, or with a claim in it, nobody can exclude
+	 * that it ran, and an entry that said so would have the caller run it twice.
+	 * @param call the call
+	 * @return the verdict
+	 */
+	Verdict unsentVerdict(Call call) {
 		Ledger ledger = this.draft.log.ledger();
 		boolean known = switch (call.route()) {
 			case Route.ForHome route -> ledger.program(route.program()).isPresent();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/Ledger.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.ledger.LedgerChange.VoidReason;
 import io.lentilslip.core.verdict.Verdict;
@@ -41,16 +43,20 @@
 
 	private final Map<Digest, Blame> blames;
 
+	private final Map<GroupName, BudgetState> budgets;
+
 	private final Queue<Expiry> expiries;
 
 	private final Duration memory;
 
 	private Ledger(Map<ProgramId, ProgramState> programs, Map<ProgramId, Set<ProgramId>> children,
-			Map<CallKey, ClaimState> claims, Map<Digest, Blame> blames, Queue<Expiry> expiries, Duration memory) {
+			Map<CallKey, ClaimState> claims, Map<Digest, Blame> blames, Map<GroupName, BudgetState> budgets,
+			Queue<Expiry> expiries, Duration memory) {
 		this.programs = programs;
 		this.children = children;
 		this.claims = claims;
 		this.blames = blames;
+		this.budgets = budgets;
 		this.expiries = expiries;
 		this.memory = memory;
 	}
@@ -62,7 +68,8 @@
 	 * @return an empty ledger
 	 */
 	public static Ledger remembering(Duration memory) {
-		return new Ledger(HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty(), Queue.empty(), memory);
+		return new Ledger(HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty(),
+				Queue.empty(), memory);
 	}
 
 	/**
@@ -100,6 +107,15 @@
 		return this.programs.size();
 	}
 
+	/**
+	 * Returns what the log says of the budget of a group, as of its last record of it.
+	 * @param group the group
+	 * @return the state, or an empty result if nothing was reserved lately
+	 */
+	public Optional<BudgetState> budget(GroupName group) {
+		return this.budgets.get(group).toJavaOptional();
+	}
+
 	/**
 	 * Returns the number of requests blamed for crashes.
 	 * @return the number of requests
@@ -133,6 +149,8 @@
 			case LedgerRecord.CallSettled settled -> current.settleCall(time, settled);
 			case LedgerRecord.RequestBlamed blamed -> current.blame(time, blamed);
 			case LedgerRecord.RequestCleared cleared -> current.clear(cleared);
+			case LedgerRecord.SliceReserved reserved -> current.reserve(time, reserved);
+			case LedgerRecord.SliceReturned returned -> current.giveBack(time, returned);
 		};
 	}
 
@@ -157,7 +175,7 @@
 			return voided(record, VoidReason.PROGRAM_ENDED);
 		}
 		ProgramState created = new ProgramState(record.epoch(), record.home(), record.parent(), time, position, 0,
-				Optional.empty(), time, Optional.empty());
+				Optional.empty(), time, 0, Optional.empty());
 		Ledger next = record.parent().map((parent) -> withChild(parent, program)).orElse(this);
 		return next.dueAt(new Expiry.ForProgram(time, program))
 			.with(program, created, new LedgerChange.HomeChanged(program, created, record.home()));
@@ -178,7 +196,7 @@
 		if (record.turn().number() != state.lastCall() + 1) {
 			return voided(record, VoidReason.TURN_NOT_NEXT);
 		}
-		ProgramState longer = state.withTurn(record.turn().number(), position, time);
+		ProgramState longer = state.withTurn(record.turn(), position, time);
 		return with(record.program(), longer, new LedgerChange.TurnAdded(record.program(), longer, record.turn()));
 	}
 
@@ -212,7 +230,7 @@
 			states = states.put(next, ended);
 			changes.add(new LedgerChange.ProgramClosed(next, ended, why));
 		}
-		return new Ledger(states, this.children, this.claims, this.blames, this.expiries, this.memory);
+		return new Ledger(states, this.children, this.claims, this.blames, this.budgets, this.expiries, this.memory);
 	}
 
 	private Reading claimCall(Position position, Instant time, LedgerRecord.CallClaimed record) {
@@ -221,8 +239,8 @@
 		}
 		ClaimState state = new ClaimState(record.content(), record.executor(), position, Optional.empty());
 		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), position, false));
-		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), state), this.blames, due,
-				this.memory);
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), state), this.blames,
+				this.budgets, due, this.memory);
 		return new Reading(next, List.of(new LedgerChange.CallTaken(record.key(), state)));
 	}
 
@@ -237,13 +255,13 @@
 		}
 		if (record.outcome().verdict() == Verdict.NOT_RUN) {
 			Ledger next = new Ledger(this.programs, this.children, this.claims.remove(record.key()), this.blames,
-					this.expiries, this.memory);
+					this.budgets, this.expiries, this.memory);
 			return new Reading(next, List.of(new LedgerChange.CallReleased(record.key(), record.executor())));
 		}
 		ClaimState settled = state.settled(record.outcome());
 		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForClaim(time, record.key(), state.claimed(), true));
-		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), settled), this.blames, due,
-				this.memory);
+		Ledger next = new Ledger(this.programs, this.children, this.claims.put(record.key(), settled), this.blames,
+				this.budgets, due, this.memory);
 		return new Reading(next, List.of(new LedgerChange.CallDone(record.key(), settled)));
 	}
 
@@ -255,30 +273,65 @@
 		int after = (record.alone()) ? before + 1 : Math.max(before, 1);
 		Queue<Expiry> due = this.expiries.enqueue(new Expiry.ForBlame(time, record.content()));
 		Ledger next = new Ledger(this.programs, this.children, this.claims,
-				this.blames.put(record.content(), new Blame(after, time)), due, this.memory);
+				this.blames.put(record.content(), new Blame(after, time)), this.budgets, due, this.memory);
 		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), after)));
 	}
 
 	private Reading clear(LedgerRecord.RequestCleared record) {
 		Ledger next = new Ledger(this.programs, this.children, this.claims, this.blames.remove(record.content()),
-				this.expiries, this.memory);
+				this.budgets, this.expiries, this.memory);
 		return new Reading(next, List.of(new LedgerChange.CrashCounted(record.content(), 0)));
 	}
 
+	private Reading reserve(Instant time, LedgerRecord.SliceReserved record) {
+		BudgetState known = liveBudget(record.group(), time).map((state) -> state.seen(record, time))
+			.orElseGet(() -> BudgetState.firstOf(record, time));
+		Ledger next = (this.budgets.containsKey(record.group())) ? this
+				: dueAt(new Expiry.ForBudget(time, record.group()));
+		return next.decided(record, record.group(), known.reserve(record),
+				(state) -> new LedgerChange.SliceGranted(record, state));
+	}
+
+	private Reading giveBack(Instant time, LedgerRecord.SliceReturned record) {
+		Optional<BudgetState> known = liveBudget(record.group(), time);
+		if (known.isEmpty()) {
+			return voided(record, VoidReason.SLICE_UNKNOWN);
+		}
+		return decided(record, record.group(), known.get().at(time).giveBack(record),
+				(state) -> new LedgerChange.SliceGivenBack(record, state));
+	}
+
+	// When a budget is taken out of the memory depends on what else waits to be
+	// forgotten, which processes that began to read at other offsets see differently. So
+	// its age decides here whether it counts.
+	private Optional<BudgetState> liveBudget(GroupName group, Instant time) {
+		return budget(group).filter((state) -> !state.confirmed().isBefore(time.minus(this.memory)));
+	}
+
+	private Reading decided(LedgerRecord record, GroupName group, BudgetState.Decision decision,
+			Function<BudgetState, LedgerChange> change) {
+		Ledger next = new Ledger(this.programs, this.children, this.claims, this.blames,
+				this.budgets.put(group, decision.state()), this.expiries, this.memory);
+		return new Reading(next,
+				List.of(decision.refusal()
+					.<LedgerChange>map((reason) -> new LedgerChange.Voided(record, reason))
+					.orElseGet(() -> change.apply(decision.state()))));
+	}
+
 	private Ledger dueAt(Expiry expiry) {
-		return new Ledger(this.programs, this.children, this.claims, this.blames, this.expiries.enqueue(expiry),
-				this.memory);
+		return new Ledger(this.programs, this.children, this.claims, this.blames, this.budgets,
+				this.expiries.enqueue(expiry), this.memory);
 	}
 
 	private Ledger withChild(ProgramId parent, ProgramId child) {
 		Set<ProgramId> siblings = this.children.getOrElse(parent, HashSet.empty()).add(child);
-		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.blames, this.expiries,
-				this.memory);
+		return new Ledger(this.programs, this.children.put(parent, siblings), this.claims, this.blames, this.budgets,
+				this.expiries, this.memory);
 	}
 
 	private Reading with(ProgramId program, ProgramState state, LedgerChange change) {
 		Ledger next = new Ledger(this.programs.put(program, state), this.children, this.claims, this.blames,
-				this.expiries, this.memory);
+				this.budgets, this.expiries, this.memory);
 		return new Reading(next, List.of(change));
 	}
 
@@ -302,6 +355,7 @@
 			case Expiry.ForProgram due -> forgetProgram(due.program(), rest);
 			case Expiry.ForClaim due -> forgetClaim(due, rest);
 			case Expiry.ForBlame due -> forgetBlame(due, rest);
+			case Expiry.ForBudget due -> forgetBudget(due, rest);
 		};
 	}
 
@@ -311,7 +365,8 @@
 		if (parent.isPresent()) {
 			families = families.computeIfPresent(parent.get(), (key, siblings) -> siblings.remove(program))._2();
 		}
-		return new Ledger(this.programs.remove(program), families, this.claims, this.blames, rest, this.memory);
+		return new Ledger(this.programs.remove(program), families, this.claims, this.blames, this.budgets, rest,
+				this.memory);
 	}
 
 	// Drops a claim once its last record is old. The entry queued at the claim is skipped
@@ -321,13 +376,25 @@
 		Optional<ClaimState> state = claim(due.key()).filter((claim) -> claim.claimed().equals(due.claimed()))
 			.filter((claim) -> claim.outcome().isPresent() == due.settled());
 		Map<CallKey, ClaimState> left = (state.isPresent()) ? this.claims.remove(due.key()) : this.claims;
-		return new Ledger(this.programs, this.children, left, this.blames, rest, this.memory);
+		return new Ledger(this.programs, this.children, left, this.blames, this.budgets, rest, this.memory);
 	}
 
 	private Ledger forgetBlame(Expiry.ForBlame due, Queue<Expiry> rest) {
 		boolean latest = this.blames.get(due.content()).exists((blame) -> blame.last().equals(due.since()));
 		Map<Digest, Blame> left = (latest) ? this.blames.remove(due.content()) : this.blames;
-		return new Ledger(this.programs, this.children, this.claims, left, rest, this.memory);
+		return new Ledger(this.programs, this.children, this.claims, left, this.budgets, rest, this.memory);
+	}
+
+	// Drops a budget whose last reservation under its newest configuration is old, and
+	// looks at the others again when that can be so.
+	private Ledger forgetBudget(Expiry.ForBudget due, Queue<Expiry> rest) {
+		Optional<BudgetState> state = budget(due.group());
+		if (state.isPresent() && state.get().confirmed().isAfter(due.since())) {
+			return new Ledger(this.programs, this.children, this.claims, this.blames, this.budgets,
+					rest.enqueue(new Expiry.ForBudget(state.get().confirmed(), due.group())), this.memory);
+		}
+		return new Ledger(this.programs, this.children, this.claims, this.blames, this.budgets.remove(due.group()),
+				rest, this.memory);
 	}
 
 	/**
@@ -401,6 +468,16 @@
 
 		}
 
+		/**
+		 * The budget of a group.
+		 *
+		 * @param since the log's time of a reservation under its newest configuration
+		 * @param group the group
+		 */
+		record ForBudget(Instant since, GroupName group) implements Expiry {
+
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerChange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerChange.java
@@ -83,6 +83,26 @@
 
 	}
 
+	/**
+	 * Tokens of a group's budget were reserved for an entry.
+	 *
+	 * @param record the reservation
+	 * @param state what the log says of the budget now
+	 */
+	record SliceGranted(LedgerRecord.SliceReserved record, BudgetState state) implements LedgerChange {
+
+	}
+
+	/**
+	 * Reserved tokens are free again.
+	 *
+	 * @param record the return
+	 * @param state what the log says of the budget now
+	 */
+	record SliceGivenBack(LedgerRecord.SliceReturned record, BudgetState state) implements LedgerChange {
+
+	}
+
 	/**
 	 * A record that took no effect.
 	 *
@@ -132,7 +152,22 @@
 		/**
 		 * The writer is not the executor, or the call is settled already.
 		 */
-		NOT_EXECUTOR
+		NOT_EXECUTOR,
+
+		/**
+		 * The limit of the group's budget leaves less than what was to be reserved.
+		 */
+		BUDGET_EXHAUSTED,
+
+		/**
+		 * The entry's record of that sequence, or a later one, came first.
+		 */
+		SLICE_REPEATED,
+
+		/**
+		 * The tokens to return are not reserved for the entry in the present period.
+		 */
+		SLICE_UNKNOWN
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerRecord.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/LedgerRecord.java
@@ -1,9 +1,11 @@
 package io.lentilslip.core.ledger;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.lentilslip.core.call.CallOutcome;
 import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.ProgramId;
 
@@ -99,4 +101,77 @@
 
 	}
 
+	/**
+	 * A reservation of tokens of a group's budget. It takes effect if what is reserved in
+	 * the period and these tokens stay within the limit of the newest configuration that
+	 * the records of the group name.
+	 *
+	 * @param group the group
+	 * @param tokens the tokens to reserve
+	 * @param limit the tokens of one period in the configuration of the writer
+	 * @param period the length of a period in that configuration
+	 * @param configurationVersion the version of that configuration
+	 * @param entry the entry that may spend them
+	 * @param sequence a number that grows with the entry's records of the group, the same
+	 * for a repeated append
+	 */
+	record SliceReserved(GroupName group, long tokens, long limit, Duration period, long configurationVersion,
+			ProcessId entry, long sequence) implements LedgerRecord {
+
+		/**
+		 * The shortest length of a period.
+		 */
+		public static final Duration SHORTEST_PERIOD = Duration.ofMillis(1);
+
+		/**
+		 * Creates a record.
+		 * @param group the group
+		 * @param tokens the tokens to reserve
+		 * @param limit the tokens of one period in the configuration of the writer
+		 * @param period the length of a period in that configuration
+		 * @param configurationVersion the version of that configuration
+		 * @param entry the entry that may spend them
+		 * @param sequence a number that grows with the entry's records of the group
+		 * @throws IllegalArgumentException if there are no tokens, the limit is negative,
+		 * or the period is shorter than a millisecond
+		 */
+		public SliceReserved {
+			if (tokens < 1 || limit < 0 || period.compareTo(SHORTEST_PERIOD) < 0) {
+				throw new IllegalArgumentException("not a reservation: " + tokens + " of " + limit + " in " + period);
+			}
+		}
+
+	}
+
+	/**
+	 * The return of reserved tokens that were not spent. It takes effect in the period
+	 * that they were reserved in.
+	 *
+	 * @param group the group
+	 * @param periodIndex the period that they were reserved in
+	 * @param tokens the tokens
+	 * @param entry the entry that held them
+	 * @param sequence a number that grows with the entry's records of the group, the same
+	 * for a repeated append
+	 */
+	record SliceReturned(GroupName group, long periodIndex, long tokens, ProcessId entry,
+			long sequence) implements LedgerRecord {
+
+		/**
+		 * Creates a record.
+		 * @param group the group
+		 * @param periodIndex the period that they were reserved in
+		 * @param tokens the tokens
+		 * @param entry the entry that held them
+		 * @param sequence a number that grows with the entry's records of the group
+		 * @throws IllegalArgumentException if there are no tokens
+		 */
+		public SliceReturned {
+			if (tokens < 1) {
+				throw new IllegalArgumentException("nothing to return: " + tokens);
+			}
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/ledger/ProgramState.java
@@ -18,24 +18,25 @@
  * @param lastCall the number of the last turn in the log, or 0
  * @param lastTurn where the last turn stands, if there is one
  * @param lastTime the log's time of the last turn, or of the first claim
+ * @param historyTokens the tokens of the history after the last turn, prompt and answer
  * @param ended why the program ended, if it has
  */
 public record ProgramState(Epoch epoch, ProcessId home, Optional<ProgramId> parent, Instant born, Position claimed,
-		int lastCall, Optional<Position> lastTurn, Instant lastTime, Optional<EndReason> ended) {
+		int lastCall, Optional<Position> lastTurn, Instant lastTime, long historyTokens, Optional<EndReason> ended) {
 
 	ProgramState movedTo(ProcessId newHome, Epoch newEpoch, Position position) {
 		return new ProgramState(newEpoch, newHome, this.parent, this.born, position, this.lastCall, this.lastTurn,
-				this.lastTime, this.ended);
+				this.lastTime, this.historyTokens, this.ended);
 	}
 
-	ProgramState withTurn(int number, Position position, Instant time) {
-		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, number,
-				Optional.of(position), time, this.ended);
+	ProgramState withTurn(Turn turn, Position position, Instant time) {
+		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, turn.number(),
+				Optional.of(position), time, turn.answer().usage().total(), this.ended);
 	}
 
 	ProgramState endedFor(EndReason reason) {
 		return new ProgramState(this.epoch, this.home, this.parent, this.born, this.claimed, this.lastCall,
-				this.lastTurn, this.lastTime, Optional.of(reason));
+				this.lastTurn, this.lastTime, this.historyTokens, Optional.of(reason));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
@@ -67,6 +67,10 @@
 			case LedgerChange.CallDone done -> new ClaimRules(this.draft).settled(done.key());
 			case LedgerChange.CallReleased released -> new ClaimRules(this.draft).settled(released.key());
 			case LedgerChange.CrashCounted counted -> new RunRules(this.draft).blamed(counted.content());
+			case LedgerChange.SliceGranted granted -> {
+			}
+			case LedgerChange.SliceGivenBack givenBack -> {
+			}
 			case LedgerChange.Voided voided -> {
 			}
 		}
@@ -136,6 +140,8 @@
 			case LedgerRecord.RequestCleared cleared -> this.draft.log.ledger().crashes(cleared.content()) > 0;
 			case LedgerRecord.ProgramClaimed claimed -> false;
 			case LedgerRecord.CallClaimed claimed -> false;
+			case LedgerRecord.SliceReserved reserved -> false;
+			case LedgerRecord.SliceReturned returned -> false;
 		};
 	}
 
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/budget/EstimateTests.java
@@ -0,0 +1,41 @@
+package io.lentilslip.core.budget;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.CallRequest;
+import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.GroupName;
+import io.lentilslip.core.identity.ModelName;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EstimateTests {
+
+	@Test
+	void countsTheHistoryOnce() {
+		String message = "m".repeat(2000);
+		assertThat(Estimate.of(call(HistoryMode.NEW, message), 500)).isBetween(1600L, 1620L);
+		assertThat(Estimate.of(call(HistoryMode.WHOLE, message), 500)).isBetween(1100L, 1120L);
+		assertThat(Estimate.of(call(HistoryMode.WHOLE, message), 5000)).isEqualTo(5100);
+	}
+
+	// A prompt in which each byte is a token takes more than its estimate. What it takes
+	// beyond is an overdraft, and no greater than the estimate was.
+	@Property(tries = 200, seed = "1")
+	void isAtLeastHalfOfWhatAnyTokenizerMakes(@ForAll String message) {
+		long most = message.getBytes(StandardCharsets.UTF_8).length + 100;
+		assertThat(Estimate.of(call(HistoryMode.WHOLE, message), 0) * 2).isGreaterThanOrEqualTo(most);
+	}
+
+	private static CallRequest.ForModel call(HistoryMode mode, String message) {
+		return new CallRequest.ForModel(new GroupName("sellers"), Optional.empty(), Optional.empty(), Digest.of("call"),
+				new ModelName("m"), mode, List.of(message), 100, "{}", false);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/budget/LogClockTests.java
@@ -0,0 +1,38 @@
+package io.lentilslip.core.budget;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LogClockTests {
+
+	private static final Instant LOG = Instant.parse("2026-07-14T10:00:00Z");
+
+	private static final Instant START = Instant.EPOCH;
+
+	@Test
+	void takesTheFreshestRecord() {
+		Optional<LogClock> old = Optional.of(LogClock.after(Optional.empty(), LOG.minusSeconds(3600), START));
+		Optional<LogClock> fresh = Optional.of(LogClock.after(old, LOG, START));
+		assertThat(fresh.get().at(START.plusSeconds(5))).isEqualTo(LOG.plusSeconds(5));
+		assertThat(LogClock.after(fresh, LOG.minusSeconds(9), START).at(START)).isEqualTo(LOG);
+	}
+
+	// The clock of this process runs fast, by one second an hour. If the greatest lead
+	// counted for ever, the process would be in the next period before the log is, and
+	// would drop slices that it has.
+	@Test
+	void followsALogClockThatRunsSlower() {
+		Optional<LogClock> clock = Optional.empty();
+		for (int hour = 0; hour < 100; hour++) {
+			Instant now = START.plus(Duration.ofHours(hour)).plusSeconds(hour);
+			clock = Optional.of(LogClock.after(clock, LOG.plus(Duration.ofHours(hour)), now));
+			assertThat(clock.get().at(now)).isEqualTo(LOG.plus(Duration.ofHours(hour)));
+		}
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/entry/BudgetRulesTests.java
@@ -0,0 +1,453 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramName;
+import io.lentilslip.core.ledger.Ledger;
+import io.lentilslip.core.ledger.LedgerChange;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.Position;
+import io.lentilslip.core.role.LogEvent;
+import io.lentilslip.core.verdict.Verdict;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BudgetRulesTests {
+
+	private static final long LIMIT = 1000;
+
+	private static final int WAIT = (int) BudgetRules.SLICE_WAIT.toSeconds() + 1;
+
+	@Test
+	void letsCallsWithoutABudgetPass() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		site.entry(0).call("buyers", Optional.empty(), 5000);
+		assertThat(site.entry(0).running).hasSize(1);
+		assertThat(site.entry(0).appends).isEmpty();
+		assertThat(site.entry(0).account()).isEmpty();
+	}
+
+	// A hundred calls of one group come at once at ten entries, and the budget has room
+	// for ten. Ten run, whatever the order of the appends, and the others are told when
+	// the period turns over. All is reserved, so none of the ten had to wait for an entry
+	// that held more than it used.
+	@Test
+	void runsTenOfAHundredCalls() {
+		BudgetSite site = new BudgetSite(10, LIMIT);
+		for (BudgetSite.Entry entry : site.entries) {
+			for (int call = 0; call < 10; call++) {
+				entry.call(100);
+			}
+		}
+		site.settle();
+		assertThat(site.entries.stream().mapToInt((entry) -> entry.running.size()).sum()).isEqualTo(10);
+		site.pass(WAIT);
+		List<CallFailure> refused = failures(site);
+		assertThat(refused).hasSize(90);
+		assertThat(refused).allSatisfy((failure) -> {
+			assertThat(failure.cause()).isEqualTo(FailureCause.BUDGET_EXHAUSTED);
+			assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+			assertThat(failure.retryAfter().orElseThrow()).isBetween(Duration.ofMinutes(49), Duration.ofMinutes(50));
+		});
+		assertThat(site.entry(0).status().groups()).filteredOn((group) -> group.group().equals(BudgetSite.SELLERS))
+			.containsExactly(new EntryStatus.Group(BudgetSite.SELLERS, 2, LIMIT, Optional.of(LIMIT)));
+	}
+
+	// Ten calls of a hundred tokens hold the whole budget, and turn out to need half.
+	// Another entry's call, which came meanwhile, gets what lies unused there.
+	@Test
+	void returnsWhatLiesUnused() {
+		BudgetSite site = new BudgetSite(2, LIMIT);
+		long large = site.entry(0).call(LIMIT);
+		site.settle();
+		long other = site.entry(1).call(400);
+		site.settle();
+		assertThat(site.entry(1).running).isEmpty();
+		site.entry(0).answer(large, 500);
+		site.pass(WAIT);
+		assertThat(site.entry(1).running).containsKey(other);
+	}
+
+	// An entry dies holding a slice. The others cannot know what it spent, so the slice
+	// counts as spent until the period turns over; then all is there again.
+	@Test
+	void losesTheSliceOfADeadEntryUntilTheTurn() {
+		BudgetSite site = new BudgetSite(2, LIMIT);
+		site.entry(0).call(900);
+		site.settle();
+		site.restart(0, LIMIT, 1);
+		long call = site.entry(1).call(200);
+		site.pass(WAIT);
+		assertThat(failure(site.entry(1), call).cause()).isEqualTo(FailureCause.BUDGET_EXHAUSTED);
+		site.now = site.now.plus(BudgetSite.PERIOD);
+		long next = site.entry(1).call(LIMIT);
+		site.settle();
+		assertThat(site.entry(1).running).containsKey(next);
+	}
+
+	// The log goes down. What the entry holds may be spent, and no more. Then the period
+	// turns over, which the entry knows by its own clock alone: the old slice must not
+	// pay for calls of the new period, whose budget others reserve from the start.
+	@Test
+	void spendsNoOldSliceInANewPeriodWhileTheLogIsDown() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		BudgetSite.Entry entry = site.entry(0);
+		long first = entry.call(500);
+		site.settle();
+		entry.answer(first, 100);
+		entry.loseLog();
+		entry.call(100);
+		assertThat(entry.running).hasSize(1);
+		long more = entry.call(350);
+		assertThat(failure(entry, more).cause()).isEqualTo(FailureCause.LOG_UNAVAILABLE);
+		assertThat(failure(entry, more).verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(failure(entry, more).retryAfter()).isPresent();
+		site.now = site.now.plus(BudgetSite.PERIOD);
+		long late = entry.call(100);
+		assertThat(failure(entry, late).cause()).isEqualTo(FailureCause.LOG_UNAVAILABLE);
+		assertThat(entry.running).hasSize(1);
+	}
+
+	// An operator lowers the budget below what is reserved, part of which lies unused.
+	// The unused part goes back and pays for what the new limit leaves, and no more.
+	@Test
+	void followsALoweredBudget() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		BudgetSite.Entry entry = site.entry(0);
+		long first = entry.call(900);
+		site.settle();
+		entry.answer(first, 300);
+		entry.configure(2, 400);
+		long fits = entry.call(100);
+		long tooMuch = entry.call(100);
+		site.settle();
+		assertThat(entry.running).containsOnlyKeys(fits);
+		site.pass(WAIT);
+		assertThat(failure(entry, tooMuch).cause()).isEqualTo(FailureCause.BUDGET_EXHAUSTED);
+	}
+
+	@Test
+	void letsWaitingCallsGoWhenTheBudgetIsTakenAway() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		site.entry(0).call(100);
+		assertThat(site.entry(0).running).isEmpty();
+		site.entry(0).configureWithoutBudget(2);
+		assertThat(site.entry(0).running).hasSize(1);
+		assertThat(site.entry(0).account()).isEmpty();
+	}
+
+	// A program of a caller of one group is another group's by a rule, as a sub-agent
+	// that works for that group. Its call is charged there: charged to the caller's own
+	// group, which has no budget, it would run for nothing.
+	@Test
+	void chargesAProgramToTheGroupOfItsRule() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		site.entry(0).call("buyers", Optional.of(new ProgramName("offer-1")), 300);
+		site.settle();
+		assertThat(site.entry(0).running).hasSize(1);
+		assertThat(site.log).extracting(BudgetSite.Logged::record)
+			.filteredOn(LedgerRecord.SliceReserved.class::isInstance)
+			.singleElement()
+			.isInstanceOfSatisfying(LedgerRecord.SliceReserved.class, (record) -> {
+				assertThat(record.group()).isEqualTo(BudgetSite.SELLERS);
+				assertThat(record.tokens()).isEqualTo(300);
+			});
+	}
+
+	// The answer of the append is lost, and the record is in the log or is not. The entry
+	// sends it again, the log counts it once, and the call runs.
+	@Test
+	void sendsAReservationAgain() {
+		for (BudgetSite.Fate fate : BudgetSite.Fate.values()) {
+			BudgetSite site = new BudgetSite(1, LIMIT);
+			BudgetSite.Entry entry = site.entry(0);
+			entry.call(600);
+			entry.appendNext(fate);
+			site.pass(2);
+			assertThat(entry.running).hasSize(1);
+			assertThat(entry.account().orElseThrow().available()).isZero();
+		}
+	}
+
+	// The appends of an entry get no answer, and the log is not known to be down. The
+	// caller hears after a while that the log is at fault, not the budget.
+	@Test
+	void tellsASilentLogFromAnExhaustedBudget() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		BudgetSite.Entry entry = site.entry(0);
+		long call = entry.call(600);
+		site.now = site.now.plusSeconds(WAIT);
+		entry.tick();
+		assertThat(failure(entry, call).cause()).isEqualTo(FailureCause.LOG_UNAVAILABLE);
+		assertThat(entry.account().orElseThrow().waiting()).isEmpty();
+	}
+
+	@Test
+	void refusesACallThatIsLargerThanTheBudget() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		long call = site.entry(0).call(LIMIT + 1);
+		assertThat(failure(site.entry(0), call).cause()).isEqualTo(FailureCause.BUDGET_EXHAUSTED);
+		assertThat(site.entry(0).appends).isEmpty();
+	}
+
+	// The caller leaves while its call runs, or an attempt ends without a word. What the
+	// call took is not known, so all that was held for it is charged.
+	@Test
+	void chargesAllThatWasHeldWhenTheOutcomeIsUnknown() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		BudgetSite.Entry entry = site.entry(0);
+		long left = entry.call(300);
+		long lost = entry.call(300);
+		long notRun = entry.call(300);
+		site.settle();
+		entry.leave(left);
+		entry.finish(lost, failed(CallFailure.mayHaveRun(FailureCause.CANCELLED, "Lost.")), 300);
+		assertThat(entry.account().orElseThrow().available()).isZero();
+		entry.finish(notRun, failed(CallFailure.notRun(FailureCause.DEADLINE_PASSED, "Late.")), 0);
+		assertThat(entry.account().orElseThrow().available()).isEqualTo(300);
+	}
+
+	// Three entries share a budget while appends get lost or lose their answers, records
+	// are read late, entries die, limits change, periods turn over and calls take up to
+	// twice their estimate. What the log grants in a period stays within the limit in
+	// force, and no entry spends more than it was granted and its overdraft. Once the
+	// faults end, a call that the budget has room for runs within a few records.
+	@Property(tries = 2000, seed = "20260714")
+	void holdsTheBudgetInAnyOrderOfEvents(
+			@ForAll @Size(min = 5, max = 120) List<@IntRange(max = 1_000_000) Integer> steps) {
+		BudgetSite site = new BudgetSite(3, LIMIT);
+		long version = 1;
+		long limit = LIMIT;
+		List<BudgetSite.Entry> lives = new ArrayList<>(site.entries);
+		for (int step : steps) {
+			int number = step % 3;
+			int value = step / 30;
+			BudgetSite.Entry entry = site.entry(number);
+			switch (step / 3 % 10) {
+				case 0, 1 -> entry.call(11 + value % 600);
+				case 2, 3 -> appendNext(entry, value);
+				case 4, 5 -> readAll(entry);
+				case 6 -> finish(entry, value);
+				case 7 -> {
+					site.now = site.now.plusMillis(value % 3000);
+					entry.tick();
+					if (value % 2 == 0) {
+						site.appendLate();
+					}
+				}
+				case 8 -> {
+					limit = 100 + value % 1500;
+					version++;
+					entry.configure(version, limit);
+				}
+				default -> {
+					if (value % 4 == 0) {
+						entry.appends.forEach((append) -> site.late.add(append.record()));
+						site.restart(number, limit, version);
+						lives.add(site.entry(number));
+					}
+					else if (value % 4 == 1) {
+						site.now = site.now.plus(Duration.ofMinutes(value % 90));
+					}
+					else {
+						entry.loseLog();
+					}
+				}
+			}
+			Reading reading = Reading.of(site.log);
+			assertThat(reading.wrong).isFalse();
+			lives.forEach((each) -> assertSpendsOnlyWhatItWasGranted(reading, each));
+		}
+		assertRunsWhatFits(site, version + 1);
+	}
+
+	private static void appendNext(BudgetSite.Entry entry, int value) {
+		if (!entry.appends.isEmpty()) {
+			entry.appendNext(BudgetSite.Fate.values()[value % BudgetSite.Fate.values().length]);
+		}
+	}
+
+	private static void readAll(BudgetSite.Entry entry) {
+		while (entry.hasUnread()) {
+			entry.readNext();
+		}
+	}
+
+	private static void finish(BudgetSite.Entry entry, int value) {
+		Optional<Long> ticket = entry.running.keySet().stream().findFirst();
+		if (ticket.isEmpty()) {
+			return;
+		}
+		long estimate = estimate(entry, ticket.get());
+		switch (value % 4) {
+			case 0 -> entry.answer(ticket.get(), estimate);
+			case 1 -> entry.answer(ticket.get(), value % (estimate * 2));
+			case 2 -> entry.finish(ticket.get(), failed(CallFailure.notRun(FailureCause.INVALID, "No.")), 0);
+			default -> entry.finish(ticket.get(), failed(CallFailure.mayHaveRun(FailureCause.CANCELLED, "Lost.")),
+					value % estimate);
+		}
+	}
+
+	private static long estimate(BudgetSite.Entry entry, long ticket) {
+		return entry.account().orElseThrow().heldFor(new Ticket(ticket));
+	}
+
+	private static void assertSpendsOnlyWhatItWasGranted(Reading reading, BudgetSite.Entry entry) {
+		if (entry.account().isEmpty()) {
+			return;
+		}
+		Account<Ticket> account = entry.account().get();
+		long held = entry.running.keySet().stream().mapToLong((ticket) -> estimate(entry, ticket)).sum();
+		long granted = reading.grantedTo.getOrDefault(entry.self, 0L);
+		assertThat(entry.taken + held + account.available()).isLessThanOrEqualTo(granted + account.overdraft());
+		assertThat(account.available() == 0 || account.overdraft() == 0).isTrue();
+	}
+
+	private static void assertRunsWhatFits(BudgetSite site, long version) {
+		site.appendLate();
+		for (BudgetSite.Entry entry : site.entries) {
+			entry.configure(version, LIMIT);
+			readAll(entry);
+			entry.hear(new LogEvent.CaughtUp(site.log.size(), entry.clock()));
+			List.copyOf(entry.running.keySet()).forEach((ticket) -> entry.answer(ticket, estimate(entry, ticket)));
+		}
+		site.pass(2 * WAIT);
+		for (BudgetSite.Entry entry : site.entries) {
+			List.copyOf(entry.running.keySet()).forEach((ticket) -> entry.answer(ticket, estimate(entry, ticket)));
+		}
+		site.pass(2 * WAIT);
+		BudgetSite.Entry last = site.entry(2);
+		assertThat(last.account().map((account) -> account.waiting().size()).orElse(0)).isZero();
+		Reading reading = Reading.of(site.log);
+		long left = LIMIT - reading.reservedAt(site.now);
+		long overdraft = last.account().map(Account::overdraft).orElse(0L);
+		if (left - overdraft < 11) {
+			return;
+		}
+		int records = site.log.size();
+		long call = last.call(left - overdraft);
+		site.settle();
+		assertThat(last.running).containsKey(call);
+		assertThat(site.log).hasSizeLessThanOrEqualTo(records + 2);
+	}
+
+	private static CallOutcome failed(CallFailure failure) {
+		return new CallOutcome.Failed(failure);
+	}
+
+	private static CallFailure failure(BudgetSite.Entry entry, long call) {
+		assertThat(entry.outcomes).containsKey(call);
+		return ((CallOutcome.Failed) entry.outcomes.get(call)).failure();
+	}
+
+	private static List<CallFailure> failures(BudgetSite site) {
+		return site.entries.stream()
+			.flatMap((entry) -> entry.outcomes.values().stream())
+			.map((outcome) -> ((CallOutcome.Failed) outcome).failure())
+			.toList();
+	}
+
+	/**
+	 * What the ledger decided, counted apart from it.
+	 */
+	private static final class Reading {
+
+		private final Map<ProcessId, Long> grantedTo = new HashMap<>();
+
+		private final Map<ProcessId, Long> inPeriod = new HashMap<>();
+
+		private final Set<LedgerRecord> granted = new HashSet<>();
+
+		private Ledger ledger = Ledger.remembering(Ledger.MEMORY);
+
+		private long version;
+
+		private long limit;
+
+		private long index;
+
+		private long reserved;
+
+		private boolean wrong;
+
+		static Reading of(List<BudgetSite.Logged> log) {
+			Reading reading = new Reading();
+			for (int offset = 0; offset < log.size(); offset++) {
+				reading.read(offset, log.get(offset));
+			}
+			return reading;
+		}
+
+		long reservedAt(Instant time) {
+			turnTo(time);
+			return this.reserved;
+		}
+
+		private void read(int offset, BudgetSite.Logged logged) {
+			turnTo(logged.time());
+			Ledger.Reading reading = this.ledger.apply(new Position(offset, 0), logged.time(), logged.record());
+			this.ledger = reading.ledger();
+			if (logged.record() instanceof LedgerRecord.SliceReserved record
+					&& record.configurationVersion() >= this.version) {
+				this.version = record.configurationVersion();
+				this.limit = record.limit();
+			}
+			switch (reading.changes().getFirst()) {
+				case LedgerChange.SliceGranted change -> grant(change.record());
+				case LedgerChange.SliceGivenBack change -> giveBack(change.record());
+				case LedgerChange.Voided change when change.reason() == LedgerChange.VoidReason.BUDGET_EXHAUSTED ->
+					refuse((LedgerRecord.SliceReserved) change.record());
+				default -> {
+				}
+			}
+		}
+
+		private void turnTo(Instant time) {
+			long next = time.getEpochSecond() / BudgetSite.PERIOD.toSeconds();
+			if (next != this.index) {
+				this.index = next;
+				this.reserved = 0;
+				this.inPeriod.clear();
+				this.granted.clear();
+			}
+		}
+
+		private void grant(LedgerRecord.SliceReserved record) {
+			this.reserved += record.tokens();
+			this.inPeriod.merge(record.entry(), record.tokens(), Long::sum);
+			this.grantedTo.merge(record.entry(), record.tokens(), Long::sum);
+			this.wrong |= this.reserved > this.limit || !this.granted.add(record);
+		}
+
+		private void refuse(LedgerRecord.SliceReserved record) {
+			this.wrong |= this.reserved + record.tokens() <= this.limit;
+		}
+
+		private void giveBack(LedgerRecord.SliceReturned record) {
+			this.reserved -= record.tokens();
+			this.inPeriod.merge(record.entry(), -record.tokens(), Long::sum);
+			this.grantedTo.merge(record.entry(), -record.tokens(), Long::sum);
+			this.wrong |= this.inPeriod.get(record.entry()) < 0 || record.periodIndex() != this.index;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/entry/BudgetSite.java
@@ -0,0 +1,333 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.budget.Account;
+import io.lentilslip.core.call.Answer;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.Durability;
+import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.call.Usage;
+import io.lentilslip.core.configuration.Budget;
+import io.lentilslip.core.configuration.CallerPolicy;
+import io.lentilslip.core.configuration.Configuration;
+import io.lentilslip.core.configuration.Endpoint;
+import io.lentilslip.core.configuration.GroupPolicy;
+import io.lentilslip.core.configuration.ModelPolicy;
+import io.lentilslip.core.configuration.PolicyName;
+import io.lentilslip.core.configuration.ProgramRule;
+import io.lentilslip.core.configuration.ServiceClass;
+import io.lentilslip.core.configuration.TokenCost;
+import io.lentilslip.core.configuration.UpstreamKind;
+import io.lentilslip.core.configuration.UpstreamPolicy;
+import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.GroupName;
+import io.lentilslip.core.identity.Incarnation;
+import io.lentilslip.core.identity.ModelName;
+import io.lentilslip.core.identity.ProcessId;
+import io.lentilslip.core.identity.ProgramName;
+import io.lentilslip.core.identity.VmName;
+import io.lentilslip.core.identity.ZoneName;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.link.LinkMessage;
+import io.lentilslip.core.reducer.Step;
+import io.lentilslip.core.role.AppendId;
+import io.lentilslip.core.role.AppendResult;
+import io.lentilslip.core.role.LogEvent;
+import io.lentilslip.core.role.NodeEffect;
+import io.lentilslip.core.role.NodeEvent;
+
+/**
+ * Entries over one log, with an engine that answers when it is told to. Each entry has a
+ * clock of its own and reads the log at its own pace. Confined to one thread.
+ */
+final class BudgetSite {
+
+	static final GroupName SELLERS = new GroupName("sellers");
+
+	static final GroupName BUYERS = new GroupName("buyers");
+
+	static final Duration PERIOD = Duration.ofHours(1);
+
+	private static final ZoneName ZONE = new ZoneName("north");
+
+	private static final ModelName MODEL = new ModelName("m");
+
+	private static final ProcessId SIDECAR = new ProcessId(new VmName("vm-1"), new Incarnation(1));
+
+	// What an estimate counts besides the tokens to generate.
+	private static final int TOKENS_OF_PROMPT = 10;
+
+	final List<Logged> log = new ArrayList<>();
+
+	final Deque<LedgerRecord> late = new ArrayDeque<>();
+
+	final List<Entry> entries = new ArrayList<>();
+
+	Instant now = Instant.parse("2026-07-14T10:10:00Z");
+
+	private long lives;
+
+	private long tickets;
+
+	BudgetSite(int count, long limit) {
+		for (int number = 0; number < count; number++) {
+			this.entries.add(new Entry(Duration.ofSeconds(1000L * number), 1, limit));
+		}
+	}
+
+	Entry entry(int number) {
+		return this.entries.get(number);
+	}
+
+	/**
+	 * Lets an entry die and its VM start another one.
+	 * @param number the entry
+	 * @param limit the limit in the configuration that the new one starts with
+	 * @param version the version of that configuration
+	 */
+	void restart(int number, long limit, long version) {
+		this.entries.set(number, new Entry(Duration.ofSeconds(77), version, limit));
+	}
+
+	/**
+	 * Lets records appear in the log whose appends were given up as lost.
+	 */
+	void appendLate() {
+		while (!this.late.isEmpty()) {
+			this.log.add(new Logged(this.now, this.late.remove()));
+		}
+	}
+
+	/**
+	 * Lets every append reach the log and every entry read it, until nothing is under
+	 * way.
+	 */
+	void settle() {
+		boolean moved = true;
+		while (moved) {
+			moved = false;
+			for (Entry entry : this.entries) {
+				while (!entry.appends.isEmpty()) {
+					entry.appendNext(Fate.APPENDED);
+					moved = true;
+				}
+				while (entry.read < this.log.size()) {
+					entry.readNext();
+					moved = true;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Lets time pass in steps of one second, with a log that works.
+	 * @param seconds how many seconds
+	 */
+	void pass(int seconds) {
+		for (int second = 0; second < seconds; second++) {
+			this.now = this.now.plusSeconds(1);
+			this.entries.forEach(Entry::tick);
+			settle();
+		}
+	}
+
+	private static Configuration configurationWith(GroupPolicy sellers) {
+		PolicyName desk = new PolicyName("buyers");
+		return Configuration.ofSite(new PolicyName("barca"))
+			.with(ZONE)
+			.with(sellers)
+			.with(GroupPolicy.withShare(BUYERS, 3))
+			.with(new CallerPolicy(new PolicyName("sellers"), SELLERS, Digest.of("sellers")))
+			.with(new CallerPolicy(desk, BUYERS, Digest.of("buyers")))
+			.with(new ProgramRule(new PolicyName("offers"), SELLERS, "offer-", ServiceClass.INTERACTIVE, Set.of(desk)))
+			.with(new ModelPolicy(MODEL, 100_000, 100_000, TokenCost.DEFAULT))
+			.with(new UpstreamPolicy(SIDECAR.vm(), ZONE, new Endpoint("127.0.0.1", 1), new Endpoint("127.0.0.1", 2),
+					new UpstreamKind.ForEngine(Set.of(MODEL), true, 1000), 4))
+			.build();
+	}
+
+	/**
+	 * What becomes of an append.
+	 */
+	enum Fate {
+
+		APPENDED, NOT_APPENDED, APPENDED_ANSWER_LOST, LOST_ANSWER_LOST, APPENDED_LATER
+
+	}
+
+	/**
+	 * A record in the log.
+	 *
+	 * @param time the log's time
+	 * @param record the record
+	 */
+	record Logged(Instant time, LedgerRecord record) {
+
+	}
+
+	/**
+	 * An append that an entry asked for.
+	 *
+	 * @param id the number of the append
+	 * @param record the record
+	 */
+	record Append(AppendId id, LedgerRecord record) {
+
+	}
+
+	/**
+	 * One life of an entry.
+	 */
+	final class Entry {
+
+		final ProcessId self;
+
+		final Deque<Append> appends = new ArrayDeque<>();
+
+		final Map<Long, LinkMessage.Dispatch> running = new LinkedHashMap<>();
+
+		final Map<Long, CallOutcome> outcomes = new LinkedHashMap<>();
+
+		long taken;
+
+		private final Duration skew;
+
+		private final EntryReducer reducer = new EntryReducer();
+
+		private EntryState state;
+
+		private int read;
+
+		Entry(Duration skew, long version, long limit) {
+			BudgetSite.this.lives++;
+			this.self = new ProcessId(new VmName("entry"), new Incarnation(BudgetSite.this.lives));
+			this.skew = skew;
+			this.state = EntryState.of(this.self, ZONE);
+			configure(version, limit);
+			apply(new EntryEvent.SidecarLinked(SIDECAR.vm(), SIDECAR, clock()));
+		}
+
+		void configure(long version, long limit) {
+			apply(new EntryEvent.NodeSpoke(new NodeEvent.ConfigurationAccepted(version,
+					configurationWith(GroupPolicy.withShare(SELLERS, 2).within(new Budget(limit, PERIOD))), clock())));
+		}
+
+		void configureWithoutBudget(long version) {
+			apply(new EntryEvent.NodeSpoke(new NodeEvent.ConfigurationAccepted(version,
+					configurationWith(GroupPolicy.withShare(SELLERS, 2)), clock())));
+		}
+
+		long call(long tokens) {
+			return call("sellers", Optional.empty(), tokens);
+		}
+
+		long call(String caller, Optional<ProgramName> program, long tokens) {
+			Ticket ticket = new Ticket(++BudgetSite.this.tickets);
+			Payload payload = new Payload.ForModel(MODEL, HistoryMode.WHOLE, List.of("m"),
+					Optional.of((int) tokens - TOKENS_OF_PROMPT), "{}", false);
+			apply(new EntryEvent.CallArrived(ticket, new Submission(Digest.of(caller), program, Optional.empty(),
+					Optional.empty(), Optional.empty(), Optional.of(Duration.ofMinutes(5)), payload), clock(), 1));
+			return ticket.value();
+		}
+
+		void finish(long ticket, CallOutcome outcome, long tokens) {
+			LinkMessage.Dispatch dispatch = this.running.remove(ticket);
+			this.taken += tokens;
+			apply(new EntryEvent.SidecarSpoke(SIDECAR, new LinkMessage.Finished(dispatch.attempt(), outcome), clock()));
+		}
+
+		void answer(long ticket, long tokens) {
+			finish(ticket, new CallOutcome.Answered(new Answer.FromModel("{}", "stop", new Usage((int) tokens, 0, 0)),
+					Durability.NOT_KEPT, 0), tokens);
+		}
+
+		void appendNext(Fate fate) {
+			Append append = this.appends.remove();
+			if (fate == Fate.APPENDED || fate == Fate.APPENDED_ANSWER_LOST) {
+				BudgetSite.this.log.add(new Logged(BudgetSite.this.now, append.record()));
+			}
+			if (fate == Fate.APPENDED_LATER) {
+				BudgetSite.this.late.add(append.record());
+			}
+			AppendResult result = switch (fate) {
+				case APPENDED -> AppendResult.APPENDED;
+				case NOT_APPENDED -> AppendResult.NOT_APPENDED;
+				case APPENDED_ANSWER_LOST, LOST_ANSWER_LOST, APPENDED_LATER -> AppendResult.UNKNOWN;
+			};
+			hear(new LogEvent.AppendEnded(append.id(), result, clock()));
+		}
+
+		void readNext() {
+			Logged next = BudgetSite.this.log.get(this.read);
+			hear(new LogEvent.BatchRead(this.read, next.time(), List.of(next.record()), clock()));
+			this.read++;
+		}
+
+		boolean hasUnread() {
+			return this.read < BudgetSite.this.log.size();
+		}
+
+		void hear(LogEvent event) {
+			apply(new EntryEvent.LogSpoke(event));
+		}
+
+		void loseLog() {
+			hear(new LogEvent.Unreachable(clock()));
+		}
+
+		void leave(long ticket) {
+			this.running.remove(ticket);
+			apply(new EntryEvent.CallerGone(new Ticket(ticket), clock()));
+		}
+
+		void tick() {
+			apply(new EntryEvent.NodeSpoke(new NodeEvent.Ticked(clock(), 1)));
+		}
+
+		Optional<Account<Ticket>> account() {
+			return this.state.accounts.get(SELLERS).toJavaOptional();
+		}
+
+		EntryStatus status() {
+			return this.state.status();
+		}
+
+		Instant clock() {
+			return Instant.EPOCH.plus(this.skew)
+				.plus(Duration.between(Instant.parse("2026-07-14T00:00:00Z"), BudgetSite.this.now));
+		}
+
+		private void apply(EntryEvent event) {
+			Step<EntryState, EntryEffect> step = this.reducer.apply(this.state, event);
+			this.state = step.state();
+			step.effects().forEach(this::follow);
+		}
+
+		private void follow(EntryEffect effect) {
+			switch (effect) {
+				case EntryEffect.ForNode node when node.effect() instanceof NodeEffect.Append append ->
+					this.appends.add(new Append(append.append(), append.record()));
+				case EntryEffect.Send send when send.message() instanceof LinkMessage.Dispatch dispatch ->
+					this.running.put(this.state.attempts.get(dispatch.attempt()).get().value(), dispatch);
+				case EntryEffect.Complete complete -> {
+					this.running.remove(complete.ticket().value());
+					this.outcomes.put(complete.ticket().value(), complete.outcome());
+				}
+				default -> {
+				}
+			}
+		}
+
+	}
+
+}
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/codec/LedgerReader.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/codec/LedgerReader.java
@@ -1,5 +1,6 @@
 package io.lentilslip.wire.codec;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -94,6 +95,8 @@
 			case CALL_SETTLED -> callSettled(message.getCallSettled());
 			case REQUEST_BLAMED -> requestBlamed(message.getRequestBlamed());
 			case REQUEST_CLEARED -> requestCleared(message.getRequestCleared());
+			case SLICE_RESERVED -> sliceReserved(message.getSliceReserved());
+			case SLICE_RETURNED -> sliceReturned(message.getSliceReturned());
 			case KIND_NOT_SET -> throw Fields.unknownKind("record", this.version);
 		};
 	}
@@ -158,6 +161,31 @@
 				this.calls.process(message.getSidecar()));
 	}
 
+	private LedgerRecord sliceReserved(LedgerProtocol.SliceReserved message) {
+		Fields.require(message.hasEntry(), "entry");
+		Duration period = Fields.duration(message.getPeriodNanos(), "period");
+		if (period.compareTo(LedgerRecord.SliceReserved.SHORTEST_PERIOD) < 0) {
+			throw Fields.invalid("period", "shorter than any period");
+		}
+		return new LedgerRecord.SliceReserved(this.calls.group(message.getGroup()), tokens(message.getTokens()),
+				Fields.count(message.getLimit(), "limit"), period, message.getConfigurationVersion(),
+				this.calls.process(message.getEntry()), Fields.count(message.getSequence(), "sequence"));
+	}
+
+	private LedgerRecord sliceReturned(LedgerProtocol.SliceReturned message) {
+		Fields.require(message.hasEntry(), "entry");
+		return new LedgerRecord.SliceReturned(this.calls.group(message.getGroup()), message.getPeriodIndex(),
+				tokens(message.getTokens()), this.calls.process(message.getEntry()),
+				Fields.count(message.getSequence(), "sequence"));
+	}
+
+	private static long tokens(long value) {
+		if (value < 1) {
+			throw Fields.invalid("tokens", "not positive");
+		}
+		return value;
+	}
+
 	private ProgramId program(boolean present, CallProtocol.ProgramId message) {
 		Fields.require(present, "program");
 		return this.calls.program(message);
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/codec/LedgerWriter.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/codec/LedgerWriter.java
@@ -67,6 +67,8 @@
 			case LedgerRecord.CallSettled settled -> builder.setCallSettled(write(settled)).build();
 			case LedgerRecord.RequestBlamed blamed -> builder.setRequestBlamed(write(blamed)).build();
 			case LedgerRecord.RequestCleared cleared -> builder.setRequestCleared(write(cleared)).build();
+			case LedgerRecord.SliceReserved reserved -> builder.setSliceReserved(write(reserved)).build();
+			case LedgerRecord.SliceReturned returned -> builder.setSliceReturned(write(returned)).build();
 		};
 	}
 
@@ -140,4 +142,26 @@
 			.build();
 	}
 
+	private static LedgerProtocol.SliceReserved write(LedgerRecord.SliceReserved reserved) {
+		return LedgerProtocol.SliceReserved.newBuilder()
+			.setGroup(reserved.group().value())
+			.setTokens(reserved.tokens())
+			.setLimit(reserved.limit())
+			.setPeriodNanos(Fields.nanos(reserved.period()))
+			.setConfigurationVersion(reserved.configurationVersion())
+			.setEntry(CallWriter.write(reserved.entry()))
+			.setSequence(reserved.sequence())
+			.build();
+	}
+
+	private static LedgerProtocol.SliceReturned write(LedgerRecord.SliceReturned returned) {
+		return LedgerProtocol.SliceReturned.newBuilder()
+			.setGroup(returned.group().value())
+			.setPeriodIndex(returned.periodIndex())
+			.setTokens(returned.tokens())
+			.setEntry(CallWriter.write(returned.entry()))
+			.setSequence(returned.sequence())
+			.build();
+	}
+
 }
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/codec/ArbitraryValues.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/codec/ArbitraryValues.java
@@ -93,7 +93,22 @@
 		Arbitrary<LedgerRecord> requestCleared = Combinators.combine(digests(), processes())
 			.as(LedgerRecord.RequestCleared::new);
 		return Arbitraries.oneOf(List.of(programClaimed, turnCommitted, programEnded, callClaimed, callSettled,
-				requestBlamed, requestCleared));
+				requestBlamed, requestCleared, slicesReserved(), slicesReturned()));
+	}
+
+	private static Arbitrary<LedgerRecord> slicesReserved() {
+		Arbitrary<Long> tokens = Arbitraries.longs().greaterOrEqual(1);
+		Arbitrary<Duration> periods = Arbitraries.longs()
+			.greaterOrEqual(LedgerRecord.SliceReserved.SHORTEST_PERIOD.toNanos())
+			.map(Duration::ofNanos);
+		return Combinators.combine(groups(), tokens, longs(), periods, Arbitraries.longs(), processes(), longs())
+			.as(LedgerRecord.SliceReserved::new);
+	}
+
+	private static Arbitrary<LedgerRecord> slicesReturned() {
+		return Combinators
+			.combine(groups(), Arbitraries.longs(), Arbitraries.longs().greaterOrEqual(1), processes(), longs())
+			.as(LedgerRecord.SliceReturned::new);
 	}
 
 	static Arbitrary<PublishedConfiguration> configurations() {
