--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/CallerPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/CallerPort.java
@@ -1,6 +1,7 @@
 package io.lentilslip.entry.http;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.entry.EntryEffect;
@@ -91,6 +92,14 @@
 		this.port.drain();
 	}
 
+	/**
+	 * Takes no further connections and ends those that are open after their answers.
+	 * @return a stage that completes once no connection is left
+	 */
+	public CompletableFuture<Void> finish() {
+		return this.port.finish();
+	}
+
 	@Override
 	public void close() {
 		this.port.close();
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Connection.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Connection.java
@@ -275,7 +275,7 @@
 
 	// The library would write longer bodies to a disk and take forms apart.
 	private DefaultHttpRequest withoutBody(FullHttpRequest request) {
-		DefaultHttpHeaders headers = new DefaultHttpHeaders(false);
+		DefaultHttpHeaders headers = new DefaultHttpHeaders();
 		headers.set(HEADER, name());
 		copy(HttpHeaderNames.CONNECTION, request.headers(), headers);
 		copy(HttpHeaderNames.HOST, request.headers(), headers);
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -58,6 +59,8 @@
 
 	private final AtomicBoolean closed = new AtomicBoolean();
 
+	private final CompletableFuture<Void> finished = new CompletableFuture<>();
+
 	private final HttpLimits limits;
 
 	private final BodyBudget budget;
@@ -160,6 +163,26 @@
 		this.connections.values().forEach(Connection::drain);
 	}
 
+	/**
+	 * Takes no further connections and ends those that are open after their answers. What
+	 * was answered before this call is sent whole.
+	 * @return a stage that completes once no connection is left
+	 */
+	public CompletableFuture<Void> finish() {
+		this.binding.listener.close().addListener((done) -> {
+			this.binding.finishing = true;
+			drain();
+			completeIfEmpty();
+		});
+		return this.finished.copy();
+	}
+
+	private void completeIfEmpty() {
+		if (this.binding.finishing && this.connections.isEmpty()) {
+			this.finished.complete(null);
+		}
+	}
+
 	/**
 	 * Stops listening, closes all connections and waits until no route runs any more. A
 	 * second call does nothing.
@@ -205,6 +228,8 @@
 
 		private volatile boolean draining;
 
+		private volatile boolean finishing;
+
 		private Optional<Jooby> application = Optional.empty();
 
 		private Channel listener;
@@ -302,7 +327,10 @@
 
 		private void register(SocketChannel channel, Connection connection) {
 			HttpPort.this.connections.put(connection.name(), connection);
-			channel.closeFuture().addListener((end) -> HttpPort.this.connections.remove(connection.name()));
+			channel.closeFuture().addListener((end) -> {
+				HttpPort.this.connections.remove(connection.name());
+				completeIfEmpty();
+			});
 			if (this.binding.draining) {
 				connection.endAfterNextAnswer();
 			}
