Test what an entry does when it is early or late in the log's time

Cause: two safeguards of the budgets were not brought about by a test of the entry: asking the log although nothing seems left, and not asking again at once before the log is in the period that the entry believes.

Change: a test for each.

Conclusion: the two tests pass.

--- a/lentilslip-core/src/test/java/io/lentilslip/core/entry/BudgetRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/entry/BudgetRulesTests.java
@@ -187,6 +187,42 @@
 		}
 	}
 
+	// An entry starts and reads that the budget is exhausted, from a period that is over
+	// since. Nothing else is written to the log, so it cannot know. It asks all the same,
+	// and the call runs.
+	@Test
+	void asksTheLogWhenItReadNothingNew() {
+		BudgetSite site = new BudgetSite(2, LIMIT);
+		site.entry(1).call(LIMIT);
+		site.entry(1).appendNext(BudgetSite.Fate.APPENDED);
+		site.now = site.now.plus(BudgetSite.PERIOD);
+		site.restart(0, LIMIT, 1);
+		readAll(site.entry(0));
+		site.entry(0).call(500);
+		site.settle();
+		assertThat(site.entry(0).running).hasSize(1);
+	}
+
+	// The clock of the log is behind what the entry believes, across the turn of a
+	// period. The slice is of the old period and dropped. Asking again at once would
+	// waste a slice and an append for each answer until the log's clock is there.
+	@Test
+	void doesNotAskAgainAtOnceBeforeTheLogIsInThePeriod() {
+		BudgetSite site = new BudgetSite(1, LIMIT);
+		BudgetSite.Entry entry = site.entry(0);
+		entry.call(10 + 1);
+		site.settle();
+		site.now = site.now.plus(BudgetSite.PERIOD);
+		long late = entry.call(100);
+		LedgerRecord early = entry.appends.remove().record();
+		site.log.add(new BudgetSite.Logged(site.now.minus(BudgetSite.PERIOD), early));
+		entry.readNext();
+		assertThat(entry.running).doesNotContainKey(late);
+		assertThat(entry.appends).isEmpty();
+		site.pass(1);
+		assertThat(entry.running).containsKey(late);
+	}
+
 	// The appends of an entry get no answer, and the log is not known to be down. The
 	// caller hears after a while that the log is at fault, not the budget.
 	@Test
