--- a/lentilslip-core/src/main/java/io/lentilslip/core/call/CallFailure.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/call/CallFailure.java
@@ -51,6 +51,21 @@
 		return new CallFailure(Verdict.MAY_HAVE_RUN, cause, message, Optional.empty());
 	}
 
+	/**
+	 * Returns the failure of a call of a program that has ended. A resend of a call whose
+	 * turn is in the history is not told that it did not run; later turns can never be
+	 * added.
+	 * @param call the call
+	 * @param lastCall the number of the program's last turn
+	 * @return the failure
+	 */
+	public static CallFailure ofEndedProgram(CallRequest call, int lastCall) {
+		boolean later = call instanceof CallRequest.ForModel
+				&& call.place().flatMap(ProgramCall::number).filter((number) -> number > lastCall).isPresent();
+		Verdict verdict = (later) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+		return new CallFailure(verdict, FailureCause.PROGRAM_ENDED, "The program has ended.", Optional.empty());
+	}
+
 	/**
 	 * Returns this failure with a time after which the caller may ask again.
 	 * @param delay the time to wait
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/BudgetRules.java
@@ -23,7 +23,6 @@
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.core.verdict.Verdict;
 
 /**
  * The rules for the budgets of groups: a call of a group with a budget runs once a slice
@@ -128,16 +127,20 @@
 			.orElse(RETRY_SOON);
 	}
 
-	private void refuse(Call call, CallFailure failure) {
-		new CompletionRules(this.draft).refuse(call, failure.after(verdictOf(call)));
-	}
-
 	// A call without key and number is no resend of another. Of any other one, another
 	// entry may know more.
-	private Verdict verdictOf(Call call) {
+	private void refuse(Call call, CallFailure failure) {
 		boolean single = call.request().key().isEmpty()
 				&& call.request().place().flatMap(ProgramCall::number).isEmpty();
-		return (single) ? Verdict.NOT_RUN : this.routes.unsentVerdict(call);
+		if (single) {
+			new CompletionRules(this.draft).refuse(call, failure);
+			return;
+		}
+		GroupName group = call.request().group();
+		for (Account<Ticket> account : this.draft.accounts.get(group)) {
+			this.draft.put(group, account.withdrawn(call.ticket()));
+		}
+		this.routes.refuseUnsent(call, failure);
 	}
 
 	// The call that ran was charged. Refusing its resend would hide an answer that costs
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import io.lentilslip.core.call.CallFailure;
 import io.lentilslip.core.call.CallRequest;
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.ledger.Epoch;
@@ -26,36 +27,38 @@
  * @param attempts how often it was sent
  * @param queueing the time it waited beside the upstream
  * @param firstToken when the caller got the first text, if it has
+ * @param round how often this entry had read all of the log when the call arrived
  */
 record Call(Ticket ticket, CallRequest request, Route route, Instant arrived, Instant deadline, Phase phase,
-		Transcript delivered, Verdict verdict, int attempts, Duration queueing, Optional<Instant> firstToken) {
+		Transcript delivered, Verdict verdict, int attempts, Duration queueing, Optional<Instant> firstToken,
+		long round) {
 
-	static Call of(Ticket ticket, CallRequest request, Route route, Instant arrived, Instant deadline) {
+	static Call of(Ticket ticket, CallRequest request, Route route, Instant arrived, Instant deadline, long round) {
 		return new Call(ticket, request, route, arrived, deadline, new Phase.Waiting(), Transcript.beginningWith(""),
-				Verdict.NOT_RUN, 0, Duration.ZERO, Optional.empty());
+				Verdict.NOT_RUN, 0, Duration.ZERO, Optional.empty(), round);
 	}
 
 	Call at(Phase next) {
 		int made = (next instanceof Phase.Sent && !(this.phase instanceof Phase.Sent)) ? this.attempts + 1
 				: this.attempts;
 		return new Call(this.ticket, this.request, this.route, this.arrived, this.deadline, next, this.delivered,
-				this.verdict, made, this.queueing, this.firstToken);
+				this.verdict, made, this.queueing, this.firstToken, this.round);
 	}
 
 	Call knownAs(Verdict latest) {
 		return new Call(this.ticket, this.request, this.route, this.arrived, this.deadline, this.phase, this.delivered,
-				this.verdict.and(latest), this.attempts, this.queueing, this.firstToken);
+				this.verdict.and(latest), this.attempts, this.queueing, this.firstToken, this.round);
 	}
 
 	Call afterQueueing(Duration waited) {
 		return new Call(this.ticket, this.request, this.route, this.arrived, this.deadline, this.phase, this.delivered,
-				this.verdict, this.attempts, this.queueing.plus(waited), this.firstToken);
+				this.verdict, this.attempts, this.queueing.plus(waited), this.firstToken, this.round);
 	}
 
 	Call withText(String text, Instant now) {
 		return new Call(this.ticket, this.request, this.route, this.arrived, this.deadline, this.phase,
 				this.delivered.with(text), this.verdict, this.attempts, this.queueing,
-				Optional.of(this.firstToken.orElse(now)));
+				Optional.of(this.firstToken.orElse(now)), this.round);
 	}
 
 	/**
@@ -77,6 +80,15 @@
 
 		}
 
+		/**
+		 * It is not sent, and waits for what the log says of its verdict.
+		 *
+		 * @param failure why it is not sent
+		 */
+		record Refused(CallFailure failure) implements Phase {
+
+		}
+
 		/**
 		 * It was sent to a sidecar.
 		 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
@@ -63,7 +63,14 @@
 		this.draft.put(call.get());
 		this.draft.retries = this.draft.retries.afterFirstAttempt();
 		this.draft.remindAt(call.get().deadline().plus(RouteRules.DEADLINE_GRACE), new Duty.GiveUp(event.ticket()));
-		new BudgetRules(this.draft, new RouteRules(this.draft, seed)).admit(call.get());
+		RouteRules routes = new RouteRules(this.draft, seed);
+		if (this.draft.stopping) {
+			routes.refuseUnsent(call.get(),
+					CallFailure.notRun(FailureCause.STOPPING, "This entry is stopping; another one takes the request.")
+						.retryAfter(RETRY_SOON));
+			return;
+		}
+		new BudgetRules(this.draft, routes).admit(call.get());
 	}
 
 	private void measureRefusal(CallFailure failure) {
@@ -72,15 +79,12 @@
 
 	private Either<CallFailure, Call> check(EntryEvent.CallArrived event) {
 		Submission submission = event.submission();
-		if (this.draft.stopping) {
-			return refused(FailureCause.STOPPING, "This entry is stopping; another one takes the request.");
-		}
 		return callerOf(submission.caller()).flatMap((caller) -> placeOf(caller, submission))
 			.flatMap((place) -> place.group()
 				.map((group) -> requestOf(group, place.call(), submission))
 				.orElseGet(() -> refused(FailureCause.FORBIDDEN, "The caller's group is not configured.")))
 			.flatMap((request) -> routeOf(request).map((route) -> Call.of(event.ticket(), request, route, event.now(),
-					event.now().plus(timeFor(submission)))));
+					event.now().plus(timeFor(submission)), this.draft.log.rounds())));
 	}
 
 	private static <T> Either<CallFailure, T> refused(FailureCause cause, String message) {
@@ -190,8 +194,10 @@
 					"The request crashed upstreams before and is not run again."));
 		}
 		Optional<ProgramId> program = request.place().map(ProgramCall::program);
-		if (program.flatMap(this.draft.log.ledger()::program).flatMap(ProgramState::ended).isPresent()) {
-			return refused(FailureCause.PROGRAM_ENDED, "The program has ended.");
+		Optional<ProgramState> ended = program.flatMap(this.draft.log.ledger()::program)
+			.filter((state) -> state.ended().isPresent());
+		if (ended.isPresent()) {
+			return Either.left(CallFailure.ofEndedProgram(request, ended.get().lastCall()));
 		}
 		return Either.right(switch (request) {
 			case CallRequest.ForModel call when program.isPresent() -> new Route.ForHome(program.get());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
@@ -57,6 +57,8 @@
 
 	private static final int DECIDERS = 2;
 
+	private static final int ROUNDS_TO_BE_SURE = 2;
+
 	private final Draft draft;
 
 	private final long seed;
@@ -81,12 +83,12 @@
 	private void goHome(Call call, Route.ForHome route) {
 		Optional<ProgramState> known = this.draft.log.ledger().program(route.program());
 		if (known.isEmpty()) {
-			claimHome(call, route, Epoch.NONE.next(), Optional.empty());
+			goToFirstHome(call, route);
 			return;
 		}
 		ProgramState state = known.get();
 		if (state.ended().isPresent()) {
-			refuse(call, CallFailure.notRun(FailureCause.PROGRAM_ENDED, "The program has ended."));
+			refuse(call, CallFailure.ofEndedProgram(call.request(), state.lastCall()));
 			return;
 		}
 		Optional<Peer> peer = this.draft.peer(state.home().vm()).filter((each) -> serves(each, call));
@@ -107,6 +109,23 @@
 		claimHome(call, route, state.epoch().next(), Optional.of(state.home().vm()));
 	}
 
+	// The first claim of a sub-agent whose parent has ended is void for good. Without the
+	// look at the parent the call would claim again each time it reads that, and fill the
+	// log until its deadline.
+	private void goToFirstHome(Call call, Route.ForHome route) {
+		boolean orphaned = call.request()
+			.place()
+			.flatMap(ProgramCall::parent)
+			.flatMap(this.draft.log.ledger()::program)
+			.flatMap(ProgramState::ended)
+			.isPresent();
+		if (orphaned) {
+			refuse(call, CallFailure.ofEndedProgram(call.request(), 0));
+			return;
+		}
+		claimHome(call, route, Epoch.NONE.next(), Optional.empty());
+	}
+
 	private static boolean isOtherLife(Peer peer, ProcessId known) {
 		return peer.process().isPresent() && !peer.isLinkedTo(known);
 	}
@@ -191,7 +210,7 @@
 		}
 		Optional<ProcessId> home = choose(call, excluded);
 		if (home.isEmpty()) {
-			refuse(call, noUpstream().after(unsentVerdict(call)));
+			refuseUnsent(call, noUpstream());
 			return;
 		}
 		Optional<ProgramId> parent = call.request().place().flatMap(ProgramCall::parent);
@@ -205,7 +224,7 @@
 		}
 		Optional<ProcessId> executor = choose(call, Optional.empty());
 		if (executor.isEmpty()) {
-			refuse(call, noUpstream().after(unsentVerdict(call)));
+			refuseUnsent(call, noUpstream());
 			return;
 		}
 		claim(call, new LedgerRecord.CallClaimed(route.key(), call.request().content(), executor.get()));
@@ -230,19 +249,46 @@
 
 	/**
 	 * Returns what may be said of a call that this entry has not sent. Another entry may
-	 * have sent it before: without the log, or with a claim in it, nobody can exclude
-	 * that it ran, and an entry that said so would have the caller run it twice.
+	 * have sent it before: without the log, with a claim in it, or with records in it
+	 * that this entry has not read, nobody can exclude that it ran, and an entry that
+	 * said so would have the caller run it twice.
 	 * @param call the call
 	 * @return the verdict
 	 */
 	Verdict unsentVerdict(Call call) {
+		boolean proved = !isKnown(call) && this.draft.log.isReachable() && hasReadSince(call);
+		return (proved) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+	}
+
+	private boolean isKnown(Call call) {
 		Ledger ledger = this.draft.log.ledger();
-		boolean known = switch (call.route()) {
+		return switch (call.route()) {
 			case Route.ForHome route -> ledger.program(route.program()).isPresent();
 			case Route.ForClaim route -> ledger.claim(route.key()).isPresent();
 			case Route.ForAny route -> false;
 		};
-		return (known || !this.draft.log.isReachable()) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+	}
+
+	// The first round that ends after the call arrived may have begun before.
+	private boolean hasReadSince(Call call) {
+		return call.route() instanceof Route.ForAny || this.draft.log.rounds() >= call.round() + ROUNDS_TO_BE_SURE;
+	}
+
+	/**
+	 * Refuses a call that is not sent, once this entry has read enough of the log to say
+	 * whether another one sent it.
+	 * @param call the call
+	 * @param failure why it is not sent
+	 */
+	void refuseUnsent(Call call, CallFailure failure) {
+		boolean waits = !isKnown(call) && this.draft.log.isReachable() && !hasReadSince(call)
+				&& call.deadline().isAfter(this.draft.now);
+		if (!waits) {
+			refuse(call, failure.after(unsentVerdict(call)));
+			return;
+		}
+		waitUntil(this.draft.now.plus(PAUSE_BEFORE_LOOK), call);
+		this.draft.put(call.at(new Call.Phase.Refused(failure)));
 	}
 
 	private void refuse(Call call, CallFailure failure) {
@@ -283,10 +329,25 @@
 	}
 
 	void lookAgain(Ticket ticket) {
-		Optional<Call> call = this.draft.call(ticket).filter((each) -> each.phase() instanceof Call.Phase.Waiting);
-		if (call.isPresent() && !this.draft.claims.containsKey(call.get().route())) {
-			this.draft.stopWaiting(call.get());
-			go(call.get());
+		this.draft.call(ticket).ifPresent((call) -> {
+			switch (call.phase()) {
+				case Call.Phase.Waiting waiting -> goAgain(call);
+				case Call.Phase.Refused refused -> {
+					this.draft.stopWaiting(call);
+					refuseUnsent(call, refused.failure());
+				}
+				case Call.Phase.Reserving reserving -> {
+				}
+				case Call.Phase.Sent sent -> {
+				}
+			}
+		});
+	}
+
+	private void goAgain(Call call) {
+		if (!this.draft.claims.containsKey(call.route())) {
+			this.draft.stopWaiting(call);
+			go(call);
 		}
 	}
 
@@ -347,13 +408,13 @@
 	// call even if this one may have begun.
 	private void afterHome(Call call, Route.ForHome route, Call.Phase.Sent sent, CallFailure failure) {
 		if (call.attempts() >= MOST_ATTEMPTS || !call.deadline().isAfter(this.draft.now)) {
-			refuse(call, failure);
+			refuse(call, asFarAsKnown(call, failure));
 			return;
 		}
 		switch (failure.cause()) {
 			case MOVED, NOT_READY -> waitUntil(this.draft.now.plus(PAUSE_BEFORE_LOOK), call);
 			case STOPPING, NO_UPSTREAM, UPSTREAM_FAILED -> moveHome(call, route, sent, failure);
-			default -> refuse(call, failure);
+			default -> refuse(call, asFarAsKnown(call, failure));
 		}
 	}
 
@@ -383,13 +444,23 @@
 					waitUntil(this.draft.now.plus(PAUSE_BEFORE_LOOK), call);
 				}
 				else {
-					refuse(call, failure);
+					refuse(call, asFarAsKnown(call, failure));
 				}
 			}
-			default -> refuse(call, failure);
+			default -> refuse(call, asFarAsKnown(call, failure));
 		}
 	}
 
+	// A sidecar that is not the home or executor, or could not read the log, knows only
+	// of
+	// itself that it did not run the call.
+	private CallFailure asFarAsKnown(Call call, CallFailure failure) {
+		return switch (failure.cause()) {
+			case MOVED, NOT_READY, LOG_UNAVAILABLE -> failure.after(unsentVerdict(call));
+			default -> failure;
+		};
+	}
+
 	private void afterAny(Call call, CallFailure failure) {
 		Duration left = Duration.between(this.draft.now, call.deadline());
 		FailedAttempts attempts = new FailedAttempts(failure.after(call.verdict()), call.attempts(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/role/LogView.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/role/LogView.java
@@ -12,15 +12,16 @@
  * @param next the offset of the next record to read
  * @param time the log's time of the last record read
  * @param unreachableSince since when the log cannot be read, if it cannot
+ * @param rounds how often all records that the log held had been read
  */
-public record LogView(Ledger ledger, long next, Instant time, Optional<Instant> unreachableSince) {
+public record LogView(Ledger ledger, long next, Instant time, Optional<Instant> unreachableSince, long rounds) {
 
 	/**
 	 * Returns the view of a process that has read nothing.
 	 * @return a view without records
 	 */
 	public static LogView unread() {
-		return new LogView(Ledger.remembering(Ledger.MEMORY), 0, Instant.EPOCH, Optional.empty());
+		return new LogView(Ledger.remembering(Ledger.MEMORY), 0, Instant.EPOCH, Optional.empty(), 0);
 	}
 
 	/**
@@ -38,7 +39,7 @@
 	 * @return the view
 	 */
 	public LogView withLedger(Ledger read) {
-		return new LogView(read, this.next, this.time, this.unreachableSince);
+		return new LogView(read, this.next, this.time, this.unreachableSince, this.rounds);
 	}
 
 	/**
@@ -48,7 +49,7 @@
 	 * @return the view
 	 */
 	public LogView readTo(long offset, Instant at) {
-		return new LogView(this.ledger, offset, at, Optional.empty());
+		return new LogView(this.ledger, offset, at, Optional.empty(), this.rounds);
 	}
 
 	/**
@@ -57,15 +58,16 @@
 	 * @return the view
 	 */
 	public LogView unreachable(Instant now) {
-		return new LogView(this.ledger, this.next, this.time, Optional.of(this.unreachableSince.orElse(now)));
+		return new LogView(this.ledger, this.next, this.time, Optional.of(this.unreachableSince.orElse(now)),
+				this.rounds);
 	}
 
 	/**
-	 * Returns this view after the log could be read.
+	 * Returns this view after all records were read that the log held.
 	 * @return the view
 	 */
 	public LogView reachable() {
-		return new LogView(this.ledger, this.next, this.time, Optional.empty());
+		return new LogView(this.ledger, this.next, this.time, Optional.empty(), this.rounds + 1);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -64,7 +64,7 @@
 			return;
 		}
 		if (state.get().ended().isPresent()) {
-			this.draft.refuse(arrival, CallFailure.notRun(FailureCause.PROGRAM_ENDED, "The program has ended."));
+			this.draft.refuse(arrival, CallFailure.ofEndedProgram(arrival.call(), state.get().lastCall()));
 			return;
 		}
 		Home home = this.draft.home(program).orElseGet(() -> open(program, state.get()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
@@ -199,9 +199,9 @@
 	void reported(SidecarEvent.UpstreamReported event) {
 		UpstreamView before = this.draft.upstream;
 		this.draft.upstream = new UpstreamView(true, event.instance(), event.heldTokens());
-		if (before.instance() != 0 && before.instance() != event.instance()) {
-			new SessionRules(this.draft).forgetAll();
-		}
+		// A report of another instance lags: a request may have begun there before it. So
+		// the sessions stay noted; the engine says for each that it does not know it when
+		// its program ends, and no memory of the new instance is left behind.
 		if (!before.up()) {
 			this.draft.report(NoticeCode.ENGINE_BACK.with(FieldName.VM, this.draft.self.vm()));
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SessionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SessionRules.java
@@ -6,7 +6,6 @@
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.sidecar.SidecarState.SessionPhase;
-import io.vavr.collection.HashMap;
 
 /**
  * The rules by which engine memory held for programs goes back. Confined to one
@@ -60,13 +59,6 @@
 		}
 	}
 
-	/**
-	 * Forgets all sessions, since the engine's memory is empty after its restart.
-	 */
-	void forgetAll() {
-		this.draft.sessions = HashMap.empty();
-	}
-
 	private boolean isReleasing(ProgramId program) {
 		return this.draft.sessions.get(program).contains(SessionPhase.RELEASING);
 	}
