--- a/lentilslip-core/src/test/java/io/lentilslip/core/model/ModelTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/model/ModelTests.java
@@ -29,6 +29,8 @@
 
 	private static final int LONGEST = 90;
 
+	private static final Action SETTLE = new Action(Kind.SETTLE, 0, 0);
+
 	@Property(seed = "1", tries = SEQUENCES)
 	void keepsItsPromises(@ForAll("mixed") List<Action> sequence) {
 		run(sequence);
@@ -49,6 +51,37 @@
 		run(sequence);
 	}
 
+	// An engine crashes and comes back. A call begins in its new instance before the
+	// report
+	// of it arrives; the program ends, and the engine must not go on holding its memory.
+	@Example
+	void releasesWhatANewInstanceHoldsBeforeItsReport() {
+		run(new Action(Kind.CALL, 0, 0), new Action(Kind.ENGINE_FAULT, 1, 0));
+	}
+
+	// A call runs through one entry while the other one has just started and has read
+	// nothing. The resend through it is not told that nothing ran.
+	@Example
+	void doesNotSayNotRunBeforeItHasReadTheLog() {
+		run(new Action(Kind.CALL, 0, 1), SETTLE, new Action(Kind.CRASH, 0, 0), new Action(Kind.RESEND, 0, 0),
+				new Action(Kind.DELIVER, 0, 3), new Action(Kind.DELIVER, 0, 3));
+	}
+
+	// A program ends, and its sub-agent makes its first call then. Each claim of its home
+	// is void: the call is refused, and the log does not fill with claims.
+	@Example
+	void refusesTheFirstCallOfASubAgentWhoseParentHasEnded() {
+		run(new Action(Kind.CALL, 0, 0), SETTLE, new Action(Kind.END, 0, 0), SETTLE, new Action(Kind.CALL, 3, 0));
+	}
+
+	// A call has its turn, its program ends, and the caller sends the call again: it is
+	// not
+	// told that it did not run.
+	@Example
+	void doesNotSayNotRunOfATurnOfAnEndedProgram() {
+		run(new Action(Kind.CALL, 0, 0), SETTLE, new Action(Kind.END, 0, 0), SETTLE, new Action(Kind.RESEND, 0, 0));
+	}
+
 	// Runs as many sequences more as the system property says, from a seed that it may
 	// name, to look for what the fixed seeds do not meet.
 	@Example
@@ -91,6 +124,10 @@
 		return sequences(Map.of(Kind.SETTLE, 1, Kind.DELIVER, 70, Kind.RESEND, 25, Kind.DISCONNECT, 5, Kind.END, 4));
 	}
 
+	private static void run(Action... actions) {
+		run(List.of(actions));
+	}
+
 	private static void run(List<Action> sequence) {
 		World world = new World();
 		sequence.forEach(world::perform);
