Run no call whose claim a release under way may release

Cause: a sidecar releases a claim and the append has no answer. The release takes effect, or its copy does, and the same sidecar is claimed anew. When the other copy takes effect then, it releases the new claim while the call runs, and a third claim lets another sidecar run it a second time: the record names no claim, only the key and the executor.

Change: for five minutes after a release without an answer the sidecar runs nothing for that key and releases each claim of it, which does no harm however often.

Conclusion: a call may be refused as not run for five minutes if all its sidecars lost the answer to a release. A release that takes effect later than that is not covered; the records would have to name the claim.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/ClaimRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/ClaimRules.java
@@ -52,7 +52,7 @@
 			meet(arrival, job.get());
 			return;
 		}
-		Optional<CallFailure> refusal = new EntryRules(this.draft).refusalOfNew();
+		Optional<CallFailure> refusal = refusalOf(standing.key());
 		if (refusal.isPresent()) {
 			release(key, arrival, refusal.get());
 			return;
@@ -63,6 +63,16 @@
 		new QueueRules(this.draft).enqueue(key, arrival, added);
 	}
 
+	// An earlier release of this key whose append had no answer may yet take effect. It
+	// would release this claim while the call runs, and another process would run it a
+	// second time. What does not run here can be released any number of times.
+	private Optional<CallFailure> refusalOf(CallKey key) {
+		if (this.draft.unsureReleases.contains(key)) {
+			return Optional.of(EntryRules.notRunSoon(FailureCause.MOVED, "The claim was released."));
+		}
+		return new EntryRules(this.draft).refusalOfNew();
+	}
+
 	private void release(JobKey.ForClaim key, Arrival arrival, CallFailure refusal) {
 		Job job = new QueueRules(this.draft).jobOf(key, arrival, List.of());
 		this.draft.attempts = this.draft.attempts.put(arrival.attempt(), key);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Draft.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Draft.java
@@ -12,6 +12,7 @@
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.identity.ZoneName;
+import io.lentilslip.core.ledger.CallKey;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.link.AttemptId;
 import io.lentilslip.core.link.LinkMessage;
@@ -67,6 +68,8 @@
 
 	Map<AppendId, LedgerRecord> appends;
 
+	Set<CallKey> unsureReleases;
+
 	Map<ProgramId, SessionPhase> sessions;
 
 	UpstreamView upstream;
@@ -102,6 +105,7 @@
 		this.waiting = state.waiting;
 		this.parked = state.parked;
 		this.appends = state.appends;
+		this.unsureReleases = state.unsureReleases;
 		this.sessions = state.sessions;
 		this.upstream = state.upstream;
 		this.agenda = state.agenda;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Duty.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Duty.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.sidecar;
 
 import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.ledger.CallKey;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.link.AttemptId;
 
@@ -37,6 +38,15 @@
 
 	}
 
+	/**
+	 * A release whose append had no answer can no longer take effect.
+	 *
+	 * @param key the key that was released
+	 */
+	record ForgetRelease(CallKey key) implements Duty {
+
+	}
+
 	/**
 	 * The engine may be told again to release the cache of a program.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/LedgerRules.java
@@ -15,6 +15,7 @@
 import io.lentilslip.core.role.AppendResult;
 import io.lentilslip.core.role.LogEvent;
 import io.lentilslip.core.role.LogView;
+import io.lentilslip.core.verdict.Verdict;
 
 /**
  * The rules for what the log says. Confined to one application of the reducer.
@@ -23,6 +24,11 @@
 
 	private static final Duration PAUSE_BEFORE_APPEND_AGAIN = Duration.ofMillis(250);
 
+	/**
+	 * How long after its answer was lost an append may take effect.
+	 */
+	private static final Duration LATEST_APPEND = Duration.ofMinutes(5);
+
 	private final Draft draft;
 
 	LedgerRules(Draft draft) {
@@ -112,10 +118,18 @@
 		}
 		if (event.result() == AppendResult.UNKNOWN) {
 			this.draft.report(NoticeCode.APPEND_UNKNOWN.with(FieldName.STREAM, "programs"));
+			noteRelease(record.get());
 		}
 		this.draft.remind(PAUSE_BEFORE_APPEND_AGAIN, new Duty.AppendAgain(record.get()));
 	}
 
+	private void noteRelease(LedgerRecord record) {
+		if (record instanceof LedgerRecord.CallSettled settled && settled.outcome().verdict() == Verdict.NOT_RUN) {
+			this.draft.unsureReleases = this.draft.unsureReleases.add(settled.key());
+			this.draft.remind(LATEST_APPEND, new Duty.ForgetRelease(settled.key()));
+		}
+	}
+
 	/**
 	 * Appends a record again if it is still wanted. A copy that took effect unseen makes
 	 * this one void.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
@@ -69,6 +69,8 @@
 			case Duty.TellOutcome tell -> homes.tellOutcome(tell.key());
 			case Duty.StopOrphan orphan -> new EntryRules(this.draft).stopOrphan(orphan.key());
 			case Duty.AppendAgain again -> new LedgerRules(this.draft).appendAgain(again.record());
+			case Duty.ForgetRelease forget ->
+				this.draft.unsureReleases = this.draft.unsureReleases.remove(forget.key());
 			case Duty.ReleaseAgain again -> new SessionRules(this.draft).releaseAgain(again.program());
 			case Duty.CheckIdle check -> homes.checkIdle(check.program());
 			case Duty.CheckLifetime check -> homes.checkLifetime(check.program());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/SidecarState.java
@@ -8,6 +8,7 @@
 import io.lentilslip.core.identity.ProcessId;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.identity.ZoneName;
+import io.lentilslip.core.ledger.CallKey;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.link.AttemptId;
 import io.lentilslip.core.link.LinkMessage;
@@ -19,6 +20,7 @@
 import io.lentilslip.core.share.QueueBounds;
 import io.lentilslip.core.share.Shares;
 import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
 import io.vavr.collection.Map;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
@@ -63,6 +65,8 @@
 
 	final Map<AppendId, LedgerRecord> appends;
 
+	final Set<CallKey> unsureReleases;
+
 	final Map<ProgramId, SessionPhase> sessions;
 
 	final UpstreamView upstream;
@@ -96,6 +100,7 @@
 		this.waiting = HashMap.empty();
 		this.parked = Vector.empty();
 		this.appends = HashMap.empty();
+		this.unsureReleases = HashSet.empty();
 		this.sessions = HashMap.empty();
 		this.upstream = UpstreamView.unknown();
 		this.agenda = Agenda.empty();
@@ -122,6 +127,7 @@
 		this.waiting = draft.waiting;
 		this.parked = draft.parked;
 		this.appends = draft.appends;
+		this.unsureReleases = draft.unsureReleases;
 		this.sessions = draft.sessions;
 		this.upstream = draft.upstream;
 		this.agenda = draft.agenda;
