Run the roles from the command line, and show a whole site in one command

Cause: entry and sidecar could be started only by tests, and a newcomer had nothing to run. The first whole program showed a fault: a caller who sends an answer back as part of the conversation was refused with history_mismatch. The sidecar kept answers as "role, content" while the entry sorts the fields of callers' messages, and stock clients add fields that have no value.

"status" reads the admin ports. Sidecar and entry now give messages one form: fields sorted, none without a value, no empty content beside tool calls.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
@@ -8,8 +8,9 @@
 /**
  * One command of the command line. Implementations are safe for use by several threads.
  */
-public sealed interface Command permits ConfigCheckCommand, ConfigDiffCommand, ConfigPublishCommand, ConfigShowCommand,
-		StatusCommand, KeyHashCommand, StandInCommand, VersionCommand {
+public sealed interface Command
+		permits EntryCommand, SidecarCommand, ConfigCheckCommand, ConfigDiffCommand, ConfigPublishCommand,
+		ConfigShowCommand, StatusCommand, KeyHashCommand, DemoCommand, StandInCommand, VersionCommand {
 
 	/**
 	 * Returns the words by which the command is called.
--- a/lentilslip-application/src/main/java/io/lentilslip/application/status/StatusReport.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/status/StatusReport.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.StreamSupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -30,7 +31,7 @@
 
 	private static final String VERSION = "configuration_version";
 
-	private static final String[] COUNTS = { "open_calls", "queued", "running", "limit", "homes", "pending_turns",
+	private static final String[] COUNTS = { "calls", "queued", "running", "limit", "homes", "pending_turns",
 			"held_tokens" };
 
 	/**
@@ -93,15 +94,25 @@
 	}
 
 	private static void addProcess(TextTable table, ProcessReport process, JsonNode status) {
-		String links = status.has("links")
-				? status.path("links").path("up").asText() + "/" + status.path("links").path("known").asText()
-				: shown(status, "entries");
 		table.add(shown(status, "vm"), shown(status, "role"), process.address(), shown(status, "status"),
-				shown(status, VERSION), links, shown(status, COUNTS[0]), shown(status, COUNTS[1]),
+				shown(status, VERSION), links(status), shown(status, COUNTS[0]), shown(status, COUNTS[1]),
 				shown(status, COUNTS[2]), shown(status, COUNTS[3]), shown(status, COUNTS[4]), shown(status, COUNTS[5]),
 				shown(status, COUNTS[6]));
 	}
 
+	// An entry shows its sidecars, of which some may not be linked; a sidecar counts the
+	// entries that are.
+	private static String links(JsonNode status) {
+		JsonNode upstreams = status.path("upstreams");
+		if (!upstreams.isArray()) {
+			return shown(status, "entries");
+		}
+		long linked = StreamSupport.stream(upstreams.spliterator(), false)
+			.filter((upstream) -> upstream.path("linked").asBoolean())
+			.count();
+		return linked + "/" + upstreams.size();
+	}
+
 	private static String shown(JsonNode status, String field) {
 		return status.path(field).asText(UNKNOWN);
 	}
--- a/lentilslip-application/src/test/java/io/lentilslip/application/command/CommandLineToolTests.java
+++ b/lentilslip-application/src/test/java/io/lentilslip/application/command/CommandLineToolTests.java
@@ -9,8 +9,8 @@
 class CommandLineToolTests {
 
 	@ParameterizedTest
-	@ValueSource(strings = { "config check", "config diff", "config publish", "config show", "status", "key hash",
-			"standin", "version" })
+	@ValueSource(strings = { "entry", "sidecar", "config check", "config diff", "config publish", "config show",
+			"status", "key hash", "demo", "standin", "version" })
 	void everyCommandHasHelp(String words) {
 		CommandRun run = CommandRun.of((words + " --help").split(" "));
 		assertThat(run.code()).isEqualTo(ExitCode.OK);
@@ -35,7 +35,8 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "confg check x", "config", "config check", "config check a b", "config check a --log x",
 			"config show", "config show --log localhost:1", "config publish x --log 127.0.0.1:1 --base -2",
-			"config publish x --log 127.0.0.1:1 --publication x", "status", "status --entry host:1", "version x",
+			"config publish x --log 127.0.0.1:1 --publication x", "entry", "entry --settings x --set key",
+			"entry --settings x --set a.b=1 --set a.b=2", "status", "status --entry host:1", "version x",
 			"standin engine --listen 127.0.0.1:0", "standin log --listen 10.0.0.1:0",
 			"standin disk --listen 127.0.0.1:0" })
 	void wrongCommandLinesAreRefusedOnStandardError(String line) {
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/ChatRequest.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/ChatRequest.java
@@ -123,13 +123,32 @@
 
 	private static ChatRequest from(ObjectNode root, HistoryMode mode) {
 		List<String> messages = new ArrayList<>();
-		root.path("messages").forEach((message) -> messages.add(Json.canonical(message)));
+		root.path("messages").forEach((message) -> messages.add(Json.canonical(withoutEmptyFields(message))));
 		ObjectNode parameters = root.deepCopy().without(OWN_FIELDS);
 		Payload.ForModel payload = new Payload.ForModel(new ModelName(root.path("model").textValue()), mode, messages,
 				maximum(root), Json.canonical(parameters), root.path("stream").booleanValue());
 		return new ChatRequest(payload, root.path("stream_options").path("include_usage").booleanValue());
 	}
 
+	// Stock clients send an answer back with fields that they show but that have no
+	// value,
+	// such as refusal, and with an empty content beside tool calls. Left in, the message
+	// would not match the history, which never had them.
+	private static JsonNode withoutEmptyFields(JsonNode message) {
+		if (!(message instanceof ObjectNode object)) {
+			return message;
+		}
+		ObjectNode copy = object.objectNode();
+		object.properties()
+			.stream()
+			.filter((field) -> !field.getValue().isNull())
+			.forEach((field) -> copy.set(field.getKey(), field.getValue()));
+		if (copy.has("tool_calls") && copy.path("content").asText("-").isEmpty()) {
+			copy.remove("content");
+		}
+		return copy;
+	}
+
 	private static Optional<Integer> maximum(ObjectNode root) {
 		return Optional.of(root.path("max_completion_tokens"))
 			.filter(JsonNode::isNumber)
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ChatRequestTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ChatRequestTests.java
@@ -24,6 +24,18 @@
 		assertThat(request.usageIncluded()).isTrue();
 	}
 
+	// A stock client sends back an answer as it got it, with fields that have no value.
+	// The
+	// history never had these; compared as they are, the call would fail as a mismatch.
+	@Test
+	void fieldsWithoutAValueAreNoPartOfAMessage() {
+		ChatRequest request = read("{\"model\":\"m\",\"messages\":[{\"role\":\"assistant\",\"content\":\"\","
+				+ "\"refusal\":null,\"tool_calls\":[{\"id\":\"c\"}]},{\"role\":\"user\",\"content\":\"\"}]}")
+			.get();
+		assertThat(request.payload().messages()).containsExactly(
+				"{\"role\":\"assistant\",\"tool_calls\":[{\"id\":\"c\"}]}", "{\"content\":\"\",\"role\":\"user\"}");
+	}
+
 	@Test
 	void newerNameOfTheMaximumGoesBeforeTheOlder() {
 		ChatRequest request = read("{\"model\":\"m\"," + MESSAGES + ",\"max_tokens\":5,\"max_completion_tokens\":7}")
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
@@ -4,6 +4,9 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.util.RawValue;
@@ -28,6 +31,9 @@
  */
 final class EngineRuns {
 
+	private static final ObjectMapper SORTING = new ObjectMapper()
+		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+
 	private static final int LOWEST_CLIENT_ERROR = 400;
 
 	private static final int LOWEST_SERVER_ERROR = 500;
@@ -106,12 +112,33 @@
 		return array.append(']').toString();
 	}
 
-	private static String message(String content, Optional<String> toolCalls) {
-		ObjectNode message = JsonNodeFactory.instance.objectNode().put("role", "assistant").put("content", content);
-		toolCalls.ifPresent((calls) -> message.putRawValue("tool_calls", new RawValue(calls)));
+	/**
+	 * Returns an assistant's message in the form that messages of callers have: fields
+	 * sorted, none without a value. A caller who sends this answer back as part of the
+	 * conversation would else be told that it does not match the history.
+	 * @param content the text
+	 * @param toolCalls the tool calls, if there are any
+	 * @return the message as a JSON object
+	 */
+	static String message(String content, Optional<String> toolCalls) {
+		ObjectNode message = JsonNodeFactory.instance.objectNode();
+		if (!content.isEmpty() || toolCalls.isEmpty()) {
+			message.put("content", content);
+		}
+		message.put("role", "assistant");
+		toolCalls.ifPresent((calls) -> message.putRawValue("tool_calls", new RawValue(sorted(calls))));
 		return message.toString();
 	}
 
+	private static String sorted(String json) {
+		try {
+			return SORTING.writeValueAsString(SORTING.readValue(json, Object.class));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("tool calls that are no JSON", ex);
+		}
+	}
+
 	/**
 	 * Returns the result of a request that met a fault of ours.
 	 * @param fault the fault
--- a/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/upstream/EngineRunsTests.java
+++ b/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/upstream/EngineRunsTests.java
@@ -1,5 +1,7 @@
 package io.lentilslip.sidecar.upstream;
 
+import java.util.Optional;
+
 import io.lentilslip.core.sidecar.RunResult;
 import io.lentilslip.core.verdict.Verdict;
 import io.lentilslip.platform.engine.EngineFailure;
@@ -36,6 +38,16 @@
 		assertThat(crashed(new EngineFailure.Cause.Cancelled())).isFalse();
 	}
 
+	// The caller sends the answer back with its next call, and the entry sorts the fields
+	// of what callers send. The home compares the texts: they have to be the same.
+	@Test
+	void answerHasTheFormOfMessagesThatCallersSend() {
+		assertThat(EngineRuns.message("good day", Optional.empty()))
+			.isEqualTo("{\"content\":\"good day\",\"role\":\"assistant\"}");
+		assertThat(EngineRuns.message("", Optional.of("[{\"type\":\"function\",\"id\":\"c\"}]")))
+			.isEqualTo("{\"role\":\"assistant\",\"tool_calls\":[{\"id\":\"c\",\"type\":\"function\"}]}");
+	}
+
 	private static boolean crashed(EngineFailure.Cause cause) {
 		return ((RunResult.Failed) EngineRuns.result(failure(Verdict.MAY_HAVE_RUN, cause))).crashed();
 	}
