Apply the operators' limits of requests to the callers' port

Cause: the port kept its own bounds of body, headers, open calls and stalled streams, whatever the configuration in force said. Change: the port asks for its limits at each new connection and call. Conclusion: a published limit holds for new connections at once; those that are open keep the bounds they began with.

--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/EntryProcess.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/EntryProcess.java
@@ -144,7 +144,7 @@
 		CallerDesk desk = new CallerDesk(this.self.incarnation(), new NodeSubmissions(), this::configuration,
 				this.node::now, this.node.context().seeds()::next);
 		int threads = Runtime.getRuntime().availableProcessors();
-		this.callers = Optional.of(CallerPort.open(this.settings.callers(), HttpLimits.DEFAULT, threads, desk));
+		this.callers = Optional.of(CallerPort.open(this.settings.callers(), this::httpLimits, threads, desk));
 		this.admin = Optional.of(AdminPort.open(process.admin(), this.metrics, this::view));
 		this.node.start(this::run);
 	}
@@ -186,6 +186,10 @@
 				this.callers.map(CallerPort::openCalls).orElse(0), this.callers.map(CallerPort::connections).orElse(0));
 	}
 
+	private HttpLimits httpLimits() {
+		return HttpLimits.in(configuration());
+	}
+
 	private Optional<Configuration> configuration() {
 		return this.node.configuration().newest().map(PublishedVersion::configuration);
 	}
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/AdminPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/AdminPort.java
@@ -39,7 +39,7 @@
 	 * @return the port, which listens already
 	 */
 	public static AdminPort open(Endpoint endpoint, Metrics metrics, Supplier<AdminView> view) {
-		return new AdminPort(HttpPort.open(endpoint, LIMITS, 1, (application, port) -> {
+		return new AdminPort(HttpPort.open(endpoint, () -> LIMITS, 1, (application, port) -> {
 			route(application, port, "/metrics", () -> HttpAnswer.ofText(Metrics.CONTENT_TYPE, metrics.exposition()));
 			route(application, port, "/health", () -> health(view.get()));
 			route(application, port, "/status", () -> HttpAnswer.ofJson(HttpAnswer.OK, List.of(), toJson(view.get())));
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/CallerPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/CallerPort.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.entry.EntryEffect;
@@ -26,13 +27,14 @@
 	/**
 	 * Opens the port.
 	 * @param endpoint the address to listen on, with port 0 for a free one
-	 * @param limits the bounds of its memory and times
+	 * @param limits the bounds of its memory and times, asked again for new connections
+	 * and calls
 	 * @param threads the number of threads
 	 * @param desk what the requests need of the entry
 	 * @return the port, which listens already
 	 */
-	public static CallerPort open(Endpoint endpoint, HttpLimits limits, int threads, CallerDesk desk) {
-		OpenCalls calls = new OpenCalls(limits.openCalls());
+	public static CallerPort open(Endpoint endpoint, Supplier<HttpLimits> limits, int threads, CallerDesk desk) {
+		OpenCalls calls = new OpenCalls(() -> limits.get().openCalls());
 		HttpPort port = HttpPort.open(endpoint, limits, threads, new CallerRoutes(desk, calls));
 		return new CallerPort(calls, port);
 	}
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
@@ -61,7 +62,7 @@
 
 	private final CompletableFuture<Void> finished = new CompletableFuture<>();
 
-	private final HttpLimits limits;
+	private final Supplier<HttpLimits> limits;
 
 	private final BodyBudget budget;
 
@@ -69,9 +70,9 @@
 
 	private final Binding binding;
 
-	private HttpPort(Endpoint endpoint, HttpLimits limits, int threads, Routes routes) {
+	private HttpPort(Endpoint endpoint, Supplier<HttpLimits> limits, int threads, Routes routes) {
 		this.limits = limits;
-		this.budget = new BodyBudget(limits.bodyBytesInAll());
+		this.budget = new BodyBudget(limits.get().bodyBytesInAll());
 		this.loops = new NioEventLoopGroup(threads);
 		Jooby application = new Jooby();
 		application.setExecutionMode(ExecutionMode.EVENT_LOOP);
@@ -92,12 +93,12 @@
 	/**
 	 * Opens a port.
 	 * @param endpoint the address to listen on, with port 0 for a free one
-	 * @param limits the bounds of its memory and times
+	 * @param limits the bounds of its memory and times, asked for each connection
 	 * @param threads the number of threads
 	 * @param routes what is answered
 	 * @return the port, which listens already
 	 */
-	static HttpPort open(Endpoint endpoint, HttpLimits limits, int threads, Routes routes) {
+	static HttpPort open(Endpoint endpoint, Supplier<HttpLimits> limits, int threads, Routes routes) {
 		return new HttpPort(endpoint, limits, threads, routes);
 	}
 
@@ -238,7 +239,7 @@
 			this.endpoint = endpoint;
 			this.options.setHost(endpoint.ip());
 			this.options.setPort(endpoint.port());
-			this.options.setMaxRequestSize(HttpPort.this.limits.bodyBytes());
+			this.options.setMaxRequestSize(HttpPort.this.limits.get().bodyBytes());
 			this.options.setBufferSize(BUFFER_BYTES);
 		}
 
@@ -305,7 +306,7 @@
 
 		@Override
 		protected void initChannel(SocketChannel channel) {
-			HttpLimits limits = HttpPort.this.limits;
+			HttpLimits limits = HttpPort.this.limits.get();
 			if (HttpPort.this.connections.size() >= limits.connections()) {
 				channel.close();
 				return;
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/OpenCalls.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/OpenCalls.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 import io.lentilslip.core.entry.Ticket;
 
@@ -16,7 +17,7 @@
  */
 final class OpenCalls {
 
-	private final int limit;
+	private final IntSupplier limit;
 
 	private final Map<Ticket, PendingCall> calls = new ConcurrentHashMap<>();
 
@@ -28,7 +29,7 @@
 	 * Creates a table without calls.
 	 * @param limit the most calls
 	 */
-	OpenCalls(int limit) {
+	OpenCalls(IntSupplier limit) {
 		this.limit = limit;
 	}
 
@@ -47,7 +48,7 @@
 	 * @return whether the call was added
 	 */
 	boolean add(Ticket ticket, PendingCall call) {
-		if (this.count.incrementAndGet() > this.limit) {
+		if (this.count.incrementAndGet() > this.limit.getAsInt()) {
 			this.count.decrementAndGet();
 			return false;
 		}
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
@@ -55,7 +55,7 @@
 		this.script = script;
 		CallerDesk desk = new CallerDesk(new Incarnation(7), this, () -> configuration, InstantSource.system(),
 				() -> 1L);
-		this.port = CallerPort.open(new Endpoint("127.0.0.1", 0), limits, 2, desk);
+		this.port = CallerPort.open(new Endpoint("127.0.0.1", 0), () -> limits, 2, desk);
 	}
 
 	static ScriptedEntry following(Script script) {
