--- a/lentilslip-verification/src/main/java/io/lentilslip/verification/path/PathBenchmark.java
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/path/PathBenchmark.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 
+import io.lentilslip.telemetry.LogSettings;
 import io.lentilslip.verification.path.LoadClient.CallKind;
 import io.lentilslip.verification.path.LoadClient.Measured;
 
@@ -47,6 +48,7 @@
 		if (arguments.length != PARAMETERS) {
 			throw new IllegalArgumentException("expected: prepare|standins|measure FOLDER PORT");
 		}
+		LogSettings.defaults().apply();
 		BenchmarkSite site = new BenchmarkSite(Path.of(arguments[1]), Integer.parseInt(arguments[2]));
 		switch (arguments[0]) {
 			case "prepare" -> {
