Refuse turns no record holds, end programs without a group, refund failed runs

Cause: a call that added over 1 MiB was run, could never be committed and blocked its program as pending; programs of a removed group kept their engine memory until idle; a run that failed or was refused stayed charged with the whole estimate, so a group lost share for work it never got. Change: the home refuses such a call as too large before it runs, ends programs whose group is gone through the log, and settles what a run that did not run was expected to cost. Conclusion: histories may be as long as their limit, single calls not longer than a record; a whole conversation of more needs several turns.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/share/FairQueue.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/share/FairQueue.java
@@ -234,6 +234,15 @@
 		return (int) Math.min(size(), this.backlog.callsAheadOf(group));
 	}
 
+	/**
+	 * Returns the service that a program has attained, what is estimated included.
+	 * @param program the program
+	 * @return the cost charged to it, 0 for a program that is not remembered
+	 */
+	public long attained(ProgramId program) {
+		return this.programs.find(program).map(ProgramAccounts.Account::attained).orElse(0L);
+	}
+
 	/**
 	 * Returns the number of programs whose service is remembered.
 	 * @return the number of programs
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.sidecar;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -12,6 +13,7 @@
 import io.lentilslip.core.call.Durability;
 import io.lentilslip.core.call.FailureCause;
 import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.configuration.Configuration;
 import io.lentilslip.core.configuration.Limits;
 import io.lentilslip.core.configuration.Limits.ProgramLimits;
 import io.lentilslip.core.identity.ProgramId;
@@ -40,6 +42,13 @@
 
 	private static final int PENDING_BOUND = 8;
 
+	/**
+	 * The most bytes that a call may add. A turn is one record, and the log takes no
+	 * record over 1 MiB: a larger turn would be answered and then wait for ever to be
+	 * kept. The rest is left for the answer and the envelope.
+	 */
+	private static final int TURN_BYTES = 768 << 10;
+
 	private static final Duration ORDER_WAIT = Duration.ofSeconds(5);
 
 	private static final Duration OUTCOME_WAIT = Duration.ofSeconds(1);
@@ -249,12 +258,21 @@
 			this.draft.refuse(arrival, CallFailure.notRun(FailureCause.INVALID, "The call adds no message."));
 			return;
 		}
+		if (bytesOf(added.get()) > TURN_BYTES) {
+			this.draft.refuse(arrival, CallFailure.notRun(FailureCause.TOO_LARGE,
+					"A call may add at most " + TURN_BYTES + " bytes to the history."));
+			return;
+		}
 		JobKey key = new JobKey.ForTurn(home.program(), home.next());
 		if (new QueueRules(this.draft).enqueue(key, arrival, added.get())) {
 			this.draft.put(this.draft.home(home.program()).orElseThrow().withActive(Optional.of(key), this.draft.now));
 		}
 	}
 
+	private static long bytesOf(List<String> messages) {
+		return messages.stream().mapToLong((message) -> message.getBytes(StandardCharsets.UTF_8).length).sum();
+	}
+
 	private Optional<CallFailure> limitReached(Home home, CallRequest.ForModel call) {
 		ProgramLimits limits = limits().programs();
 		if (home.pending() >= PENDING_BOUND) {
@@ -425,6 +443,19 @@
 		end(program, EndReason.IDLE);
 	}
 
+	/**
+	 * Ends the programs whose groups are no longer configured. Nobody could call them any
+	 * more, and their cache would stay held until they were idle for too long.
+	 * @param configuration the configuration in force
+	 */
+	void endWithoutGroup(Configuration configuration) {
+		for (ProgramId program : this.draft.homes.keySet()) {
+			if (configuration.group(program.group()).isEmpty()) {
+				end(program, EndReason.GROUP_REMOVED);
+			}
+		}
+	}
+
 	void checkLifetime(ProgramId program) {
 		if (this.draft.home(program).isPresent()) {
 			end(program, EndReason.LIFETIME);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
@@ -51,6 +51,7 @@
 			.of(new Setup(event.version(), configuration, configuration.upstream(this.draft.self.vm())));
 		this.draft.queue = this.draft.queue.withShares(Shares.in(configuration))
 			.withBounds(QueueBounds.in(configuration));
+		new HomeRules(this.draft).endWithoutGroup(configuration);
 		new QueueRules(this.draft).pump();
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
@@ -74,11 +74,11 @@
 	}
 
 	private void conclude(Job job, RunResult result) {
+		settleCost(job, result);
 		switch (result) {
 			case RunResult.Generated generated -> {
 				Answer.FromModel answer = new Answer.FromModel(generated.message(), generated.finishReason(),
 						generated.usage());
-				this.draft.queue = this.draft.queue.settle(job.entry(), costOf(job.call(), generated.usage()));
 				answered(job, answer);
 			}
 			case RunResult.Served served -> answered(job, served.answer());
@@ -87,6 +87,23 @@
 		}
 	}
 
+	// What a call was expected to cost was charged when it started. A group whose calls
+	// fail
+	// would go on paying for what it never got, and lose its share to the others.
+	private void settleCost(Job job, RunResult result) {
+		switch (result) {
+			case RunResult.Generated generated ->
+				this.draft.queue = this.draft.queue.settle(job.entry(), costOf(job.call(), generated.usage()));
+			case RunResult.Rejected rejected -> this.draft.queue = this.draft.queue.settle(job.entry(), 0);
+			case RunResult.Failed failed when failed.verdict() == Verdict.NOT_RUN ->
+				this.draft.queue = this.draft.queue.settle(job.entry(), 0);
+			case RunResult.Failed failed -> {
+			}
+			case RunResult.Served served -> {
+			}
+		}
+	}
+
 	private long costOf(CallRequest call, Usage usage) {
 		Optional<TokenCost> cost = Optional.of(call)
 			.filter(CallRequest.ForModel.class::isInstance)
