Measure slopes, and work out what the target size takes

Cause: nobody could say at which size which mechanism breaks a limit.

Change: bin/measure-slopes measures heap, processor time, allocation and bytes of the ledger, both reducers and the codecs at several sizes in one process, and writes the samples, least-squares lines and a plot. docs/CAPACITY.md has the figures of each role at the target size with their steps, what breaks a limit, and what is to take its place. A test computes the page's tables again from the lines, and the lines from the samples. New libraries in the verification module alone: commons-math3, commons-csv, xchart.

Sockets, HTTP and several processes were not measured.

--- /dev/null
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/Appends.java
@@ -0,0 +1,23 @@
+package io.lentilslip.verification.capacity;
+
+import java.util.List;
+
+import io.lentilslip.core.role.NodeEffect;
+
+/**
+ * Finds appends among effects. Stateless and safe for use by several threads.
+ */
+final class Appends {
+
+	private Appends() {
+	}
+
+	static NodeEffect.Append in(List<NodeEffect> effects) {
+		return effects.stream()
+			.filter(NodeEffect.Append.class::isInstance)
+			.map(NodeEffect.Append.class::cast)
+			.findFirst()
+			.orElseThrow(() -> new IllegalStateException("nothing was appended: " + effects));
+	}
+
+}
