Say not_run of no call that waits for a history still unread

Cause: a new home reads the turns of its program. The resend of a call whose turn is among them waits there; the program ended, or the deadline passed, and the home refused it with not_run.

Change: a home that has not read its history refuses what waits with may_have_run. A sequence with this order of events is a test.

Conclusion: a new call of a program that is on its way to a new home may be refused with may_have_run, which is weaker than needed but true.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -30,6 +30,7 @@
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.sidecar.Job.Stage;
+import io.lentilslip.core.verdict.Verdict;
 import io.vavr.collection.Vector;
 
 /**
@@ -132,7 +133,7 @@
 		CallFailure failure = (lost)
 				? CallFailure.notRun(FailureCause.LIMIT_REACHED, "The history is older than the log keeps.")
 				: EntryRules.notRunSoon(FailureCause.LOG_UNAVAILABLE, "The history cannot be read now.");
-		home.get().waiting().forEach((arrival) -> this.draft.refuse(arrival, failure));
+		home.get().waiting().forEach((arrival) -> refuseWaiting(arrival, home.get(), failure));
 	}
 
 	/**
@@ -421,7 +422,7 @@
 		FailureCause cause = (outOfOrder) ? FailureCause.OUT_OF_ORDER : FailureCause.DEADLINE_PASSED;
 		String message = (outOfOrder) ? "The call numbered " + home.get().next() + " has not arrived."
 				: "The deadline passed while the call waited for the one before it.";
-		this.draft.refuse(arrival.get(), EntryRules.notRunSoon(cause, message));
+		refuseWaiting(arrival.get(), home.get(), EntryRules.notRunSoon(cause, message));
 		this.draft.report(NoticeCode.CALL_OUT_OF_ORDER.with(FieldName.PROGRAM, program)
 			.with(FieldName.CALL, arrival.get().number().orElse(0))
 			.with(FieldName.REASON, cause));
@@ -499,7 +500,7 @@
 		}
 		this.draft.homes = this.draft.homes.remove(program);
 		CallFailure notRun = EntryRules.notRunSoon(cause, message);
-		home.get().waiting().forEach((arrival) -> this.draft.refuse(arrival, notRun));
+		home.get().waiting().forEach((arrival) -> refuseWaiting(arrival, home.get(), notRun));
 		home.get().active().ifPresent((key) -> closeJob(key, cause, message));
 		for (int number = home.get().committed() + 1; number < home.get().next(); number++) {
 			closeJob(new JobKey.ForTurn(program, number), cause, message);
@@ -542,6 +543,12 @@
 		};
 	}
 
+	// A home that has not read its history can't tell a new call from the resend of one
+	// whose turn is in it, and must not say of that one that it did not run.
+	private void refuseWaiting(Arrival arrival, Home home, CallFailure failure) {
+		this.draft.refuse(arrival, (home.ready()) ? failure : failure.after(Verdict.MAY_HAVE_RUN));
+	}
+
 	private void closeJob(JobKey key, FailureCause cause, String message) {
 		Optional<Job> job = this.draft.job(key);
 		if (job.isEmpty()) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/model/ModelTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/model/ModelTests.java
@@ -82,6 +82,14 @@
 		run(new Action(Kind.CALL, 0, 0), SETTLE, new Action(Kind.END, 0, 0), SETTLE, new Action(Kind.RESEND, 0, 0));
 	}
 
+	// A home is gone, and the next one still reads the history when the program ends. The
+	// resend of a call whose turn is in it waits there, and is not told that nothing ran.
+	@Example
+	void doesNotSayNotRunBeforeTheHistoryIsRead() {
+		run(SETTLE, new Action(Kind.CALL, 24, 56), SETTLE, new Action(Kind.RESEND, 28, 10), new Action(Kind.END, 16, 0),
+				new Action(Kind.CRASH, 2, 0), new Action(Kind.CRASH, 3, 0));
+	}
+
 	// Runs as many sequences more as the system property says, from a seed that it may
 	// name, to look for what the fixed seeds do not meet.
 	@Example
