Measure quiet links over sockets, and count them at the target size

Change: bin/measure-slopes also opens 50, 200 and 800 links over 127.0.0.1, both ends in its process, and samples their heap and the processor time of the process. One method now gives the figures of links for both roles.

--- a/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/MeasureSlopes.java
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/MeasureSlopes.java
@@ -24,6 +24,7 @@
 		EntrySlopes.measure(meter);
 		SidecarSlopes.measure(meter);
 		WireSlopes.measure(meter);
+		LinkSlopes.measure(meter);
 		List<Sample> samples = meter.samples();
 		new ResultFiles(folder).write(samples);
 		SlopesPlot.write(samples, folder.resolve("slopes.png"));
--- a/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/Meter.java
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/Meter.java
@@ -2,12 +2,16 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.ref.Reference;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntFunction;
 import java.util.function.IntToDoubleFunction;
 
+import com.sun.management.OperatingSystemMXBean;
 import com.sun.management.ThreadMXBean;
+import io.vavr.control.Try;
 
 /**
  * Takes samples: processor time and allocation of the calling thread, the heap that a
@@ -23,8 +27,14 @@
 
 	private static final int COLLECTIONS = 2;
 
+	private static final int PROCESS_REPETITIONS = 3;
+
+	private static final Duration PAUSE = Duration.ofSeconds(2);
+
 	private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 
+	private final OperatingSystemMXBean process = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+
 	private final List<Sample> samples = new ArrayList<>();
 
 	/**
@@ -78,7 +88,7 @@
 				// The same value once before loads classes and fills caches, which else
 				// would count as held by the first value.
 				if (repetition == 1) {
-					value.apply(size);
+					close(value.apply(size));
 				}
 				add(quantity, size, heldBy(value, size), Sample.Unit.BYTES, repetition);
 			}
@@ -93,9 +103,41 @@
 		Object held = value.apply(size);
 		long after = usedHeap();
 		Reference.reachabilityFence(held);
+		close(held);
 		return after - before;
 	}
 
+	private static void close(Object held) {
+		if (held instanceof AutoCloseable closeable) {
+			Try.run(closeable::close).get();
+		}
+	}
+
+	/**
+	 * Samples the processor time that all threads of this process take in a second while
+	 * a value is held.
+	 * @param quantity the name
+	 * @param value gives the value for a size
+	 * @param sizes the sizes
+	 */
+	void processTimeOfASecond(String quantity, IntFunction<? extends AutoCloseable> value, int... sizes) {
+		for (int repetition = 1; repetition <= PROCESS_REPETITIONS; repetition++) {
+			for (int size : sizes) {
+				AutoCloseable held = value.apply(size);
+				pause();
+				long before = this.process.getProcessCpuTime();
+				pause();
+				long time = this.process.getProcessCpuTime() - before;
+				add(quantity, size, (double) time / PAUSE.toSeconds(), Sample.Unit.NANOSECONDS, repetition);
+				close(held);
+			}
+		}
+	}
+
+	private static void pause() {
+		LockSupport.parkNanos(PAUSE.toNanos());
+	}
+
 	private static long usedHeap() {
 		for (int collection = 0; collection < COLLECTIONS; collection++) {
 			System.gc();
--- a/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/TodaysFigures.java
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/TodaysFigures.java
@@ -112,10 +112,7 @@
 		this.sheet.of("entry");
 		this.sheet.addWithin(Target.MEMORY, "links to 1,700 sidecars, in the reducer's state",
 				this.sheet.at("entry-heap-by-sidecars", Target.RUNNERS), Unit.BYTES, "line at 1,700");
-		heartbeats(Target.RUNNERS, "1,700");
-		this.sheet.addWithin(Target.CONTROL_BYTES, "load reports of 1,700 sidecars", Target.RUNNERS * reports()
-				* (this.sheet.at("wire-load-report-by-prefixes", 0) + this.sheet.assume(Assumption.PACKET_BYTES)),
-				Unit.BYTES_A_SECOND, "1,700 × 7.3 a second × (line at 0 prefixes + packet)");
+		links(Target.RUNNERS, "1,700 sidecars");
 		this.sheet.addWithin(Target.CORE_SHARE, "load reports of 1,700 sidecars",
 				Target.RUNNERS * reports()
 						* (seconds("entry-load-report-cpu-by-reports") + seconds("codec-load-report-cpu-by-messages")),
@@ -136,14 +133,21 @@
 				Unit.BYTES_A_SECOND, "11,316 a second × (line at 4 bytes + packet)");
 	}
 
-	private void heartbeats(double links, String count) {
-		this.sheet.addWithin(Target.CONTROL_BYTES, "heartbeats of %s quiet links, both directions".formatted(count),
+	private void links(double links, String peers) {
+		this.sheet.addWithin(Target.MEMORY, "quiet links with %s, heartbeats included".formatted(peers),
+				links * this.sheet.slope("link-heap-of-both-ends-by-links") / 2, Unit.BYTES,
+				"links × slope / 2, for one of two like ends");
+		this.sheet.addWithin(Target.CORE_SHARE, "quiet links with %s, heartbeats included".formatted(peers),
+				links * seconds("link-cpu-of-a-second-of-both-ends-by-links") / 2, Unit.CORE,
+				"links × slope / 2, for one of two like ends");
+		this.sheet.addWithin(Target.CONTROL_BYTES,
+				"heartbeats on quiet links with %s, both directions".formatted(peers),
 				links * HEARTBEATS * 2
 						* (this.sheet.slope("wire-heartbeat-by-messages") + this.sheet.assume(Assumption.PACKET_BYTES)),
-				Unit.BYTES_A_SECOND, count + " × 2 a second × 2 × (slope + packet)");
-		this.sheet.addWithin(Target.CORE_SHARE, "heartbeats of %s quiet links, codec alone".formatted(count),
-				links * HEARTBEATS * seconds("codec-heartbeat-cpu-by-messages"), Unit.CORE,
-				count + " × 2 a second × slope of one written and one read");
+				Unit.BYTES_A_SECOND, "links × 2 a second × 2 × (slope + packet)");
+		this.sheet.addWithin(Target.CONTROL_BYTES, "load reports between it and %s".formatted(peers), links * reports()
+				* (this.sheet.at("wire-load-report-by-prefixes", 0) + this.sheet.assume(Assumption.PACKET_BYTES)),
+				Unit.BYTES_A_SECOND, "links × 7.3 a second × (line at 0 prefixes + packet)");
 	}
 
 	private void sidecar() {
@@ -157,10 +161,7 @@
 				"520 × slope of turns + 990,000 × bytes × slope of answer bytes / 100");
 		this.sheet.addWithin(Target.MEMORY, "links of 380 entries, in the reducer's state",
 				this.sheet.at("sidecar-heap-by-entries", Target.ENTRIES), Unit.BYTES, "line at 380");
-		heartbeats(Target.ENTRIES, "380");
-		this.sheet.addWithin(Target.CONTROL_BYTES, "load reports to 380 entries", Target.ENTRIES * reports()
-				* (this.sheet.at("wire-load-report-by-prefixes", 0) + this.sheet.assume(Assumption.PACKET_BYTES)),
-				Unit.BYTES_A_SECOND, "380 × 7.3 a second × (line at 0 prefixes + packet)");
+		links(Target.ENTRIES, "380 entries");
 		this.sheet.addWithin(Target.CORE_SHARE, "ticks that report to 380 entries, without sending",
 				TICKS * seconds("sidecar-tick-cpu-by-ticks"), Unit.CORE, "10 a second × slope");
 		this.sheet.add("calls, without their text (data)",
