Take the deadline of an answered call out of memory

Cause: the path benchmark at half load stopped answering: 27,352 of 31,125 calls failed and the entry's mailbox was full. Each call left the reminder of its deadline (two minutes by default) in the agenda until it was due: at 3,000 calls a second some 370,000 reminders, more than the heap of 64 MB that the benchmark gave. Ruled out: the engine stand-in (straight calls went on at p50 0.25 ms) and the sidecar (its mailbox was empty). Change: the agenda can give an item back, and a call takes its reminder with it. Conclusion: what an entry holds follows the calls that are open.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Call.java
@@ -38,6 +38,14 @@
 				Verdict.NOT_RUN, 0, Duration.ZERO, Optional.empty(), round);
 	}
 
+	/**
+	 * Returns when the entry ends the call by itself.
+	 * @return a time a little after the deadline
+	 */
+	Instant givenUp() {
+		return this.deadline.plus(RouteRules.DEADLINE_GRACE);
+	}
+
 	Call at(Phase next) {
 		int made = (next instanceof Phase.Sent && !(this.phase instanceof Phase.Sent)) ? this.attempts + 1
 				: this.attempts;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
@@ -62,7 +62,7 @@
 		}
 		this.draft.put(call.get());
 		this.draft.retries = this.draft.retries.afterFirstAttempt();
-		this.draft.remindAt(call.get().deadline().plus(RouteRules.DEADLINE_GRACE), new Duty.GiveUp(event.ticket()));
+		this.draft.remindAt(call.get().givenUp(), new Duty.GiveUp(event.ticket()));
 		RouteRules routes = new RouteRules(this.draft, seed);
 		if (this.draft.stopping) {
 			routes.refuseUnsent(call.get(),
@@ -237,7 +237,7 @@
 		if (call.isEmpty()) {
 			return;
 		}
-		this.draft.calls = this.draft.calls.remove(ticket);
+		this.draft.remove(call.get());
 		this.draft.stopWaiting(call.get());
 		if (call.get().phase() instanceof Call.Phase.Sent sent) {
 			this.draft.forget(sent);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CompletionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CompletionRules.java
@@ -37,7 +37,7 @@
 	 * @param outcome the outcome of the last attempt
 	 */
 	void complete(Call call, CallOutcome outcome) {
-		this.draft.calls = this.draft.calls.remove(call.ticket());
+		this.draft.remove(call);
 		this.draft.stopWaiting(call);
 		if (call.phase() instanceof Call.Phase.Sent sent) {
 			this.draft.forget(sent);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/Draft.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/Draft.java
@@ -158,6 +158,16 @@
 		return this.calls.get(ticket).toJavaOptional();
 	}
 
+	/**
+	 * Takes a call out of the state. Its deadline goes with it: kept until it is due, the
+	 * deadlines of answered calls would fill the memory of a busy entry.
+	 * @param call the call
+	 */
+	void remove(Call call) {
+		this.calls = this.calls.remove(call.ticket());
+		this.agenda = this.agenda.without(call.givenUp(), new Duty.GiveUp(call.ticket()));
+	}
+
 	void put(Call call) {
 		this.calls = this.calls.put(call.ticket(), call);
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/role/Agenda.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/role/Agenda.java
@@ -4,25 +4,29 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.Set;
 import io.vavr.collection.SortedMap;
 import io.vavr.collection.TreeMap;
 
 /**
- * Things to do at a time. What was put in is not taken out again when it no longer
- * matters: whoever gets it looks whether it does. Adding and taking cost a logarithm of
- * the size. Immutable and safe for use by several threads if the items are.
+ * Things to do at a time. An item that no longer matters may be taken out, which keeps
+ * the agenda small where items are due late; otherwise whoever gets it looks whether it
+ * still does. The same item at the same time stands once. Adding and taking cost a
+ * logarithm of the number of times. Immutable and safe for use by several threads if the
+ * items are.
  *
- * @param <T> the type of the items
+ * @param <T> the type of the items, which are equal by their values
  */
 public final class Agenda<T> {
 
-	private final SortedMap<Place, T> items;
+	private final SortedMap<Instant, Set<T>> items;
 
-	private final long next;
+	private final int size;
 
-	private Agenda(SortedMap<Place, T> items, long next) {
+	private Agenda(SortedMap<Instant, Set<T>> items, int size) {
 		this.items = items;
-		this.next = next;
+		this.size = size;
 	}
 
 	/**
@@ -41,7 +45,27 @@
 	 * @return the longer agenda
 	 */
 	public Agenda<T> with(Instant time, T item) {
-		return new Agenda<>(this.items.put(new Place(time, this.next), item), this.next + 1);
+		Set<T> others = this.items.getOrElse(time, LinkedHashSet.empty());
+		if (others.contains(item)) {
+			return this;
+		}
+		return new Agenda<>(this.items.put(time, others.add(item)), this.size + 1);
+	}
+
+	/**
+	 * Returns an agenda without an item.
+	 * @param time when the item was due
+	 * @param item the item
+	 * @return the shorter agenda, or this one if the item does not stand at that time
+	 */
+	public Agenda<T> without(Instant time, T item) {
+		Set<T> there = this.items.getOrElse(time, LinkedHashSet.empty());
+		if (!there.contains(item)) {
+			return this;
+		}
+		Set<T> others = there.remove(item);
+		SortedMap<Instant, Set<T>> left = (others.isEmpty()) ? this.items.remove(time) : this.items.put(time, others);
+		return new Agenda<>(left, this.size - 1);
 	}
 
 	/**
@@ -51,13 +75,13 @@
 	 * @return the items due
 	 */
 	public Due<T> due(Instant now) {
-		SortedMap<Place, T> left = this.items;
+		SortedMap<Instant, Set<T>> left = this.items;
 		List<T> due = new ArrayList<>();
-		while (!left.isEmpty() && !left.head()._1().time().isAfter(now)) {
-			due.add(left.head()._2());
+		while (!left.isEmpty() && !left.head()._1().isAfter(now)) {
+			left.head()._2().forEach(due::add);
 			left = left.tail();
 		}
-		return new Due<>(new Agenda<>(left, this.next), due);
+		return new Due<>(new Agenda<>(left, this.size - due.size()), due);
 	}
 
 	/**
@@ -65,7 +89,7 @@
 	 * @return the number of items
 	 */
 	public int size() {
-		return this.items.size();
+		return this.size;
 	}
 
 	/**
@@ -88,20 +112,4 @@
 
 	}
 
-	/**
-	 * The place of an item, unique by its number.
-	 *
-	 * @param time when the item is due
-	 * @param number the number of the item
-	 */
-	private record Place(Instant time, long number) implements Comparable<Place> {
-
-		@Override
-		public int compareTo(Place other) {
-			int byTime = this.time.compareTo(other.time);
-			return (byTime != 0) ? byTime : Long.compare(this.number, other.number);
-		}
-
-	}
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Duty.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Duty.java
@@ -57,20 +57,11 @@
 	}
 
 	/**
-	 * A program may have been silent for too long.
+	 * A program may have been silent, or have lived, for too long.
 	 *
 	 * @param program the program
 	 */
-	record CheckIdle(ProgramId program) implements Duty {
-
-	}
-
-	/**
-	 * A program may have lived for too long.
-	 *
-	 * @param program the program
-	 */
-	record CheckLifetime(ProgramId program) implements Duty {
+	record CheckAge(ProgramId program) implements Duty {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -97,10 +97,7 @@
 		this.draft.put(home);
 		state.lastTurn()
 			.ifPresent((last) -> this.draft.run(new SidecarEffect.ReadHistory(program, state.epoch(), last)));
-		Limits limits = limits();
-		Duration age = Duration.between(state.born(), this.draft.log.time());
-		this.draft.remind(limits.programs().idleTime(), new Duty.CheckIdle(program));
-		this.draft.remind(limits.programs().lifetime().minus(age), new Duty.CheckLifetime(program));
+		this.draft.remindAt(nextCheck(home, state), new Duty.CheckAge(program));
 		return home;
 	}
 
@@ -428,20 +425,45 @@
 			.with(FieldName.REASON, cause));
 	}
 
-	void checkIdle(ProgramId program) {
+	/**
+	 * Ends a program that lived too long or was silent too long, or looks again later.
+	 * There is one reminder for both: a second one, due at the end of the longest life,
+	 * would stay in memory for a day after each program.
+	 * @param program the program
+	 */
+	void checkAge(ProgramId program) {
 		Optional<Home> home = this.draft.home(program);
-		if (home.isEmpty()) {
+		Optional<ProgramState> state = this.draft.log.ledger().program(program);
+		if (home.isEmpty() || state.isEmpty()) {
+			return;
+		}
+		ProgramLimits limits = limits().programs();
+		if (!ageOf(state.get()).minus(limits.lifetime()).isNegative()) {
+			end(program, EndReason.LIFETIME);
 			return;
 		}
-		Duration limit = limits().programs().idleTime();
-		Instant due = home.get().lastUsed().plus(limit);
-		if (home.get().active().isPresent() || due.isAfter(this.draft.now)) {
-			Instant next = (due.isAfter(this.draft.now)) ? due : this.draft.now.plus(limit);
-			this.draft.remindAt(next, new Duty.CheckIdle(program));
+		Instant idle = home.get().lastUsed().plus(limits.idleTime());
+		if (home.get().active().isEmpty() && !idle.isAfter(this.draft.now)) {
+			this.draft.report(NoticeCode.PROGRAM_IDLE_LIMIT.with(FieldName.PROGRAM, program)
+				.with(FieldName.LIMIT, limits.idleTime()));
+			end(program, EndReason.IDLE);
 			return;
 		}
-		this.draft.report(NoticeCode.PROGRAM_IDLE_LIMIT.with(FieldName.PROGRAM, program).with(FieldName.LIMIT, limit));
-		end(program, EndReason.IDLE);
+		this.draft.remindAt(nextCheck(home.get(), state.get()), new Duty.CheckAge(program));
+	}
+
+	// The age by the log's time, which stands still while nothing is appended, so that a
+	// program may live a little longer on a quiet log.
+	private Duration ageOf(ProgramState state) {
+		return Duration.between(state.born(), this.draft.log.time());
+	}
+
+	private Instant nextCheck(Home home, ProgramState state) {
+		ProgramLimits limits = limits().programs();
+		Instant idle = home.lastUsed().plus(limits.idleTime());
+		Instant checked = (idle.isAfter(this.draft.now)) ? idle : this.draft.now.plus(limits.idleTime());
+		Instant old = this.draft.now.plus(limits.lifetime().minus(ageOf(state)));
+		return (old.isBefore(checked)) ? old : checked;
 	}
 
 	/**
@@ -457,12 +479,6 @@
 		}
 	}
 
-	void checkLifetime(ProgramId program) {
-		if (this.draft.home(program).isPresent()) {
-			end(program, EndReason.LIFETIME);
-		}
-	}
-
 	private void end(ProgramId program, EndReason reason) {
 		this.draft.append(new LedgerRecord.ProgramEnded(program, reason));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/NodeRules.java
@@ -73,8 +73,7 @@
 			case Duty.ForgetRelease forget ->
 				this.draft.unsureReleases = this.draft.unsureReleases.remove(forget.key());
 			case Duty.ReleaseAgain again -> new SessionRules(this.draft).releaseAgain(again.program());
-			case Duty.CheckIdle check -> homes.checkIdle(check.program());
-			case Duty.CheckLifetime check -> homes.checkLifetime(check.program());
+			case Duty.CheckAge check -> homes.checkAge(check.program());
 			case Duty.GiveUpParked parked -> new EntryRules(this.draft).giveUpParked(parked.attempt());
 			case Duty.CheckWaiting check -> homes.checkWaiting(check.program(), check.attempt());
 		}
