Write messages of callers and of engines by one function

Cause: entry and sidecar each wrote the form in which a conversation is compared; they had drifted apart once already, and each second call of a stock client was refused as a mismatch until both were mended by hand. Change: one class in the runtime module writes it for both roles. Conclusion: the form can no longer differ between the roles.

--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/ChatRequest.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/ChatRequest.java
@@ -12,6 +12,7 @@
 import io.lentilslip.core.call.HistoryMode;
 import io.lentilslip.core.entry.Payload;
 import io.lentilslip.core.identity.ModelName;
+import io.lentilslip.runtime.conversation.CanonicalJson;
 import io.vavr.control.Either;
 
 /**
@@ -123,32 +124,13 @@
 
 	private static ChatRequest from(ObjectNode root, HistoryMode mode) {
 		List<String> messages = new ArrayList<>();
-		root.path("messages").forEach((message) -> messages.add(Json.canonical(withoutEmptyFields(message))));
+		root.path("messages").forEach((message) -> messages.add(CanonicalJson.messageText(message)));
 		ObjectNode parameters = root.deepCopy().without(OWN_FIELDS);
 		Payload.ForModel payload = new Payload.ForModel(new ModelName(root.path("model").textValue()), mode, messages,
-				maximum(root), Json.canonical(parameters), root.path("stream").booleanValue());
+				maximum(root), CanonicalJson.text(parameters), root.path("stream").booleanValue());
 		return new ChatRequest(payload, root.path("stream_options").path("include_usage").booleanValue());
 	}
 
-	// Stock clients send an answer back with fields that they show but that have no
-	// value,
-	// such as refusal, and with an empty content beside tool calls. Left in, the message
-	// would not match the history, which never had them.
-	private static JsonNode withoutEmptyFields(JsonNode message) {
-		if (!(message instanceof ObjectNode object)) {
-			return message;
-		}
-		ObjectNode copy = object.objectNode();
-		object.properties()
-			.stream()
-			.filter((field) -> !field.getValue().isNull())
-			.forEach((field) -> copy.set(field.getKey(), field.getValue()));
-		if (copy.has("tool_calls") && copy.path("content").asText("-").isEmpty()) {
-			copy.remove("content");
-		}
-		return copy;
-	}
-
 	private static Optional<Integer> maximum(ObjectNode root) {
 		return Optional.of(root.path("max_completion_tokens"))
 			.filter(JsonNode::isNumber)
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Json.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Json.java
@@ -4,7 +4,6 @@
 import java.nio.CharBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.TreeMap;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -12,7 +11,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
@@ -81,30 +79,6 @@
 		return "malformed JSON at line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr();
 	}
 
-	/**
-	 * Returns the canonical text of a node.
-	 * @param node the node
-	 * @return the text
-	 */
-	static String canonical(JsonNode node) {
-		return sorted(node).toString();
-	}
-
-	// Recursion is bounded by the depth that the reader allows.
-	private static JsonNode sorted(JsonNode node) {
-		if (node instanceof ObjectNode object) {
-			TreeMap<String, JsonNode> fields = new TreeMap<>();
-			object.properties().forEach((field) -> fields.put(field.getKey(), sorted(field.getValue())));
-			return object().setAll(fields);
-		}
-		if (node instanceof ArrayNode array) {
-			ArrayNode copy = JsonNodeFactory.instance.arrayNode(array.size());
-			array.forEach((element) -> copy.add(sorted(element)));
-			return copy;
-		}
-		return node;
-	}
-
 	/**
 	 * Returns whether a text has the same characters after a way through UTF-8. A lone
 	 * half of a character outside the basic plane has not: it would become a question
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/JsonTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/JsonTests.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.lentilslip.runtime.conversation.CanonicalJson;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -26,13 +27,13 @@
 	void sameObjectInAnyOrderAndLayoutHasOneText(@ForAll("objects") ObjectNode object, @ForAll long seed) {
 		ObjectNode shuffled = (ObjectNode) shuffled(object, new Random(seed));
 		byte[] loose = shuffled.toPrettyString().getBytes(StandardCharsets.UTF_8);
-		String text = Json.canonical(Json.readObject(loose).get());
-		assertThat(text).isEqualTo(Json.canonical(Json.readObject(object.toString()).orElseThrow()));
+		String text = CanonicalJson.text(Json.readObject(loose).get());
+		assertThat(text).isEqualTo(CanonicalJson.text(Json.readObject(object.toString()).orElseThrow()));
 	}
 
 	@Property(seed = "2")
 	void canonicalTextMeansTheSame(@ForAll("objects") ObjectNode object) {
-		assertThat(Json.readObject(Json.canonical(object))).contains(object);
+		assertThat(Json.readObject(CanonicalJson.text(object))).contains(object);
 	}
 
 	@Test
--- /dev/null
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/conversation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The form in which conversations are kept and compared.
+ */
+package io.lentilslip.runtime.conversation;
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
@@ -5,11 +5,11 @@
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.databind.util.RawValue;
 import io.lentilslip.core.call.Usage;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.identity.ProgramId;
@@ -24,6 +24,7 @@
 import io.lentilslip.platform.engine.GenerationEnd;
 import io.lentilslip.platform.engine.GenerationListener;
 import io.lentilslip.platform.engine.KvPin;
+import io.lentilslip.runtime.conversation.CanonicalJson;
 
 /**
  * Asks the engine for answers. Each request ends by exactly one
@@ -31,8 +32,8 @@
  */
 final class EngineRuns {
 
-	private static final ObjectMapper SORTING = new ObjectMapper()
-		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+	private static final ObjectMapper MAPPER = new ObjectMapper()
+		.enable(DeserializationFeature.USE_BIG_DECIMAL_FOR_FLOATS);
 
 	private static final int LOWEST_CLIENT_ERROR = 400;
 
@@ -113,26 +114,22 @@
 	}
 
 	/**
-	 * Returns an assistant's message in the form that messages of callers have: fields
-	 * sorted, none without a value. A caller who sends this answer back as part of the
-	 * conversation would else be told that it does not match the history.
+	 * Returns an assistant's message in the form that messages of callers have. A caller
+	 * who sends this answer back as part of the conversation would else be told that it
+	 * does not match the history.
 	 * @param content the text
 	 * @param toolCalls the tool calls, if there are any
 	 * @return the message as a JSON object
 	 */
 	static String message(String content, Optional<String> toolCalls) {
-		ObjectNode message = JsonNodeFactory.instance.objectNode();
-		if (!content.isEmpty() || toolCalls.isEmpty()) {
-			message.put("content", content);
-		}
-		message.put("role", "assistant");
-		toolCalls.ifPresent((calls) -> message.putRawValue("tool_calls", new RawValue(sorted(calls))));
-		return message.toString();
+		ObjectNode message = JsonNodeFactory.instance.objectNode().put("role", "assistant").put("content", content);
+		toolCalls.ifPresent((calls) -> message.set("tool_calls", read(calls)));
+		return CanonicalJson.messageText(message);
 	}
 
-	private static String sorted(String json) {
+	private static JsonNode read(String json) {
 		try {
-			return SORTING.writeValueAsString(SORTING.readValue(json, Object.class));
+			return MAPPER.readTree(json);
 		}
 		catch (JsonProcessingException ex) {
 			throw new IllegalArgumentException("tool calls that are no JSON", ex);
