--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
@@ -170,6 +170,12 @@
 	 * @return a stage that completes once no connection is left
 	 */
 	public CompletableFuture<Void> finish() {
+		if (this.closed.get()) {
+			// The process was closed before it was done: its threads are gone, and
+			// nobody would tell that no connection is left.
+			this.finished.complete(null);
+			return this.finished.copy();
+		}
 		this.binding.listener.close().addListener((done) -> {
 			this.binding.finishing = true;
 			drain();
--- a/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/MeasureSlopes.java
+++ b/lentilslip-verification/src/main/java/io/lentilslip/verification/capacity/MeasureSlopes.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import io.lentilslip.telemetry.LogSettings;
+
 /**
  * The command that measures all slopes and writes them into a folder.
  */
@@ -18,6 +20,7 @@
 	 * @throws IOException if the results cannot be written
 	 */
 	public static void main(String[] arguments) throws IOException {
+		LogSettings.defaults().apply();
 		Path folder = Path.of(arguments[0]);
 		Meter meter = new Meter();
 		LedgerSlopes.measure(meter);
