Test the processes through the product's own command line

Cause: the tests of whole processes started roles by a main of their own, so the binary's way of starting and stopping was not covered. Conclusion: kills, pauses, signals and drains are shown on the product.

--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/process/RunningProcess.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/process/RunningProcess.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.lentilslip.application.LentilslipApplication;
 
 /**
  * A process of a site, which the test started and ends by its id. Used by one thread.
@@ -22,12 +25,18 @@
 
 	private static final int LOG_TAIL = 6000;
 
+	static final String ENTRY = "entry";
+
+	static final String SIDECAR = "sidecar";
+
 	private final String vm;
 
 	private final Path log;
 
 	private final Process process;
 
+	private final Pattern addresses;
+
 	private InetSocketAddress work;
 
 	private InetSocketAddress admin;
@@ -36,14 +45,16 @@
 		this.vm = vm;
 		this.log = log;
 		this.process = process;
+		this.addresses = Pattern
+			.compile(Pattern.quote(vm) + ": (?:callers|links) 127\\.0\\.0\\.1:(\\d+), admin 127\\.0\\.0\\.1:(\\d+)");
 	}
 
 	static RunningProcess start(String role, String vm, Path settings, Path log) throws IOException {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.addAll(SMALL);
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), RoleMain.class.getName(), role,
-				settings.toString()));
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), LentilslipApplication.class.getName(),
+				role, "--settings", settings.toString()));
 		Process process = new ProcessBuilder(command).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
 			.redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")))
@@ -56,14 +67,14 @@
 			if (!this.process.isAlive()) {
 				throw new AssertionError(this.vm + " ended:\n" + tail());
 			}
-			Optional<String> line = Files.readAllLines(this.log)
+			Optional<Matcher> line = Files.readAllLines(this.log)
 				.stream()
-				.filter((text) -> text.startsWith(RoleMain.READY + " "))
+				.map(this.addresses::matcher)
+				.filter(Matcher::matches)
 				.findFirst();
-			line.ifPresent((text) -> {
-				String[] words = text.split(" ");
-				this.work = new InetSocketAddress("127.0.0.1", Integer.parseInt(words[1]));
-				this.admin = new InetSocketAddress("127.0.0.1", Integer.parseInt(words[2]));
+			line.ifPresent((match) -> {
+				this.work = new InetSocketAddress("127.0.0.1", Integer.parseInt(match.group(1)));
+				this.admin = new InetSocketAddress("127.0.0.1", Integer.parseInt(match.group(2)));
 			});
 			return line.isPresent();
 		});
--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
@@ -113,7 +113,7 @@
 		}
 		this.links.keySet().forEach(this::launchSidecar);
 		for (int i = 1; i <= plan.entries(); i++) {
-			launch(RoleMain.ENTRY, "entry-" + i, "callers = 127.0.0.1:0", "");
+			launch(RunningProcess.ENTRY, "entry-" + i, "callers = 127.0.0.1:0", "");
 		}
 		this.processes.values().forEach(RunningProcess::awaitPorts);
 		this.links.forEach((vm, proxy) -> proxy.retarget(this.processes.get(vm).work()));
@@ -131,7 +131,7 @@
 	}
 
 	private void launchSidecar(String vm) {
-		launch(RoleMain.SIDECAR, vm, "",
+		launch(RunningProcess.SIDECAR, vm, "",
 				"[upstream]\naddress = 127.0.0.1:" + this.upstreams.get(vm).address().getPort() + "\n");
 	}
 
