--- a/lentilslip-core/src/test/java/io/lentilslip/core/sidecar/HomeRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/sidecar/HomeRulesTests.java
@@ -1,45 +1,23 @@
 package io.lentilslip.core.sidecar;
 
 import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import io.lentilslip.core.call.CallFailure;
-import io.lentilslip.core.call.CallOutcome;
-import io.lentilslip.core.call.CallRequest;
+import io.lentilslip.core.call.Durability;
 import io.lentilslip.core.call.FailureCause;
-import io.lentilslip.core.call.HistoryMode;
-import io.lentilslip.core.call.ProgramCall;
 import io.lentilslip.core.configuration.Configuration;
-import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.core.configuration.GroupPolicy;
-import io.lentilslip.core.configuration.ModelPolicy;
+import io.lentilslip.core.configuration.Limits;
 import io.lentilslip.core.configuration.PolicyName;
-import io.lentilslip.core.configuration.TokenCost;
-import io.lentilslip.core.configuration.UpstreamKind;
-import io.lentilslip.core.configuration.UpstreamPolicy;
-import io.lentilslip.core.identity.Digest;
-import io.lentilslip.core.identity.GroupName;
 import io.lentilslip.core.identity.Incarnation;
-import io.lentilslip.core.identity.ModelName;
 import io.lentilslip.core.identity.ProcessId;
-import io.lentilslip.core.identity.ProgramId;
-import io.lentilslip.core.identity.ProgramName;
 import io.lentilslip.core.identity.VmName;
-import io.lentilslip.core.identity.ZoneName;
 import io.lentilslip.core.ledger.EndReason;
 import io.lentilslip.core.ledger.Epoch;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.link.AttemptId;
-import io.lentilslip.core.link.LinkMessage;
-import io.lentilslip.core.link.Standing;
-import io.lentilslip.core.reducer.Step;
-import io.lentilslip.core.role.LogEvent;
-import io.lentilslip.core.role.NodeEffect;
-import io.lentilslip.core.role.NodeEvent;
+import io.lentilslip.core.role.AppendResult;
 import io.lentilslip.core.verdict.Verdict;
 import org.junit.jupiter.api.Test;
 
@@ -47,38 +25,25 @@
 
 class HomeRulesTests {
 
-	private static final Instant NOW = Instant.EPOCH.plusSeconds(60);
+	private static final Duration ORDER_WAIT = Duration.ofSeconds(5);
 
-	private static final ZoneName ZONE = new ZoneName("hall");
+	private static final Duration OUTCOME_WAIT = Duration.ofSeconds(1);
 
-	private static final GroupName GROUP = new GroupName("buyers");
+	private static final Duration ORPHAN_GRACE = Duration.ofSeconds(5);
 
-	private static final ModelName MODEL = new ModelName("assistant");
+	private static final Duration MOMENT = Duration.ofMillis(1);
 
-	private static final ProcessId SELF = new ProcessId(new VmName("runner-1"), new Incarnation(7));
-
-	private static final ProcessId ENTRY = new ProcessId(new VmName("entry-1"), new Incarnation(9));
-
-	private static final ProgramId PROGRAM = new ProgramId(GROUP, new ProgramName("chat"));
-
-	private final SidecarReducer reducer = new SidecarReducer();
-
-	private final List<SidecarEffect> effects = new ArrayList<>();
-
-	private SidecarState state = SidecarState.of(SELF, ZONE);
+	private final SidecarSite site = SidecarSite.asHome();
 
 	// The caller's first message is larger than a record of the log may be. Run, its turn
 	// could be appended never, the answer would stay pending, and the next eight calls
 	// with it. It is refused before it runs, as not run, and the program goes on.
 	@Test
 	void refusesATurnThatNoRecordCanHold() {
-		startAsHome();
-		dispatch(1, "x".repeat(1 << 20));
-		CallFailure failure = failureOf(1);
-		assertThat(failure.cause()).isEqualTo(FailureCause.TOO_LARGE);
-		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
-		dispatch(2, "small");
-		assertThat(this.effects).anyMatch(SidecarEffect.Generate.class::isInstance);
+		AttemptId large = this.site.callUnnumbered("x".repeat(1 << 20));
+		assertNotRun(large, FailureCause.TOO_LARGE);
+		this.site.callUnnumbered("small");
+		assertThat(this.site.started()).containsExactly("small");
 	}
 
 	// A later file of the operators removes a group while a program of it pauses between
@@ -86,10 +51,9 @@
 	// every process knows and the engine holds nothing for it.
 	@Test
 	void endsProgramsWhoseGroupIsRemoved() {
-		startAsHome();
-		dispatch(1, "hello");
-		accept(2, Configuration.ofSite(new PolicyName("site")).with(ZONE).build());
-		assertThat(appended()).contains(new LedgerRecord.ProgramEnded(PROGRAM, EndReason.GROUP_REMOVED));
+		this.site.callUnnumbered("hello");
+		this.site.accept(2, Configuration.ofSite(new PolicyName("site")).with(SidecarSite.ZONE).build());
+		assertEnded(EndReason.GROUP_REMOVED);
 	}
 
 	// The engine refuses every call of one group at once, without work. If the group had
@@ -97,83 +61,193 @@
 	// for as long as that lasts, though nothing was received.
 	@Test
 	void chargesNothingForARunThatDidNotRun() {
-		startAsHome();
-		dispatch(1, "hello");
-		RunId run = this.effects.stream()
-			.filter(SidecarEffect.Generate.class::isInstance)
-			.map(SidecarEffect.Generate.class::cast)
-			.findFirst()
-			.orElseThrow()
-			.run();
-		long charged = counter();
-		apply(new SidecarEvent.RunEnded(run, new RunResult.Rejected(400, "no such tool"), NOW));
+		this.site.callUnnumbered("hello");
+		long charged = this.site.attained();
+		this.site.end(0, new RunResult.Rejected(400, "no such tool"));
 		assertThat(charged).isPositive();
-		assertThat(counter()).isZero();
+		assertThat(this.site.attained()).isZero();
+	}
+
+	// Call 2 overtakes call 1 on its way through another entry. It runs after call 1, on
+	// the history with that turn.
+	@Test
+	void letsACallWaitForTheOneBeforeIt() {
+		this.site.call(SidecarSite.OTHER_ENTRY, 2, "two", "");
+		this.site.call(1, "one");
+		assertThat(this.site.started()).containsExactly("one");
+		this.site.answer(0);
+		assertThat(this.site.started()).containsExactly("one", "two");
+		assertThat(this.site.runs().get(1).order().messages()).hasSize(3).startsWith("one");
+	}
+
+	// Call 1 never comes. Call 2 waits for it as long as it may, and is refused as not
+	// run: run on the shorter history it would break the conversation.
+	@Test
+	void refusesACallWhoseForerunnerNeverComes() {
+		AttemptId second = this.site.call(2, "two");
+		this.site.pass(ORDER_WAIT.minus(MOMENT));
+		assertThat(this.site.outcomeOf(second)).isEmpty();
+		this.site.pass(MOMENT);
+		assertNotRun(second, FailureCause.OUT_OF_ORDER);
+		this.site.call(1, "one");
+		this.site.answer(0);
+		assertThat(this.site.started()).containsExactly("one");
+	}
+
+	// Two different calls come with one number. The first one has it; the second one is
+	// told so, while the first runs and after it, and never runs.
+	@Test
+	void refusesAnotherCallOfTheSameNumber() {
+		AttemptId first = this.site.call(1, "one");
+		assertNotRun(this.site.call(SidecarSite.OTHER_ENTRY, 1, "other", ""), FailureCause.KEY_REUSED);
+		this.site.answer(0);
+		this.site.settleLog();
+		assertNotRun(this.site.call(SidecarSite.OTHER_ENTRY, 1, "other", ""), FailureCause.KEY_REUSED);
+		assertThat(this.site.answerOf(first).number()).isEqualTo(1);
+		assertThat(this.site.started()).containsExactly("one");
 	}
 
-	private long counter() {
-		return this.state.queue.attained(PROGRAM);
+	// The answer is lost on its way, and the caller asks again. It gets the same answer
+	// out of the record, and the engine is not asked.
+	@Test
+	void answersAResendFromTheRecord() {
+		AttemptId first = this.site.call(1, "one");
+		this.site.answer(0);
+		assertThat(this.site.outcomeOf(first)).isEmpty();
+		this.site.settleLog();
+		AttemptId resend = this.site.call(SidecarSite.OTHER_ENTRY, 1, "one", "");
+		assertThat(this.site.answerOf(resend)).isEqualTo(this.site.answerOf(first));
+		assertThat(this.site.answerOf(resend).durability()).isEqualTo(Durability.COMMITTED);
+		assertThat(this.site.runs()).hasSize(1);
 	}
 
-	private void startAsHome() {
-		accept(1, configuration());
-		apply(new SidecarEvent.EntryLinked(ENTRY, NOW));
-		apply(new SidecarEvent.UpstreamReported(1, 0, 0, 0, NOW));
-		LedgerRecord claim = new LedgerRecord.ProgramClaimed(PROGRAM, Epoch.NONE.next(), SELF, Optional.empty());
-		apply(new SidecarEvent.LogSpoke(new LogEvent.BatchRead(0, NOW, List.of(claim), NOW)));
+	// The caller loses its stream and asks again while the engine generates: once with
+	// nothing, once with a part in hand. Each gets what it lacks, and no token twice.
+	@Test
+	void joinsAResendToTheRunUnderWay() {
+		AttemptId first = this.site.call(1, "one");
+		this.site.progress(0, "Good ");
+		this.site.progress(0, "morning");
+		AttemptId anew = this.site.call(SidecarSite.OTHER_ENTRY, 1, "one", "");
+		AttemptId partly = this.site.call(SidecarSite.OTHER_ENTRY, 1, "one", "Good mor");
+		this.site.progress(0, ", all");
+		assertThat(this.site.textFor(first)).isEqualTo("Good morning, all");
+		assertThat(this.site.textFor(anew)).isEqualTo("Good morning, all");
+		assertThat(this.site.textFor(partly)).isEqualTo("ning, all");
+		this.site.answer(0);
+		this.site.settleLog();
+		assertThat(List.of(first, anew, partly))
+			.allSatisfy((attempt) -> assertThat(this.site.answerOf(attempt)).isEqualTo(this.site.answerOf(first)));
+		assertThat(this.site.runs()).hasSize(1);
 	}
 
-	private void accept(long version, Configuration configuration) {
-		apply(new SidecarEvent.NodeSpoke(new NodeEvent.ConfigurationAccepted(version, configuration, NOW)));
+	// The log is down when the turn is done. After the wait the caller gets its answer,
+	// marked pending. When the log is back the turn goes there, and a resend is told that
+	// it is committed.
+	@Test
+	void answersAsPendingWhileTheLogIsDown() {
+		AttemptId first = this.site.call(1, "one");
+		this.site.answer(0);
+		this.site.endAppend(AppendResult.NOT_APPENDED);
+		this.site.pass(OUTCOME_WAIT.minus(MOMENT));
+		assertThat(this.site.outcomeOf(first)).isEmpty();
+		this.site.endAppend(AppendResult.NOT_APPENDED);
+		this.site.pass(MOMENT);
+		assertThat(this.site.answerOf(first).durability()).isEqualTo(Durability.PENDING);
+		assertThat(this.site.answerOf(this.site.call(1, "one")).durability()).isEqualTo(Durability.PENDING);
+		this.site.pass(OUTCOME_WAIT);
+		this.site.settleLog();
+		assertThat(this.site.answerOf(this.site.call(1, "one")).durability()).isEqualTo(Durability.COMMITTED);
+		assertThat(this.site.runs()).hasSize(1);
 	}
 
-	private static Configuration configuration() {
-		UpstreamPolicy upstream = new UpstreamPolicy(SELF.vm(), ZONE, new Endpoint("127.0.0.1", 7001),
-				new Endpoint("127.0.0.1", 7002), new UpstreamKind.ForEngine(Set.of(MODEL), true, 100_000), 4);
-		return Configuration.ofSite(new PolicyName("site"))
-			.with(ZONE)
-			.with(GroupPolicy.withShare(GROUP, 1))
-			.with(new ModelPolicy(MODEL, 100_000, 1000, TokenCost.DEFAULT))
-			.with(upstream)
-			.build();
+	// Another sidecar becomes the home while this one runs a call and holds another one
+	// back. The run is broken off and may have run; the other call surely did not. What
+	// the engine still says adds no turn, and a call of the old epoch is turned away.
+	@Test
+	void yieldsToALaterEpoch() {
+		AttemptId running = this.site.call(1, "one");
+		AttemptId waiting = this.site.call(2, "two");
+		ProcessId other = new ProcessId(new VmName("runner-2"), new Incarnation(1));
+		this.site.read(new LedgerRecord.ProgramClaimed(SidecarSite.PROGRAM, Epoch.NONE.next().next(), other,
+				Optional.empty()));
+		assertThat(this.site.failureOf(running).cause()).isEqualTo(FailureCause.MOVED);
+		assertThat(this.site.failureOf(running).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertNotRun(waiting, FailureCause.MOVED);
+		assertThat(this.site.cancelledRuns()).containsExactly(this.site.runs().getFirst().run());
+		this.site.progress(0, "late");
+		this.site.answer(0);
+		assertThat(this.site.textFor(running)).isEmpty();
+		assertThat(this.site.appended()).isEmpty();
+		assertNotRun(this.site.call(1, "one"), FailureCause.MOVED);
 	}
 
-	private void dispatch(int number, String content) {
-		ProgramCall place = new ProgramCall(PROGRAM, Optional.empty(), Optional.empty());
-		CallRequest call = new CallRequest.ForModel(GROUP, Optional.of(place), Optional.empty(), Digest.of(content),
-				MODEL, HistoryMode.WHOLE, List.of(content), 100, "{}", false);
-		apply(new SidecarEvent.EntrySpoke(ENTRY, new LinkMessage.Dispatch(attempt(number), call,
-				new Standing.ForHome(SELF, Epoch.NONE.next(), 0), Duration.ofMinutes(1), ""), NOW));
+	// A caller forgets its program. It ends once nothing was asked of it for the idle
+	// time since its last turn, and not while a call of it runs.
+	@Test
+	void endsAnIdleProgram() {
+		Duration idle = Limits.ProgramLimits.DEFAULT.idleTime();
+		this.site.call(1, "one");
+		this.site.pass(idle);
+		assertThat(this.site.appended()).isEmpty();
+		this.site.answer(0);
+		this.site.settleLog();
+		this.site.pass(idle.minus(MOMENT));
+		assertThat(this.site.appended()).noneMatch(LedgerRecord.ProgramEnded.class::isInstance);
+		this.site.pass(idle);
+		assertEnded(EndReason.IDLE);
+		this.site.settleLog();
+		assertThat(this.site.failureOf(this.site.call(2, "two")).cause()).isEqualTo(FailureCause.PROGRAM_ENDED);
 	}
 
-	private static AttemptId attempt(int number) {
-		return new AttemptId(ENTRY.incarnation(), number);
+	// An agent loops for ever. However busy it is, its program ends when its time is
+	// over, and the run under way with it.
+	@Test
+	void endsAProgramAfterItsLifetime() {
+		Duration lifetime = Limits.ProgramLimits.DEFAULT.lifetime();
+		AttemptId running = this.site.call(1, "one");
+		this.site.pass(lifetime.minus(MOMENT));
+		assertThat(this.site.appended()).isEmpty();
+		this.site.pass(MOMENT);
+		assertEnded(EndReason.LIFETIME);
+		this.site.settleLog();
+		assertThat(this.site.failureOf(running).cause()).isEqualTo(FailureCause.PROGRAM_ENDED);
+		assertThat(this.site.cancelledRuns()).hasSize(1);
+	}
+
+	// The caller of a stream leaves and does not come back. The run goes on for the
+	// grace, and is stopped then, so that the engine works for nobody no longer.
+	@Test
+	void stopsARunThatNobodyAsksForAgain() {
+		this.site.cancel(this.site.call(1, "one"));
+		this.site.pass(ORPHAN_GRACE.minus(MOMENT));
+		assertThat(this.site.cancelledRuns()).isEmpty();
+		this.site.pass(MOMENT);
+		assertThat(this.site.cancelledRuns()).containsExactly(this.site.runs().getFirst().run());
 	}
 
-	private void apply(SidecarEvent event) {
-		Step<SidecarState, SidecarEffect> step = this.reducer.apply(this.state, event);
-		this.state = step.state();
-		this.effects.addAll(step.effects());
+	// The same, but the caller comes back in time through another entry, and gets the
+	// answer of the run that it left.
+	@Test
+	void keepsARunThatIsAskedForAgain() {
+		this.site.cancel(this.site.call(1, "one"));
+		this.site.pass(ORPHAN_GRACE.minus(MOMENT));
+		AttemptId resend = this.site.call(SidecarSite.OTHER_ENTRY, 1, "one", "");
+		this.site.pass(MOMENT);
+		assertThat(this.site.cancelledRuns()).isEmpty();
+		this.site.answer(0);
+		this.site.settleLog();
+		assertThat(this.site.answerOf(resend).number()).isEqualTo(1);
 	}
 
-	private CallFailure failureOf(int number) {
-		for (SidecarEffect effect : this.effects) {
-			if (effect instanceof SidecarEffect.Send send && send.message() instanceof LinkMessage.Finished finished
-					&& finished.attempt().equals(attempt(number))
-					&& finished.outcome() instanceof CallOutcome.Failed failed) {
-				return failed.failure();
-			}
-		}
-		throw new AssertionError("the attempt has no failure: " + number);
+	private void assertEnded(EndReason reason) {
+		assertThat(this.site.appended()).contains(new LedgerRecord.ProgramEnded(SidecarSite.PROGRAM, reason));
 	}
 
-	private List<LedgerRecord> appended() {
-		return this.effects.stream()
-			.filter(SidecarEffect.ForNode.class::isInstance)
-			.map((effect) -> ((SidecarEffect.ForNode) effect).effect())
-			.filter(NodeEffect.Append.class::isInstance)
-			.map((effect) -> ((NodeEffect.Append) effect).record())
-			.toList();
+	private void assertNotRun(AttemptId attempt, FailureCause cause) {
+		CallFailure failure = this.site.failureOf(attempt);
+		assertThat(failure.cause()).isEqualTo(cause);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
 	}
 
 }
