Begin no call anew while its blame is on the way into the log

Cause: an engine that was back before the log held the blame got a resend of the call that had crashed it, in company; the new job took the place of the old one, whose attempt was never answered. Change: a home joins the resend to the job under way, lets another call wait, and goes on once the outcome is told. Conclusion: HomeRulesTests#holdsAResendUntilTheBlameIsInTheLog failed before and passes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -163,9 +163,11 @@
 			repeat(arrival, home, turn.get());
 			return true;
 		}
-		Optional<Job> active = home.active().flatMap(this.draft::job);
-		if (active.isPresent()) {
-			return isSameCall(arrival, active.get()) && join(arrival, active.get());
+		// Also a job whose blame is on its way into the log: begun anew, the call would
+		// take its place, run in company, and leave the first attempt without an answer.
+		Optional<Job> underWay = this.draft.job(new JobKey.ForTurn(home.program(), home.next()));
+		if (underWay.isPresent()) {
+			return isSameCall(arrival, underWay.get()) && join(arrival, underWay.get());
 		}
 		if (arrival.number().orElse(home.next()) > home.next()) {
 			return false;
@@ -597,6 +599,7 @@
 					this.draft.report(NoticeCode.TURN_PENDING.with(FieldName.PROGRAM, turn.program())
 						.with(FieldName.CALL, turn.number()));
 				}
+				advance(turn.program());
 			}
 			// Kept until the log holds its outcome, so that no resend runs it again.
 			case JobKey.ForClaim claim ->
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/RunRules.java
@@ -199,6 +199,9 @@
 					this.draft.finishAll(job, settling.outcome());
 				}
 			});
+			if (key instanceof JobKey.ForTurn turn) {
+				new HomeRules(this.draft).advance(turn.program());
+			}
 		}
 		this.draft.blamed = this.draft.blamed.remove(content);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/sidecar/HomeRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/sidecar/HomeRulesTests.java
@@ -240,6 +240,44 @@
 		assertThat(this.site.answerOf(resend).number()).isEqualTo(1);
 	}
 
+	// The engine crashes under a call and is back before the log holds the blame; the
+	// caller, whose entry was lost, asks again meanwhile. Both attempts are told once the
+	// blame is in the log, and nothing runs before that: it could crash the next one too.
+	@Test
+	void holdsAResendUntilTheBlameIsInTheLog() {
+		AttemptId first = this.site.call(1, "one");
+		this.site.crash(0);
+		this.site.report(2);
+		AttemptId resend = this.site.call(SidecarSite.OTHER_ENTRY, 1, "one", "");
+		assertThat(this.site.runs()).hasSize(1);
+		this.site.settleLog();
+		assertThat(this.site.failureOf(first).cause()).isEqualTo(FailureCause.UPSTREAM_FAILED);
+		assertThat(this.site.failureOf(resend)).isEqualTo(this.site.failureOf(first));
+		this.site.call(1, "one");
+		assertThat(this.site.runs()).hasSize(2);
+	}
+
+	// The same, but another call without a number comes meanwhile. It is no resend, so it
+	// waits, and runs as soon as the end of the first one is told, whether by the log or,
+	// while the log is down, after the wait.
+	@Test
+	void runsAnotherCallOnceTheBlameIsTold() {
+		AttemptId first = this.site.callUnnumbered("one");
+		this.site.crash(0);
+		this.site.report(2);
+		this.site.callUnnumbered("two");
+		assertThat(this.site.started()).containsExactly("one");
+		this.site.settleLog();
+		assertThat(this.site.started()).containsExactly("one", "two");
+		this.site.crash(1);
+		this.site.report(3);
+		this.site.callUnnumbered("three");
+		assertThat(this.site.started()).containsExactly("one", "two");
+		this.site.pass(OUTCOME_WAIT);
+		assertThat(this.site.started()).containsExactly("one", "two", "three");
+		assertThat(this.site.failureOf(first).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	private void assertEnded(EndReason reason) {
 		assertThat(this.site.appended()).contains(new LedgerRecord.ProgramEnded(SidecarSite.PROGRAM, reason));
 	}
