End a program after its life even while nothing is appended

Cause: the age of a program went by the log's time alone, which stands still on a quiet log, so the check was put off for ever. The test of the lifetime limit, written meanwhile, failed on it. Change: the home fixes the end of the program's life by its own clock when it opens, from the age by the log's time. Conclusion: one reminder a program still serves silence and age.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Home.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/Home.java
@@ -24,47 +24,49 @@
  * @param active the job of the turn that waits or runs
  * @param waiting the attempts whose turn has not come
  * @param lastUsed when the program was last active
+ * @param expires when the program has lived as long as it may
  */
 record Home(ProgramId program, Epoch epoch, boolean ready, Vector<Turn> turns, int committed, boolean appending,
-		Optional<JobKey> active, Vector<Arrival> waiting, Instant lastUsed) {
+		Optional<JobKey> active, Vector<Arrival> waiting, Instant lastUsed, Instant expires) {
 
-	static Home of(ProgramId program, Epoch epoch, boolean ready, Instant now) {
-		return new Home(program, epoch, ready, Vector.empty(), 0, false, Optional.empty(), Vector.empty(), now);
+	static Home of(ProgramId program, Epoch epoch, boolean ready, Instant now, Instant expires) {
+		return new Home(program, epoch, ready, Vector.empty(), 0, false, Optional.empty(), Vector.empty(), now,
+				expires);
 	}
 
 	Home withHistory(Vector<Turn> read) {
 		return new Home(this.program, this.epoch, true, read, read.size(), false, this.active, this.waiting,
-				this.lastUsed);
+				this.lastUsed, this.expires);
 	}
 
 	Home inEpoch(Epoch newer) {
 		return new Home(this.program, newer, this.ready, this.turns, this.committed, false, this.active, this.waiting,
-				this.lastUsed);
+				this.lastUsed, this.expires);
 	}
 
 	Home withTurn(Turn turn, Instant now) {
 		return new Home(this.program, this.epoch, this.ready, this.turns.append(turn), this.committed, this.appending,
-				Optional.empty(), this.waiting, now);
+				Optional.empty(), this.waiting, now, this.expires);
 	}
 
 	Home withCommitted(int number) {
 		return new Home(this.program, this.epoch, this.ready, this.turns, number, false, this.active, this.waiting,
-				this.lastUsed);
+				this.lastUsed, this.expires);
 	}
 
 	Home whileAppending(boolean value) {
 		return new Home(this.program, this.epoch, this.ready, this.turns, this.committed, value, this.active,
-				this.waiting, this.lastUsed);
+				this.waiting, this.lastUsed, this.expires);
 	}
 
 	Home withActive(Optional<JobKey> job, Instant now) {
 		return new Home(this.program, this.epoch, this.ready, this.turns, this.committed, this.appending, job,
-				this.waiting, now);
+				this.waiting, now, this.expires);
 	}
 
 	Home withWaiting(Vector<Arrival> arrivals) {
 		return new Home(this.program, this.epoch, this.ready, this.turns, this.committed, this.appending, this.active,
-				arrivals, this.lastUsed);
+				arrivals, this.lastUsed, this.expires);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/sidecar/HomeRules.java
@@ -93,11 +93,13 @@
 	}
 
 	private Home open(ProgramId program, ProgramState state) {
-		Home home = Home.of(program, state.epoch(), state.lastTurn().isEmpty(), this.draft.now);
+		Duration age = Duration.between(state.born(), this.draft.log.time());
+		Instant expires = this.draft.now.plus(limits().programs().lifetime().minus(age));
+		Home home = Home.of(program, state.epoch(), state.lastTurn().isEmpty(), this.draft.now, expires);
 		this.draft.put(home);
 		state.lastTurn()
 			.ifPresent((last) -> this.draft.run(new SidecarEffect.ReadHistory(program, state.epoch(), last)));
-		this.draft.remindAt(nextCheck(home, state), new Duty.CheckAge(program));
+		this.draft.remindAt(nextCheck(home), new Duty.CheckAge(program));
 		return home;
 	}
 
@@ -435,12 +437,11 @@
 	 */
 	void checkAge(ProgramId program) {
 		Optional<Home> home = this.draft.home(program);
-		Optional<ProgramState> state = this.draft.log.ledger().program(program);
-		if (home.isEmpty() || state.isEmpty()) {
+		if (home.isEmpty()) {
 			return;
 		}
 		ProgramLimits limits = limits().programs();
-		if (!ageOf(state.get()).minus(limits.lifetime()).isNegative()) {
+		if (!home.get().expires().isAfter(this.draft.now)) {
 			end(program, EndReason.LIFETIME);
 			return;
 		}
@@ -451,21 +452,14 @@
 			end(program, EndReason.IDLE);
 			return;
 		}
-		this.draft.remindAt(nextCheck(home.get(), state.get()), new Duty.CheckAge(program));
+		this.draft.remindAt(nextCheck(home.get()), new Duty.CheckAge(program));
 	}
 
-	// The age by the log's time, which stands still while nothing is appended, so that a
-	// program may live a little longer on a quiet log.
-	private Duration ageOf(ProgramState state) {
-		return Duration.between(state.born(), this.draft.log.time());
-	}
-
-	private Instant nextCheck(Home home, ProgramState state) {
-		ProgramLimits limits = limits().programs();
-		Instant idle = home.lastUsed().plus(limits.idleTime());
-		Instant checked = (idle.isAfter(this.draft.now)) ? idle : this.draft.now.plus(limits.idleTime());
-		Instant old = this.draft.now.plus(limits.lifetime().minus(ageOf(state)));
-		return (old.isBefore(checked)) ? old : checked;
+	private Instant nextCheck(Home home) {
+		Duration limit = limits().programs().idleTime();
+		Instant idle = home.lastUsed().plus(limit);
+		Instant checked = (idle.isAfter(this.draft.now)) ? idle : this.draft.now.plus(limit);
+		return (home.expires().isBefore(checked)) ? home.expires() : checked;
 	}
 
 	/**
