Test the entry's rules for callers and routes, and mend one

Cause: only the model covered them. A sidecar that came back as another life, without the loss of its link being told first, was sent its unanswered calls again under the old life's name; each failed at the link and was decided only on a later look. Conclusion: such calls get their true outcome at once.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/SidecarRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/SidecarRules.java
@@ -38,8 +38,8 @@
 			this.draft.run(new EntryEffect.Disconnect(event.vm()));
 			return;
 		}
-		this.routes.linkLost(event.vm());
 		this.draft.put(peer.get().linked(event.sidecar(), this.draft.now));
+		this.routes.linkLost(event.vm());
 		this.draft.report(NoticeCode.SIDECAR_LINKED.with(FieldName.VM, event.vm())
 			.with(FieldName.ZONE, peer.get().policy().zone()));
 		lookAgainAtAll();
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/entry/CallerRulesTests.java
@@ -0,0 +1,178 @@
+package io.lentilslip.core.entry;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.Answer;
+import io.lentilslip.core.call.Body;
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.CallOutcome;
+import io.lentilslip.core.call.Durability;
+import io.lentilslip.core.call.FailureCause;
+import io.lentilslip.core.call.HistoryMode;
+import io.lentilslip.core.call.ServiceMessage;
+import io.lentilslip.core.call.Usage;
+import io.lentilslip.core.identity.Digest;
+import io.lentilslip.core.identity.ModelName;
+import io.lentilslip.core.identity.ProgramId;
+import io.lentilslip.core.identity.ProgramName;
+import io.lentilslip.core.identity.ServiceName;
+import io.lentilslip.core.ledger.EndReason;
+import io.lentilslip.core.ledger.Epoch;
+import io.lentilslip.core.ledger.LedgerRecord;
+import io.lentilslip.core.ledger.Turn;
+import io.lentilslip.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CallerRulesTests {
+
+	private static final Submission PLAIN = EntrySite.model(Optional.empty(), Optional.empty(), HistoryMode.WHOLE, "m");
+
+	private static final Optional<ProgramName> NO_PROGRAM = Optional.empty();
+
+	private final EntrySite site = EntrySite.ready();
+
+	@Test
+	void refusesAnUnknownKey() {
+		Submission unknown = new Submission(Digest.of("stranger"), NO_PROGRAM, NO_PROGRAM, Optional.empty(),
+				Optional.empty(), Optional.empty(), PLAIN.payload());
+		assertRefused(this.site, unknown, FailureCause.UNAUTHORIZED);
+	}
+
+	@Test
+	void refusesCallsUntilItHasAConfiguration() {
+		EntrySite unconfigured = new EntrySite();
+		assertRefused(unconfigured, PLAIN, FailureCause.NOT_READY);
+		unconfigured.configure();
+		unconfigured.link(EntrySite.FIRST);
+		unconfigured.call(PLAIN);
+		assertThat(unconfigured.dispatches()).hasSize(1);
+	}
+
+	// The entry was told to stop while a call runs. The call ends as ever; a new one is
+	// refused as not run, with the time after which another entry takes it.
+	@Test
+	void refusesNewCallsWhileItStops() {
+		Ticket running = this.site.call(PLAIN);
+		this.site.stop();
+		assertRefused(this.site, PLAIN, FailureCause.STOPPING);
+		CallOutcome answer = new CallOutcome.Answered(new Answer.FromModel("{}", "stop", Usage.NONE),
+				Durability.NOT_KEPT, 0);
+		this.site.finish(answer);
+		assertThat(this.site.outcomesOf(running)).containsExactly(answer);
+	}
+
+	// The same for a call with a key: an earlier attempt may be in the part of the log
+	// that the entry has not read, so it reads on before it says that the call did not
+	// run.
+	@Test
+	void readsTheLogBeforeItRefusesAKeyedCallAsNotRun() {
+		this.site.stop();
+		Ticket call = this.site.call(EntrySite.order("k", "body"));
+		assertThat(this.site.outcomesOf(call)).isEmpty();
+		this.site.catchUp();
+		this.site.pass(Duration.ofMillis(50));
+		assertNotRun(this.site.failureOf(call), FailureCause.STOPPING);
+	}
+
+	@Test
+	void refusesANumberWithoutAProgram() {
+		assertRefused(this.site, EntrySite.model(NO_PROGRAM, Optional.of(1), HistoryMode.WHOLE, "m"),
+				FailureCause.INVALID);
+	}
+
+	@Test
+	void refusesAParentWithoutAProgram() {
+		assertRefused(this.site, withParent(NO_PROGRAM), FailureCause.INVALID);
+	}
+
+	@Test
+	void refusesAProgramThatIsItsOwnParent() {
+		assertRefused(this.site, withParent(Optional.of(EntrySite.CHAT)), FailureCause.INVALID);
+	}
+
+	private static Submission withParent(Optional<ProgramName> program) {
+		return new Submission(PLAIN.caller(), program, Optional.of(EntrySite.CHAT), Optional.empty(), Optional.empty(),
+				Optional.empty(), PLAIN.payload());
+	}
+
+	@Test
+	void refusesACallThatLeavesTheHistoryWithoutANumber() {
+		assertRefused(this.site, EntrySite.model(Optional.of(EntrySite.CHAT), Optional.empty(), HistoryMode.NEW, "m"),
+				FailureCause.INVALID);
+	}
+
+	@Test
+	void refusesAnUnknownModel() {
+		assertRefused(this.site, withPayload(new Payload.ForModel(new ModelName("other"), HistoryMode.WHOLE,
+				List.of("m"), Optional.empty(), "{}", false)), FailureCause.NOT_FOUND);
+	}
+
+	@Test
+	void refusesAnUnknownService() {
+		assertRefused(this.site, withPayload(new Payload.ForService(new ServiceName("other"),
+				new ServiceMessage("GET", "/", List.of(), Body.EMPTY))), FailureCause.NOT_FOUND);
+	}
+
+	private static Submission withPayload(Payload payload) {
+		return new Submission(PLAIN.caller(), NO_PROGRAM, NO_PROGRAM, Optional.empty(), Optional.empty(),
+				Optional.empty(), payload);
+	}
+
+	@Test
+	void refusesMoreMessagesThanAProgramMayHave() {
+		String[] most = Collections.nCopies(EntrySite.MOST_MESSAGES, "m").toArray(String[]::new);
+		this.site.call(EntrySite.model(NO_PROGRAM, Optional.empty(), HistoryMode.WHOLE, most));
+		assertThat(this.site.dispatches()).hasSize(1);
+		String[] more = Collections.nCopies(EntrySite.MOST_MESSAGES + 1, "m").toArray(String[]::new);
+		assertRefused(this.site, EntrySite.model(NO_PROGRAM, Optional.empty(), HistoryMode.WHOLE, more),
+				FailureCause.TOO_LARGE);
+	}
+
+	// The rule names the group of a program, whoever calls it: the caller's own group
+	// would pay for another one's work, and the program would be two.
+	@Test
+	void putsAProgramIntoTheGroupOfItsRule() {
+		ProgramName offer = new ProgramName("offer-7");
+		this.site.call(EntrySite.model(Optional.of(offer), Optional.of(1), HistoryMode.NEW, "m"));
+		this.site.settleLog();
+		assertThat(this.site.dispatch().call().group()).isEqualTo(EntrySite.BUYERS);
+		assertThat(this.site.dispatch().call().place().orElseThrow().program())
+			.isEqualTo(new ProgramId(EntrySite.BUYERS, offer));
+	}
+
+	// A program ended after its first call. A call that it never had surely did not run;
+	// of a resend of its first call only the lost answer could tell.
+	@Test
+	void refusesCallsOfAnEndedProgram() {
+		ProgramId program = new ProgramId(EntrySite.SELLERS, EntrySite.CHAT);
+		Epoch epoch = Epoch.NONE.next();
+		this.site.read(new LedgerRecord.ProgramClaimed(program, epoch, EntrySite.FIRST, Optional.empty()));
+		this.site.read(new LedgerRecord.TurnCommitted(program, epoch, new Turn(1, Digest.of("m"), Optional.empty(),
+				List.of("m"), new Answer.FromModel("{}", "stop", Usage.NONE)), Optional.empty()));
+		this.site.read(new LedgerRecord.ProgramEnded(program, EndReason.IDLE));
+		assertRefused(this.site, EntrySite.turn(2, "n"), FailureCause.PROGRAM_ENDED);
+		CallFailure resent = this.site.failureOf(this.site.call(EntrySite.turn(1, "m")));
+		assertThat(resent.cause()).isEqualTo(FailureCause.PROGRAM_ENDED);
+		assertThat(resent.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	private static void assertRefused(EntrySite site, Submission submission, FailureCause cause) {
+		int before = site.dispatches().size();
+		CallFailure failure = site.failureOf(site.call(submission));
+		assertNotRun(failure, cause);
+		assertThat(site.dispatches()).hasSize(before);
+		assertThat(site.appended()).isEmpty();
+	}
+
+	private static void assertNotRun(CallFailure failure, FailureCause cause) {
+		assertThat(failure.cause()).isEqualTo(cause);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(failure.retryAfter().isPresent()).isEqualTo(cause.isTransient());
+	}
+
+}
