Show what groups took of their budgets in the status table

Cause: the table named a group's budget but not its use, which stood only in the JSON of each entry. Conclusion: share and budget each stand beside their use.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/status/StatusReport.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/status/StatusReport.java
@@ -119,15 +119,30 @@
 
 	private String groupTable() {
 		TextTable table = new TextTable("group", "calls", "prompt tokens", "cached", "generated", "share due",
-				"share used", "budget");
+				"share used", "budget used", "budget");
 		Map<String, GroupUse> groups = groups();
 		long work = groups.values().stream().mapToLong((use) -> use.work(TokenCost.DEFAULT)).sum();
+		Map<String, Long> taken = budgetUse();
 		groups.forEach((group, use) -> table.add(group, use.calls(), use.promptTokens(), use.cachedTokens(),
 				use.generatedTokens(), due(group).map(StatusReport::percent).orElse(UNKNOWN), used(use, work),
-				budget(group)));
+				Optional.ofNullable(taken.get(group)).map(Object::toString).orElse(UNKNOWN), budget(group)));
 		return table.text();
 	}
 
+	// Each entry tells what the whole group has taken of its budget, as far as it has
+	// read
+	// the log: the highest of their figures is the latest.
+	private Map<String, Long> budgetUse() {
+		Map<String, Long> taken = new TreeMap<>();
+		for (ProcessReport process : this.processes) {
+			process.status()
+				.peek((status) -> status.path("groups")
+					.forEach((group) -> taken.merge(group.path("group").asText(), group.path("used_tokens").asLong(),
+							Math::max)));
+		}
+		return taken;
+	}
+
 	private Optional<Double> due(String group) {
 		return policy(group).map((policy) -> {
 			Configuration configuration = this.published.orElseThrow().configuration();
@@ -163,7 +178,12 @@
 				.peekLeft((reason) -> object.put("unreachable", reason));
 		}
 		ArrayNode groups = root.putArray("groups");
-		groups().forEach((group, use) -> groups.add(json(group, use)));
+		Map<String, Long> taken = budgetUse();
+		groups().forEach((group, use) -> {
+			ObjectNode object = json(group, use);
+			Optional.ofNullable(taken.get(group)).ifPresent((tokens) -> object.put("budget_used_tokens", tokens));
+			groups.add(object);
+		});
 		return root;
 	}
 
