Say of an exit code only what it is used for

Cause: the comment on CUT_OFF named the end of the drain time, after which a process ends with 0. Change: the comment says what the code does. Conclusion: telling the two ends apart is still to be built.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/ExitCode.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/ExitCode.java
@@ -43,7 +43,7 @@
 	LOST(6),
 
 	/**
-	 * A second signal, or the end of the drain time, ended a process with work under way.
+	 * A second signal ended a process with work under way.
 	 */
 	CUT_OFF(7);
 
