--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
@@ -9,7 +9,7 @@
  * One command of the command line. Implementations are safe for use by several threads.
  */
 public sealed interface Command
-		permits EntryCommand, SidecarCommand, ConfigCheckCommand, ConfigDiffCommand, ConfigPublishCommand,
+		permits EntryCommand, SidecarCommand, RelayCommand, ConfigCheckCommand, ConfigDiffCommand, ConfigPublishCommand,
 		ConfigShowCommand, StatusCommand, KeyHashCommand, DemoCommand, StandInCommand, VersionCommand {
 
 	/**
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
@@ -53,9 +53,10 @@
 	 * @return the command line
 	 */
 	static CommandLineTool with(StopRequests stops) {
-		return new CommandLineTool(List.of(new EntryCommand(stops), new SidecarCommand(stops), new ConfigCheckCommand(),
-				new ConfigDiffCommand(), new ConfigPublishCommand(), new ConfigShowCommand(), new StatusCommand(),
-				new KeyHashCommand(), new DemoCommand(stops), new StandInCommand(stops), new VersionCommand()));
+		return new CommandLineTool(List.of(new EntryCommand(stops), new SidecarCommand(stops), new RelayCommand(stops),
+				new ConfigCheckCommand(), new ConfigDiffCommand(), new ConfigPublishCommand(), new ConfigShowCommand(),
+				new StatusCommand(), new KeyHashCommand(), new DemoCommand(stops), new StandInCommand(stops),
+				new VersionCommand()));
 	}
 
 	/**
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/ConfigPublishCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/ConfigPublishCommand.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import java.util.UUID;
 
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.configuration.ConfigurationSource;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.configuration.Base;
 import io.lentilslip.runtime.configuration.ConfigurationPublisher;
 import io.lentilslip.runtime.configuration.PublicationOutcome;
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/LogAccess.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/LogAccess.java
@@ -1,6 +1,6 @@
 package io.lentilslip.application.command;
 
-import io.lentilslip.platform.log.LogService;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.runtime.configuration.ConfigurationLookup;
 import io.lentilslip.runtime.configuration.ConfigurationLookup.Outcome;
 import org.apache.commons.cli.Option;
--- /dev/null
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
@@ -0,0 +1,73 @@
+package io.lentilslip.application.command;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+import io.lentilslip.application.role.StopRequests;
+import io.lentilslip.platform.PlatformRelay;
+import io.lentilslip.relay.process.RelayProcess;
+import io.lentilslip.runtime.node.StopSignals;
+import io.lentilslip.telemetry.LogSettings;
+import io.lentilslip.telemetry.Notices;
+import org.apache.commons.cli.Options;
+import sun.misc.Signal;
+
+/**
+ * Runs a relay on the users' platform until it is asked to stop. Immutable and safe for
+ * use by several threads.
+ */
+final class RelayCommand implements Command {
+
+	private final StopRequests stops;
+
+	/**
+	 * Creates the command.
+	 * @param stops where requests to stop come from
+	 */
+	RelayCommand(StopRequests stops) {
+		this.stops = stops;
+	}
+
+	@Override
+	public List<String> words() {
+		return List.of("relay");
+	}
+
+	@Override
+	public String description() {
+		return """
+				Runs a relay on the users' platform: takes requests by route and finds an upstream for each.
+				Its settings are those that the platform gives the process.""";
+	}
+
+	@Override
+	public Options options() {
+		return new Options();
+	}
+
+	@Override
+	public ExitCode run(Arguments arguments, Console console) throws InterruptedException {
+		CompletableFuture<ExitCode> ended = new CompletableFuture<>();
+		StopSignals signals = this.stops.take(() -> ended.complete(ExitCode.CUT_OFF));
+		// Unhandled, this signal ends a Java process. The platform sends it when settings
+		// changed; what a relay takes from them does not change during its life.
+		Signal.handle(new Signal("HUP"), (signal) -> {
+		});
+		LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput().apply();
+		try (RelayProcess relay = PlatformRelay.create(Notices.ForLogger::ofProcess, () -> "")) {
+			relay.start();
+			signals.onFirst(() -> relay.drain().thenRun(() -> ended.complete(ExitCode.OK)));
+			return ended.get();
+		}
+		catch (IOException ex) {
+			console.error("can't start: " + ex.getMessage());
+			return ExitCode.REFUSED;
+		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException(ex.getCause());
+		}
+	}
+
+}
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/StatusCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/StatusCommand.java
@@ -6,9 +6,9 @@
 
 import io.lentilslip.application.status.ProcessReport;
 import io.lentilslip.application.status.StatusReport;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
 import io.lentilslip.runtime.configuration.ConfigurationLookup.Outcome;
 import io.lentilslip.runtime.configuration.PublishedVersion;
 import org.apache.commons.cli.Option;
--- a/lentilslip-application/src/main/java/io/lentilslip/application/demo/DemoSite.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/demo/DemoSite.java
@@ -12,13 +12,13 @@
 import java.util.UUID;
 
 import io.lentilslip.application.role.RunningRole;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.configuration.Configuration;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.configuration.UpstreamPolicy;
 import io.lentilslip.core.entry.EntryStatus;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.configuration.Base;
 import io.lentilslip.runtime.configuration.ConfigurationPublisher;
 import io.lentilslip.runtime.configuration.PublicationOutcome;
--- a/lentilslip-application/src/main/java/io/lentilslip/application/demo/Upstreams.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/demo/Upstreams.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Map;
 
+import io.lentilslip.client.engine.Engine;
+import io.lentilslip.client.engine.EngineOrder;
+import io.lentilslip.client.http.HttpLimits;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.configuration.UpstreamKind;
 import io.lentilslip.core.configuration.UpstreamPolicy;
 import io.lentilslip.core.identity.ModelName;
-import io.lentilslip.platform.engine.Engine;
-import io.lentilslip.platform.engine.EngineOrder;
-import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.engine.EngineLimits;
 import io.lentilslip.standin.engine.EngineSettings;
 import io.lentilslip.standin.engine.EngineStandIn;
--- a/lentilslip-application/src/main/java/io/lentilslip/application/role/RunningRole.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/role/RunningRole.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.vmlist.VmList;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.entry.Decisions;
 import io.lentilslip.entry.EntryProcess;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.vmlist.VmList;
 import io.lentilslip.runtime.loop.ProcessContext;
 import io.lentilslip.runtime.node.Platform;
 import io.lentilslip.settings.process.EntrySettings;
@@ -47,7 +47,7 @@
 	static void applyLogging(ProcessSettings settings) {
 		LogSettings.Form form = LogSettings.Form.valueOf(settings.logging().format().name());
 		NoticeCode.Level level = NoticeCode.Level.valueOf(settings.logging().level().name());
-		new LogSettings(form, level).apply();
+		LogSettings.defaults().as(form).from(level).apply();
 	}
 
 	private static ProcessContext context(ProcessSettings settings, Metrics metrics) {
--- a/lentilslip-application/src/main/java/io/lentilslip/application/status/ProcessReport.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/status/ProcessReport.java
@@ -8,9 +8,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.HttpSender;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.HttpSender;
 import io.vavr.control.Either;
 import okhttp3.Request;
 
--- a/lentilslip-application/src/test/java/io/lentilslip/application/status/ProcessReportTests.java
+++ b/lentilslip-application/src/test/java/io/lentilslip/application/status/ProcessReportTests.java
@@ -2,9 +2,9 @@
 
 import java.util.Map;
 
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/Engine.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/Engine.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 import java.io.IOException;
 import java.util.concurrent.CompletionStage;
@@ -8,14 +8,14 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.FailureKind;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
+import io.lentilslip.client.http.TransmissionRecorder;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.FailureKind;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
-import io.lentilslip.platform.http.TransmissionRecorder;
 import io.vavr.control.Either;
 import okhttp3.Call;
 import okhttp3.HttpUrl;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/Generation.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/Generation.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 /**
  * An answer that is being generated. Safe for use by several threads.
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/GenerationListener.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/GenerationListener.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 /**
  * What is told of a generation, in order, by one thread at a time. Exactly one of
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/StreamedGeneration.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/StreamedGeneration.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
@@ -7,9 +7,9 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.lentilslip.client.http.Transmission;
+import io.lentilslip.client.http.TransmissionRecorder;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.http.Transmission;
-import io.lentilslip.platform.http.TransmissionRecorder;
 import okhttp3.Call;
 import okhttp3.Response;
 import okio.BufferedSource;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/ToolCallAssembly.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/ToolCallAssembly.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 import java.io.IOException;
 import java.util.Optional;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/engine/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/engine/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The client of a model engine. docs/ENGINE-PROTOCOL.md describes what it speaks.
  */
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/FailureKind.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/FailureKind.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.http;
+package io.lentilslip.client.http;
 
 /**
  * The way in which an attempt failed to bring a whole answer. Safe for use by several
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/TransmissionRecorder.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/TransmissionRecorder.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.http;
+package io.lentilslip.client.http;
 
 import okhttp3.Call;
 import okhttp3.EventListener;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/http/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/package-info.java
@@ -2,4 +2,4 @@
  * Sending of HTTP requests to the systems outside, each at most once, with what is known
  * of the sending when no answer came.
  */
-package io.lentilslip.platform.http;
+package io.lentilslip.client.http;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/log/LogRecord.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/log/LogRecord.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.log;
+package io.lentilslip.client.log;
 
 import java.time.Instant;
 import java.util.Objects;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/log/LogService.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/log/LogService.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.log;
+package io.lentilslip.client.log;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -10,13 +10,13 @@
 import java.util.concurrent.CompletionStage;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
+import io.lentilslip.client.http.JsonAnswers;
+import io.lentilslip.client.http.RetryAfter;
+import io.lentilslip.client.http.Transmission;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
-import io.lentilslip.platform.http.JsonAnswers;
-import io.lentilslip.platform.http.RetryAfter;
-import io.lentilslip.platform.http.Transmission;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.Request;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/log/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/log/package-info.java
@@ -2,4 +2,4 @@
  * The client of the log service: appends whose fate may stay unknown, and reads that show
  * gaps.
  */
-package io.lentilslip.platform.log;
+package io.lentilslip.client.log;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/package-info.java
@@ -2,4 +2,4 @@
  * Clients of the systems outside: engines, log service, VM list, weight store, tool
  * services.
  */
-package io.lentilslip.platform;
+package io.lentilslip.client;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/service/HopByHop.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/service/HopByHop.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.service;
+package io.lentilslip.client.service;
 
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/service/PlainService.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/service/PlainService.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.service;
+package io.lentilslip.client.service;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,17 +8,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.FailureKind;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
+import io.lentilslip.client.http.PendingExchange;
+import io.lentilslip.client.http.Transmission;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.Body;
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.call.ServiceMessage;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.FailureKind;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
-import io.lentilslip.platform.http.PendingExchange;
-import io.lentilslip.platform.http.Transmission;
 import okhttp3.ConnectionPool;
 import okhttp3.Headers;
 import okhttp3.HttpUrl;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/service/ServiceOutcome.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/service/ServiceOutcome.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.service;
+package io.lentilslip.client.service;
 
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.verdict.Verdict;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/service/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/service/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The client of plain services, whose calls may not be repeatable.
  */
-package io.lentilslip.platform.service;
+package io.lentilslip.client.service;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/vmlist/Vm.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/vmlist/Vm.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.vmlist;
+package io.lentilslip.client.vmlist;
 
 import java.util.Objects;
 
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/vmlist/VmList.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/vmlist/VmList.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.vmlist;
+package io.lentilslip.client.vmlist;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -7,13 +7,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
+import io.lentilslip.client.http.JsonAnswers;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
-import io.lentilslip.platform.http.JsonAnswers;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/vmlist/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/vmlist/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The client of the platform's list of live and leaving VMs.
  */
-package io.lentilslip.platform.vmlist;
+package io.lentilslip.client.vmlist;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/weight/WeightStore.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/weight/WeightStore.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.weight;
+package io.lentilslip.client.weight;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -6,13 +6,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import io.lentilslip.client.http.Exchange;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.http.HttpSender;
+import io.lentilslip.client.http.JsonAnswers;
+import io.lentilslip.client.http.RetryAfter;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.Digest;
-import io.lentilslip.platform.http.Exchange;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.http.HttpSender;
-import io.lentilslip.platform.http.JsonAnswers;
-import io.lentilslip.platform.http.RetryAfter;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.HttpUrl;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/weight/WeightVersion.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/weight/WeightVersion.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.weight;
+package io.lentilslip.client.weight;
 
 import java.util.Objects;
 import java.util.regex.Pattern;
--- a/lentilslip-platform/src/main/java/io/lentilslip/platform/weight/package-info.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/weight/package-info.java
@@ -1,4 +1,4 @@
 /**
  * The client of the weight store.
  */
-package io.lentilslip.platform.weight;
+package io.lentilslip.client.weight;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/Endpoints.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/Endpoints.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform;
+package io.lentilslip.client;
 
 import java.net.InetSocketAddress;
 
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/engine/EngineTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/engine/EngineTests.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.engine;
+package io.lentilslip.client.engine;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -13,11 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import io.lentilslip.client.Endpoints;
+import io.lentilslip.client.http.HttpLimits;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.identity.ModelName;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.Endpoints;
-import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.engine.EngineLimits;
 import io.lentilslip.standin.engine.EngineSettings;
 import io.lentilslip.standin.engine.EngineStandIn;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.http;
+package io.lentilslip.client.http;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/log/LogServiceTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/log/LogServiceTests.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.log;
+package io.lentilslip.client.log;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -10,9 +10,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.jooby.StatusCode;
+import io.lentilslip.client.Endpoints;
+import io.lentilslip.client.http.HttpLimits;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.Endpoints;
-import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.http.StandInServer;
 import io.lentilslip.standin.log.LogLimits;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/service/PlainServiceTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/service/PlainServiceTests.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.service;
+package io.lentilslip.client.service;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,14 +10,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import io.lentilslip.client.Endpoints;
+import io.lentilslip.client.http.HttpLimits;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.Body;
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.call.ServiceMessage;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.Endpoints;
-import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.http.StandInServer;
 import io.lentilslip.standin.tool.ToolBehaviour;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/vmlist/VmListTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/vmlist/VmListTests.java
@@ -1,12 +1,12 @@
-package io.lentilslip.platform.vmlist;
+package io.lentilslip.client.vmlist;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.lentilslip.client.Endpoints;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.identity.ZoneName;
-import io.lentilslip.platform.Endpoints;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.http.StandInServer;
 import io.lentilslip.standin.vmlist.ListedVm;
--- a/lentilslip-platform/src/test/java/io/lentilslip/platform/weight/WeightStoreTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/weight/WeightStoreTests.java
@@ -1,4 +1,4 @@
-package io.lentilslip.platform.weight;
+package io.lentilslip.client.weight;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -6,10 +6,10 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.lentilslip.client.Endpoints;
+import io.lentilslip.client.http.HttpLimits;
 import io.lentilslip.core.identity.Digest;
 import io.lentilslip.core.identity.ModelName;
-import io.lentilslip.platform.Endpoints;
-import io.lentilslip.platform.http.HttpLimits;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.http.StandInServer;
 import io.lentilslip.standin.weight.WeightStoreStandIn;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -137,7 +137,27 @@
 	/**
 	 * A span of time in milliseconds.
 	 */
-	MILLISECONDS;
+	MILLISECONDS,
+
+	/**
+	 * One attempt of a caller, by the id that the caller gave it.
+	 */
+	REQUEST,
+
+	/**
+	 * One life of an upstream, by the id that the platform lists.
+	 */
+	UPSTREAM,
+
+	/**
+	 * A route.
+	 */
+	ROUTE,
+
+	/**
+	 * A status of HTTP.
+	 */
+	STATUS;
 
 	/**
 	 * Returns the text that stands before the value in a line and in JSON.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -114,6 +114,13 @@
 	CONFIGURATION_FROM_PEER(2006, Level.INFO, "A newer configuration was taken from a peer.", "Nothing.",
 			FieldName.VERSION, FieldName.VM),
 
+	/**
+	 * Written by a relay for each table that it puts in force; {@code COUNT} is of
+	 * routes.
+	 */
+	ROUTES_ACCEPTED(2007, Level.INFO, "A table of routes is in force in this relay.", "Nothing.", FieldName.VERSION,
+			FieldName.COUNT),
+
 	/**
 	 * Written by the entry when the handshake ends.
 	 */
@@ -158,6 +165,36 @@
 			"If it persists, check the VM's load and the network.", FieldName.VM, FieldName.ZONE,
 			FieldName.MILLISECONDS),
 
+	/**
+	 * Written when the link to another relay is up.
+	 */
+	PEER_LINKED(3007, Level.INFO, "Another relay is linked to this one.", "Nothing.", FieldName.ADDRESS),
+
+	/**
+	 * Written when that link ends.
+	 */
+	PEER_LOST(3008, Level.WARN, "The link to another relay is lost.",
+			"If it does not come back, check the VM and the network between the zones.", FieldName.ADDRESS,
+			FieldName.REASON),
+
+	/**
+	 * Written when the platform lists an upstream for the first time.
+	 */
+	UPSTREAM_LISTED(3009, Level.INFO, "An upstream is listed and may be given work.", "Nothing.", FieldName.UPSTREAM,
+			FieldName.SERVICE, FieldName.ZONE, FieldName.ADDRESS),
+
+	/**
+	 * Written when the platform lists an upstream no longer.
+	 */
+	UPSTREAM_GONE(3010, Level.INFO, "An upstream is no longer listed and is given no more work.", "Nothing.",
+			FieldName.UPSTREAM),
+
+	/**
+	 * Written when a relay loses or regains all others and the log.
+	 */
+	ISOLATION_CHANGED(3011, Level.WARN, "A relay reaches neither the log nor another relay, or reaches one again.",
+			"Check the network of its VM.", FieldName.REASON),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
@@ -269,6 +306,46 @@
 			"If it is frequent, add upstreams or raise the deadline.", FieldName.GROUP, FieldName.PROGRAM,
 			FieldName.CALL, FieldName.MILLISECONDS),
 
+	/**
+	 * Written for each attempt that ends without a whole answer; {@code COUNT} is of
+	 * events passed on.
+	 */
+	ATTEMPT_FAILED(4017, Level.WARN,
+			"An attempt at an upstream failed; the request is sent again only where its route allows it.",
+			"Follow the upstream: if many attempts at it fail, take it out.", FieldName.REQUEST, FieldName.UPSTREAM,
+			FieldName.ATTEMPT, FieldName.REASON, FieldName.COUNT),
+
+	/**
+	 * Written for each request that a relay answers itself.
+	 */
+	REQUEST_REFUSED(4018, Level.WARN, "A relay refused a request or gave it up.",
+			"Follow the reason; the verdict tells the caller whether to repeat it.", FieldName.REQUEST,
+			FieldName.PROGRAM, FieldName.ROUTE, FieldName.REASON, FieldName.VERDICT, FieldName.UPSTREAM,
+			FieldName.ATTEMPT, FieldName.MILLISECONDS),
+
+	/**
+	 * Written when a caller closes its connection before the end of its answer;
+	 * {@code COUNT} is of events passed on.
+	 */
+	CALLER_LEFT(4019, Level.INFO, "A caller left before the end of its answer, and its request was cancelled.",
+			"Nothing; many of them point to answers that are late.", FieldName.REQUEST, FieldName.PROGRAM,
+			FieldName.UPSTREAM, FieldName.COUNT, FieldName.MILLISECONDS),
+
+	/**
+	 * Written at the end of each answer that came from an upstream; {@code MILLISECONDS}
+	 * is from the reading of the request.
+	 */
+	REQUEST_ANSWERED(4020, Level.INFO, "A request was answered by an upstream.", "Nothing.", FieldName.REQUEST,
+			FieldName.PROGRAM, FieldName.ROUTE, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.STATUS,
+			FieldName.COUNT, FieldName.MILLISECONDS),
+
+	/**
+	 * Written when a stream that had begun is broken off towards its caller.
+	 */
+	STREAM_BROKEN_OFF(4021, Level.WARN, "A stream was broken off towards its caller, who sees that it is not whole.",
+			"Follow the attempts of the request.", FieldName.REQUEST, FieldName.PROGRAM, FieldName.UPSTREAM,
+			FieldName.ATTEMPT, FieldName.COUNT, FieldName.MILLISECONDS, FieldName.REASON),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerHead.java
@@ -0,0 +1,55 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.call.Header;
+
+/**
+ * The head of an upstream's answer, decoded. Immutable and safe for use by several
+ * threads.
+ *
+ * @param status the status
+ * @param headers the headers that the caller is given
+ * @param notRun whether the upstream says that it did not and will not run the request
+ * @param signed whether the upstream signed the answer
+ * @param load the upstream's own count of its requests, if it tells it
+ */
+public record AnswerHead(int status, List<Header> headers, boolean notRun, boolean signed, Optional<Load> load) {
+
+	static final int SUCCESS = 200;
+
+	private static final int REDIRECTION = 300;
+
+	/**
+	 * Creates a head.
+	 * @param status the status
+	 * @param headers the headers that the caller is given
+	 * @param notRun whether the upstream says that it did not and will not run the
+	 * request
+	 * @param signed whether the upstream signed the answer
+	 * @param load the upstream's own count of its requests, if it tells it
+	 */
+	public AnswerHead {
+		headers = List.copyOf(headers);
+	}
+
+	/**
+	 * Returns whether the status is that of a success.
+	 * @return whether it is
+	 */
+	public boolean success() {
+		return this.status >= SUCCESS && this.status < REDIRECTION;
+	}
+
+	/**
+	 * An upstream's own count of its requests. Immutable.
+	 *
+	 * @param running the requests that run
+	 * @param waiting the requests that wait
+	 */
+	public record Load(int running, int waiting) {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -0,0 +1,227 @@
+package io.lentilslip.core.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * One request of a caller and its answer, from the reading of the request to the end of
+ * the answer. Used by one thread.
+ */
+final class Exchange {
+
+	private final RelayEvent.Asked asked;
+
+	private final Route route;
+
+	private final long due;
+
+	private final Set<String> tried = new HashSet<>();
+
+	private final Set<String> copies = new HashSet<>();
+
+	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+
+	private Phase phase = Phase.WAITING_FOR_CHAIN;
+
+	private byte[] chain = new byte[0];
+
+	private int attempt;
+
+	private int sends;
+
+	private Optional<Upstream> upstream = Optional.empty();
+
+	private OptionalLong lastEvent;
+
+	private boolean opened;
+
+	private int events;
+
+	private boolean mayHaveRun;
+
+	private boolean reserved;
+
+	private boolean copiesCount;
+
+	private long firstEventAt;
+
+	Exchange(RelayEvent.Asked asked, Route route) {
+		this.asked = asked;
+		this.route = route;
+		this.lastEvent = route.resumable() ? asked.head().lastEvent() : OptionalLong.empty();
+		Duration patience = asked.head().patience().orElse(route.timeout());
+		Duration longest = (patience.compareTo(route.timeout()) < 0) ? patience : route.timeout();
+		this.due = asked.now() + longest.toMillis();
+	}
+
+	long number() {
+		return this.asked.exchange();
+	}
+
+	RelayEvent.Asked asked() {
+		return this.asked;
+	}
+
+	RequestHead head() {
+		return this.asked.head();
+	}
+
+	Route route() {
+		return this.route;
+	}
+
+	long due() {
+		return this.due;
+	}
+
+	Duration left(long now) {
+		return Duration.ofMillis(Math.max(0, this.due - now));
+	}
+
+	Set<String> tried() {
+		return this.tried;
+	}
+
+	Phase phase() {
+		return this.phase;
+	}
+
+	void become(Phase next) {
+		this.phase = next;
+	}
+
+	byte[] chain() {
+		return this.chain;
+	}
+
+	void found(byte[] found) {
+		this.chain = found;
+	}
+
+	int attempt() {
+		return this.attempt;
+	}
+
+	Optional<Upstream> upstream() {
+		return this.upstream;
+	}
+
+	/**
+	 * Returns to how many upstreams the request went out.
+	 * @return the number
+	 */
+	int sends() {
+		return this.sends;
+	}
+
+	void notSent() {
+		this.sends--;
+	}
+
+	void sentTo(Upstream next) {
+		this.attempt++;
+		this.sends++;
+		this.tried.add(next.id());
+		this.upstream = Optional.of(next);
+		this.phase = Phase.RUNNING;
+	}
+
+	OptionalLong lastEvent() {
+		return this.lastEvent;
+	}
+
+	boolean opened() {
+		return this.opened;
+	}
+
+	void open() {
+		this.opened = true;
+	}
+
+	int events() {
+		return this.events;
+	}
+
+	long firstEventAt() {
+		return this.firstEventAt;
+	}
+
+	boolean expects(long number) {
+		return this.lastEvent.isEmpty() || number == this.lastEvent.getAsLong() + 1;
+	}
+
+	boolean has(long number) {
+		return this.lastEvent.isPresent() && number <= this.lastEvent.getAsLong();
+	}
+
+	void passed(RelayEvent.EventArrived event) {
+		if (this.events == 0) {
+			this.firstEventAt = event.now();
+		}
+		this.events++;
+		this.lastEvent = OptionalLong.of(event.number());
+		if (this.route.keepsTurns()) {
+			this.output.writeBytes(event.data());
+			this.output.write('\n');
+		}
+	}
+
+	byte[] output() {
+		return this.output.toByteArray();
+	}
+
+	boolean mayHaveRun() {
+		return this.mayHaveRun;
+	}
+
+	void mayRun() {
+		this.mayHaveRun = true;
+	}
+
+	boolean reserved() {
+		return this.reserved;
+	}
+
+	void reserve() {
+		this.reserved = true;
+	}
+
+	Set<String> copies() {
+		return this.copies;
+	}
+
+	boolean copiesCount() {
+		return this.copiesCount;
+	}
+
+	void countCopies() {
+		this.copiesCount = this.phase == Phase.ENDING;
+	}
+
+	/**
+	 * What an exchange waits for. Safe for use by several threads.
+	 */
+	enum Phase {
+
+		/**
+		 * For the text of the turns before.
+		 */
+		WAITING_FOR_CHAIN,
+
+		/**
+		 * For an upstream's answer.
+		 */
+		RUNNING,
+
+		/**
+		 * For the log, or other relays, to hold the turn, before its end is passed on.
+		 */
+		ENDING
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -0,0 +1,88 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What relays write down for each other: once in the platform's log, and at once over
+ * their links. Taking an entry twice, or in another order, leads to the same state, since
+ * both ways bring the same entries. Immutable and safe for use by several threads.
+ */
+public sealed interface LedgerEntry {
+
+	/**
+	 * Returns the request that the entry is about.
+	 * @return the id of the caller's attempt
+	 */
+	String request();
+
+	/**
+	 * A turn is about to run, and its most tokens are held back from its program's
+	 * budget.
+	 *
+	 * @param request the id of the caller's attempt
+	 * @param program the program
+	 * @param tokens the most tokens that the turn generates
+	 * @param upstream the id of the upstream
+	 * @param prompt the parts of the prompt that the upstream then holds
+	 */
+	record Reserved(String request, String program, int tokens, String upstream,
+			List<PromptPart> prompt) implements LedgerEntry {
+
+		/**
+		 * Creates an entry.
+		 * @param request the id of the caller's attempt
+		 * @param program the program
+		 * @param tokens the most tokens that the turn generates
+		 * @param upstream the id of the upstream
+		 * @param prompt the parts of the prompt that the upstream then holds
+		 */
+		public Reserved {
+			prompt = List.copyOf(prompt);
+		}
+
+	}
+
+	/**
+	 * A turn is over.
+	 *
+	 * @param request the id of the caller's attempt
+	 * @param program the program
+	 * @param tokens the tokens that the caller was given
+	 * @param kept the turn's text if later turns may continue from it
+	 */
+	record Settled(String request, String program, int tokens, Optional<KeptTurn> kept) implements LedgerEntry {
+
+	}
+
+	/**
+	 * An upstream broke off while it ran a request.
+	 *
+	 * @param request the id of the caller's attempt
+	 * @param digest the digest of the request's content, the same for each resend
+	 * @param upstream the id of the upstream
+	 */
+	record Blamed(String request, long digest, String upstream) implements LedgerEntry {
+
+	}
+
+	/**
+	 * The text of a turn. The arrays are shared and never written to.
+	 *
+	 * @param previous the turn that it continues from; empty at the start of a chain
+	 * @param input the new input
+	 * @param output the data of its events, a line feed after each
+	 */
+	record KeptTurn(Optional<String> previous, byte[] input, byte[] output) {
+
+		/**
+		 * Returns how many bytes the text has.
+		 * @return the number
+		 */
+		public int size() {
+			return this.input.length + this.output.length;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
@@ -0,0 +1,84 @@
+package io.lentilslip.core.relay;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The tokens that programs have been given, over all relays. A reservation counts at its
+ * most until its turn is settled, so that a relay that dies in the middle of a turn can
+ * only make a budget look smaller. The number of programs is bounded: the ones untouched
+ * for longest are forgotten. Used by one thread.
+ */
+final class ProgramTokens {
+
+	private final int bound;
+
+	private final LinkedHashMap<String, Account> accounts = new LinkedHashMap<>(64, 0.75f, true);
+
+	ProgramTokens(int bound) {
+		this.bound = bound;
+	}
+
+	/**
+	 * Returns what is spent or held back of a program's budget.
+	 * @param program the program
+	 * @return the tokens
+	 */
+	long taken(String program) {
+		Account account = this.accounts.get(program);
+		return (account != null) ? account.spent + account.held : 0;
+	}
+
+	/**
+	 * Holds back the most tokens of a turn.
+	 * @param program the program
+	 * @param request the turn
+	 * @param tokens the most tokens
+	 * @return whether the turn was not known before
+	 */
+	boolean reserve(String program, String request, int tokens) {
+		Account account = account(program);
+		boolean unknown = account.turns.putIfAbsent(request, tokens) == null;
+		account.held += unknown ? tokens : 0;
+		return unknown;
+	}
+
+	void settle(String program, String request, int tokens) {
+		Account account = account(program);
+		Integer held = account.turns.put(request, Account.SETTLED);
+		if (held != null && held == Account.SETTLED) {
+			return;
+		}
+		account.held -= (held != null) ? held : 0;
+		account.spent += tokens;
+	}
+
+	int size() {
+		return this.accounts.size();
+	}
+
+	private Account account(String program) {
+		Account account = this.accounts.computeIfAbsent(program, (key) -> new Account());
+		if (this.accounts.size() > this.bound) {
+			this.accounts.pollFirstEntry();
+		}
+		return account;
+	}
+
+	/**
+	 * What one program has taken. Used by one thread.
+	 */
+	private static final class Account {
+
+		private static final int SETTLED = -1;
+
+		private final Map<String, Integer> turns = new HashMap<>();
+
+		private long spent;
+
+		private long held;
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -0,0 +1,593 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import io.lentilslip.core.relay.RequestHead.Turn;
+import io.lentilslip.core.relay.Upstreams.Known;
+import io.lentilslip.core.verdict.Verdict;
+
+/**
+ * The reducer of a relay: takes every event, and returns what is to be done about it. All
+ * that a relay decides is decided here; it reads no clock and does no I/O. An exchange is
+ * known from {@link RelayEvent.Asked} until one of {@link RelayEffect.Answer},
+ * {@link RelayEffect.EndStream}, {@link RelayEffect.BreakOff} or
+ * {@link RelayEffect.Refuse} was returned for it, exactly one of which ever is, or until
+ * its caller has left. Used by one thread.
+ */
+public final class Relay {
+
+	private final ProgramTokens tokens;
+
+	private final KeptTurns turns;
+
+	private final Blames blames = new Blames();
+
+	private final Upstreams upstreams = new Upstreams();
+
+	private final SplittableRandom random;
+
+	private final UpstreamChoice choice;
+
+	private final Map<Long, Exchange> exchanges = new HashMap<>();
+
+	private final Map<String, Long> ending = new LinkedHashMap<>();
+
+	private Optional<RouteTable> table = Optional.empty();
+
+	private boolean caughtUp;
+
+	private boolean isolated;
+
+	private boolean ready;
+
+	private long now;
+
+	private List<RelayEffect> effects = new ArrayList<>();
+
+	/**
+	 * Creates a relay that knows nothing yet.
+	 * @param settings what it is set to
+	 */
+	public Relay(RelaySettings settings) {
+		this.tokens = new ProgramTokens(settings.programs());
+		this.turns = new KeptTurns(settings.turnBytes());
+		this.random = new SplittableRandom(settings.seed());
+		this.choice = new UpstreamChoice(settings.zone(), this.random);
+	}
+
+	/**
+	 * Takes an event.
+	 * @param event what happened
+	 * @return what is to be done, in order
+	 */
+	public List<RelayEffect> on(RelayEvent event) {
+		this.now = event.now();
+		switch (event) {
+			case RelayEvent.Asked asked -> asked(asked);
+			case RelayEvent.OfAttempt attempt -> ofAttempt(attempt);
+			case RelayEvent.CallerLeft left -> find(left).ifPresent((exchange) -> callerLeft(exchange));
+			case RelayEvent.Reminded reminded -> find(reminded).ifPresent((exchange) -> reminded(exchange, reminded));
+			case RelayEvent.EntriesRead read -> entriesRead(read);
+			case RelayEvent.CaughtUp ignored -> this.caughtUp = true;
+			case RelayEvent.Stored stored -> stored.requests().forEach(this::stored);
+			case RelayEvent.Copied copied -> copied(copied);
+			case RelayEvent.Isolation isolation -> isolation(isolation.isolated());
+			case RelayEvent.TableRead read -> tableRead(read.table());
+			case RelayEvent.UpstreamsRead read -> this.upstreams.replace(read.upstreams());
+			case RelayEvent.UpstreamListed read -> listed(read.upstream());
+			case RelayEvent.UpstreamGone gone -> gone(gone.id());
+		}
+		updateReadiness();
+		List<RelayEffect> done = this.effects;
+		this.effects = new ArrayList<>();
+		return done;
+	}
+
+	/**
+	 * Returns how many exchanges are under way.
+	 * @return the number
+	 */
+	public int underWay() {
+		return this.exchanges.size();
+	}
+
+	/**
+	 * Returns the bytes of the turns that are kept.
+	 * @return the bytes
+	 */
+	public long turnBytes() {
+		return this.turns.bytes();
+	}
+
+	/**
+	 * Returns how many programs' tokens are remembered.
+	 * @return the number
+	 */
+	public int programs() {
+		return this.tokens.size();
+	}
+
+	/**
+	 * Returns how many upstreams are known.
+	 * @return the number
+	 */
+	public int upstreams() {
+		return this.upstreams.size();
+	}
+
+	private void updateReadiness() {
+		boolean now = this.table.isPresent() && this.upstreams.listed() && this.caughtUp && !this.isolated;
+		if (now != this.ready) {
+			this.ready = now;
+			this.effects.add(new RelayEffect.Ready(now));
+		}
+	}
+
+	private void tableRead(RouteTable read) {
+		if (this.table.isPresent() && this.table.get().version() >= read.version()) {
+			return;
+		}
+		this.table = Optional.of(read);
+		this.effects.add(new RelayEffect.Limit(read.limits()));
+		this.effects.add(new RelayEffect.Tell(RelayNotices.accepted(read)));
+	}
+
+	private void listed(Upstream upstream) {
+		Optional<Upstream> before = this.upstreams.find(upstream.id()).map(Known::upstream);
+		this.upstreams.put(upstream);
+		if (!before.equals(Optional.of(upstream))) {
+			this.effects.add(new RelayEffect.Tell(RelayNotices.listed(upstream)));
+		}
+	}
+
+	private void gone(String upstream) {
+		this.upstreams.remove(upstream);
+		this.effects.add(new RelayEffect.Tell(RelayNotices.gone(upstream)));
+	}
+
+	private void isolation(boolean isolated) {
+		this.isolated = isolated;
+		this.effects.add(new RelayEffect.Tell(RelayNotices.isolation(isolated)));
+	}
+
+	// Requests
+
+	private void asked(RelayEvent.Asked asked) {
+		if (this.table.isEmpty() || !this.upstreams.listed()) {
+			refuseUnknown(asked, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			return;
+		}
+		Optional<Route> route = this.table.get().find(asked.head().host(), asked.head().path());
+		if (route.isEmpty()) {
+			refuseUnknown(asked, Refusal.NO_ROUTE, Optional.empty());
+			return;
+		}
+		Exchange exchange = new Exchange(asked, route.get());
+		this.exchanges.put(asked.exchange(), exchange);
+		if (this.blames.stopped(asked.digest())) {
+			refuse(exchange, Refusal.BLAMED, Optional.empty());
+			return;
+		}
+		remind(exchange, exchange.left(this.now), Reminder.DUE);
+		if (asked.head().turn().isPresent()) {
+			turnAsked(exchange, asked.head().turn().get());
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	private void turnAsked(Exchange exchange, Turn turn) {
+		if (!this.caughtUp) {
+			refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			return;
+		}
+		// A relay that reaches nobody can't see what a program spends elsewhere, and
+		// would give it more than its budget. Refused here, the caller goes to a relay
+		// that can see.
+		if (this.isolated) {
+			refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
+			return;
+		}
+		if (!findChain(exchange, turn)) {
+			this.effects.add(new RelayEffect.ReadLog());
+			remind(exchange, RelaySettings.CHAIN_WAIT, Reminder.CHAIN);
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	private boolean findChain(Exchange exchange, Turn turn) {
+		if (!exchange.route().keepsTurns() || turn.previous().isEmpty()) {
+			return true;
+		}
+		Optional<byte[]> chain = this.turns.chain(turn.previous().get());
+		chain.ifPresent(exchange::found);
+		return chain.isPresent();
+	}
+
+	private void dispatch(Exchange exchange) {
+		if (!exchange.reserved() && overBudget(exchange)) {
+			refuse(exchange, Refusal.BUDGET_SPENT, Optional.empty());
+			return;
+		}
+		Optional<Known> chosen = choose(exchange);
+		if (chosen.isEmpty()) {
+			refuse(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM,
+					Optional.of(RelaySettings.COME_BACK));
+			return;
+		}
+		send(exchange, chosen.get());
+	}
+
+	private boolean overBudget(Exchange exchange) {
+		Optional<Turn> turn = exchange.head().turn();
+		if (turn.isEmpty() || turn.get().budget().isEmpty()) {
+			return false;
+		}
+		long after = this.tokens.taken(turn.get().program()) + turn.get().most();
+		return after > turn.get().budget().getAsLong();
+	}
+
+	private Optional<Known> choose(Exchange exchange) {
+		String service = service(exchange.route());
+		boolean engine = engine(service).isPresent();
+		return this.choice.choose(this.upstreams.taking(service), exchange.tried(), exchange.head().prompt(), engine,
+				this.now);
+	}
+
+	private Optional<RouteTable.Engine> engine(String service) {
+		return this.table.flatMap((known) -> Optional.ofNullable(known.services().get(service)))
+			.flatMap(RouteTable.Service::engine);
+	}
+
+	private String service(Route route) {
+		double total = 0;
+		for (Route.WeightedService target : route.targets()) {
+			total += target.weight();
+		}
+		double point = this.random.nextDouble() * total;
+		for (Route.WeightedService target : route.targets()) {
+			point -= target.weight();
+			if (point < 0) {
+				return target.service();
+			}
+		}
+		return route.targets().getLast().service();
+	}
+
+	private void send(Exchange exchange, Known known) {
+		Upstream upstream = known.upstream();
+		exchange.sentTo(upstream);
+		known.began(exchange.head().id(), this.now);
+		List<PromptPart> prompt = exchange.head().prompt();
+		known.read(prompt, engine(upstream.service()).map(RouteTable.Engine::memory).orElse(0L));
+		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
+		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
+		this.effects.add(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
+				exchange.left(this.now), exchange.lastEvent(), stream));
+	}
+
+	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
+		exchange.reserve();
+		this.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		this.effects.add(new RelayEffect.Write(
+				new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), upstream.id(), prompt)));
+	}
+
+	// Answers
+
+	private void ofAttempt(RelayEvent.OfAttempt event) {
+		Optional<Exchange> found = find(event);
+		if (found.isEmpty() || found.get().attempt() != event.attempt() || found.get().phase() != Phase.RUNNING) {
+			return;
+		}
+		Exchange exchange = found.get();
+		switch (event) {
+			case RelayEvent.Answered answered -> answered(exchange, answered);
+			case RelayEvent.StreamOpened opened -> streamOpened(exchange, opened);
+			case RelayEvent.EventArrived arrived -> eventArrived(exchange, arrived);
+			case RelayEvent.StreamEnded ended -> streamEnded(exchange);
+			case RelayEvent.AttemptFailed failed -> failed(exchange, failed.cause());
+		}
+	}
+
+	private void answered(Exchange exchange, RelayEvent.Answered answered) {
+		AnswerHead head = answered.head();
+		Optional<Known> known = known(exchange);
+		known.ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			head.load().ifPresent((load) -> upstream.reported(load, this.now));
+		});
+		if (head.notRun()) {
+			again(exchange);
+			return;
+		}
+		exchange.mayRun();
+		if (head.success() && !head.signed()) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		known.ifPresent(Known::worked);
+		settle(exchange, Optional.empty());
+		if (exchange.opened()) {
+			breakOff(exchange, Refusal.ANSWER_LOST);
+			return;
+		}
+		this.effects.add(new RelayEffect.Tell(RelayNotices.answered(exchange, head.status(), this.now)));
+		close(exchange, new RelayEffect.Answer(exchange.number(), head, answered.body()));
+	}
+
+	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
+		exchange.mayRun();
+		if (!opened.head().signed()) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		if (!exchange.opened()) {
+			exchange.open();
+			this.effects.add(new RelayEffect.OpenStream(exchange.number(), opened.head()));
+		}
+	}
+
+	private void eventArrived(Exchange exchange, RelayEvent.EventArrived event) {
+		if (exchange.has(event.number())) {
+			return;
+		}
+		if (!exchange.expects(event.number())) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		exchange.passed(event);
+		this.effects.add(new RelayEffect.PassEvent(exchange.number(), event.raw()));
+	}
+
+	private void streamEnded(Exchange exchange) {
+		known(exchange).ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			upstream.worked();
+		});
+		if (!exchange.route().keepsTurns() || exchange.head().turn().isEmpty()) {
+			settle(exchange, Optional.empty());
+			endStream(exchange);
+			return;
+		}
+		Turn turn = exchange.head().turn().get();
+		KeptTurn kept = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
+		this.turns.add(exchange.head().id(), kept);
+		settle(exchange, Optional.of(kept));
+		exchange.become(Phase.ENDING);
+		this.ending.put(exchange.head().id(), exchange.number());
+		remind(exchange, RelaySettings.LOG_ALONE, Reminder.COPIES);
+	}
+
+	private void failed(Exchange exchange, FailureCause cause) {
+		Optional<Known> known = known(exchange);
+		known.ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			upstream.failed(this.now);
+		});
+		this.effects.add(new RelayEffect.Tell(RelayNotices.attemptFailed(exchange, cause)));
+		if (!cause.mayHaveRun()) {
+			exchange.notSent();
+		}
+		else {
+			exchange.mayRun();
+			blame(exchange, cause);
+			this.effects.add(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+		}
+		again(exchange);
+	}
+
+	private void blame(Exchange exchange, FailureCause cause) {
+		if (cause != FailureCause.BROKEN || exchange.upstream().isEmpty()) {
+			return;
+		}
+		String upstream = exchange.upstream().get().id();
+		this.blames.add(exchange.asked().digest(), upstream);
+		this.effects.add(new RelayEffect.Write(
+				new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream)));
+	}
+
+	/**
+	 * Sends a request once more if its route, its time and what it has done allow it, and
+	 * ends it otherwise.
+	 * @param exchange the exchange
+	 */
+	private void again(Exchange exchange) {
+		boolean allowed = !exchange.mayHaveRun() || exchange.route().repeatable();
+		boolean blamed = this.blames.stopped(exchange.asked().digest());
+		if (allowed && !blamed && exchange.sends() < exchange.route().attempts() && this.now < exchange.due()) {
+			Optional<Known> next = choose(exchange);
+			if (next.isPresent()) {
+				send(exchange, next.get());
+				return;
+			}
+		}
+		giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
+	}
+
+	private void giveUp(Exchange exchange, Refusal refusal) {
+		settle(exchange, Optional.empty());
+		if (exchange.opened()) {
+			breakOff(exchange, refusal);
+			return;
+		}
+		boolean worthAnother = refusal.verdict() == Verdict.NOT_RUN;
+		refuse(exchange, refusal, worthAnother ? Optional.of(RelaySettings.COME_BACK) : Optional.empty());
+	}
+
+	private void settle(Exchange exchange, Optional<KeptTurn> kept) {
+		if (!exchange.reserved()) {
+			return;
+		}
+		Turn turn = exchange.head().turn().orElseThrow();
+		int perEvent = engine(exchange.upstream().map(Upstream::service).orElse(""))
+			.map(RouteTable.Engine::tokensPerEvent)
+			.orElse(1);
+		int given = exchange.events() * perEvent;
+		this.tokens.settle(turn.program(), exchange.head().id(), given);
+		this.effects
+			.add(new RelayEffect.Write(new LedgerEntry.Settled(exchange.head().id(), turn.program(), given, kept)));
+	}
+
+	// Callers and time
+
+	private void callerLeft(Exchange exchange) {
+		if (exchange.phase() == Phase.RUNNING) {
+			this.effects.add(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+			known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+			settle(exchange, Optional.empty());
+		}
+		this.effects.add(new RelayEffect.Tell(RelayNotices.callerLeft(exchange, this.now)));
+		forget(exchange);
+	}
+
+	private void reminded(Exchange exchange, RelayEvent.Reminded event) {
+		switch (event.reminder()) {
+			case DUE -> due(exchange);
+			case CHAIN -> chainDue(exchange);
+			case COPIES -> logAloneOver(exchange);
+		}
+	}
+
+	private void due(Exchange exchange) {
+		switch (exchange.phase()) {
+			case WAITING_FOR_CHAIN -> refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+			case RUNNING -> {
+				this.effects.add(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+				known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+				giveUp(exchange, Refusal.NO_ANSWER_IN_TIME);
+			}
+			case ENDING -> breakOff(exchange, Refusal.NOT_STORED_IN_TIME);
+		}
+	}
+
+	private void chainDue(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_CHAIN) {
+			refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK_LATER));
+		}
+	}
+
+	private void stored(String request) {
+		Long number = this.ending.get(request);
+		if (number != null) {
+			endStream(this.exchanges.get(number));
+		}
+	}
+
+	private void copied(RelayEvent.Copied copied) {
+		for (String request : copied.requests()) {
+			Long number = this.ending.get(request);
+			if (number == null) {
+				continue;
+			}
+			Exchange exchange = this.exchanges.get(number);
+			exchange.copies().add(copied.peer());
+			endIfCopied(exchange);
+		}
+	}
+
+	private void logAloneOver(Exchange exchange) {
+		exchange.countCopies();
+		endIfCopied(exchange);
+	}
+
+	private void endIfCopied(Exchange exchange) {
+		if (exchange.copiesCount() && exchange.copies().size() >= RelaySettings.COPIES) {
+			endStream(exchange);
+		}
+	}
+
+	// What other relays and the log say
+
+	private void entriesRead(RelayEvent.EntriesRead read) {
+		for (LedgerEntry entry : read.entries()) {
+			switch (entry) {
+				case LedgerEntry.Reserved reserved -> reservedElsewhere(reserved);
+				case LedgerEntry.Settled settled -> settledElsewhere(settled);
+				case LedgerEntry.Blamed blamed -> this.blames.add(blamed.digest(), blamed.upstream());
+			}
+		}
+		List<Exchange> waiting = this.exchanges.values()
+			.stream()
+			.filter((exchange) -> exchange.phase() == Phase.WAITING_FOR_CHAIN)
+			.toList();
+		for (Exchange exchange : waiting) {
+			if (findChain(exchange, exchange.head().turn().orElseThrow())) {
+				dispatch(exchange);
+			}
+		}
+	}
+
+	private void reservedElsewhere(LedgerEntry.Reserved reserved) {
+		if (this.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens())) {
+			this.upstreams.find(reserved.upstream()).ifPresent((known) -> {
+				known.began(reserved.request(), this.now);
+				known.read(reserved.prompt(),
+						engine(known.upstream().service()).map(RouteTable.Engine::memory).orElse(0L));
+			});
+		}
+	}
+
+	private void settledElsewhere(LedgerEntry.Settled settled) {
+		this.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		settled.kept().ifPresent((kept) -> this.turns.add(settled.request(), kept));
+		this.upstreams.ended(settled.request());
+	}
+
+	// Ends
+
+	private Optional<Exchange> find(RelayEvent.OfExchange event) {
+		return Optional.ofNullable(this.exchanges.get(event.exchange()));
+	}
+
+	private Optional<Known> known(Exchange exchange) {
+		return exchange.upstream().flatMap((upstream) -> this.upstreams.find(upstream.id()));
+	}
+
+	private void refuseUnknown(RelayEvent.Asked asked, Refusal refusal, Optional<Duration> comeBack) {
+		this.effects.add(new RelayEffect.Tell(RelayNotices.refused(asked.head(), refusal)));
+		this.effects.add(new RelayEffect.Refuse(asked.exchange(), refusal, comeBack));
+	}
+
+	private void refuse(Exchange exchange, Refusal refusal, Optional<Duration> comeBack) {
+		this.effects.add(new RelayEffect.Tell(RelayNotices.refused(exchange, refusal, this.now)));
+		close(exchange, new RelayEffect.Refuse(exchange.number(), refusal, comeBack));
+	}
+
+	private void breakOff(Exchange exchange, Refusal reason) {
+		this.effects.add(new RelayEffect.Tell(RelayNotices.brokenOff(exchange, reason, this.now)));
+		close(exchange, new RelayEffect.BreakOff(exchange.number()));
+	}
+
+	private void endStream(Exchange exchange) {
+		this.effects.add(new RelayEffect.Tell(RelayNotices.answered(exchange, AnswerHead.SUCCESS, this.now)));
+		close(exchange, new RelayEffect.EndStream(exchange.number()));
+	}
+
+	private void close(Exchange exchange, RelayEffect last) {
+		this.effects.add(last);
+		forget(exchange);
+	}
+
+	private void forget(Exchange exchange) {
+		this.exchanges.remove(exchange.number());
+		this.ending.remove(exchange.head().id());
+	}
+
+	private void remind(Exchange exchange, Duration delay, Reminder reminder) {
+		this.effects.add(new RelayEffect.Remind(exchange.number(), delay, reminder));
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -0,0 +1,154 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.lentilslip.core.notice.Notice;
+
+/**
+ * What a relay wants done. Immutable and safe for use by several threads.
+ */
+public sealed interface RelayEffect {
+
+	/**
+	 * Send a request to an upstream.
+	 *
+	 * @param exchange the exchange
+	 * @param attempt the number of the attempt
+	 * @param upstream the upstream
+	 * @param chain what stands before the caller's body; shared, never written to
+	 * @param left the time that is left for the request
+	 * @param lastEvent the last event that the caller has
+	 * @param stream whether the answer is passed on as it comes
+	 */
+	record Send(long exchange, int attempt, Upstream upstream, byte[] chain, Duration left, OptionalLong lastEvent,
+			boolean stream) implements RelayEffect {
+
+	}
+
+	/**
+	 * Give up an attempt, so that its upstream stops working on it.
+	 *
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 */
+	record Cancel(long exchange, int attempt) implements RelayEffect {
+
+	}
+
+	/**
+	 * Give the caller the whole answer of an upstream.
+	 *
+	 * @param exchange the exchange
+	 * @param head the head
+	 * @param body the body
+	 */
+	record Answer(long exchange, AnswerHead head, byte[] body) implements RelayEffect {
+
+	}
+
+	/**
+	 * Give the caller the head of a stream.
+	 *
+	 * @param exchange the exchange
+	 * @param head the head
+	 */
+	record OpenStream(long exchange, AnswerHead head) implements RelayEffect {
+
+	}
+
+	/**
+	 * Give the caller an event of a stream.
+	 *
+	 * @param exchange the exchange
+	 * @param raw the bytes of the event
+	 */
+	record PassEvent(long exchange, byte[] raw) implements RelayEffect {
+
+	}
+
+	/**
+	 * End the caller's stream as complete.
+	 *
+	 * @param exchange the exchange
+	 */
+	record EndStream(long exchange) implements RelayEffect {
+
+	}
+
+	/**
+	 * End the caller's connection, so that a part of an answer doesn't look complete.
+	 *
+	 * @param exchange the exchange
+	 */
+	record BreakOff(long exchange) implements RelayEffect {
+
+	}
+
+	/**
+	 * Give the caller an answer of the relay's own.
+	 *
+	 * @param exchange the exchange
+	 * @param refusal why
+	 * @param comeBack when the caller may try again
+	 */
+	record Refuse(long exchange, Refusal refusal, Optional<Duration> comeBack) implements RelayEffect {
+
+	}
+
+	/**
+	 * Write an entry to the log and tell the other relays.
+	 *
+	 * @param entry the entry
+	 */
+	record Write(LedgerEntry entry) implements RelayEffect {
+
+	}
+
+	/**
+	 * Read the log now rather than at the next regular time.
+	 */
+	record ReadLog() implements RelayEffect {
+
+	}
+
+	/**
+	 * Remind an exchange later.
+	 *
+	 * @param exchange the exchange
+	 * @param delay when
+	 * @param reminder what for
+	 */
+	record Remind(long exchange, Duration delay, RelayEvent.Reminder reminder) implements RelayEffect {
+
+	}
+
+	/**
+	 * Tell the platform whether the relay takes requests.
+	 *
+	 * @param ready whether it does
+	 */
+	record Ready(boolean ready) implements RelayEffect {
+
+	}
+
+	/**
+	 * Put the limits of a new table in force.
+	 *
+	 * @param limits the limits
+	 */
+	record Limit(RouteTable.Limits limits) implements RelayEffect {
+
+	}
+
+	/**
+	 * Write a notice.
+	 *
+	 * @param notice the notice
+	 */
+	record Tell(Notice notice) implements RelayEffect {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -0,0 +1,308 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What happens to a relay. Times are milliseconds of a steady clock. Immutable and safe
+ * for use by several threads.
+ */
+public sealed interface RelayEvent {
+
+	/**
+	 * Returns when it happened.
+	 * @return milliseconds of a steady clock
+	 */
+	long now();
+
+	/**
+	 * An event of one exchange with a caller. An exchange that has ended ignores it.
+	 */
+	sealed interface OfExchange extends RelayEvent {
+
+		/**
+		 * Returns the exchange.
+		 * @return its number
+		 */
+		long exchange();
+
+	}
+
+	/**
+	 * An event of one attempt at an upstream. An attempt that was given up ignores it, so
+	 * a late answer meets nothing.
+	 */
+	sealed interface OfAttempt extends OfExchange {
+
+		/**
+		 * Returns the attempt.
+		 * @return its number in the exchange, from 1
+		 */
+		int attempt();
+
+	}
+
+	/**
+	 * A caller's request was read whole.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param head what the request says of itself
+	 * @param body its body; shared, never written to
+	 * @param digest a digest of path, caller and body, the same for each resend
+	 */
+	record Asked(long now, long exchange, RequestHead head, byte[] body, long digest) implements OfExchange {
+
+	}
+
+	/**
+	 * The caller closed its connection.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 */
+	record CallerLeft(long now, long exchange) implements OfExchange {
+
+	}
+
+	/**
+	 * A time that was asked for has come.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param reminder what for
+	 */
+	record Reminded(long now, long exchange, Reminder reminder) implements OfExchange {
+
+	}
+
+	/**
+	 * The whole answer of an upstream arrived.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 * @param head its head
+	 * @param body its body
+	 */
+	record Answered(long now, long exchange, int attempt, AnswerHead head, byte[] body) implements OfAttempt {
+
+	}
+
+	/**
+	 * The head of a stream arrived.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 * @param head its head
+	 */
+	record StreamOpened(long now, long exchange, int attempt, AnswerHead head) implements OfAttempt {
+
+	}
+
+	/**
+	 * A whole event of a stream arrived.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 * @param number its number
+	 * @param raw its bytes as they came
+	 * @param data its data
+	 */
+	record EventArrived(long now, long exchange, int attempt, long number, byte[] raw,
+			byte[] data) implements OfAttempt {
+
+	}
+
+	/**
+	 * A stream ended as its upstream meant it to.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 */
+	record StreamEnded(long now, long exchange, int attempt) implements OfAttempt {
+
+	}
+
+	/**
+	 * An attempt failed without a whole answer.
+	 *
+	 * @param now when
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 * @param cause why
+	 */
+	record AttemptFailed(long now, long exchange, int attempt, FailureCause cause) implements OfAttempt {
+
+	}
+
+	/**
+	 * Entries were read from the log, or came from another relay.
+	 *
+	 * @param now when
+	 * @param entries the entries
+	 */
+	record EntriesRead(long now, List<LedgerEntry> entries) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param entries the entries
+		 */
+		public EntriesRead {
+			entries = List.copyOf(entries);
+		}
+
+	}
+
+	/**
+	 * The log was read up to its end for the first time in this life.
+	 *
+	 * @param now when
+	 */
+	record CaughtUp(long now) implements RelayEvent {
+
+	}
+
+	/**
+	 * The log has entries of this relay.
+	 *
+	 * @param now when
+	 * @param requests the requests that they are about
+	 */
+	record Stored(long now, Set<String> requests) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay holds entries of this one.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param requests the requests that they are about
+	 */
+	record Copied(long now, String peer, Set<String> requests) implements RelayEvent {
+
+	}
+
+	/**
+	 * Whether this relay reaches the log or another relay.
+	 *
+	 * @param now when
+	 * @param isolated whether it reaches none of them
+	 */
+	record Isolation(long now, boolean isolated) implements RelayEvent {
+
+	}
+
+	/**
+	 * A route table was read.
+	 *
+	 * @param now when
+	 * @param table the table
+	 */
+	record TableRead(long now, RouteTable table) implements RelayEvent {
+
+	}
+
+	/**
+	 * The platform's whole list of upstreams was read.
+	 *
+	 * @param now when
+	 * @param upstreams the upstreams
+	 */
+	record UpstreamsRead(long now, List<Upstream> upstreams) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param upstreams the upstreams
+		 */
+		public UpstreamsRead {
+			upstreams = List.copyOf(upstreams);
+		}
+
+	}
+
+	/**
+	 * One upstream was listed anew or changed.
+	 *
+	 * @param now when
+	 * @param upstream the upstream
+	 */
+	record UpstreamListed(long now, Upstream upstream) implements RelayEvent {
+
+	}
+
+	/**
+	 * An upstream is no longer listed.
+	 *
+	 * @param now when
+	 * @param id its id
+	 */
+	record UpstreamGone(long now, String id) implements RelayEvent {
+
+	}
+
+	/**
+	 * What an exchange can be reminded of. Safe for use by several threads.
+	 */
+	enum Reminder {
+
+		/**
+		 * The longest time that the request may take is over.
+		 */
+		DUE,
+
+		/**
+		 * The text of its chain should have been found.
+		 */
+		CHAIN,
+
+		/**
+		 * Copies at other relays now count for the end of a kept turn.
+		 */
+		COPIES
+
+	}
+
+	/**
+	 * Why an attempt failed. Safe for use by several threads.
+	 */
+	enum FailureCause {
+
+		/**
+		 * No connection could be made: nothing was sent.
+		 */
+		NOT_CONNECTED(false),
+
+		/**
+		 * The connection ended before the whole answer was in.
+		 */
+		BROKEN(true),
+
+		/**
+		 * What came is no answer to this request.
+		 */
+		UNREADABLE(true);
+
+		private final boolean mayHaveRun;
+
+		FailureCause(boolean mayHaveRun) {
+			this.mayHaveRun = mayHaveRun;
+		}
+
+		/**
+		 * Returns whether the request may have run.
+		 * @return whether it may
+		 */
+		public boolean mayHaveRun() {
+			return this.mayHaveRun;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -0,0 +1,109 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.notice.NoticeField;
+
+/**
+ * The notices of a relay, each with the fields that lead from a request to what was
+ * decided about it. Stateless.
+ */
+final class RelayNotices {
+
+	private static final String NONE = "none";
+
+	private RelayNotices() {
+	}
+
+	static Notice accepted(RouteTable table) {
+		return notice(NoticeCode.ROUTES_ACCEPTED, field(FieldName.VERSION, table.version()),
+				field(FieldName.COUNT, table.routes().size()));
+	}
+
+	static Notice listed(Upstream upstream) {
+		if (upstream.leaving()) {
+			return notice(NoticeCode.UPSTREAM_LEAVING, field(FieldName.VM, upstream.id()),
+					field(FieldName.ZONE, upstream.zone()), field(FieldName.REASON, "listed"));
+		}
+		return notice(NoticeCode.UPSTREAM_LISTED, field(FieldName.UPSTREAM, upstream.id()),
+				field(FieldName.SERVICE, upstream.service()), field(FieldName.ZONE, upstream.zone()),
+				field(FieldName.ADDRESS, upstream.host() + ":" + upstream.port()));
+	}
+
+	static Notice gone(String upstream) {
+		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
+	}
+
+	static Notice isolation(boolean isolated) {
+		return notice(NoticeCode.ISOLATION_CHANGED, field(FieldName.REASON, isolated ? "isolated" : "reached"));
+	}
+
+	static Notice attemptFailed(Exchange exchange, RelayEvent.FailureCause cause) {
+		return notice(NoticeCode.ATTEMPT_FAILED, request(exchange), upstream(exchange), attempt(exchange),
+				field(FieldName.REASON, cause), events(exchange));
+	}
+
+	static Notice refused(RequestHead head, Refusal refusal) {
+		return notice(NoticeCode.REQUEST_REFUSED, field(FieldName.REQUEST, head.id()), field(FieldName.REASON, refusal),
+				field(FieldName.VERDICT, refusal.verdict()));
+	}
+
+	static Notice refused(Exchange exchange, Refusal refusal, long now) {
+		return notice(NoticeCode.REQUEST_REFUSED, request(exchange), program(exchange),
+				field(FieldName.ROUTE, exchange.route().name()), field(FieldName.REASON, refusal),
+				field(FieldName.VERDICT, refusal.verdict()), upstream(exchange), attempt(exchange),
+				taken(exchange, now));
+	}
+
+	static Notice callerLeft(Exchange exchange, long now) {
+		return notice(NoticeCode.CALLER_LEFT, request(exchange), program(exchange), upstream(exchange),
+				events(exchange), taken(exchange, now));
+	}
+
+	static Notice answered(Exchange exchange, int status, long now) {
+		return notice(NoticeCode.REQUEST_ANSWERED, request(exchange), program(exchange),
+				field(FieldName.ROUTE, exchange.route().name()), upstream(exchange), attempt(exchange),
+				field(FieldName.STATUS, status), events(exchange), taken(exchange, now));
+	}
+
+	static Notice brokenOff(Exchange exchange, Refusal reason, long now) {
+		return notice(NoticeCode.STREAM_BROKEN_OFF, request(exchange), program(exchange), upstream(exchange),
+				attempt(exchange), events(exchange), taken(exchange, now), field(FieldName.REASON, reason));
+	}
+
+	private static NoticeField request(Exchange exchange) {
+		return field(FieldName.REQUEST, exchange.head().id());
+	}
+
+	private static NoticeField program(Exchange exchange) {
+		return field(FieldName.PROGRAM, exchange.head().turn().map(RequestHead.Turn::program).orElse(NONE));
+	}
+
+	private static NoticeField upstream(Exchange exchange) {
+		return field(FieldName.UPSTREAM, exchange.upstream().map(Upstream::id).orElse(NONE));
+	}
+
+	private static NoticeField attempt(Exchange exchange) {
+		return field(FieldName.ATTEMPT, exchange.attempt());
+	}
+
+	private static NoticeField events(Exchange exchange) {
+		return field(FieldName.COUNT, exchange.events());
+	}
+
+	private static NoticeField taken(Exchange exchange, long now) {
+		return field(FieldName.MILLISECONDS, now - exchange.asked().now());
+	}
+
+	private static Notice notice(NoticeCode code, NoticeField... fields) {
+		return new Notice(code, List.of(fields));
+	}
+
+	private static NoticeField field(FieldName name, Object value) {
+		return new NoticeField(name, value.toString());
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -0,0 +1,44 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+
+/**
+ * What one relay is set to. Immutable and safe for use by several threads.
+ *
+ * @param zone its availability zone
+ * @param seed the seed of its random choices
+ * @param turnBytes the most bytes of turns' text that it keeps
+ * @param programs the most programs whose tokens it remembers
+ */
+public record RelaySettings(String zone, long seed, long turnBytes, int programs) {
+
+	/**
+	 * How long a turn waits for the text of its chain: a read of the log takes some ten
+	 * milliseconds, a slow one some hundred.
+	 */
+	static final Duration CHAIN_WAIT = Duration.ofMillis(400);
+
+	/**
+	 * When a caller is asked to come back after a refusal: long enough for a change of
+	 * load to show, short enough to be within the third of its time that callers accept.
+	 */
+	static final Duration COME_BACK = Duration.ofMillis(100);
+
+	/**
+	 * When a caller is asked to come back if something has to be restored first.
+	 */
+	static final Duration COME_BACK_LATER = Duration.ofMillis(300);
+
+	/**
+	 * How long the end of a kept turn waits for the log alone. A log that answers takes
+	 * some ten milliseconds; after this, copies at other relays count as well.
+	 */
+	static final Duration LOG_ALONE = Duration.ofMillis(60);
+
+	/**
+	 * How many other relays must hold a turn that the log does not have yet before its
+	 * end is passed on: with two, no single failure loses it.
+	 */
+	static final int COPIES = 2;
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
@@ -0,0 +1,65 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Where requests for a host and a path prefix go, and what may be done with them.
+ * Immutable and safe for use by several threads.
+ *
+ * @param name the name, as operators see it
+ * @param host the host that callers name
+ * @param prefix the prefix of the path; begins and ends with a slash
+ * @param repeatability what may be repeated
+ * @param timeout the longest time that a request is kept waiting
+ * @param target the time within which an answer is on time
+ * @param attempts the most upstreams that one request is sent to
+ * @param priority the rank; 0 is the highest
+ * @param resumable whether a stream may go on at another upstream
+ * @param keepsTurns whether turns carry new input only and the relay holds the rest
+ * @param retention how long turns are kept, and programs remembered
+ * @param targets the services that share the route's requests
+ */
+public record Route(String name, String host, String prefix, Repeatability repeatability, Duration timeout,
+		Duration target, int attempts, int priority, boolean resumable, boolean keepsTurns, Duration retention,
+		List<WeightedService> targets) {
+
+	/**
+	 * Creates a route.
+	 * @param name the name, as operators see it
+	 * @param host the host that callers name
+	 * @param prefix the prefix of the path; begins and ends with a slash
+	 * @param repeatability what may be repeated
+	 * @param timeout the longest time that a request is kept waiting
+	 * @param target the time within which an answer is on time
+	 * @param attempts the most upstreams that one request is sent to
+	 * @param priority the rank; 0 is the highest
+	 * @param resumable whether a stream may go on at another upstream
+	 * @param keepsTurns whether turns carry new input only and the relay holds the rest
+	 * @param retention how long turns are kept, and programs remembered
+	 * @param targets the services that share the route's requests
+	 */
+	public Route {
+		targets = List.copyOf(targets);
+	}
+
+	/**
+	 * Returns whether a request that may have run can be sent again.
+	 * @return whether it can
+	 */
+	public boolean repeatable() {
+		return this.repeatability == Repeatability.IDEMPOTENT
+				|| (this.repeatability == Repeatability.STREAM && this.resumable);
+	}
+
+	/**
+	 * A service with its part of a route's requests. Immutable.
+	 *
+	 * @param service the name of the service
+	 * @param weight the part, relative to the other weights of the route
+	 */
+	public record WeightedService(String service, double weight) {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
@@ -0,0 +1,93 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The routes, services and limits that are in force together. Immutable and safe for use
+ * by several threads.
+ *
+ * @param version the version; of two tables the one with the higher version is newer
+ * @param routes the routes
+ * @param services the services by name
+ * @param limits what callers may send
+ */
+public record RouteTable(long version, List<Route> routes, Map<String, Service> services, Limits limits) {
+
+	/**
+	 * Creates a table.
+	 * @param version the version; of two tables the one with the higher version is newer
+	 * @param routes the routes
+	 * @param services the services by name
+	 * @param limits what callers may send
+	 */
+	public RouteTable {
+		routes = List.copyOf(routes);
+		services = Map.copyOf(services);
+	}
+
+	/**
+	 * Finds the route with the longest prefix that begins the path.
+	 * @param host the host, without a port
+	 * @param path the path, without a query
+	 * @return the route, or empty if none fits
+	 */
+	public Optional<Route> find(String host, String path) {
+		Optional<Route> best = Optional.empty();
+		for (Route route : this.routes) {
+			if (!route.host().equalsIgnoreCase(host) || !path.startsWith(route.prefix())) {
+				continue;
+			}
+			if (best.isEmpty() || best.get().prefix().length() < route.prefix().length()) {
+				best = Optional.of(route);
+			}
+		}
+		return best;
+	}
+
+	/**
+	 * A service that upstreams offer. Immutable.
+	 *
+	 * @param name the name
+	 * @param connections the most connections that one upstream takes from all callers
+	 * @param engine what its upstreams can do if they are model engines
+	 */
+	public record Service(String name, int connections, Optional<Engine> engine) {
+
+	}
+
+	/**
+	 * What a model engine can do. Immutable.
+	 *
+	 * @param slots the requests that run at once
+	 * @param memory the tokens that its memory holds
+	 * @param tokensPerEvent the tokens that one event of a stream counts as
+	 */
+	public record Engine(int slots, long memory, int tokensPerEvent) {
+
+	}
+
+	/**
+	 * What callers may send. Immutable.
+	 *
+	 * @param headerBytes the most bytes of a request's line and headers
+	 * @param bodyBytes the most bytes of a body
+	 * @param headerTimeout the longest time that a head may take to arrive
+	 * @param idleTimeout the longest time that a connection may stay idle
+	 */
+	public record Limits(int headerBytes, int bodyBytes, Duration headerTimeout, Duration idleTimeout) {
+
+		/**
+		 * What holds until the first table is known: generous enough to refuse nothing
+		 * that a table would allow, small enough to bound memory.
+		 * @return the limits
+		 */
+		public static Limits beforeFirstTable() {
+			return new Limits(16 * 1024, 4 * 1024 * 1024, Duration.ofSeconds(3), Duration.ofSeconds(15));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -0,0 +1,79 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.lentilslip.core.relay.Upstreams.Known;
+
+/**
+ * Chooses the upstream that is expected to be done with a request first: by what it has
+ * to read of the prompt, by what it runs, and by its distance. Immutable and safe for use
+ * by several threads as far as its random generator is.
+ *
+ * @param zone the availability zone of this relay
+ * @param random breaks ties, so that relays with the same beliefs spread out
+ */
+record UpstreamChoice(String zone, RandomGenerator random) {
+
+	/**
+	 * The prompt tokens that an engine reads in a millisecond, of the order that the
+	 * users' engines show.
+	 */
+	private static final double TOKENS_PER_MS = 147;
+
+	/**
+	 * Milliseconds by which one more request slows an engine's others and itself: each of
+	 * some 250 steps becomes about 0.04 ms longer, for it and for a neighbour.
+	 */
+	private static final double MS_PER_RUN = 15;
+
+	/**
+	 * Milliseconds that a request waits at a plain service when all places are taken,
+	 * spread over the places.
+	 */
+	private static final double MS_AT_FULL_SERVICE = 100;
+
+	/**
+	 * Milliseconds that another zone costs there and back.
+	 */
+	private static final double MS_OF_OTHER_ZONE = 3;
+
+	/**
+	 * A penalty above every sum of the others: an upstream that has just failed is used
+	 * only if all have.
+	 */
+	private static final double MS_OF_AVOIDED = 1_000_000;
+
+	Optional<Known> choose(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, boolean engine,
+			long now) {
+		Optional<Known> best = Optional.empty();
+		double lowest = Double.MAX_VALUE;
+		for (Known candidate : candidates) {
+			if (excluded.contains(candidate.upstream().id())) {
+				continue;
+			}
+			double cost = cost(candidate, prompt, engine, now);
+			if (cost < lowest) {
+				lowest = cost;
+				best = Optional.of(candidate);
+			}
+		}
+		return best;
+	}
+
+	private double cost(Known candidate, List<PromptPart> prompt, boolean engine, long now) {
+		double cost = this.random.nextDouble();
+		if (engine) {
+			cost += candidate.uncached(prompt) / TOKENS_PER_MS + MS_PER_RUN * candidate.load(now);
+		}
+		else {
+			cost += MS_AT_FULL_SERVICE * candidate.load(now) / Math.max(1, candidate.upstream().slots());
+		}
+		cost += candidate.upstream().zone().equals(this.zone) ? 0 : MS_OF_OTHER_ZONE;
+		cost += candidate.avoided(now) ? MS_OF_AVOIDED : 0;
+		return cost;
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -0,0 +1,177 @@
+package io.lentilslip.core.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What a relay believes of the upstreams: who is listed, what each runs, what each has in
+ * its cache, and which are avoided. A wrong belief costs time, never a wrong answer. Used
+ * by one thread.
+ */
+final class Upstreams {
+
+	/**
+	 * How long a run that nobody settled counts as load. Its relay died; callers do not
+	 * wait longer than this.
+	 */
+	private static final long RUN_LIFE_MS = 5_000;
+
+	/**
+	 * How long an upstream's own count of its load is believed: about the time in which a
+	 * plain service's queue turns over.
+	 */
+	private static final long REPORT_LIFE_MS = 300;
+
+	private static final long FIRST_AVOIDANCE_MS = 500;
+
+	private static final long LONGEST_AVOIDANCE_MS = 4_000;
+
+	private final Map<String, Known> known = new HashMap<>();
+
+	private boolean listed;
+
+	void replace(List<Upstream> upstreams) {
+		Set<String> ids = new HashSet<>();
+		upstreams.forEach((upstream) -> ids.add(upstream.id()));
+		this.known.keySet().retainAll(ids);
+		upstreams.forEach(this::put);
+		this.listed = true;
+	}
+
+	void put(Upstream upstream) {
+		this.known.computeIfAbsent(upstream.id(), (id) -> new Known()).upstream = upstream;
+	}
+
+	void remove(String id) {
+		this.known.remove(id);
+	}
+
+	void ended(String request) {
+		this.known.values().forEach((upstream) -> upstream.ended(request));
+	}
+
+	boolean listed() {
+		return this.listed;
+	}
+
+	int size() {
+		return this.known.size();
+	}
+
+	Optional<Known> find(String id) {
+		return Optional.ofNullable(this.known.get(id));
+	}
+
+	/**
+	 * Returns the upstreams of a service that take new work.
+	 * @param service the service
+	 * @return the upstreams
+	 */
+	List<Known> taking(String service) {
+		List<Known> taking = new ArrayList<>();
+		for (Known candidate : this.known.values()) {
+			if (candidate.upstream.service().equals(service) && !candidate.upstream.leaving()) {
+				taking.add(candidate);
+			}
+		}
+		return taking;
+	}
+
+	/**
+	 * What is believed of one upstream. Used by one thread.
+	 */
+	static final class Known {
+
+		private Upstream upstream;
+
+		private final Map<String, Long> runs = new LinkedHashMap<>();
+
+		private final LinkedHashMap<Long, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
+
+		private long cachedTokens;
+
+		private int reported;
+
+		private long reportedAt = Long.MIN_VALUE / 2;
+
+		private long avoidedUntil;
+
+		private long avoidance = FIRST_AVOIDANCE_MS;
+
+		Upstream upstream() {
+			return this.upstream;
+		}
+
+		void began(String request, long now) {
+			this.runs.put(request, now);
+		}
+
+		void ended(String request) {
+			this.runs.remove(request);
+		}
+
+		void reported(AnswerHead.Load load, long now) {
+			this.reported = load.running() + load.waiting();
+			this.reportedAt = now;
+		}
+
+		void failed(long now) {
+			this.avoidedUntil = now + this.avoidance;
+			this.avoidance = Math.min(2 * this.avoidance, LONGEST_AVOIDANCE_MS);
+		}
+
+		void worked() {
+			this.avoidedUntil = 0;
+			this.avoidance = FIRST_AVOIDANCE_MS;
+		}
+
+		boolean avoided(long now) {
+			return now < this.avoidedUntil;
+		}
+
+		int load(long now) {
+			this.runs.values().removeIf((since) -> now - since > RUN_LIFE_MS);
+			boolean fresh = now - this.reportedAt < REPORT_LIFE_MS;
+			return Math.max(this.runs.size(), fresh ? this.reported : 0);
+		}
+
+		/**
+		 * Notes that the parts of a prompt are now in the upstream's cache.
+		 * @param prompt the parts, in order
+		 * @param capacity the tokens that the cache holds
+		 */
+		void read(List<PromptPart> prompt, long capacity) {
+			for (PromptPart part : prompt) {
+				Integer before = this.cache.put(part.id(), part.tokens());
+				this.cachedTokens += part.tokens() - ((before != null) ? before : 0);
+			}
+			while (this.cachedTokens > capacity && !this.cache.isEmpty()) {
+				this.cachedTokens -= this.cache.pollFirstEntry().getValue();
+			}
+		}
+
+		/**
+		 * Returns how many tokens of a prompt have to be read. A part counts as cached
+		 * only if all parts before it are.
+		 * @param prompt the parts, in order
+		 * @return the tokens
+		 */
+		long uncached(List<PromptPart> prompt) {
+			long tokens = 0;
+			boolean missing = false;
+			for (PromptPart part : prompt) {
+				missing = missing || !this.cache.containsKey(part.id());
+				tokens += missing ? part.tokens() : 0;
+			}
+			return tokens;
+		}
+
+	}
+
+}
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/EntryProcessTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/EntryProcessTests.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.vmlist.VmList;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.CallFailure;
 import io.lentilslip.core.call.CallOutcome;
@@ -43,8 +45,6 @@
 import io.lentilslip.core.reducer.Step;
 import io.lentilslip.core.role.NodeEffect;
 import io.lentilslip.core.role.NodeEvent;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.vmlist.VmList;
 import io.lentilslip.runtime.configuration.Base;
 import io.lentilslip.runtime.configuration.ConfigurationPublisher;
 import io.lentilslip.runtime.configuration.PublicationOutcome;
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -0,0 +1,103 @@
+package io.lentilslip.relay.http;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.lentilslip.core.relay.RouteTable;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/**
+ * The port at which callers reach a relay. Used by the event loop's thread.
+ */
+public final class CallerServer {
+
+	private static final int BACKLOG = 1024;
+
+	private final CallerListener listener;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private RouteTable.Limits limits = RouteTable.Limits.beforeFirstTable();
+
+	private boolean draining;
+
+	/**
+	 * Creates a server without a port.
+	 * @param listener takes what callers send
+	 */
+	public CallerServer(CallerListener listener) {
+		this.listener = listener;
+	}
+
+	/**
+	 * Opens the port.
+	 * @param loop the event loop
+	 * @param address the address
+	 * @return the opening
+	 */
+	public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<>() {
+
+				@Override
+				protected void initChannel(Channel channel) {
+					accept(channel);
+				}
+
+			});
+		return bootstrap.bind(address);
+	}
+
+	/**
+	 * Puts limits in force for requests that begin from now on.
+	 * @param next the limits
+	 */
+	public void limit(RouteTable.Limits next) {
+		this.limits = next;
+	}
+
+	/**
+	 * From now on every answer ends its connection.
+	 */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Closes the connections that are idle, and lets the others end after their answers.
+	 */
+	public void closeIdle() {
+		List.copyOf(this.connections).forEach(CallerConnection::drain);
+	}
+
+	/**
+	 * Returns how many connections are open.
+	 * @return the number
+	 */
+	public int size() {
+		return this.connections.size();
+	}
+
+	private void accept(Channel channel) {
+		CallerConnection connection = new CallerConnection(this.listener, () -> this.limits, () -> this.draining);
+		this.connections.add(connection);
+		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
+		channel.pipeline()
+			.addLast(new HeaderDeadline(() -> this.limits.headerTimeout()), new StrictRequestDecoder(this.limits),
+					new HttpResponseEncoder(), connection);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/ReadyServer.java
@@ -0,0 +1,110 @@
+package io.lentilslip.relay.http;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * The port at which the platform asks whether a relay takes requests, and operators read
+ * its metrics. Used by the event loop's thread.
+ */
+public final class ReadyServer {
+
+	/**
+	 * The path of the metrics.
+	 */
+	public static final String METRICS_PATH = "/metrics";
+
+	private static final int REQUEST_BYTES = 4096;
+
+	private final BooleanSupplier ready;
+
+	private final Supplier<String> metrics;
+
+	/**
+	 * Creates a server without a port.
+	 * @param ready whether the relay takes requests
+	 * @param metrics writes the metrics
+	 */
+	public ReadyServer(BooleanSupplier ready, Supplier<String> metrics) {
+		this.ready = ready;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Opens the port.
+	 * @param loop the event loop
+	 * @param address the address
+	 * @return the opening
+	 */
+	public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childHandler(new ChannelInitializer<>() {
+
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline()
+						.addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler(),
+								new HttpObjectAggregator(REQUEST_BYTES), new Answers());
+				}
+
+			});
+		return bootstrap.bind(address);
+	}
+
+	/**
+	 * Answers the requests of one connection. Used by the event loop's thread.
+	 */
+	private final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+			FullHttpResponse answer = request.uri().equals(METRICS_PATH) ? metrics() : readiness();
+			HttpUtil.setContentLength(answer, answer.content().readableBytes());
+			context.writeAndFlush(answer);
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			// The platform asks again on a new connection.
+			context.close();
+		}
+
+		private FullHttpResponse readiness() {
+			boolean taking = ReadyServer.this.ready.getAsBoolean();
+			return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					taking ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+		}
+
+		private FullHttpResponse metrics() {
+			byte[] text = ReadyServer.this.metrics.get().getBytes(StandardCharsets.UTF_8);
+			return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+					Unpooled.wrappedBuffer(text));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The ports at which callers and the platform reach a relay.
+ */
+package io.lentilslip.relay.http;
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
@@ -0,0 +1,114 @@
+package io.lentilslip.relay.peer;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.lentilslip.wire.relay.PeerMessage;
+import io.lentilslip.wire.relay.RelayCodec;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.vavr.control.Either;
+
+/**
+ * One connection between two relays: frames with a length, a pulse when nothing else is
+ * sent, and an end when nothing arrives. Used by the event loop's thread.
+ */
+abstract class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
+
+	/**
+	 * How often something is sent. A link that has gone silent has to be found out well
+	 * within a second, since its relay decides on budgets by what the links bring.
+	 */
+	private static final Duration PULSE = Duration.ofMillis(300);
+
+	/**
+	 * How long nothing may arrive: three pulses and a slow moment of the other relay.
+	 */
+	private static final Duration SILENCE = Duration.ofMillis(1200);
+
+	private static final int FRAME_BYTES = 16 * 1024 * 1024;
+
+	private static final int LENGTH_BYTES = 4;
+
+	private String reason = "closed";
+
+	/**
+	 * Returns what sets up a channel with this handler.
+	 * @return the initializer
+	 */
+	ChannelInitializer<Channel> initializer() {
+		return new ChannelInitializer<>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline()
+					.addLast(new IdleStateHandler(SILENCE.toMillis(), PULSE.toMillis(), 0, TimeUnit.MILLISECONDS),
+							new LengthFieldBasedFrameDecoder(FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+							new LengthFieldPrepender(LENGTH_BYTES), PeerChannel.this);
+			}
+
+		};
+	}
+
+	/**
+	 * Takes a message.
+	 * @param context the connection
+	 * @param message the message
+	 */
+	abstract void take(ChannelHandlerContext context, PeerMessage message);
+
+	/**
+	 * Returns why the connection ended.
+	 * @return the reason
+	 */
+	String reason() {
+		return this.reason;
+	}
+
+	static void send(Channel channel, PeerMessage message) {
+		channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encode(message)), channel.voidPromise());
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+		byte[] bytes = new byte[frame.readableBytes()];
+		frame.readBytes(bytes);
+		Either<String, PeerMessage> message = RelayCodec.decodePeer(bytes);
+		if (message.isLeft()) {
+			end(context, message.getLeft());
+			return;
+		}
+		take(context, message.get());
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof IdleStateEvent idle) {
+			if (idle.state() == IdleState.READER_IDLE) {
+				end(context, "silent");
+				return;
+			}
+			send(context.channel(), new PeerMessage.Pulse());
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		end(context, cause.getMessage());
+	}
+
+	private void end(ChannelHandlerContext context, String why) {
+		this.reason = String.valueOf(why);
+		context.close();
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -0,0 +1,168 @@
+package io.lentilslip.relay.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.relay.store.Timers;
+import io.lentilslip.wire.relay.PeerMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * The link over which this relay tells another one what it writes. It is made anew while
+ * the other relay is known; what was sent on a lost link comes to the other relay by the
+ * log. Used by the event loop's thread.
+ */
+final class PeerLink {
+
+	private static final int CONNECT_TIMEOUT_MS = 500;
+
+	/**
+	 * The pauses between tries: the first ones short, since a relay that restarts is back
+	 * in half a second, later ones long, since it may be gone.
+	 */
+	private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+
+	private static final Duration LONGEST_PAUSE = Duration.ofMillis(2000);
+
+	/**
+	 * The most bytes that wait for a relay that reads too slowly before its link ends.
+	 */
+	private static final int WAITING_BYTES = 8 * 1024 * 1024;
+
+	private final EventLoop loop;
+
+	private final String own;
+
+	private final String address;
+
+	private final PeerListener listener;
+
+	private final Timers timers;
+
+	private final Map<Long, Set<String>> batches = new HashMap<>();
+
+	private Optional<Channel> channel = Optional.empty();
+
+	private Duration pause = FIRST_PAUSE;
+
+	private long number;
+
+	private boolean wanted = true;
+
+	PeerLink(EventLoop loop, String own, String address, PeerListener listener, Timers timers) {
+		this.loop = loop;
+		this.own = own;
+		this.address = address;
+		this.listener = listener;
+		this.timers = timers;
+	}
+
+	boolean up() {
+		return this.channel.isPresent();
+	}
+
+	void connect() {
+		if (!this.wanted) {
+			return;
+		}
+		int colon = this.address.lastIndexOf(':');
+		InetSocketAddress target = new InetSocketAddress(this.address.substring(0, colon),
+				Integer.parseInt(this.address.substring(colon + 1)));
+		Bootstrap bootstrap = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(new Receipts().initializer());
+		ChannelFuture connecting = bootstrap.connect(target);
+		connecting.addListener((done) -> {
+			if (!done.isSuccess()) {
+				connectLater();
+			}
+		});
+	}
+
+	void tell(List<LedgerEntry> entries) {
+		if (this.channel.isEmpty()) {
+			return;
+		}
+		if (this.channel.get().unsafe().outboundBuffer().totalPendingWriteBytes() > WAITING_BYTES) {
+			this.channel.get().close();
+			return;
+		}
+		this.number++;
+		Set<String> requests = new HashSet<>();
+		entries.forEach((entry) -> requests.add(entry.request()));
+		this.batches.put(this.number, requests);
+		PeerChannel.send(this.channel.get(), new PeerMessage.Batch(this.number, entries));
+	}
+
+	void close() {
+		this.wanted = false;
+		this.channel.ifPresent(Channel::close);
+	}
+
+	private void connectLater() {
+		this.timers.after(this.pause, this::connect);
+		Duration doubled = this.pause.multipliedBy(2);
+		this.pause = (doubled.compareTo(LONGEST_PAUSE) < 0) ? doubled : LONGEST_PAUSE;
+	}
+
+	/**
+	 * Takes what the other relay says on this link. Used by the event loop's thread.
+	 */
+	private final class Receipts extends PeerChannel {
+
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			send(context.channel(), new PeerMessage.Greeting(PeerLink.this.own));
+		}
+
+		@Override
+		void take(ChannelHandlerContext context, PeerMessage message) {
+			switch (message) {
+				case PeerMessage.Greeting ignored -> up(context.channel());
+				case PeerMessage.Receipt receipt -> {
+					Set<String> requests = PeerLink.this.batches.remove(receipt.number());
+					if (requests != null) {
+						PeerLink.this.listener.copied(PeerLink.this.address, requests);
+					}
+				}
+				case PeerMessage.Batch ignored -> {
+				}
+				case PeerMessage.Pulse ignored -> {
+				}
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (PeerLink.this.channel.isPresent() && PeerLink.this.channel.get() == context.channel()) {
+				PeerLink.this.channel = Optional.empty();
+				PeerLink.this.batches.clear();
+				PeerLink.this.listener.lost(PeerLink.this.address, reason());
+			}
+			connectLater();
+		}
+
+		private void up(Channel linked) {
+			PeerLink.this.channel = Optional.of(linked);
+			PeerLink.this.pause = FIRST_PAUSE;
+			PeerLink.this.listener.linked(PeerLink.this.address);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -0,0 +1,39 @@
+package io.lentilslip.relay.peer;
+
+import java.util.List;
+import java.util.Set;
+
+import io.lentilslip.core.relay.LedgerEntry;
+
+/**
+ * Takes what other relays say. Used by the event loop's thread.
+ */
+public interface PeerListener {
+
+	/**
+	 * Entries of another relay.
+	 * @param entries the entries
+	 */
+	void entries(List<LedgerEntry> entries);
+
+	/**
+	 * Another relay holds entries of this one.
+	 * @param peer its address
+	 * @param requests the requests that they are about
+	 */
+	void copied(String peer, Set<String> requests);
+
+	/**
+	 * A link to another relay is up.
+	 * @param peer its address
+	 */
+	void linked(String peer);
+
+	/**
+	 * A link to another relay is lost.
+	 * @param peer its address
+	 * @param reason why
+	 */
+	void lost(String peer, String reason);
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -0,0 +1,177 @@
+package io.lentilslip.relay.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.relay.store.KeyFollower;
+import io.lentilslip.relay.store.Timers;
+import io.lentilslip.wire.relay.PeerMessage;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/**
+ * The other relays, as far as they have written their addresses to the store, with a link
+ * to each. What this relay writes goes out on all of them; nothing waits for them. Used
+ * by the event loop's thread.
+ */
+public final class Peers implements KeyFollower.Listener {
+
+	private final EventLoop loop;
+
+	private final String own;
+
+	private final PeerListener listener;
+
+	private final Timers timers;
+
+	private final Map<String, PeerLink> links = new HashMap<>();
+
+	private final List<LedgerEntry> untold = new ArrayList<>();
+
+	/**
+	 * Creates a relay's view of the others.
+	 * @param loop the event loop
+	 * @param own the address at which this relay takes links, which names it
+	 * @param listener takes what the others say
+	 * @param timers runs steps later
+	 */
+	public Peers(EventLoop loop, String own, PeerListener listener, Timers timers) {
+		this.loop = loop;
+		this.own = own;
+		this.listener = listener;
+		this.timers = timers;
+	}
+
+	/**
+	 * Opens the port for the links of others.
+	 * @param group the event loop
+	 * @param address the address
+	 * @return the opening
+	 */
+	public ChannelFuture open(EventLoopGroup group, InetSocketAddress address) {
+		return new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					channel.pipeline().addLast(new Batches().initializer());
+				}
+
+			})
+			.bind(address);
+	}
+
+	/**
+	 * Tells the others of an entry, together with others of the same moment.
+	 * @param entry the entry
+	 */
+	public void tell(LedgerEntry entry) {
+		if (this.untold.isEmpty()) {
+			this.loop.execute(this::tellAll);
+		}
+		this.untold.add(entry);
+	}
+
+	/**
+	 * Returns how many links are up.
+	 * @return the number
+	 */
+	public int up() {
+		int up = 0;
+		for (PeerLink link : this.links.values()) {
+			up += link.up() ? 1 : 0;
+		}
+		return up;
+	}
+
+	/**
+	 * Returns how many other relays are known.
+	 * @return the number
+	 */
+	public int known() {
+		return this.links.size();
+	}
+
+	@Override
+	public void all(Map<String, byte[]> values) {
+		for (String gone : Set.copyOf(this.links.keySet())) {
+			if (!values.containsKey(gone)) {
+				remove(gone);
+			}
+		}
+		values.keySet().forEach(this::add);
+	}
+
+	@Override
+	public void changed(String key, Optional<byte[]> value) {
+		if (value.isPresent()) {
+			add(key);
+			return;
+		}
+		remove(key);
+	}
+
+	private void tellAll() {
+		List<LedgerEntry> batch = List.copyOf(this.untold);
+		this.untold.clear();
+		this.links.values().forEach((link) -> link.tell(batch));
+	}
+
+	private void add(String address) {
+		if (address.equals(this.own) || this.links.containsKey(address)) {
+			return;
+		}
+		PeerLink link = new PeerLink(this.loop, this.own, address, this.listener, this.timers);
+		this.links.put(address, link);
+		link.connect();
+	}
+
+	private void remove(String address) {
+		PeerLink link = this.links.remove(address);
+		if (link != null) {
+			link.close();
+		}
+	}
+
+	/**
+	 * Takes what another relay tells on its link. Used by the event loop's thread.
+	 */
+	private final class Batches extends PeerChannel {
+
+		@Override
+		void take(ChannelHandlerContext context, PeerMessage message) {
+			switch (message) {
+				case PeerMessage.Greeting greeting -> {
+					send(context.channel(), new PeerMessage.Greeting(Peers.this.own));
+					add(greeting.address());
+				}
+				case PeerMessage.Batch batch -> {
+					Peers.this.listener.entries(batch.entries());
+					send(context.channel(), new PeerMessage.Receipt(batch.number()));
+				}
+				case PeerMessage.Receipt ignored -> {
+				}
+				case PeerMessage.Pulse ignored -> {
+				}
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The links between relays.
+ */
+package io.lentilslip.relay.peer;
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -0,0 +1,197 @@
+package io.lentilslip.relay.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+import io.lentilslip.core.relay.AnswerHead;
+import io.lentilslip.core.relay.RelayEffect;
+import io.lentilslip.core.relay.RelayEvent;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RequestHead;
+import io.lentilslip.relay.http.CallerConnection;
+import io.lentilslip.relay.http.CallerListener;
+import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.store.Timers;
+import io.lentilslip.relay.upstream.AttemptListener;
+import io.lentilslip.relay.upstream.UpstreamClient;
+import io.netty.handler.codec.http.HttpRequest;
+
+/**
+ * The connections behind the exchanges of a relay: turns what callers and upstreams send
+ * into events, and runs the effects that concern them. Used by the event loop's thread.
+ */
+final class Exchanges implements CallerListener {
+
+	private final Dialect dialect;
+
+	private final UpstreamClient upstreams;
+
+	private final Timers timers;
+
+	private final EventSink events;
+
+	private final Map<Long, Open> open = new HashMap<>();
+
+	private long last;
+
+	Exchanges(Dialect dialect, UpstreamClient upstreams, Timers timers, EventSink events) {
+		this.dialect = dialect;
+		this.upstreams = upstreams;
+		this.timers = timers;
+		this.events = events;
+	}
+
+	int size() {
+		return this.open.size();
+	}
+
+	@Override
+	public long asked(CallerConnection connection, HttpRequest request, byte[] body) {
+		this.last++;
+		RequestHead head = this.dialect.request(request);
+		this.open.put(this.last, new Open(connection, request, body, head.id()));
+		this.events.on(new RelayEvent.Asked(this.timers.now(), this.last, head, body, digest(request, body)));
+		return this.last;
+	}
+
+	@Override
+	public void left(long exchange) {
+		this.open.remove(exchange);
+		this.events.on(new RelayEvent.CallerLeft(this.timers.now(), exchange));
+	}
+
+	/**
+	 * Runs an effect that concerns an exchange.
+	 * @param effect the effect
+	 * @return whether it does
+	 */
+	boolean run(RelayEffect effect) {
+		switch (effect) {
+			case RelayEffect.Send send -> find(send.exchange()).ifPresent((exchange) -> send(exchange, send));
+			case RelayEffect.Cancel cancel -> this.upstreams.cancel(cancel.exchange(), cancel.attempt());
+			case RelayEffect.Answer answer -> remove(answer.exchange())
+				.ifPresent((exchange) -> exchange.connection().answer(answer.head(), answer.body()));
+			case RelayEffect.OpenStream stream ->
+				find(stream.exchange()).ifPresent((exchange) -> exchange.connection().open(stream.head()));
+			case RelayEffect.PassEvent event ->
+				find(event.exchange()).ifPresent((exchange) -> exchange.connection().pass(event.raw()));
+			case RelayEffect.EndStream end ->
+				remove(end.exchange()).ifPresent((exchange) -> exchange.connection().end());
+			case RelayEffect.BreakOff broken ->
+				remove(broken.exchange()).ifPresent((exchange) -> exchange.connection().breakOff());
+			case RelayEffect.Refuse refuse -> remove(refuse.exchange()).ifPresent((exchange) -> exchange.connection()
+				.answer(this.dialect.refuse(refuse.refusal(), refuse.comeBack())));
+			default -> {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private void send(Open exchange, RelayEffect.Send send) {
+		this.upstreams.send(send, exchange.id(), exchange.request(), exchange.body(),
+				new Attempt(send.exchange(), send.attempt()));
+	}
+
+	private Optional<Open> find(long exchange) {
+		return Optional.ofNullable(this.open.get(exchange));
+	}
+
+	private Optional<Open> remove(long exchange) {
+		return Optional.ofNullable(this.open.remove(exchange));
+	}
+
+	private long digest(HttpRequest request, byte[] body) {
+		CRC32C content = new CRC32C();
+		content.update(body);
+		CRC32C caller = new CRC32C();
+		caller.update(request.method().name().getBytes(StandardCharsets.ISO_8859_1));
+		caller.update(request.uri().getBytes(StandardCharsets.ISO_8859_1));
+		List<String> names = this.dialect.caller(request);
+		for (String name : names) {
+			caller.update(name.getBytes(StandardCharsets.ISO_8859_1));
+			caller.update(0);
+		}
+		return (caller.getValue() << Integer.SIZE) | content.getValue();
+	}
+
+	/**
+	 * Takes events. Used by the event loop's thread.
+	 */
+	@FunctionalInterface
+	interface EventSink {
+
+		/**
+		 * Takes an event.
+		 * @param event the event
+		 */
+		void on(RelayEvent event);
+
+	}
+
+	/**
+	 * What an exchange needs of its caller. Immutable.
+	 *
+	 * @param connection where its answer goes
+	 * @param request the request
+	 * @param body its body
+	 * @param id the id of the caller's attempt
+	 */
+	private record Open(CallerConnection connection, HttpRequest request, byte[] body, String id) {
+
+	}
+
+	/**
+	 * Turns what becomes of an attempt into events. Used by the event loop's thread.
+	 */
+	private final class Attempt implements AttemptListener {
+
+		private final long exchange;
+
+		private final int attempt;
+
+		Attempt(long exchange, int attempt) {
+			this.exchange = exchange;
+			this.attempt = attempt;
+		}
+
+		@Override
+		public void answered(AnswerHead head, byte[] body) {
+			tell(new RelayEvent.Answered(now(), this.exchange, this.attempt, head, body));
+		}
+
+		@Override
+		public void opened(AnswerHead head) {
+			tell(new RelayEvent.StreamOpened(now(), this.exchange, this.attempt, head));
+		}
+
+		@Override
+		public void event(long number, byte[] raw, byte[] data) {
+			tell(new RelayEvent.EventArrived(now(), this.exchange, this.attempt, number, raw, data));
+		}
+
+		@Override
+		public void ended() {
+			tell(new RelayEvent.StreamEnded(now(), this.exchange, this.attempt));
+		}
+
+		@Override
+		public void failed(FailureCause cause) {
+			tell(new RelayEvent.AttemptFailed(now(), this.exchange, this.attempt, cause));
+		}
+
+		private void tell(RelayEvent event) {
+			Exchanges.this.events.on(event);
+		}
+
+		private long now() {
+			return Exchanges.this.timers.now();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -0,0 +1,392 @@
+package io.lentilslip.relay.process;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.notice.NoticeField;
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Relay;
+import io.lentilslip.core.relay.RelayEffect;
+import io.lentilslip.core.relay.RelayEvent;
+import io.lentilslip.core.relay.RelaySettings;
+import io.lentilslip.core.relay.Upstream;
+import io.lentilslip.relay.http.CallerServer;
+import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.http.ReadyServer;
+import io.lentilslip.relay.peer.PeerListener;
+import io.lentilslip.relay.peer.Peers;
+import io.lentilslip.relay.store.EntryReader;
+import io.lentilslip.relay.store.EntryWriter;
+import io.lentilslip.relay.store.KeyFollower;
+import io.lentilslip.relay.store.Store;
+import io.lentilslip.relay.store.Timers;
+import io.lentilslip.relay.store.Topic;
+import io.lentilslip.relay.upstream.UpstreamClient;
+import io.lentilslip.telemetry.Notices;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+
+/**
+ * A relay as a process: its ports, its store, its links, and the reducer between them.
+ * Everything runs on one event loop's thread, except the methods that say otherwise.
+ */
+public final class RelayProcess implements AutoCloseable {
+
+	/**
+	 * How often it is looked whether anything is reached.
+	 */
+	private static final Duration REACH_INTERVAL = Duration.ofMillis(250);
+
+	/**
+	 * How long a relay that drains still takes connections: the platform needs up to two
+	 * of its questions, a second apart, to send no more.
+	 */
+	private static final Duration STILL_TAKING = Duration.ofMillis(2600);
+
+	/**
+	 * How long a relay lives on at least after it began to drain: callers that were sent
+	 * here by the last question have been answered by then.
+	 */
+	private static final Duration SHORTEST_DRAIN = Duration.ofMillis(3200);
+
+	private static final Duration DRAIN_INTERVAL = Duration.ofMillis(50);
+
+	private final Setup setup;
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final EventLoop loop = this.group.next();
+
+	private final Timers timers = new LoopTimers();
+
+	private final SplittableRandom random;
+
+	private final Relay relay;
+
+	private final Notices notices;
+
+	private final Exchanges exchanges;
+
+	private final UpstreamClient upstreams;
+
+	private final CallerServer callers;
+
+	private final Store store;
+
+	private final EntryWriter writer;
+
+	private final EntryReader reader;
+
+	private final Peers peers;
+
+	private final Reachability reachability;
+
+	private final Deque<RelayEvent> pending = new ArrayDeque<>();
+
+	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+	private boolean reducing;
+
+	private boolean ready;
+
+	private boolean draining;
+
+	/**
+	 * Creates a relay without ports.
+	 * @param setup what it is made of
+	 */
+	public RelayProcess(Setup setup) {
+		this.setup = setup;
+		this.notices = setup.notices();
+		this.random = new SplittableRandom(setup.settings().seed());
+		this.relay = new Relay(setup.settings());
+		this.store = setup.store().apply(this.loop);
+		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
+		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
+		this.callers = new CallerServer(this.exchanges);
+		this.peers = new Peers(this.loop, setup.addresses().name(), new PeerEvents(), this.timers);
+		this.reachability = new Reachability(this.timers, this.peers, this::on);
+		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored,
+				this.reachability::storeAnswered);
+		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
+				this.reachability::storeAnswered);
+	}
+
+	/**
+	 * Opens the ports and begins to follow the store. May be called by any thread.
+	 */
+	public void start() {
+		RelayAddresses addresses = this.setup.addresses();
+		new ReadyServer(() -> this.ready && !this.draining, this.setup.metrics())
+			.open(this.group, addresses.readiness())
+			.syncUninterruptibly();
+		this.peers.open(this.group, addresses.links()).syncUninterruptibly();
+		this.callers.open(this.group, addresses.callers()).syncUninterruptibly();
+		this.loop.execute(this::follow);
+	}
+
+	/**
+	 * Lets what is under way end and takes nothing new. May be called by any thread.
+	 * @return completes when nothing is under way or the limit is reached
+	 */
+	public CompletableFuture<Void> drain() {
+		this.loop.execute(() -> {
+			if (!this.draining) {
+				beginDrain();
+			}
+		});
+		return this.drained;
+	}
+
+	/**
+	 * Runs a step on the event loop. May be called by any thread.
+	 * @param step the step
+	 */
+	public void execute(Runnable step) {
+		this.loop.execute(step);
+	}
+
+	/**
+	 * Closes everything at once. May be called by any thread.
+	 */
+	@Override
+	public void close() {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private void follow() {
+		follow(Topic.ROUTES, new Routes());
+		follow(Topic.UPSTREAMS, new UpstreamList());
+		this.reader.read();
+		announce();
+		checkReach();
+	}
+
+	private void follow(Topic topic, KeyFollower.Listener listener) {
+		new KeyFollower(this.store, this.timers, this.random, topic, listener, this.reachability::storeAnswered)
+			.start();
+	}
+
+	private void announce() {
+		this.store.put(Topic.RELAYS, this.setup.addresses().name(), Optional.of(new byte[] { 1 }), (outcome) -> {
+			if (outcome instanceof Store.Appended.Done) {
+				follow(Topic.RELAYS, this.peers);
+				return;
+			}
+			this.timers.after(REACH_INTERVAL, this::announce);
+		});
+	}
+
+	private void checkReach() {
+		this.reachability.check();
+		this.timers.after(REACH_INTERVAL, this::checkReach);
+	}
+
+	private void on(RelayEvent event) {
+		this.pending.add(event);
+		if (this.reducing) {
+			return;
+		}
+		this.reducing = true;
+		try {
+			while (!this.pending.isEmpty()) {
+				this.relay.on(this.pending.pollFirst()).forEach(this::run);
+			}
+		}
+		finally {
+			this.reducing = false;
+		}
+	}
+
+	private void run(RelayEffect effect) {
+		if (this.exchanges.run(effect)) {
+			return;
+		}
+		switch (effect) {
+			case RelayEffect.Write write -> {
+				this.peers.tell(write.entry());
+				this.writer.write(write.entry());
+			}
+			case RelayEffect.ReadLog ignored -> this.reader.read();
+			case RelayEffect.Remind remind -> this.timers.after(remind.delay(),
+					() -> on(new RelayEvent.Reminded(this.timers.now(), remind.exchange(), remind.reminder())));
+			case RelayEffect.Ready now -> this.ready = now.ready();
+			case RelayEffect.Limit limit -> this.callers.limit(limit.limits());
+			case RelayEffect.Tell tell -> this.notices.write(tell.notice());
+			default -> throw new IllegalStateException("nothing runs " + effect);
+		}
+	}
+
+	private void stored(Set<String> requests) {
+		on(new RelayEvent.Stored(this.timers.now(), requests));
+	}
+
+	private void read(List<LedgerEntry> entries) {
+		on(new RelayEvent.EntriesRead(this.timers.now(), entries));
+	}
+
+	private void caughtUp() {
+		on(new RelayEvent.CaughtUp(this.timers.now()));
+	}
+
+	private void beginDrain() {
+		this.draining = true;
+		this.callers.drain();
+		this.notices.write(new Notice(NoticeCode.DRAINING_BEGAN,
+				List.of(new NoticeField(FieldName.ROLE, "relay"),
+						new NoticeField(FieldName.COUNT, Integer.toString(this.relay.underWay())),
+						new NoticeField(FieldName.LIMIT, this.setup.drainLimit().toString()))));
+		this.store.put(Topic.RELAYS, this.setup.addresses().name(), Optional.empty(), (outcome) -> {
+			// Where this fails, the others find a closed port, and try ever more seldom.
+		});
+		long began = this.timers.now();
+		this.timers.after(STILL_TAKING, this.callers::closeIdle);
+		this.timers.after(SHORTEST_DRAIN, () -> endDrain(began));
+	}
+
+	private void endDrain(long began) {
+		boolean over = this.timers.now() - began > this.setup.drainLimit().toMillis();
+		boolean idle = this.exchanges.size() == 0 && this.writer.size() == 0 && this.callers.size() == 0;
+		if (over || idle) {
+			this.notices.write(new Notice(NoticeCode.DRAINING_ENDED,
+					List.of(new NoticeField(FieldName.ROLE, "relay"),
+							new NoticeField(FieldName.COUNT, Integer.toString(this.exchanges.size())),
+							new NoticeField(FieldName.MILLISECONDS, Long.toString(this.timers.now() - began)))));
+			this.drained.complete(null);
+			return;
+		}
+		this.callers.closeIdle();
+		this.timers.after(DRAIN_INTERVAL, () -> endDrain(began));
+	}
+
+	/**
+	 * What a relay is made of. Immutable.
+	 *
+	 * @param settings what its decisions are set to
+	 * @param addresses where it listens
+	 * @param drainLimit the longest time that it drains
+	 * @param dialect the names and formats of callers and upstreams
+	 * @param catalogue the formats of what is in the store
+	 * @param store makes the store for the event loop
+	 * @param notices takes notices
+	 * @param metrics writes the metrics
+	 */
+	public record Setup(RelaySettings settings, RelayAddresses addresses, Duration drainLimit, Dialect dialect,
+			Catalogue catalogue, Function<EventLoop, Store> store, Notices notices, Supplier<String> metrics) {
+
+	}
+
+	/**
+	 * Runs steps on the event loop. Used by its thread.
+	 */
+	private final class LoopTimers implements Timers {
+
+		@Override
+		public void after(Duration delay, Runnable step) {
+			RelayProcess.this.loop.schedule(step, delay.toMillis(), TimeUnit.MILLISECONDS);
+		}
+
+		@Override
+		public long now() {
+			return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		}
+
+	}
+
+	/**
+	 * Follows what operators set. Used by the event loop's thread.
+	 */
+	private final class Routes implements KeyFollower.Listener {
+
+		@Override
+		public void all(Map<String, byte[]> values) {
+			values.forEach((key, value) -> changed(key, Optional.of(value)));
+		}
+
+		@Override
+		public void changed(String key, Optional<byte[]> value) {
+			if (!key.equals(RelayProcess.this.setup.catalogue().routesKey())) {
+				return;
+			}
+			value.flatMap(RelayProcess.this.setup.catalogue()::table)
+				.ifPresent((table) -> on(new RelayEvent.TableRead(RelayProcess.this.timers.now(), table)));
+		}
+
+	}
+
+	/**
+	 * Follows the list of upstreams. Used by the event loop's thread.
+	 */
+	private final class UpstreamList implements KeyFollower.Listener {
+
+		@Override
+		public void all(Map<String, byte[]> values) {
+			List<Upstream> listed = new ArrayList<>();
+			values.forEach((key, value) -> decode(key, value).ifPresent(listed::add));
+			RelayProcess.this.upstreams.keepOnly(listed.stream().map(Upstream::id).collect(Collectors.toSet()));
+			on(new RelayEvent.UpstreamsRead(RelayProcess.this.timers.now(), listed));
+		}
+
+		@Override
+		public void changed(String key, Optional<byte[]> value) {
+			Optional<Upstream> upstream = value.flatMap((bytes) -> decode(key, bytes));
+			if (upstream.isPresent()) {
+				on(new RelayEvent.UpstreamListed(RelayProcess.this.timers.now(), upstream.get()));
+				return;
+			}
+			RelayProcess.this.upstreams.forget(key);
+			on(new RelayEvent.UpstreamGone(RelayProcess.this.timers.now(), key));
+		}
+
+		private Optional<Upstream> decode(String key, byte[] value) {
+			return RelayProcess.this.setup.catalogue().upstream(key, value);
+		}
+
+	}
+
+	/**
+	 * Takes what other relays say. Used by the event loop's thread.
+	 */
+	private final class PeerEvents implements PeerListener {
+
+		@Override
+		public void entries(List<LedgerEntry> entries) {
+			read(entries);
+		}
+
+		@Override
+		public void copied(String peer, Set<String> requests) {
+			on(new RelayEvent.Copied(RelayProcess.this.timers.now(), peer, requests));
+		}
+
+		@Override
+		public void linked(String peer) {
+			RelayProcess.this.notices
+				.write(new Notice(NoticeCode.PEER_LINKED, List.of(new NoticeField(FieldName.ADDRESS, peer))));
+			RelayProcess.this.reader.read();
+		}
+
+		@Override
+		public void lost(String peer, String reason) {
+			RelayProcess.this.notices.write(new Notice(NoticeCode.PEER_LOST,
+					List.of(new NoticeField(FieldName.ADDRESS, peer), new NoticeField(FieldName.REASON, reason))));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One relay as a process.
+ */
+package io.lentilslip.relay.process;
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -0,0 +1,141 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.wire.relay.RelayCodec;
+import io.vavr.control.Either;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the entries of all relays from the store: at the start without a pause up to the
+ * end, then at intervals, since the links between relays bring the same entries sooner.
+ * Entries that were deleted before they were read are skipped; they are older than
+ * anything that is still asked for. Used by the event loop's thread.
+ */
+public final class EntryReader {
+
+	/**
+	 * The pause between reads. The log only fills what the links lost, and each call is
+	 * priced.
+	 */
+	private static final Duration PAUSE = Duration.ofMillis(500);
+
+	private static final Logger logger = LoggerFactory.getLogger(EntryReader.class);
+
+	private final Store store;
+
+	private final Timers timers;
+
+	private final Consumer<List<LedgerEntry>> entries;
+
+	private final Runnable caughtUp;
+
+	private final Consumer<Boolean> health;
+
+	private final Backoff backoff;
+
+	private long next;
+
+	private boolean calling;
+
+	private boolean again;
+
+	private boolean complete;
+
+	private long scheduled;
+
+	/**
+	 * Creates a reader.
+	 * @param store the store
+	 * @param timers runs steps later
+	 * @param random spreads out tries
+	 * @param entries takes what was read
+	 * @param caughtUp runs once, when the end was reached for the first time
+	 * @param health takes whether the store answered a call as it should
+	 */
+	public EntryReader(Store store, Timers timers, RandomGenerator random, Consumer<List<LedgerEntry>> entries,
+			Runnable caughtUp, Consumer<Boolean> health) {
+		this.store = store;
+		this.timers = timers;
+		this.entries = entries;
+		this.caughtUp = caughtUp;
+		this.health = health;
+		this.backoff = new Backoff(random);
+	}
+
+	/**
+	 * Reads now, or once more if a read is under way that may miss what is newest.
+	 */
+	public void read() {
+		if (this.calling) {
+			this.again = true;
+			return;
+		}
+		this.calling = true;
+		this.scheduled++;
+		this.store.read(Topic.ENTRIES, this.next, Duration.ZERO, this::take);
+	}
+
+	private void take(Store.Read outcome) {
+		this.calling = false;
+		this.health.accept(!(outcome instanceof Store.Read.Failed));
+		switch (outcome) {
+			case Store.Read.Records records -> took(records);
+			case Store.Read.Deleted deleted -> {
+				this.next = Math.max(this.next, deleted.first());
+				read();
+			}
+			case Store.Read.Failed ignored -> readAfter(this.backoff.next());
+		}
+	}
+
+	private void took(Store.Read.Records records) {
+		this.backoff.reset();
+		this.next = records.next();
+		List<LedgerEntry> read = decode(records.records());
+		if (!read.isEmpty()) {
+			this.entries.accept(read);
+		}
+		boolean atEnd = this.next >= records.end();
+		if (atEnd && !this.complete) {
+			this.complete = true;
+			this.caughtUp.run();
+		}
+		if (!atEnd || this.again) {
+			this.again = false;
+			read();
+			return;
+		}
+		readAfter(PAUSE);
+	}
+
+	private void readAfter(Duration pause) {
+		long turn = this.scheduled;
+		this.timers.after(pause, () -> {
+			if (turn == this.scheduled) {
+				read();
+			}
+		});
+	}
+
+	private static List<LedgerEntry> decode(List<Store.StoredRecord> records) {
+		List<LedgerEntry> read = new ArrayList<>();
+		for (Store.StoredRecord entry : records) {
+			Either<String, LedgerEntry> decoded = RelayCodec.decode(entry.value().orElse(new byte[0]));
+			if (decoded.isLeft()) {
+				// Another version's entry: skipped, since stopping here would stop all.
+				logger.warn("entry at {} is unreadable: {}", entry.offset(), decoded.getLeft());
+				continue;
+			}
+			read.add(decoded.get());
+		}
+		return read;
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -0,0 +1,170 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.wire.relay.RelayCodec;
+
+/**
+ * Writes a relay's entries to the store, in order and one call at a time, so that what
+ * arrives during a call goes out together in the next one. An append whose outcome is not
+ * known is made again: entries may stand in the log twice, which readers bear. Entries
+ * that can't be written yet wait; beyond the bound the oldest wait no longer, and other
+ * relays alone hold them. Used by the event loop's thread.
+ */
+public final class EntryWriter {
+
+	/**
+	 * The most bytes of one call, below the store's bound.
+	 */
+	private static final int CALL_BYTES = 1024 * 1024;
+
+	/**
+	 * The most entries of one call.
+	 */
+	private static final int CALL_ENTRIES = 512;
+
+	/**
+	 * The most bytes that wait: some minutes of an outage at today's load.
+	 */
+	private static final long WAITING_BYTES = 24L * 1024 * 1024;
+
+	/**
+	 * How long entries that nobody waits for are gathered. Calls are priced, and these
+	 * entries have to be there before the first token is, not before the request is sent.
+	 */
+	private static final Duration GATHER = Duration.ofMillis(15);
+
+	private final Store store;
+
+	private final Timers timers;
+
+	private final Consumer<Set<String>> stored;
+
+	private final Consumer<Boolean> health;
+
+	private final Backoff backoff;
+
+	private final Deque<Waiting> waiting = new ArrayDeque<>();
+
+	private long bytes;
+
+	private boolean calling;
+
+	private boolean gathering;
+
+	/**
+	 * Creates a writer.
+	 * @param store the store
+	 * @param timers runs steps later
+	 * @param random spreads out tries
+	 * @param stored takes the requests whose entries are in the store
+	 * @param health takes whether the store answered a call as it should
+	 */
+	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> stored,
+			Consumer<Boolean> health) {
+		this.store = store;
+		this.timers = timers;
+		this.stored = stored;
+		this.health = health;
+		this.backoff = new Backoff(random);
+	}
+
+	/**
+	 * Takes an entry.
+	 * @param entry the entry
+	 */
+	public void write(LedgerEntry entry) {
+		byte[] encoded = RelayCodec.encode(entry);
+		this.waiting.add(new Waiting(entry.request(), encoded));
+		this.bytes += encoded.length;
+		while (this.bytes > WAITING_BYTES) {
+			this.bytes -= this.waiting.pollFirst().encoded().length;
+		}
+		if (this.calling) {
+			return;
+		}
+		if (entry instanceof LedgerEntry.Settled settled && settled.kept().isPresent()) {
+			call();
+			return;
+		}
+		gather();
+	}
+
+	/**
+	 * Returns how many entries wait.
+	 * @return the number
+	 */
+	public int size() {
+		return this.waiting.size();
+	}
+
+	private void gather() {
+		if (!this.gathering) {
+			this.gathering = true;
+			this.timers.after(GATHER, () -> {
+				this.gathering = false;
+				call();
+			});
+		}
+	}
+
+	private void call() {
+		if (this.calling || this.waiting.isEmpty()) {
+			return;
+		}
+		this.calling = true;
+		List<Waiting> batch = new ArrayList<>();
+		int size = 0;
+		while (!this.waiting.isEmpty() && batch.size() < CALL_ENTRIES) {
+			int next = this.waiting.peekFirst().encoded().length;
+			if (!batch.isEmpty() && size + next > CALL_BYTES) {
+				break;
+			}
+			size += next;
+			batch.add(this.waiting.pollFirst());
+		}
+		this.bytes -= size;
+		append(batch);
+	}
+
+	private void append(List<Waiting> batch) {
+		List<byte[]> records = batch.stream().map(Waiting::encoded).toList();
+		this.store.append(Topic.ENTRIES, records, (outcome) -> {
+			this.health.accept(outcome instanceof Store.Appended.Done);
+			if (outcome instanceof Store.Appended.Done) {
+				done(batch);
+				return;
+			}
+			this.timers.after(this.backoff.next(), () -> append(batch));
+		});
+	}
+
+	private void done(List<Waiting> batch) {
+		this.backoff.reset();
+		this.calling = false;
+		Set<String> requests = new HashSet<>();
+		batch.forEach((entry) -> requests.add(entry.request()));
+		this.stored.accept(requests);
+		call();
+	}
+
+	/**
+	 * An entry that is not in the store yet. Immutable.
+	 *
+	 * @param request the request that it is about
+	 * @param encoded its bytes
+	 */
+	private record Waiting(String request, byte[] encoded) {
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/KeyFollower.java
@@ -0,0 +1,149 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Follows the newest record of each key of a topic. It begins with all of them, waits for
+ * changes, and begins anew whenever a read fails or records are missing, since a change
+ * may have been deleted before it was read. What a stale answer says is not taken: the
+ * end of the topic never goes back, and of a key only a later record counts. Used by the
+ * event loop's thread.
+ */
+public final class KeyFollower {
+
+	/**
+	 * How long a read waits for a change. A connection that has gone silent is found out
+	 * after this and the store's time to answer, well within the bound of a change.
+	 */
+	private static final Duration WAIT = Duration.ofMillis(1000);
+
+	private final Store store;
+
+	private final Timers timers;
+
+	private final Topic topic;
+
+	private final Listener listener;
+
+	private final Consumer<Boolean> health;
+
+	private final Backoff backoff;
+
+	private final Map<String, Long> offsets = new HashMap<>();
+
+	private long next = -1;
+
+	/**
+	 * Creates a follower.
+	 * @param store the store
+	 * @param timers runs steps later
+	 * @param random spreads out tries
+	 * @param topic a topic with keys
+	 * @param listener takes what was read
+	 * @param health takes whether the store answered a call as it should
+	 */
+	public KeyFollower(Store store, Timers timers, RandomGenerator random, Topic topic, Listener listener,
+			Consumer<Boolean> health) {
+		this.store = store;
+		this.timers = timers;
+		this.topic = topic;
+		this.listener = listener;
+		this.health = health;
+		this.backoff = new Backoff(random);
+	}
+
+	/**
+	 * Begins to follow.
+	 */
+	public void start() {
+		this.store.newest(this.topic, this::newest);
+	}
+
+	private void newest(Store.Newest outcome) {
+		this.health.accept(outcome instanceof Store.Newest.Records);
+		switch (outcome) {
+			case Store.Newest.Failed ignored -> startLater();
+			case Store.Newest.Records records -> {
+				if (records.end() < this.next) {
+					startLater();
+					return;
+				}
+				this.backoff.reset();
+				takeAll(records);
+				this.next = records.end();
+				read();
+			}
+		}
+	}
+
+	private void takeAll(Store.Newest.Records records) {
+		Map<String, byte[]> values = new HashMap<>();
+		for (Store.StoredRecord item : records.records()) {
+			item.key().ifPresent((key) -> {
+				this.offsets.merge(key, item.offset(), Math::max);
+				item.value().ifPresent((value) -> values.put(key, value));
+			});
+		}
+		this.offsets.keySet().retainAll(values.keySet());
+		this.listener.all(values);
+	}
+
+	private void read() {
+		this.store.read(this.topic, this.next, WAIT, this::take);
+	}
+
+	private void take(Store.Read outcome) {
+		this.health.accept(!(outcome instanceof Store.Read.Failed));
+		switch (outcome) {
+			case Store.Read.Failed ignored -> startLater();
+			case Store.Read.Deleted ignored -> start();
+			case Store.Read.Records records -> {
+				records.records().forEach(this::take);
+				this.next = records.next();
+				read();
+			}
+		}
+	}
+
+	private void take(Store.StoredRecord item) {
+		if (item.key().isEmpty()) {
+			return;
+		}
+		String key = item.key().get();
+		if (this.offsets.getOrDefault(key, -1L) >= item.offset()) {
+			return;
+		}
+		this.offsets.put(key, item.offset());
+		this.listener.changed(key, item.value());
+	}
+
+	private void startLater() {
+		this.timers.after(this.backoff.next(), this::start);
+	}
+
+	/**
+	 * Takes what a follower read. Used by the event loop's thread.
+	 */
+	public interface Listener {
+
+		/**
+		 * The newest records of all keys; keys that are missing are dropped.
+		 * @param values the values by key
+		 */
+		void all(Map<String, byte[]> values);
+
+		/**
+		 * The newest record of one key.
+		 * @param key the key
+		 * @param value the value; empty if the key is dropped
+		 */
+		void changed(String key, Optional<byte[]> value);
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
@@ -0,0 +1,173 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The platform's store, as relays use it. Every call answers exactly once, on the event
+ * loop that the store was made for, and never throws. Used by that loop's thread.
+ */
+public interface Store {
+
+	/**
+	 * Appends records, all or none.
+	 * @param topic the topic
+	 * @param records the records
+	 * @param then takes the outcome
+	 */
+	void append(Topic topic, List<byte[]> records, Consumer<Appended> then);
+
+	/**
+	 * Sets or drops the newest record of a key.
+	 * @param topic a topic with keys
+	 * @param key the key
+	 * @param value the value; empty drops the key
+	 * @param then takes the outcome
+	 */
+	void put(Topic topic, String key, Optional<byte[]> value, Consumer<Appended> then);
+
+	/**
+	 * Reads records in order.
+	 * @param topic the topic
+	 * @param from the offset of the first record
+	 * @param wait how long to wait for a record if there is none
+	 * @param then takes the outcome
+	 */
+	void read(Topic topic, long from, Duration wait, Consumer<Read> then);
+
+	/**
+	 * Reads the newest record of each key.
+	 * @param topic a topic with keys
+	 * @param then takes the outcome
+	 */
+	void newest(Topic topic, Consumer<Newest> then);
+
+	/**
+	 * The outcome of an append. Immutable.
+	 */
+	sealed interface Appended {
+
+		/**
+		 * The records are in the store.
+		 *
+		 * @param offset the offset of the first one
+		 */
+		record Done(long offset) implements Appended {
+
+		}
+
+		/**
+		 * Nothing is known for sure: the records may be in the store, or come there yet.
+		 *
+		 * @param reason why
+		 */
+		record Unknown(String reason) implements Appended {
+
+		}
+
+		/**
+		 * The store did not take the records and won't.
+		 *
+		 * @param reason why
+		 */
+		record Refused(String reason) implements Appended {
+
+		}
+
+	}
+
+	/**
+	 * The outcome of a read. Immutable.
+	 */
+	sealed interface Read {
+
+		/**
+		 * Records, perhaps none.
+		 *
+		 * @param records the records in order
+		 * @param next the offset after them
+		 * @param end the offset at which the topic ended
+		 */
+		record Records(List<StoredRecord> records, long next, long end) implements Read {
+
+			/**
+			 * Creates an outcome.
+			 * @param records the records in order
+			 * @param next the offset after them
+			 * @param end the offset at which the topic ended
+			 */
+			public Records {
+				records = List.copyOf(records);
+			}
+
+		}
+
+		/**
+		 * The records have been deleted.
+		 *
+		 * @param first the first offset that is left
+		 */
+		record Deleted(long first) implements Read {
+
+		}
+
+		/**
+		 * The store did not answer as it should.
+		 *
+		 * @param reason why
+		 */
+		record Failed(String reason) implements Read {
+
+		}
+
+	}
+
+	/**
+	 * A record of a topic. Immutable; the array is shared and never written to.
+	 *
+	 * @param offset its offset
+	 * @param key its key; empty in a topic without keys
+	 * @param value its value; empty if the key is dropped
+	 */
+	record StoredRecord(long offset, Optional<String> key, Optional<byte[]> value) {
+
+	}
+
+	/**
+	 * The outcome of reading the newest records. Immutable.
+	 */
+	sealed interface Newest {
+
+		/**
+		 * The newest record of each key.
+		 *
+		 * @param records the records
+		 * @param end the offset at which the topic ended before they were read
+		 */
+		record Records(List<StoredRecord> records, long end) implements Newest {
+
+			/**
+			 * Creates an outcome.
+			 * @param records the records
+			 * @param end the offset at which the topic ended before they were read
+			 */
+			public Records {
+				records = List.copyOf(records);
+			}
+
+		}
+
+		/**
+		 * The store did not answer as it should.
+		 *
+		 * @param reason why
+		 */
+		record Failed(String reason) implements Newest {
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Timers.java
@@ -0,0 +1,23 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+
+/**
+ * Runs steps later, on the event loop. Used by that loop's thread.
+ */
+public interface Timers {
+
+	/**
+	 * Runs a step once.
+	 * @param delay when
+	 * @param step the step
+	 */
+	void after(Duration delay, Runnable step);
+
+	/**
+	 * Returns the time of a steady clock.
+	 * @return milliseconds
+	 */
+	long now();
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -0,0 +1,163 @@
+package io.lentilslip.relay.upstream;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.lentilslip.core.relay.AnswerHead;
+import io.lentilslip.core.relay.RelayEffect;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.Upstream;
+import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Sends requests to upstreams and gives up attempts. Connections belong to one life of an
+ * upstream, so none is used for another life at the same address. Used by the event
+ * loop's thread.
+ */
+public final class UpstreamClient {
+
+	private final EventLoop loop;
+
+	private final Dialect dialect;
+
+	private final Timers timers;
+
+	private final Map<String, UpstreamPool> pools = new HashMap<>();
+
+	private final Map<AttemptKey, UpstreamPool.Attempt> attempts = new HashMap<>();
+
+	/**
+	 * Creates a client without connections.
+	 * @param loop the event loop
+	 * @param dialect the names and formats of upstreams
+	 * @param timers tells the time
+	 */
+	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers) {
+		this.loop = loop;
+		this.dialect = dialect;
+		this.timers = timers;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param send where, and what before the caller's body
+	 * @param id the id of the caller's attempt
+	 * @param request the caller's request
+	 * @param body the caller's body
+	 * @param listener takes what becomes of it
+	 */
+	public void send(RelayEffect.Send send, String id, HttpRequest request, byte[] body, AttemptListener listener) {
+		DefaultFullHttpRequest outgoing = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+				request.uri(), Unpooled.wrappedBuffer(send.chain(), body));
+		this.dialect.forward(request, send, outgoing.headers());
+		if (body.length > 0 || send.chain().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			HttpUtil.setContentLength(outgoing, outgoing.content().readableBytes());
+		}
+		AttemptKey key = new AttemptKey(send.exchange(), send.attempt());
+		UpstreamPool.Attempt attempt = pool(send.upstream())
+			.send(new UpstreamConnection.Outgoing(id, outgoing, send.stream(), new Forgetting(key, listener)));
+		this.attempts.put(key, attempt);
+	}
+
+	/**
+	 * Gives up an attempt.
+	 * @param exchange the exchange
+	 * @param attempt the number of the attempt
+	 */
+	public void cancel(long exchange, int attempt) {
+		UpstreamPool.Attempt known = this.attempts.remove(new AttemptKey(exchange, attempt));
+		if (known != null) {
+			known.cancel();
+		}
+	}
+
+	/**
+	 * Closes the idle connections to an upstream that is gone.
+	 * @param upstream its id
+	 */
+	public void forget(String upstream) {
+		UpstreamPool pool = this.pools.remove(upstream);
+		if (pool != null) {
+			pool.close();
+		}
+	}
+
+	/**
+	 * Closes the idle connections to upstreams that are not among these.
+	 * @param upstreams their ids
+	 */
+	public void keepOnly(Set<String> upstreams) {
+		List.copyOf(this.pools.keySet()).stream().filter((id) -> !upstreams.contains(id)).forEach(this::forget);
+	}
+
+	private UpstreamPool pool(Upstream upstream) {
+		return this.pools.computeIfAbsent(upstream.id(), (id) -> new UpstreamPool(this.loop,
+				new InetSocketAddress(upstream.host(), upstream.port()), this.dialect, this.timers));
+	}
+
+	/**
+	 * Names an attempt. Immutable.
+	 *
+	 * @param exchange the exchange
+	 * @param attempt the number of the attempt
+	 */
+	private record AttemptKey(long exchange, int attempt) {
+
+	}
+
+	/**
+	 * Forgets an attempt when it is over. Used by the event loop's thread.
+	 */
+	private final class Forgetting implements AttemptListener {
+
+		private final AttemptKey key;
+
+		private final AttemptListener next;
+
+		Forgetting(AttemptKey key, AttemptListener next) {
+			this.key = key;
+			this.next = next;
+		}
+
+		@Override
+		public void answered(AnswerHead head, byte[] body) {
+			UpstreamClient.this.attempts.remove(this.key);
+			this.next.answered(head, body);
+		}
+
+		@Override
+		public void opened(AnswerHead head) {
+			this.next.opened(head);
+		}
+
+		@Override
+		public void event(long number, byte[] raw, byte[] data) {
+			this.next.event(number, raw, data);
+		}
+
+		@Override
+		public void ended() {
+			UpstreamClient.this.attempts.remove(this.key);
+			this.next.ended();
+		}
+
+		@Override
+		public void failed(FailureCause cause) {
+			UpstreamClient.this.attempts.remove(this.key);
+			this.next.failed(cause);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -0,0 +1,274 @@
+package io.lentilslip.relay.upstream;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.relay.http.Dialect;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * One connection to an upstream, with at most one attempt at a time. It is used again
+ * only after an answer that was whole, that belonged to the attempt, and that nothing
+ * followed. An answer to another request is passed over: an upstream may send one late,
+ * where the next answer is expected. Used by the event loop's thread.
+ */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+
+	/**
+	 * How many answers to other requests are passed over before the connection is given
+	 * up.
+	 */
+	private static final int PASSED_OVER = 2;
+
+	/**
+	 * The most bytes of an answer that is not passed on as it comes.
+	 */
+	private static final int ANSWER_BYTES = 8 * 1024 * 1024;
+
+	private final Dialect dialect;
+
+	private final Returns pool;
+
+	private Optional<Outgoing> current = Optional.empty();
+
+	private Optional<HttpResponse> head = Optional.empty();
+
+	private ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private Optional<EventParser> events = Optional.empty();
+
+	private Optional<ChannelFuture> written = Optional.empty();
+
+	private boolean passingOver;
+
+	private int passedOver;
+
+	private ChannelHandlerContext context;
+
+	private Optional<Duration> idleTime = Optional.empty();
+
+	UpstreamConnection(Dialect dialect, Returns pool) {
+		this.dialect = dialect;
+		this.pool = pool;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext added) {
+		this.context = added;
+	}
+
+	void send(Outgoing outgoing) {
+		this.current = Optional.of(outgoing);
+		this.head = Optional.empty();
+		this.passedOver = 0;
+		this.written = Optional.of(this.context.writeAndFlush(outgoing.request()));
+	}
+
+	boolean usable() {
+		return this.current.isEmpty() && this.context.channel().isActive();
+	}
+
+	boolean expectsNoBody() {
+		return this.current.isPresent() && this.current.get().request().method().equals(HttpMethod.HEAD);
+	}
+
+	Optional<Duration> idleTime() {
+		return this.idleTime;
+	}
+
+	/**
+	 * Gives up the attempt. The close tells the upstream to stop.
+	 */
+	void cancel() {
+		this.current = Optional.empty();
+		this.context.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext reading, Object message) {
+		try {
+			if (this.current.isEmpty()) {
+				// Bytes that no request asked for: whatever follows can't be trusted.
+				reading.close();
+				return;
+			}
+			if (message instanceof HttpResponse response) {
+				begin(response);
+			}
+			if (message instanceof HttpContent content && this.current.isPresent()) {
+				add(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext inactive) {
+		this.pool.closed(this);
+		fail(FailureCause.BROKEN);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+		// A reset has to be told before the decoder takes the end of the connection for
+		// the end of an answer without a length.
+		fail((cause instanceof IOException) ? FailureCause.BROKEN : FailureCause.UNREADABLE);
+		failed.close();
+	}
+
+	private void begin(HttpResponse response) {
+		if (response.decoderResult().isFailure()) {
+			fail(FailureCause.UNREADABLE);
+			return;
+		}
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			this.passingOver = true;
+			return;
+		}
+		Outgoing outgoing = this.current.orElseThrow();
+		if (!this.dialect.answers(response, outgoing.id())) {
+			passOver();
+			return;
+		}
+		this.passingOver = false;
+		this.head = Optional.of(response);
+		this.body = new ByteArrayOutputStream();
+		boolean stream = outgoing.stream() && response.status().equals(HttpResponseStatus.OK);
+		this.events = stream ? Optional.of(new EventParser()) : Optional.empty();
+		if (stream) {
+			outgoing.listener().opened(this.dialect.answer(response));
+		}
+	}
+
+	private void passOver() {
+		this.passingOver = true;
+		this.passedOver++;
+		if (this.passedOver > PASSED_OVER) {
+			fail(FailureCause.UNREADABLE);
+		}
+	}
+
+	private void add(HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			fail(FailureCause.UNREADABLE);
+			return;
+		}
+		if (!this.passingOver) {
+			take(content.content());
+		}
+		if (content instanceof LastHttpContent && this.current.isPresent() && !this.passingOver) {
+			end();
+		}
+	}
+
+	private void take(ByteBuf bytes) {
+		Outgoing outgoing = this.current.orElseThrow();
+		if (this.events.isPresent()) {
+			if (!this.events.get().read(bytes, outgoing.listener()::event)) {
+				fail(FailureCause.UNREADABLE);
+			}
+			return;
+		}
+		if (this.body.size() + bytes.readableBytes() > ANSWER_BYTES) {
+			fail(FailureCause.UNREADABLE);
+			return;
+		}
+		byte[] part = new byte[bytes.readableBytes()];
+		bytes.readBytes(part);
+		this.body.writeBytes(part);
+	}
+
+	private void end() {
+		Outgoing outgoing = this.current.orElseThrow();
+		HttpResponse response = this.head.orElseThrow();
+		if (this.events.isPresent() && this.events.get().partial()) {
+			fail(FailureCause.BROKEN);
+			return;
+		}
+		this.current = Optional.empty();
+		giveBack(response);
+		if (this.events.isPresent()) {
+			outgoing.listener().ended();
+			return;
+		}
+		outgoing.listener().answered(this.dialect.answer(response), this.body.toByteArray());
+	}
+
+	private void giveBack(HttpResponse response) {
+		boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+		boolean sent = this.written.map(ChannelFuture::isSuccess).orElse(false);
+		// A body that is not sent yet would be followed by another request where the
+		// upstream expects its rest.
+		if (!framed || !sent || !HttpUtil.isKeepAlive(response)
+				|| response.headers().contains(HttpHeaderNames.UPGRADE)) {
+			this.context.close();
+			return;
+		}
+		this.idleTime = this.dialect.idleTime(response);
+		this.pool.idle(this);
+	}
+
+	private void fail(FailureCause cause) {
+		if (this.current.isEmpty()) {
+			return;
+		}
+		Outgoing outgoing = this.current.get();
+		this.current = Optional.empty();
+		this.context.close();
+		outgoing.listener().failed(cause);
+	}
+
+	/**
+	 * A request on its way to an upstream. Immutable.
+	 *
+	 * @param id the id that the answer must bear
+	 * @param request the request
+	 * @param stream whether its answer is passed on as it comes
+	 * @param listener takes what becomes of it
+	 */
+	record Outgoing(String id, DefaultFullHttpRequest request, boolean stream, AttemptListener listener) {
+
+		void release() {
+			ReferenceCountUtil.release(this.request);
+		}
+
+	}
+
+	/**
+	 * Takes connections back. Used by the event loop's thread.
+	 */
+	interface Returns {
+
+		/**
+		 * The connection may be used again.
+		 * @param connection the connection
+		 */
+		void idle(UpstreamConnection connection);
+
+		/**
+		 * The connection is closed.
+		 * @param connection the connection
+		 */
+		void closed(UpstreamConnection connection);
+
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -0,0 +1,200 @@
+package io.lentilslip.relay.upstream;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.store.Timers;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * The connections to one upstream. A connection that was idle for nearly as long as its
+ * upstream keeps it is not used again: its close could cross a request, which then may or
+ * may not have run. Used by the event loop's thread.
+ */
+final class UpstreamPool {
+
+	/**
+	 * How long a new connection may take. Within a region one takes a few milliseconds;
+	 * one whose first packet was dropped takes a second, and another upstream is sooner.
+	 */
+	private static final int CONNECT_TIMEOUT_MS = 400;
+
+	/**
+	 * How long before the upstream's own time an idle connection is given up: more than
+	 * the way there and a slow moment of this process.
+	 */
+	private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
+
+	/**
+	 * How long a connection may be idle whose upstream does not say.
+	 */
+	private static final Duration UNKNOWN_IDLE_TIME = Duration.ofMillis(2500);
+
+	private static final int IDLE_BOUND = 64;
+
+	private final EventLoop loop;
+
+	private final InetSocketAddress address;
+
+	private final Dialect dialect;
+
+	private final Timers timers;
+
+	private final Deque<Idle> idle = new ArrayDeque<>();
+
+	UpstreamPool(EventLoop loop, InetSocketAddress address, Dialect dialect, Timers timers) {
+		this.loop = loop;
+		this.address = address;
+		this.dialect = dialect;
+		this.timers = timers;
+	}
+
+	/**
+	 * Sends a request on an idle connection, or a new one.
+	 * @param outgoing the request
+	 * @return what gives up the attempt
+	 */
+	Attempt send(UpstreamConnection.Outgoing outgoing) {
+		Attempt attempt = new Attempt();
+		Optional<UpstreamConnection> kept = take();
+		if (kept.isPresent()) {
+			attempt.connection = kept;
+			kept.get().send(outgoing);
+			return attempt;
+		}
+		connect(outgoing, attempt);
+		return attempt;
+	}
+
+	void close() {
+		while (!this.idle.isEmpty()) {
+			this.idle.pollFirst().connection().cancel();
+		}
+	}
+
+	private Optional<UpstreamConnection> take() {
+		long now = this.timers.now();
+		while (!this.idle.isEmpty()) {
+			Idle next = this.idle.pollFirst();
+			if (next.until() > now && next.connection().usable()) {
+				return Optional.of(next.connection());
+			}
+			next.connection().cancel();
+		}
+		return Optional.empty();
+	}
+
+	private void connect(UpstreamConnection.Outgoing outgoing, Attempt attempt) {
+		UpstreamConnection connection = new UpstreamConnection(this.dialect, new IdleConnections());
+		Bootstrap bootstrap = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.handler(new ChannelInitializer<>() {
+
+				@Override
+				protected void initChannel(Channel created) {
+					created.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(connection), connection);
+				}
+
+			});
+		ChannelFuture connecting = bootstrap.connect(this.address);
+		connecting.addListener((done) -> {
+			if (attempt.cancelled) {
+				connecting.channel().close();
+				outgoing.release();
+				return;
+			}
+			if (!done.isSuccess()) {
+				outgoing.release();
+				outgoing.listener().failed(FailureCause.NOT_CONNECTED);
+				return;
+			}
+			attempt.connection = Optional.of(connection);
+			connection.send(outgoing);
+		});
+	}
+
+	/**
+	 * Keeps connections for later use. Used by the event loop's thread.
+	 */
+	private final class IdleConnections implements UpstreamConnection.Returns {
+
+		@Override
+		public void idle(UpstreamConnection connection) {
+			Duration time = connection.idleTime().map((known) -> known.minus(IDLE_MARGIN)).orElse(UNKNOWN_IDLE_TIME);
+			if (time.isNegative() || UpstreamPool.this.idle.size() >= IDLE_BOUND) {
+				connection.cancel();
+				return;
+			}
+			long until = UpstreamPool.this.timers.now() + time.toMillis();
+			UpstreamPool.this.idle.addFirst(new Idle(connection, until));
+		}
+
+		@Override
+		public void closed(UpstreamConnection connection) {
+			UpstreamPool.this.idle.removeIf((kept) -> kept.connection() == connection);
+		}
+
+	}
+
+	/**
+	 * An idle connection. Immutable.
+	 *
+	 * @param connection the connection
+	 * @param until when it is given up
+	 */
+	private record Idle(UpstreamConnection connection, long until) {
+
+	}
+
+	/**
+	 * Reads answers, and knows that the answer to some requests has no body whatever its
+	 * headers say. Used by one connection.
+	 */
+	private static final class AnswerDecoder extends HttpResponseDecoder {
+
+		private final UpstreamConnection connection;
+
+		AnswerDecoder(UpstreamConnection connection) {
+			this.connection = connection;
+		}
+
+		@Override
+		protected boolean isContentAlwaysEmpty(HttpMessage message) {
+			return this.connection.expectsNoBody() || super.isContentAlwaysEmpty(message);
+		}
+
+	}
+
+	/**
+	 * One attempt, which can be given up. Used by the event loop's thread.
+	 */
+	static final class Attempt {
+
+		private Optional<UpstreamConnection> connection = Optional.empty();
+
+		private boolean cancelled;
+
+		void cancel() {
+			this.cancelled = true;
+			this.connection.ifPresent(UpstreamConnection::cancel);
+		}
+
+	}
+
+}
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationFollower.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationFollower.java
@@ -7,14 +7,14 @@
 import java.util.UUID;
 import java.util.function.Consumer;
 
+import io.lentilslip.client.log.LogRecord;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.call.Body;
 import io.lentilslip.core.configuration.Configuration;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.platform.log.LogRecord;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.configuration.ConfigurationLineage.Decision;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.runtime.log.StreamFollower;
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationLookup.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationLookup.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.UUID;
 
-import io.lentilslip.platform.log.LogService;
+import io.lentilslip.client.log.LogService;
 
 /**
  * Looks up once, for an operator, what the log says is in force. The log alone is asked:
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationPublisher.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/ConfigurationPublisher.java
@@ -5,10 +5,10 @@
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 
+import io.lentilslip.client.log.AppendOutcome;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.configuration.Configuration;
 import io.lentilslip.core.configuration.ConfigurationSource;
-import io.lentilslip.platform.log.AppendOutcome;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.runtime.loop.Backoff;
 import io.lentilslip.runtime.loop.Pause;
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/PublicationSearch.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/configuration/PublicationSearch.java
@@ -5,10 +5,10 @@
 import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 
+import io.lentilslip.client.log.LogRecord;
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.log.ReadOutcome;
 import io.lentilslip.core.call.Body;
-import io.lentilslip.platform.log.LogRecord;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.log.ReadOutcome;
 import io.lentilslip.runtime.configuration.ConfigurationLineage.Decision;
 import io.lentilslip.runtime.configuration.ConfigurationLineage.Effect;
 import io.lentilslip.runtime.log.LogStreams;
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/GroupCommitter.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/GroupCommitter.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
 
+import io.lentilslip.client.log.AppendOutcome;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
@@ -17,8 +19,6 @@
 import io.lentilslip.core.role.AppendResult;
 import io.lentilslip.core.role.LogEvent;
 import io.lentilslip.core.role.NodeEffect;
-import io.lentilslip.platform.log.AppendOutcome;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.loop.ProcessContext;
 import io.lentilslip.wire.codec.LedgerCodec;
 
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/LogFollower.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/LogFollower.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 
+import io.lentilslip.client.log.LogRecord;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.role.LogEvent;
-import io.lentilslip.platform.log.LogRecord;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.loop.ProcessContext;
 import io.lentilslip.wire.codec.CodecProblem;
 import io.lentilslip.wire.codec.LedgerCodec;
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/LogStreams.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/LogStreams.java
@@ -1,6 +1,6 @@
 package io.lentilslip.runtime.log;
 
-import io.lentilslip.platform.log.StreamName;
+import io.lentilslip.client.log.StreamName;
 
 /**
  * The streams of the log service that the system's processes share.
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/StreamFollower.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/StreamFollower.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 
+import io.lentilslip.client.log.LogRecord;
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.log.ReadOutcome;
+import io.lentilslip.client.log.StreamName;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.platform.log.LogRecord;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.log.ReadOutcome;
-import io.lentilslip.platform.log.StreamName;
 import io.lentilslip.runtime.loop.Backoff;
 import io.lentilslip.runtime.loop.ProcessContext;
 
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/membership/VmListFollower.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/membership/VmListFollower.java
@@ -10,11 +10,11 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
+import io.lentilslip.client.vmlist.Vm;
+import io.lentilslip.client.vmlist.VmList;
+import io.lentilslip.client.vmlist.VmListOutcome;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.role.NodeEvent;
-import io.lentilslip.platform.vmlist.Vm;
-import io.lentilslip.platform.vmlist.VmList;
-import io.lentilslip.platform.vmlist.VmListOutcome;
 import io.lentilslip.runtime.loop.MonotonicClock;
 
 /**
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/Platform.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/Platform.java
@@ -1,7 +1,7 @@
 package io.lentilslip.runtime.node;
 
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.vmlist.VmList;
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.vmlist.VmList;
 
 /**
  * The services of the platform that processes of both roles use. Safe for use by several
--- a/lentilslip-runtime/src/test/java/io/lentilslip/runtime/LogFixture.java
+++ b/lentilslip-runtime/src/test/java/io/lentilslip/runtime/LogFixture.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 
+import io.lentilslip.client.log.AppendOutcome;
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.log.ReadOutcome;
+import io.lentilslip.client.log.StreamName;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.ledger.LedgerRecord;
-import io.lentilslip.platform.log.AppendOutcome;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.log.ReadOutcome;
-import io.lentilslip.platform.log.StreamName;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.log.LogLimits;
--- a/lentilslip-runtime/src/test/java/io/lentilslip/runtime/configuration/ConfigurationPublisherTests.java
+++ b/lentilslip-runtime/src/test/java/io/lentilslip/runtime/configuration/ConfigurationPublisherTests.java
@@ -2,7 +2,7 @@
 
 import java.util.UUID;
 
-import io.lentilslip.platform.log.LogService;
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.runtime.LogFixture;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.standin.http.Availability;
--- a/lentilslip-runtime/src/test/java/io/lentilslip/runtime/membership/VmListFollowerTests.java
+++ b/lentilslip-runtime/src/test/java/io/lentilslip/runtime/membership/VmListFollowerTests.java
@@ -9,10 +9,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 
+import io.lentilslip.client.vmlist.VmList;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.VmName;
 import io.lentilslip.core.role.NodeEvent;
-import io.lentilslip.platform.vmlist.VmList;
 import io.lentilslip.standin.vmlist.ListedVm;
 import io.lentilslip.standin.vmlist.VmListStandIn;
 import org.junit.jupiter.api.Test;
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/history/HistoryReader.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/history/HistoryReader.java
@@ -13,14 +13,14 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.log.ReadOutcome;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.ledger.LedgerRecord;
 import io.lentilslip.core.ledger.Position;
 import io.lentilslip.core.ledger.Turn;
 import io.lentilslip.core.sidecar.SidecarEffect;
 import io.lentilslip.core.sidecar.SidecarEvent;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.log.ReadOutcome;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.wire.codec.CodecProblem;
 import io.lentilslip.wire.codec.LedgerCodec;
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/EngineRuns.java
@@ -10,6 +10,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.lentilslip.client.engine.Engine;
+import io.lentilslip.client.engine.EngineFailure;
+import io.lentilslip.client.engine.EngineRequest;
+import io.lentilslip.client.engine.GenerationEnd;
+import io.lentilslip.client.engine.GenerationListener;
+import io.lentilslip.client.engine.KvPin;
 import io.lentilslip.core.call.Usage;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.identity.ProgramId;
@@ -18,12 +24,6 @@
 import io.lentilslip.core.sidecar.RunResult;
 import io.lentilslip.core.sidecar.SidecarEvent;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.engine.Engine;
-import io.lentilslip.platform.engine.EngineFailure;
-import io.lentilslip.platform.engine.EngineRequest;
-import io.lentilslip.platform.engine.GenerationEnd;
-import io.lentilslip.platform.engine.GenerationListener;
-import io.lentilslip.platform.engine.KvPin;
 import io.lentilslip.runtime.conversation.CanonicalJson;
 
 /**
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/ServiceRuns.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/ServiceRuns.java
@@ -4,14 +4,14 @@
 import java.time.Instant;
 import java.util.function.Supplier;
 
+import io.lentilslip.client.service.PendingCall;
+import io.lentilslip.client.service.PlainService;
+import io.lentilslip.client.service.ServiceOutcome;
 import io.lentilslip.core.call.ServiceMessage;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.sidecar.RunId;
 import io.lentilslip.core.sidecar.RunResult;
 import io.lentilslip.core.sidecar.SidecarEvent;
-import io.lentilslip.platform.service.PendingCall;
-import io.lentilslip.platform.service.PlainService;
-import io.lentilslip.platform.service.ServiceOutcome;
 
 /**
  * Passes requests to the plain services of the upstream. Each ends by exactly one
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/Upstream.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/Upstream.java
@@ -7,15 +7,15 @@
 import java.util.concurrent.Executors;
 import java.util.function.Supplier;
 
+import io.lentilslip.client.engine.Engine;
+import io.lentilslip.client.http.HttpLimits;
+import io.lentilslip.client.service.PlainService;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.configuration.UpstreamKind;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.identity.ProgramId;
 import io.lentilslip.core.sidecar.SidecarEffect;
 import io.lentilslip.core.sidecar.SidecarEvent;
-import io.lentilslip.platform.engine.Engine;
-import io.lentilslip.platform.http.HttpLimits;
-import io.lentilslip.platform.service.PlainService;
 
 /**
  * The upstream beside a sidecar: a model engine or plain services. Its methods return at
--- a/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/UpstreamPoller.java
+++ b/lentilslip-sidecar/src/main/java/io/lentilslip/sidecar/upstream/UpstreamPoller.java
@@ -13,14 +13,14 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
+import io.lentilslip.client.engine.Engine;
+import io.lentilslip.client.engine.EngineFailure;
+import io.lentilslip.client.engine.EngineLoad;
+import io.lentilslip.client.engine.HeldMemory;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.configuration.UpstreamKind;
 import io.lentilslip.core.identity.Incarnation;
 import io.lentilslip.core.sidecar.SidecarEvent;
-import io.lentilslip.platform.engine.Engine;
-import io.lentilslip.platform.engine.EngineFailure;
-import io.lentilslip.platform.engine.EngineLoad;
-import io.lentilslip.platform.engine.HeldMemory;
 import io.vavr.control.Either;
 
 /**
--- a/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/SidecarProcessTests.java
+++ b/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/SidecarProcessTests.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilslip.client.log.LogService;
+import io.lentilslip.client.vmlist.VmList;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.Body;
 import io.lentilslip.core.call.CallOutcome;
@@ -37,8 +39,6 @@
 import io.lentilslip.core.link.LinkMessage;
 import io.lentilslip.core.link.Standing;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.log.LogService;
-import io.lentilslip.platform.vmlist.VmList;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.runtime.loop.ProcessContext;
 import io.lentilslip.runtime.node.Platform;
--- a/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/history/HistoryReaderTests.java
+++ b/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/history/HistoryReaderTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.Usage;
 import io.lentilslip.core.configuration.Endpoint;
@@ -21,7 +22,6 @@
 import io.lentilslip.core.ledger.Turn;
 import io.lentilslip.core.sidecar.SidecarEffect;
 import io.lentilslip.core.sidecar.SidecarEvent;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.log.LogStreams;
 import io.lentilslip.standin.http.Availability;
 import io.lentilslip.standin.log.LogLimits;
--- a/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/upstream/EngineRunsTests.java
+++ b/lentilslip-sidecar/src/test/java/io/lentilslip/sidecar/upstream/EngineRunsTests.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
+import io.lentilslip.client.engine.EngineFailure;
 import io.lentilslip.core.sidecar.RunResult;
 import io.lentilslip.core.verdict.Verdict;
-import io.lentilslip.platform.engine.EngineFailure;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
@@ -21,15 +21,16 @@
 import org.slf4j.event.KeyValuePair;
 
 /**
- * How this Java process writes its log. All goes to standard error, since standard output
- * belongs to the results of commands. Libraries are written from WARN on only: at
- * Logback's own default, Netty writes its inner steps at DEBUG and buries the notices.
- * Immutable and safe for use by several threads.
+ * How this Java process writes its log. By default it goes to standard error, since
+ * standard output belongs to the results of commands. Libraries are written from WARN on
+ * only: at Logback's own default, Netty writes its inner steps at DEBUG and buries the
+ * notices. Immutable and safe for use by several threads.
  *
  * @param form the form of the output
  * @param level the lowest level of the project's own events that is written
+ * @param target where the output goes
  */
-public record LogSettings(Form form, NoticeCode.Level level) {
+public record LogSettings(Form form, NoticeCode.Level level, ConsoleTarget target) {
 
 	private static final String PROJECT_LOGGER = "io.lentilslip";
 
@@ -37,8 +38,10 @@
 	 * Creates settings.
 	 * @param form the form of the output
 	 * @param level the lowest level of the project's own events that is written
+	 * @param target where the output goes
 	 */
 	public LogSettings {
+		Objects.requireNonNull(target, "target");
 		Objects.requireNonNull(form, "form");
 		Objects.requireNonNull(level, "level");
 	}
@@ -48,7 +51,7 @@
 	 * @return lines from INFO on
 	 */
 	public static LogSettings defaults() {
-		return new LogSettings(Form.LINES, NoticeCode.Level.INFO);
+		return new LogSettings(Form.LINES, NoticeCode.Level.INFO, ConsoleTarget.SystemErr);
 	}
 
 	/**
@@ -57,7 +60,7 @@
 	 * @return the settings
 	 */
 	public LogSettings as(Form other) {
-		return new LogSettings(other, this.level);
+		return new LogSettings(other, this.level, this.target);
 	}
 
 	/**
@@ -66,7 +69,16 @@
 	 * @return the settings
 	 */
 	public LogSettings from(NoticeCode.Level other) {
-		return new LogSettings(this.form, other);
+		return new LogSettings(this.form, other, this.target);
+	}
+
+	/**
+	 * Returns these settings with output to standard output, which a role that prints no
+	 * results has for its log.
+	 * @return the settings
+	 */
+	public LogSettings onStandardOutput() {
+		return new LogSettings(this.form, this.level, ConsoleTarget.SystemOut);
 	}
 
 	/**
@@ -79,7 +91,7 @@
 			throw new IllegalStateException("Logback does not stand behind SLF4J");
 		}
 		ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
-		console.setTarget(ConsoleTarget.SystemErr.getName());
+		console.setTarget(this.target.getName());
 		applyTo(context, console);
 	}
 
--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/architecture/DependencyTests.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/architecture/DependencyTests.java
@@ -23,7 +23,7 @@
 		.resideInAPackage(CORE)
 		.should()
 		.dependOnClassesThat()
-		.resideInAnyPackage("io.lentilslip.wire..", "io.lentilslip.platform..", "io.lentilslip.settings..",
+		.resideInAnyPackage("io.lentilslip.wire..", "io.lentilslip.client..", "io.lentilslip.settings..",
 				"io.lentilslip.telemetry..", "io.lentilslip.runtime..", "io.lentilslip.entry..",
 				"io.lentilslip.sidecar..", "io.lentilslip.standin..", "io.lentilslip.application..");
 
@@ -77,7 +77,7 @@
 		.resideInAPackage("io.lentilslip.standin..")
 		.should()
 		.dependOnClassesThat()
-		.resideInAnyPackage(CORE, "io.lentilslip.wire..", "io.lentilslip.platform..", "io.lentilslip.settings..",
+		.resideInAnyPackage(CORE, "io.lentilslip.wire..", "io.lentilslip.client..", "io.lentilslip.settings..",
 				"io.lentilslip.telemetry..", "io.lentilslip.runtime..", "io.lentilslip.entry..",
 				"io.lentilslip.sidecar..", "io.lentilslip.application..");
 
@@ -85,7 +85,7 @@
 	final ArchRule standInsAreInNoPathOfARole = ArchRuleDefinition.noClasses()
 		.that()
 		.resideInAnyPackage("io.lentilslip.entry..", "io.lentilslip.sidecar..", "io.lentilslip.runtime..",
-				"io.lentilslip.platform..", "io.lentilslip.wire..")
+				"io.lentilslip.client..", "io.lentilslip.wire..")
 		.should()
 		.dependOnClassesThat()
 		.resideInAnyPackage("io.lentilslip.standin..", "io.lentilslip.application..");
--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
@@ -17,10 +17,10 @@
 import java.util.UUID;
 import java.util.stream.StreamSupport;
 
+import io.lentilslip.client.log.LogService;
 import io.lentilslip.core.configuration.ConfigurationFile;
 import io.lentilslip.core.configuration.ConfigurationSource;
 import io.lentilslip.core.configuration.Endpoint;
-import io.lentilslip.platform.log.LogService;
 import io.lentilslip.runtime.configuration.Base;
 import io.lentilslip.runtime.configuration.ConfigurationPublisher;
 import io.lentilslip.runtime.configuration.PublicationOutcome;
--- /dev/null
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -0,0 +1,165 @@
+package io.lentilslip.wire.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.wire.generated.RelayProtocol;
+import io.vavr.control.Either;
+
+/**
+ * Turns the messages of relays into bytes and back. Bytes that are no message are a value
+ * on the left, never an exception. Stateless and safe for use by several threads.
+ */
+public final class RelayCodec {
+
+	private RelayCodec() {
+	}
+
+	/**
+	 * Writes an entry.
+	 * @param entry the entry
+	 * @return its bytes
+	 */
+	public static byte[] encode(LedgerEntry entry) {
+		return message(entry).toByteArray();
+	}
+
+	/**
+	 * Reads an entry.
+	 * @param bytes its bytes
+	 * @return the reason why they are none on the left, or the entry on the right
+	 */
+	public static Either<String, LedgerEntry> decode(byte[] bytes) {
+		try {
+			return entry(RelayProtocol.RelayEntry.parseFrom(bytes));
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return Either.left(ex.getMessage());
+		}
+	}
+
+	/**
+	 * Writes a message to another relay.
+	 * @param message the message
+	 * @return its bytes
+	 */
+	public static byte[] encode(PeerMessage message) {
+		RelayProtocol.PeerMessage.Builder builder = RelayProtocol.PeerMessage.newBuilder();
+		switch (message) {
+			case PeerMessage.Greeting greeting -> builder.getGreetingBuilder().setAddress(greeting.address());
+			case PeerMessage.Batch batch -> {
+				builder.getBatchBuilder().setNumber(batch.number());
+				batch.entries().forEach((entry) -> builder.getBatchBuilder().addEntries(message(entry)));
+			}
+			case PeerMessage.Receipt receipt -> builder.getReceiptBuilder().setNumber(receipt.number());
+			case PeerMessage.Pulse ignored -> builder.getPulseBuilder();
+		}
+		return builder.build().toByteArray();
+	}
+
+	/**
+	 * Reads a message of another relay.
+	 * @param bytes its bytes
+	 * @return the reason why they are none on the left, or the message on the right
+	 */
+	public static Either<String, PeerMessage> decodePeer(byte[] bytes) {
+		try {
+			RelayProtocol.PeerMessage message = RelayProtocol.PeerMessage.parseFrom(bytes);
+			return switch (message.getMessageCase()) {
+				case GREETING -> Either.right(new PeerMessage.Greeting(message.getGreeting().getAddress()));
+				case BATCH -> batch(message.getBatch());
+				case RECEIPT -> Either.right(new PeerMessage.Receipt(message.getReceipt().getNumber()));
+				case PULSE -> Either.right(new PeerMessage.Pulse());
+				case MESSAGE_NOT_SET -> Either.left("a message without content");
+			};
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return Either.left(ex.getMessage());
+		}
+	}
+
+	private static Either<String, PeerMessage> batch(RelayProtocol.Batch batch) {
+		List<LedgerEntry> entries = new ArrayList<>();
+		for (RelayProtocol.RelayEntry message : batch.getEntriesList()) {
+			Either<String, LedgerEntry> entry = entry(message);
+			if (entry.isLeft()) {
+				return Either.left(entry.getLeft());
+			}
+			entries.add(entry.get());
+		}
+		return Either.right(new PeerMessage.Batch(batch.getNumber(), entries));
+	}
+
+	private static RelayProtocol.RelayEntry message(LedgerEntry entry) {
+		RelayProtocol.RelayEntry.Builder builder = RelayProtocol.RelayEntry.newBuilder().setRequest(entry.request());
+		switch (entry) {
+			case LedgerEntry.Reserved reserved -> builder.setReservation(reservation(reserved));
+			case LedgerEntry.Settled settled -> builder.setSettlement(settlement(settled));
+			case LedgerEntry.Blamed blamed ->
+				builder.getBlameBuilder().setDigest(blamed.digest()).setUpstream(blamed.upstream());
+		}
+		return builder.build();
+	}
+
+	private static RelayProtocol.Reservation reservation(LedgerEntry.Reserved reserved) {
+		RelayProtocol.Reservation.Builder builder = RelayProtocol.Reservation.newBuilder()
+			.setProgram(reserved.program())
+			.setTokens(reserved.tokens())
+			.setUpstream(reserved.upstream());
+		for (PromptPart part : reserved.prompt()) {
+			builder.addPrompt(RelayProtocol.Part.newBuilder().setId(part.id()).setTokens(part.tokens()));
+		}
+		return builder.build();
+	}
+
+	private static RelayProtocol.Settlement settlement(LedgerEntry.Settled settled) {
+		RelayProtocol.Settlement.Builder builder = RelayProtocol.Settlement.newBuilder()
+			.setProgram(settled.program())
+			.setTokens(settled.tokens());
+		settled.kept()
+			.ifPresent((kept) -> builder.setText(RelayProtocol.TurnText.newBuilder()
+				.setPrevious(kept.previous().orElse(""))
+				.setInput(ByteString.copyFrom(kept.input()))
+				.setOutput(ByteString.copyFrom(kept.output()))));
+		return builder.build();
+	}
+
+	private static Either<String, LedgerEntry> entry(RelayProtocol.RelayEntry message) {
+		if (message.getRequest().isEmpty()) {
+			return Either.left("an entry without a request");
+		}
+		return switch (message.getEntryCase()) {
+			case RESERVATION -> Either.right(reserved(message.getRequest(), message.getReservation()));
+			case SETTLEMENT -> Either.right(settled(message.getRequest(), message.getSettlement()));
+			case BLAME -> Either.right(new LedgerEntry.Blamed(message.getRequest(), message.getBlame().getDigest(),
+					message.getBlame().getUpstream()));
+			case ENTRY_NOT_SET -> Either.left("an entry without content");
+		};
+	}
+
+	private static LedgerEntry reserved(String request, RelayProtocol.Reservation message) {
+		List<PromptPart> prompt = new ArrayList<>();
+		for (RelayProtocol.Part part : message.getPromptList()) {
+			prompt.add(new PromptPart(part.getId(), part.getTokens()));
+		}
+		return new LedgerEntry.Reserved(request, message.getProgram(), message.getTokens(), message.getUpstream(),
+				prompt);
+	}
+
+	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
+		Optional<LedgerEntry.KeptTurn> kept = Optional.empty();
+		if (message.hasText()) {
+			RelayProtocol.TurnText text = message.getText();
+			Optional<String> previous = Optional.of(text.getPrevious()).filter((name) -> !name.isEmpty());
+			kept = Optional
+				.of(new LedgerEntry.KeptTurn(previous, text.getInput().toByteArray(), text.getOutput().toByteArray()));
+		}
+		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), kept);
+	}
+
+}
