Let the log's order decide on turns near the end of a budget

Cause: a looping program starts sub-agents at once at several relays; each saw the budget without the others. Ruled out: miscounted events (tokens per event agree with the users' count). A turn contends where five turns at once would pass the budget and one turn more.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -212,6 +212,11 @@
 		 */
 		WAITING_FOR_CHAIN,
 
+		/**
+		 * For the log to tell whether the program's budget holds the turn.
+		 */
+		WAITING_FOR_ORDER,
+
 		/**
 		 * For an upstream's answer.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -23,11 +23,13 @@
 	 * @param request the id of the caller's attempt
 	 * @param program the program
 	 * @param tokens the most tokens that the turn generates
-	 * @param upstream the id of the upstream
+	 * @param upstream the id of the upstream; empty while the turn contends
 	 * @param prompt the parts of the prompt that the upstream then holds
+	 * @param contending whether the turn runs only if the log's order leaves enough of
+	 * the budget for it; otherwise it runs already
 	 */
-	record Reserved(String request, String program, int tokens, String upstream,
-			List<PromptPart> prompt) implements LedgerEntry {
+	record Reserved(String request, String program, int tokens, String upstream, List<PromptPart> prompt,
+			boolean contending) implements LedgerEntry {
 
 		/**
 		 * Creates an entry.
@@ -36,6 +38,8 @@
 		 * @param tokens the most tokens that the turn generates
 		 * @param upstream the id of the upstream
 		 * @param prompt the parts of the prompt that the upstream then holds
+		 * @param contending whether the turn runs only if the log's order leaves enough
+		 * of the budget for it; otherwise it runs already
 		 */
 		public Reserved {
 			prompt = List.copyOf(prompt);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
@@ -7,8 +7,10 @@
 /**
  * The tokens that programs have been given, over all relays. A reservation counts at its
  * most until its turn is settled, so that a relay that dies in the middle of a turn can
- * only make a budget look smaller. The number of programs is bounded: the ones untouched
- * for longest are forgotten. Used by one thread.
+ * only make a budget look smaller. A reservation that contends counts from its place in
+ * the log on: of several that were made at once, all relays see the same one first. The
+ * number of programs is bounded: the ones untouched for longest are forgotten. Used by
+ * one thread.
  */
 final class ProgramTokens {
 
@@ -31,17 +33,27 @@
 	}
 
 	/**
-	 * Holds back the most tokens of a turn.
+	 * Holds back the most tokens of a turn, unless it is known already.
 	 * @param program the program
 	 * @param request the turn
 	 * @param tokens the most tokens
-	 * @return whether the turn was not known before
 	 */
-	boolean reserve(String program, String request, int tokens) {
+	void reserve(String program, String request, int tokens) {
 		Account account = account(program);
-		boolean unknown = account.turns.putIfAbsent(request, tokens) == null;
-		account.held += unknown ? tokens : 0;
-		return unknown;
+		if (account.turns.putIfAbsent(request, tokens) == null) {
+			account.held += tokens;
+		}
+	}
+
+	/**
+	 * Returns whether a turn is reserved and not settled.
+	 * @param program the program
+	 * @param request the turn
+	 * @return whether it is
+	 */
+	boolean open(String program, String request) {
+		Account account = this.accounts.get(program);
+		return account != null && account.turns.getOrDefault(request, Account.SETTLED) != Account.SETTLED;
 	}
 
 	void settle(String program, String request, int tokens) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -43,6 +43,8 @@
 
 	private final Map<String, Long> ending = new LinkedHashMap<>();
 
+	private final Map<String, Long> contending = new LinkedHashMap<>();
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	private boolean caughtUp;
@@ -217,26 +219,81 @@
 	}
 
 	private void dispatch(Exchange exchange) {
-		if (!exchange.reserved() && overBudget(exchange)) {
-			refuse(exchange, Refusal.BUDGET_SPENT, Optional.empty());
-			return;
+		if (!exchange.reserved()) {
+			switch (admission(exchange)) {
+				case REFUSED -> {
+					refuse(exchange, Refusal.BUDGET_SPENT, Optional.empty());
+					return;
+				}
+				case CONTENDING -> {
+					contend(exchange);
+					return;
+				}
+				case ADMITTED -> {
+				}
+			}
 		}
 		Optional<Known> chosen = choose(exchange);
 		if (chosen.isEmpty()) {
-			refuse(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM,
-					Optional.of(RelaySettings.COME_BACK));
+			giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
 			return;
 		}
 		send(exchange, chosen.get());
 	}
 
-	private boolean overBudget(Exchange exchange) {
+	/**
+	 * Decides by what is known here whether a program's budget holds a turn. What other
+	 * relays began in the last moments is not known here yet. Far from the end of the
+	 * budget this does no harm; near it, turns that begin at once would together take
+	 * more than there is, so the log's order decides there.
+	 * @param exchange the exchange
+	 * @return the decision
+	 */
+	private Admission admission(Exchange exchange) {
 		Optional<Turn> turn = exchange.head().turn();
 		if (turn.isEmpty() || turn.get().budget().isEmpty()) {
-			return false;
+			return Admission.ADMITTED;
+		}
+		long taken = this.tokens.taken(turn.get().program());
+		long budget = turn.get().budget().getAsLong();
+		if (taken + turn.get().most() > budget) {
+			return Admission.REFUSED;
+		}
+		long atOnce = (long) RelaySettings.TURNS_AT_ONCE * turn.get().most();
+		return (taken + atOnce <= budget + turn.get().most()) ? Admission.ADMITTED : Admission.CONTENDING;
+	}
+
+	private void contend(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		exchange.become(Phase.WAITING_FOR_ORDER);
+		this.contending.put(exchange.head().id(), exchange.number());
+		this.effects.add(new RelayEffect.Write(
+				new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), true)));
+		remind(exchange, RelaySettings.ORDER_WAIT, Reminder.ORDER);
+	}
+
+	/**
+	 * Decides on a turn whose reservation was read from the log: everything before it
+	 * there is known now, and no relay takes anything after it into account first.
+	 * @param exchange the exchange
+	 */
+	private void ordered(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		exchange.reserve();
+		boolean held = this.tokens.taken(turn.program()) + turn.most() <= turn.budget().orElseThrow();
+		this.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		if (!held) {
+			giveUp(exchange, Refusal.BUDGET_SPENT);
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	private void orderDue(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
+			exchange.reserve();
+			giveUp(exchange, Refusal.NOT_READY);
 		}
-		long after = this.tokens.taken(turn.get().program()) + turn.get().most();
-		return after > turn.get().budget().getAsLong();
 	}
 
 	private Optional<Known> choose(Exchange exchange) {
@@ -281,8 +338,8 @@
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
 		exchange.reserve();
 		this.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.effects.add(new RelayEffect.Write(
-				new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), upstream.id(), prompt)));
+		this.effects.add(new RelayEffect.Write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(),
+				turn.most(), upstream.id(), prompt, false)));
 	}
 
 	// Answers
@@ -444,6 +501,10 @@
 	// Callers and time
 
 	private void callerLeft(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
+			exchange.reserve();
+			settle(exchange, Optional.empty());
+		}
 		if (exchange.phase() == Phase.RUNNING) {
 			this.effects.add(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
 			known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
@@ -457,6 +518,7 @@
 		switch (event.reminder()) {
 			case DUE -> due(exchange);
 			case CHAIN -> chainDue(exchange);
+			case ORDER -> orderDue(exchange);
 			case COPIES -> logAloneOver(exchange);
 		}
 	}
@@ -464,6 +526,7 @@
 	private void due(Exchange exchange) {
 		switch (exchange.phase()) {
 			case WAITING_FOR_CHAIN -> refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+			case WAITING_FOR_ORDER -> orderDue(exchange);
 			case RUNNING -> {
 				this.effects.add(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
 				known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
@@ -480,6 +543,9 @@
 	}
 
 	private void stored(String request) {
+		if (this.contending.containsKey(request)) {
+			this.effects.add(new RelayEffect.ReadLog());
+		}
 		Long number = this.ending.get(request);
 		if (number != null) {
 			endStream(this.exchanges.get(number));
@@ -514,7 +580,7 @@
 	private void entriesRead(RelayEvent.EntriesRead read) {
 		for (LedgerEntry entry : read.entries()) {
 			switch (entry) {
-				case LedgerEntry.Reserved reserved -> reservedElsewhere(reserved);
+				case LedgerEntry.Reserved reserved -> reserved(reserved, read.fromLog());
 				case LedgerEntry.Settled settled -> settledElsewhere(settled);
 				case LedgerEntry.Blamed blamed -> this.blames.add(blamed.digest(), blamed.upstream());
 			}
@@ -530,8 +596,20 @@
 		}
 	}
 
+	private void reserved(LedgerEntry.Reserved reserved, boolean fromLog) {
+		Long own = this.contending.remove(fromLog ? reserved.request() : "");
+		if (own != null) {
+			ordered(this.exchanges.get(own));
+			return;
+		}
+		if (!reserved.contending() || fromLog) {
+			reservedElsewhere(reserved);
+		}
+	}
+
 	private void reservedElsewhere(LedgerEntry.Reserved reserved) {
-		if (this.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens())) {
+		this.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens());
+		if (this.tokens.open(reserved.program(), reserved.request())) {
 			this.upstreams.find(reserved.upstream()).ifPresent((known) -> {
 				known.began(reserved.request(), this.now);
 				known.read(reserved.prompt(),
@@ -584,10 +662,33 @@
 	private void forget(Exchange exchange) {
 		this.exchanges.remove(exchange.number());
 		this.ending.remove(exchange.head().id());
+		this.contending.remove(exchange.head().id());
 	}
 
 	private void remind(Exchange exchange, Duration delay, Reminder reminder) {
 		this.effects.add(new RelayEffect.Remind(exchange.number(), delay, reminder));
 	}
 
+	/**
+	 * Whether a turn may run. Safe for use by several threads.
+	 */
+	private enum Admission {
+
+		/**
+		 * It may.
+		 */
+		ADMITTED,
+
+		/**
+		 * The log's order decides.
+		 */
+		CONTENDING,
+
+		/**
+		 * Its program's budget does not hold it.
+		 */
+		REFUSED
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -144,13 +144,17 @@
 	 *
 	 * @param now when
 	 * @param entries the entries
+	 * @param fromLog whether they were read from the log, and so stand in the order that
+	 * all relays see
 	 */
-	record EntriesRead(long now, List<LedgerEntry> entries) implements RelayEvent {
+	record EntriesRead(long now, List<LedgerEntry> entries, boolean fromLog) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now when
 		 * @param entries the entries
+		 * @param fromLog whether they were read from the log, and so stand in the order
+		 * that all relays see
 		 */
 		public EntriesRead {
 			entries = List.copyOf(entries);
@@ -262,6 +266,11 @@
 		 */
 		CHAIN,
 
+		/**
+		 * The log should have told whether the budget holds the turn.
+		 */
+		ORDER,
+
 		/**
 		 * Copies at other relays now count for the end of a kept turn.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -18,6 +18,17 @@
 	 */
 	static final Duration CHAIN_WAIT = Duration.ofMillis(400);
 
+	/**
+	 * How long a turn waits for the log to tell whether the budget holds it.
+	 */
+	static final Duration ORDER_WAIT = Duration.ofMillis(400);
+
+	/**
+	 * How many turns of one program are reckoned to begin at once at different relays,
+	 * before these hear of each other: a turn and the sub-agents that start with it.
+	 */
+	static final int TURNS_AT_ONCE = 5;
+
 	/**
 	 * When a caller is asked to come back after a refusal: long enough for a change of
 	 * load to show, short enough to be within the third of its time that callers accept.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -237,7 +237,7 @@
 	}
 
 	private void read(List<LedgerEntry> entries) {
-		on(new RelayEvent.EntriesRead(this.timers.now(), entries));
+		on(new RelayEvent.EntriesRead(this.timers.now(), entries, true));
 	}
 
 	private void caughtUp() {
@@ -366,7 +366,7 @@
 
 		@Override
 		public void entries(List<LedgerEntry> entries) {
-			read(entries);
+			on(new RelayEvent.EntriesRead(RelayProcess.this.timers.now(), entries, false));
 		}
 
 		@Override
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -92,7 +92,7 @@
 		if (this.calling) {
 			return;
 		}
-		if (entry instanceof LedgerEntry.Settled settled && settled.kept().isPresent()) {
+		if (awaited(entry)) {
 			call();
 			return;
 		}
@@ -107,6 +107,14 @@
 		return this.waiting.size();
 	}
 
+	private static boolean awaited(LedgerEntry entry) {
+		return switch (entry) {
+			case LedgerEntry.Reserved reserved -> reserved.contending();
+			case LedgerEntry.Settled settled -> settled.kept().isPresent();
+			case LedgerEntry.Blamed ignored -> false;
+		};
+	}
+
 	private void gather() {
 		if (!this.gathering) {
 			this.gathering = true;
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -110,7 +110,8 @@
 		RelayProtocol.Reservation.Builder builder = RelayProtocol.Reservation.newBuilder()
 			.setProgram(reserved.program())
 			.setTokens(reserved.tokens())
-			.setUpstream(reserved.upstream());
+			.setUpstream(reserved.upstream())
+			.setContending(reserved.contending());
 		for (PromptPart part : reserved.prompt()) {
 			builder.addPrompt(RelayProtocol.Part.newBuilder().setId(part.id()).setTokens(part.tokens()));
 		}
@@ -148,7 +149,7 @@
 			prompt.add(new PromptPart(part.getId(), part.getTokens()));
 		}
 		return new LedgerEntry.Reserved(request, message.getProgram(), message.getTokens(), message.getUpstream(),
-				prompt);
+				prompt, message.getContending());
 	}
 
 	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
