Let relays write down the entries of a relay that died

Ruled out: a wrong 404 (callers got 503 in 17 tries); expiry (the turns were 28 s old). Test: RelayTests.entryOfARelayThatDiedIsWrittenByTheOthers.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -35,6 +35,8 @@
 
 	private final Upstreams upstreams = new Upstreams();
 
+	private final UnloggedEntries unlogged;
+
 	private final SplittableRandom random;
 
 	private final UpstreamChoice choice;
@@ -55,6 +57,8 @@
 
 	private long now;
 
+	private long logReadAt;
+
 	private List<RelayEffect> effects = new ArrayList<>();
 
 	/**
@@ -65,6 +69,7 @@
 		this.tokens = new ProgramTokens(settings.programs());
 		this.turns = new KeptTurns(settings.turnBytes());
 		this.random = new SplittableRandom(settings.seed());
+		this.unlogged = new UnloggedEntries(this.random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()));
 		this.choice = new UpstreamChoice(settings.zone(), this.random);
 	}
 
@@ -579,12 +584,21 @@
 
 	private void entriesRead(RelayEvent.EntriesRead read) {
 		for (LedgerEntry entry : read.entries()) {
+			if (read.fromLog()) {
+				this.unlogged.logged(entry);
+			}
+			else {
+				this.unlogged.told(entry, read.now());
+			}
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> reserved(reserved, read.fromLog());
 				case LedgerEntry.Settled settled -> settledElsewhere(settled);
 				case LedgerEntry.Blamed blamed -> this.blames.add(blamed.digest(), blamed.upstream());
 			}
 		}
+		if (read.fromLog()) {
+			adopt();
+		}
 		List<Exchange> waiting = this.exchanges.values()
 			.stream()
 			.filter((exchange) -> exchange.phase() == Phase.WAITING_FOR_CHAIN)
@@ -596,6 +610,16 @@
 		}
 	}
 
+	private void adopt() {
+		if (this.now - this.logReadAt > RelaySettings.LOG_GAP.toMillis()) {
+			this.unlogged.logBack(this.now);
+		}
+		this.logReadAt = this.now;
+		for (LedgerEntry entry : this.unlogged.overdue(this.now)) {
+			this.effects.add(new RelayEffect.Write(entry));
+		}
+	}
+
 	private void reserved(LedgerEntry.Reserved reserved, boolean fromLog) {
 		Long own = this.contending.remove(fromLog ? reserved.request() : "");
 		if (own != null) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -46,6 +46,17 @@
 	 */
 	static final Duration LOG_ALONE = Duration.ofMillis(60);
 
+	/**
+	 * By how much relays differ in how long they wait for the log to show an entry of
+	 * another relay: several times what one needs to read what another wrote.
+	 */
+	static final Duration ADOPTION_SPREAD = Duration.ofMillis(2500);
+
+	/**
+	 * The pause between reads of the log after which it counts as having been away.
+	 */
+	static final Duration LOG_GAP = Duration.ofMillis(1500);
+
 	/**
 	 * How many other relays must hold a turn that the log does not have yet before its
 	 * end is passed on: with two, no single failure loses it.
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/ProgramTokensTests.java
@@ -0,0 +1,48 @@
+package io.lentilslip.core.relay;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ProgramTokensTests {
+
+	private final ProgramTokens tokens = new ProgramTokens(2);
+
+	@Test
+	void reservationCountsAtItsMostUntilItIsSettled() {
+		this.tokens.reserve("p", "t", 100);
+		assertThat(this.tokens.taken("p")).isEqualTo(100);
+		this.tokens.settle("p", "t", 30);
+		assertThat(this.tokens.taken("p")).isEqualTo(30);
+	}
+
+	@Test
+	void entriesThatComeTwiceCountOnce() {
+		this.tokens.reserve("p", "t", 100);
+		this.tokens.reserve("p", "t", 100);
+		this.tokens.settle("p", "t", 30);
+		this.tokens.settle("p", "t", 30);
+		this.tokens.reserve("p", "t", 100);
+		assertThat(this.tokens.taken("p")).isEqualTo(30);
+	}
+
+	@Test
+	void settlementThatComesBeforeItsReservationIsFinal() {
+		this.tokens.settle("p", "t", 30);
+		this.tokens.reserve("p", "t", 100);
+		assertThat(this.tokens.taken("p")).isEqualTo(30);
+		assertThat(this.tokens.open("p", "t")).isFalse();
+	}
+
+	@Test
+	void programUntouchedForLongestIsForgotten() {
+		this.tokens.settle("a", "t1", 1);
+		this.tokens.settle("b", "t2", 1);
+		this.tokens.settle("a", "t3", 1);
+		this.tokens.settle("c", "t4", 1);
+		assertThat(this.tokens.taken("a")).isEqualTo(2);
+		assertThat(this.tokens.taken("b")).isZero();
+		assertThat(this.tokens.size()).isEqualTo(2);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -0,0 +1,160 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.lentilslip.core.call.Header;
+import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
+
+/**
+ * One relay with a small site, driven event by event.
+ */
+final class RelayFixture {
+
+	static final String ENGINE = "engine";
+
+	static final String SHOP = "shop";
+
+	static final int TOKENS_PER_EVENT = 10;
+
+	static final AnswerHead SIGNED = new AnswerHead(200, List.of(new Header("Stamp", "s")), false, true,
+			Optional.empty());
+
+	static final AnswerHead UNSIGNED = new AnswerHead(200, List.of(), false, false, Optional.empty());
+
+	static final AnswerHead FULL = new AnswerHead(503, List.of(), true, false, Optional.empty());
+
+	final List<RelayEffect> all = new ArrayList<>();
+
+	private final Relay relay = new Relay(new RelaySettings("zone-a", 7, 1_000_000, 1000));
+
+	private long now = 1000;
+
+	private long exchange;
+
+	static RelayFixture ready() {
+		RelayFixture fixture = new RelayFixture();
+		fixture.on(new RelayEvent.TableRead(fixture.now, table()));
+		fixture.on(new RelayEvent.UpstreamsRead(fixture.now, List.of(upstream("e1", ENGINE), upstream("e2", ENGINE),
+				upstream("s1", SHOP), upstream("s2", SHOP), upstream("s3", SHOP))));
+		fixture.on(new RelayEvent.CaughtUp(fixture.now));
+		fixture.all.clear();
+		return fixture;
+	}
+
+	static RelayFixture fresh() {
+		return new RelayFixture();
+	}
+
+	static RouteTable table() {
+		Map<String, RouteTable.Service> services = Map.of(ENGINE,
+				new RouteTable.Service(ENGINE, 100, Optional.of(new RouteTable.Engine(8, 100_000, TOKENS_PER_EVENT))),
+				SHOP, new RouteTable.Service(SHOP, 100, Optional.empty()));
+		return new RouteTable(1,
+				List.of(route("chat", Repeatability.STREAM, false, true, ENGINE),
+						route("draft", Repeatability.STREAM, true, false, ENGINE),
+						route("look", Repeatability.IDEMPOTENT, false, false, SHOP),
+						route("order", Repeatability.ONCE, false, false, SHOP)),
+				services, RouteTable.Limits.beforeFirstTable());
+	}
+
+	static Route route(String name, Repeatability repeatability, boolean resumable, boolean keeps, String service) {
+		return new Route(name, "host", "/" + name + "/", repeatability, Duration.ofSeconds(4), Duration.ofMillis(200),
+				2, 0, resumable, keeps, Duration.ofSeconds(60), List.of(new Route.WeightedService(service, 1)));
+	}
+
+	static Upstream upstream(String id, String service) {
+		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false);
+	}
+
+	static RequestHead.Turn turn(String program, long budget, int most, String previous) {
+		return new RequestHead.Turn(program, OptionalLong.of(budget), most, Optional.ofNullable(previous));
+	}
+
+	static RequestHead head(String id, String route, Optional<RequestHead.Turn> turn) {
+		return new RequestHead(id, "host", "/" + route + "/x", Optional.of(Duration.ofSeconds(3)), turn, List.of(), 0,
+				OptionalLong.empty());
+	}
+
+	List<RelayEffect> on(RelayEvent event) {
+		List<RelayEffect> effects = this.relay.on(event);
+		this.all.addAll(effects);
+		return effects;
+	}
+
+	long now() {
+		return this.now;
+	}
+
+	void pass(long milliseconds) {
+		this.now += milliseconds;
+	}
+
+	List<RelayEffect> ask(String id, String route) {
+		return ask(head(id, route, Optional.empty()), "body");
+	}
+
+	List<RelayEffect> askTurn(String id, String route, RequestHead.Turn turn) {
+		return ask(head(id, route, Optional.of(turn)), "input of " + id + ";");
+	}
+
+	List<RelayEffect> ask(RequestHead head, String body) {
+		this.exchange++;
+		return on(new RelayEvent.Asked(this.now, this.exchange, head, body.getBytes(), head.path().hashCode()));
+	}
+
+	long exchange() {
+		return this.exchange;
+	}
+
+	List<RelayEffect> answer(int attempt, AnswerHead head) {
+		return on(new RelayEvent.Answered(this.now, this.exchange, attempt, head, "answer".getBytes()));
+	}
+
+	List<RelayEffect> open(int attempt) {
+		return on(new RelayEvent.StreamOpened(this.now, this.exchange, attempt, SIGNED));
+	}
+
+	List<RelayEffect> event(int attempt, long number) {
+		byte[] data = ("piece " + number).getBytes();
+		return on(new RelayEvent.EventArrived(this.now, this.exchange, attempt, number, data, data));
+	}
+
+	List<RelayEffect> end(int attempt) {
+		return on(new RelayEvent.StreamEnded(this.now, this.exchange, attempt));
+	}
+
+	List<RelayEffect> fail(int attempt, RelayEvent.FailureCause cause) {
+		return on(new RelayEvent.AttemptFailed(this.now, this.exchange, attempt, cause));
+	}
+
+	List<RelayEffect> remind(RelayEvent.Reminder reminder) {
+		return on(new RelayEvent.Reminded(this.now, this.exchange, reminder));
+	}
+
+	List<RelayEffect> readFromLog(LedgerEntry... entries) {
+		return on(new RelayEvent.EntriesRead(this.now, List.of(entries), true));
+	}
+
+	List<RelayEffect> told(LedgerEntry... entries) {
+		return on(new RelayEvent.EntriesRead(this.now, List.of(entries), false));
+	}
+
+	static LedgerEntry.Settled kept(String request, String previous, String input, String output) {
+		return new LedgerEntry.Settled(request, "p", 10,
+				Optional.of(new KeptTurn(Optional.ofNullable(previous), input.getBytes(), output.getBytes())));
+	}
+
+	static <T extends RelayEffect> List<T> of(List<RelayEffect> effects, Class<T> type) {
+		return effects.stream().filter(type::isInstance).map(type::cast).toList();
+	}
+
+	static List<LedgerEntry> written(List<RelayEffect> effects) {
+		return of(effects, RelayEffect.Write.class).stream().map(RelayEffect.Write::entry).toList();
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -0,0 +1,376 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RelayTests {
+
+	@Test
+	void requestBeforeAnythingIsKnownIsRefusedAsNotRun() {
+		RelayFixture relay = RelayFixture.fresh();
+		List<RelayEffect> effects = relay.ask("r1", "look");
+		assertThat(refusal(effects)).contains(Refusal.NOT_READY);
+		assertThat(RelayFixture.of(effects, RelayEffect.Refuse.class).getFirst().comeBack()).isPresent();
+	}
+
+	@Test
+	void readinessFollowsTableUpstreamsAndLog() {
+		RelayFixture relay = RelayFixture.fresh();
+		relay.on(new RelayEvent.TableRead(1, RelayFixture.table()));
+		relay.on(new RelayEvent.UpstreamsRead(1, List.of()));
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).isEmpty();
+		relay.on(new RelayEvent.CaughtUp(1));
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(true));
+	}
+
+	@Test
+	void unknownRouteIsRefused() {
+		RelayFixture relay = RelayFixture.ready();
+		assertThat(refusal(relay.ask("r1", "nowhere"))).contains(Refusal.NO_ROUTE);
+	}
+
+	@Test
+	void olderTableChangesNothing() {
+		RelayFixture relay = RelayFixture.ready();
+		RouteTable older = new RouteTable(0, List.of(), Map.of(), RouteTable.Limits.beforeFirstTable());
+		assertThat(relay.on(new RelayEvent.TableRead(1, older))).isEmpty();
+		assertThat(sends(relay.ask("r1", "look"))).hasSize(1);
+	}
+
+	// The caller's order ran, and its answer was lost on the way. Sent again, the order
+	// would be made twice; called "not run", the caller would send it again itself.
+	@Test
+	void lostAnswerOfARequestThatRunsOnceIsNeitherRepeatedNorCalledNotRun() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		List<RelayEffect> effects = relay.fail(1, FailureCause.BROKEN);
+		assertThat(sends(effects)).isEmpty();
+		assertThat(refusal(effects)).contains(Refusal.ANSWER_LOST);
+		assertThat(RelayFixture.of(effects, RelayEffect.Refuse.class).getFirst().comeBack()).isEmpty();
+	}
+
+	@Test
+	void requestThatWasNotSentGoesToAnotherUpstream() {
+		RelayFixture relay = RelayFixture.ready();
+		String first = sends(relay.ask("r1", "order")).getFirst().upstream().id();
+		List<RelayEffect.Send> again = sends(relay.fail(1, FailureCause.NOT_CONNECTED));
+		assertThat(again).hasSize(1);
+		assertThat(again.getFirst().upstream().id()).isNotEqualTo(first);
+	}
+
+	@Test
+	void requestThatAnUpstreamDidNotRunGoesToAnotherWithinTheRoutesAttempts() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		assertThat(sends(relay.answer(1, RelayFixture.FULL))).hasSize(1);
+		List<RelayEffect> effects = relay.answer(2, RelayFixture.FULL);
+		assertThat(sends(effects)).isEmpty();
+		assertThat(refusal(effects)).contains(Refusal.NO_UPSTREAM);
+	}
+
+	@Test
+	void idempotentRequestIsRepeatedAfterALostAnswer() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "look");
+		assertThat(sends(relay.fail(1, FailureCause.BROKEN))).hasSize(1);
+		List<RelayEffect> effects = relay.answer(2, RelayFixture.SIGNED);
+		assertThat(RelayFixture.of(effects, RelayEffect.Answer.class)).hasSize(1);
+	}
+
+	@Test
+	void unsignedSuccessIsNotPassedOn() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		List<RelayEffect> effects = relay.answer(1, RelayFixture.UNSIGNED);
+		assertThat(RelayFixture.of(effects, RelayEffect.Answer.class)).isEmpty();
+		assertThat(refusal(effects)).contains(Refusal.ANSWER_LOST);
+	}
+
+	// A caller gave up, its request went out again with another number, and the first
+	// attempt's answer arrives late. It meets nothing.
+	@Test
+	void answerOfAnEarlierAttemptMeetsNothing() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "look");
+		relay.fail(1, FailureCause.BROKEN);
+		assertThat(relay.answer(1, RelayFixture.SIGNED)).isEmpty();
+	}
+
+	@Test
+	void leavingUpstreamGetsNoNewWork() {
+		RelayFixture relay = RelayFixture.ready();
+		for (String id : List.of("s1", "s2")) {
+			Upstream gone = RelayFixture.upstream(id, RelayFixture.SHOP);
+			relay.on(new RelayEvent.UpstreamListed(2,
+					new Upstream(id, gone.service(), gone.host(), gone.port(), gone.zone(), gone.slots(), true)));
+		}
+		for (int i = 0; i < 10; i++) {
+			assertThat(sends(relay.ask("r" + i, "look")).getFirst().upstream().id()).isEqualTo("s3");
+		}
+	}
+
+	@Test
+	void callerThatLeavesCancelsItsRequest() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		List<RelayEffect> effects = relay.on(new RelayEvent.CallerLeft(relay.now(), relay.exchange()));
+		assertThat(RelayFixture.of(effects, RelayEffect.Cancel.class)).hasSize(1);
+		assertThat(relay.answer(1, RelayFixture.SIGNED)).isEmpty();
+	}
+
+	@Test
+	void requestWithoutAnswerIsEndedWhenItIsDue() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		List<RelayEffect> effects = relay.remind(Reminder.DUE);
+		assertThat(RelayFixture.of(effects, RelayEffect.Cancel.class)).hasSize(1);
+		assertThat(refusal(effects)).contains(Refusal.NO_ANSWER_IN_TIME);
+	}
+
+	// One request makes each upstream break off that runs it, and its caller sends it
+	// again and again. After the third life of an upstream it is not sent any more, and
+	// other requests go on.
+	@Test
+	void requestThatBreaksUpstreamsIsStoppedAndOthersAreNot() {
+		RelayFixture relay = RelayFixture.ready();
+		for (String upstream : List.of("e7", "e8", "e9")) {
+			relay.told(new LedgerEntry.Blamed("r0", "/draft/x".hashCode(), upstream));
+		}
+		assertThat(refusal(relay.ask("r1", "draft"))).contains(Refusal.BLAMED);
+		assertThat(sends(relay.ask("r2", "look"))).hasSize(1);
+	}
+
+	@Test
+	void turnIsGivenItsWholeChain() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog(RelayFixture.kept("t1", null, "in1;", "out1;"),
+				RelayFixture.kept("t2", "t1", "in2;", "out2;"));
+		RelayEffect.Send send = sends(relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, "t2")))
+			.getFirst();
+		assertThat(new String(send.chain())).isEqualTo("in1;out1;in2;out2;");
+	}
+
+	// The turn before ended at another relay a moment ago. Its text is on the way here:
+	// the request waits for it, and is neither refused nor run without it.
+	@Test
+	void turnWaitsForTheTextBeforeIt() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> first = relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(sends(first)).isEmpty();
+		assertThat(RelayFixture.of(first, RelayEffect.ReadLog.class)).hasSize(1);
+		assertThat(sends(relay.told(RelayFixture.kept("t1", null, "in;", "out;")))).hasSize(1);
+	}
+
+	// The turn before is not found in time. It may exist where this relay can't see it,
+	// so
+	// the caller is told to come back, never that there is none.
+	@Test
+	void turnWhoseChainIsNotFoundIsCalledUncertain() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(refusal(relay.remind(Reminder.CHAIN))).contains(Refusal.TURN_UNCERTAIN);
+	}
+
+	// A relay that dies right after a caller saw the end of a turn must not take the turn
+	// with it: the end is passed on when the log has the turn.
+	@Test
+	void endOfAKeptTurnWaitsForTheLog() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		assertThat(RelayFixture.of(relay.event(1, 1), RelayEffect.PassEvent.class)).hasSize(1);
+		List<RelayEffect> atEnd = relay.end(1);
+		assertThat(RelayFixture.of(atEnd, RelayEffect.EndStream.class)).isEmpty();
+		assertThat(settled(atEnd).kept().map(KeptTurn::output).map(String::new)).contains("piece 1\n");
+		List<RelayEffect> stored = relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1")));
+		assertThat(RelayFixture.of(stored, RelayEffect.EndStream.class)).hasSize(1);
+	}
+
+	// The log is down as a turn ends. Copies at two other relays stand in for it, but
+	// only after the log had its time.
+	@Test
+	void copiesAtTwoRelaysStandInForALogThatIsDown() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		relay.on(new RelayEvent.Copied(relay.now(), "a", Set.of("t1")));
+		assertThat(ends(relay.on(new RelayEvent.Copied(relay.now(), "b", Set.of("t1"))))).isEmpty();
+		assertThat(ends(relay.remind(Reminder.COPIES))).hasSize(1);
+	}
+
+	@Test
+	void oneCopyIsNotEnough() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		relay.on(new RelayEvent.Copied(relay.now(), "a", Set.of("t1")));
+		assertThat(ends(relay.remind(Reminder.COPIES))).isEmpty();
+		assertThat(RelayFixture.of(relay.remind(Reminder.DUE), RelayEffect.BreakOff.class)).hasSize(1);
+	}
+
+	// While the log was down a relay ended a turn on the strength of copies, and died.
+	// Whoever holds a copy writes it once the log is back; without that the loss of all
+	// relays afterwards would lose the caller's conversation.
+	@Test
+	void entryOfARelayThatDiedIsWrittenByTheOthers() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog();
+		LedgerEntry turn = RelayFixture.kept("t1", null, "in;", "out;");
+		relay.told(turn);
+		relay.pass(9_000);
+		assertThat(RelayFixture.written(relay.readFromLog())).isEmpty();
+		relay.pass(1_000);
+		relay.readFromLog();
+		for (int i = 0; i < 8; i++) {
+			relay.pass(500);
+			relay.readFromLog();
+		}
+		assertThat(RelayFixture.written(relay.all)).containsExactly(turn);
+	}
+
+	@Test
+	void entryThatTheLogShowsIsNotWrittenAgain() {
+		RelayFixture relay = RelayFixture.ready();
+		LedgerEntry turn = RelayFixture.kept("t1", null, "in;", "out;");
+		relay.told(turn);
+		relay.readFromLog(turn);
+		for (int i = 0; i < 12; i++) {
+			relay.pass(500);
+			relay.readFromLog();
+		}
+		assertThat(RelayFixture.written(relay.all)).isEmpty();
+	}
+
+	@Test
+	void turnBeyondTheBudgetIsRefused() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.told(new LedgerEntry.Settled("t0", "p", 950, Optional.empty()));
+		assertThat(refusal(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null))))
+			.contains(Refusal.BUDGET_SPENT);
+	}
+
+	@Test
+	void turnFarFromTheEndOfTheBudgetIsSentAtOnce() {
+		RelayFixture relay = RelayFixture.ready();
+		assertThat(sends(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).hasSize(1);
+	}
+
+	// Two sub-agents begin at two relays in the same millisecond, and the budget holds
+	// one
+	// of them. The log's order decides which; what is told over the links does not.
+	@Test
+	void turnNearTheEndOfTheBudgetWaitsForItsPlaceInTheLog() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> asked = relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		assertThat(sends(asked)).isEmpty();
+		LedgerEntry own = RelayFixture.written(asked).getFirst();
+		LedgerEntry other = new LedgerEntry.Reserved("t2", "p", 100, "", List.of(), true);
+		assertThat(relay.told(other)).isEmpty();
+		assertThat(sends(relay.readFromLog(own, other))).hasSize(1);
+	}
+
+	@Test
+	void laterOfTwoContendingTurnsIsRefusedAndCounted() {
+		RelayFixture relay = RelayFixture.ready();
+		LedgerEntry own = RelayFixture.written(relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null)))
+			.getFirst();
+		LedgerEntry other = new LedgerEntry.Reserved("t2", "p", 100, "", List.of(), true);
+		List<RelayEffect> effects = relay.readFromLog(other, own);
+		assertThat(refusal(effects)).contains(Refusal.BUDGET_SPENT);
+		assertThat(settled(effects).tokens()).isZero();
+	}
+
+	@Test
+	void contendingTurnIsRefusedAsNotRunIfTheLogIsSilent() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		List<RelayEffect> effects = relay.remind(Reminder.ORDER);
+		assertThat(refusal(effects)).contains(Refusal.NOT_READY);
+		assertThat(settled(effects).tokens()).isZero();
+	}
+
+	// A relay that is cut off from the log and from all relays can't see what a program
+	// spends elsewhere, so it runs no turns; requests without a budget go on.
+	@Test
+	void isolatedRelayRunsNoTurns() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.Isolation(relay.now(), true));
+		assertThat(refusal(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null))))
+			.contains(Refusal.ISOLATED);
+		assertThat(sends(relay.ask("r1", "look"))).hasSize(1);
+	}
+
+	@Test
+	void tokensThatACallerWasGivenCountWhenItsStreamBreaks() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.event(1, 1);
+		relay.event(1, 2);
+		List<RelayEffect> effects = relay.fail(1, FailureCause.BROKEN);
+		assertThat(settled(effects).tokens()).isEqualTo(2 * RelayFixture.TOKENS_PER_EVENT);
+		assertThat(settled(effects).kept()).isEmpty();
+		assertThat(RelayFixture.of(effects, RelayEffect.BreakOff.class)).hasSize(1);
+	}
+
+	// An upstream dies in the middle of a stream that may be resumed. The caller sees one
+	// stream: the next upstream goes on after the last whole event.
+	@Test
+	void resumableStreamGoesOnElsewhereAfterItsLastEvent() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "draft");
+		relay.open(1);
+		relay.event(1, 1);
+		relay.event(1, 2);
+		RelayEffect.Send again = sends(relay.fail(1, FailureCause.BROKEN)).getFirst();
+		assertThat(again.lastEvent()).hasValue(2);
+		assertThat(RelayFixture.of(relay.open(2), RelayEffect.OpenStream.class)).isEmpty();
+		assertThat(RelayFixture.of(relay.event(2, 2), RelayEffect.PassEvent.class)).isEmpty();
+		assertThat(RelayFixture.of(relay.event(2, 3), RelayEffect.PassEvent.class)).hasSize(1);
+		assertThat(ends(relay.end(2))).hasSize(1);
+	}
+
+	@Test
+	void streamWithAMissingEventIsNotPassedOnAsIfWhole() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.event(1, 1);
+		List<RelayEffect> effects = relay.event(1, 3);
+		assertThat(RelayFixture.of(effects, RelayEffect.PassEvent.class)).isEmpty();
+		assertThat(RelayFixture.of(effects, RelayEffect.BreakOff.class)).hasSize(1);
+	}
+
+	private static List<RelayEffect.Send> sends(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Send.class);
+	}
+
+	private static List<RelayEffect.EndStream> ends(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.EndStream.class);
+	}
+
+	private static Optional<Refusal> refusal(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Refuse.class).stream().map(RelayEffect.Refuse::refusal).findFirst();
+	}
+
+	private static LedgerEntry.Settled settled(List<RelayEffect> effects) {
+		return RelayFixture.written(effects)
+			.stream()
+			.filter(LedgerEntry.Settled.class::isInstance)
+			.map(LedgerEntry.Settled.class::cast)
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamChoiceTests.java
@@ -0,0 +1,89 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.lentilslip.core.relay.Upstreams.Known;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamChoiceTests {
+
+	private static final long NOW = 1000;
+
+	private static final List<PromptPart> PROMPT = List.of(new PromptPart(1, 12_000), new PromptPart(2, 400));
+
+	private final Upstreams upstreams = new Upstreams();
+
+	private final UpstreamChoice choice = new UpstreamChoice("zone-a", new SplittableRandom(1));
+
+	@BeforeEach
+	void listTwo() {
+		this.upstreams.put(RelayFixture.upstream("a", "s"));
+		this.upstreams.put(RelayFixture.upstream("b", "s"));
+	}
+
+	@Test
+	void upstreamThatHoldsThePromptIsChosen() {
+		known("b").read(PROMPT, 100_000);
+		assertThat(chosen(true)).isEqualTo("b");
+	}
+
+	@Test
+	void loadedUpstreamIsLeftForAnotherThoughItHoldsThePrompt() {
+		known("b").read(PROMPT, 100_000);
+		for (int i = 0; i < 7; i++) {
+			known("b").began("r" + i, NOW);
+		}
+		assertThat(chosen(true)).isEqualTo("a");
+	}
+
+	@Test
+	void partBehindAMissingPartDoesNotCount() {
+		known("b").read(List.of(PROMPT.getLast()), 100_000);
+		assertThat(known("b").uncached(PROMPT)).isEqualTo(12_400);
+	}
+
+	@Test
+	void leastRecentlyReadPartsYieldBeyondTheMemory() {
+		known("a").read(PROMPT, 12_000);
+		assertThat(known("a").uncached(PROMPT)).isEqualTo(12_400);
+	}
+
+	@Test
+	void upstreamThatFailedIsUsedOnlyIfAllHave() {
+		known("a").failed(NOW);
+		assertThat(chosen(false)).isEqualTo("b");
+		known("b").failed(NOW);
+		assertThat(chosen(false)).isNotEmpty();
+	}
+
+	@Test
+	void runsThatNobodySettlesStopCounting() {
+		known("a").began("r", NOW);
+		assertThat(known("a").load(NOW)).isEqualTo(1);
+		assertThat(known("a").load(NOW + 6_000)).isZero();
+	}
+
+	@Test
+	void excludedUpstreamsAreNotChosen() {
+		Optional<Known> none = this.choice.choose(this.upstreams.taking("s"), Set.of("a", "b"), List.of(), false, NOW);
+		assertThat(none).isEmpty();
+	}
+
+	private Known known(String id) {
+		return this.upstreams.find(id).orElseThrow();
+	}
+
+	private String chosen(boolean engine) {
+		return this.choice.choose(this.upstreams.taking("s"), Set.of(), PROMPT, engine, NOW)
+			.orElseThrow()
+			.upstream()
+			.id();
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -55,7 +55,7 @@
 	 * @param store the store
 	 * @param timers runs steps later
 	 * @param random spreads out tries
-	 * @param entries takes what was read
+	 * @param entries takes what was read, also where that is nothing
 	 * @param caughtUp runs once, when the end was reached for the first time
 	 * @param health takes whether the store answered a call as it should
 	 */
@@ -98,10 +98,7 @@
 	private void took(Store.Read.Records records) {
 		this.backoff.reset();
 		this.next = records.next();
-		List<LedgerEntry> read = decode(records.records());
-		if (!read.isEmpty()) {
-			this.entries.accept(read);
-		}
+		this.entries.accept(decode(records.records()));
 		boolean atEnd = this.next >= records.end();
 		if (atEnd && !this.complete) {
 			this.complete = true;
