Pass on the end of a kept turn only when the log has it

Relays that the store turns away ask others to write. A relay that reaches less than half of the others and not the store counts as isolated; a turn whose chain is not found is refused within a fifth of its route's target.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -21,8 +21,6 @@
 
 	private final Set<String> tried = new HashSet<>();
 
-	private final Set<String> copies = new HashSet<>();
-
 	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
 	private Phase phase = Phase.WAITING_FOR_CHAIN;
@@ -45,8 +43,6 @@
 
 	private boolean reserved;
 
-	private boolean copiesCount;
-
 	private long firstEventAt;
 
 	Exchange(RelayEvent.Asked asked, Route route) {
@@ -190,18 +186,6 @@
 		this.reserved = true;
 	}
 
-	Set<String> copies() {
-		return this.copies;
-	}
-
-	boolean copiesCount() {
-		return this.copiesCount;
-	}
-
-	void countCopies() {
-		this.copiesCount = this.phase == Phase.ENDING;
-	}
-
 	/**
 	 * What an exchange waits for. Safe for use by several threads.
 	 */
@@ -223,7 +207,7 @@
 		RUNNING,
 
 		/**
-		 * For the log, or other relays, to hold the turn, before its end is passed on.
+		 * For the log to hold the turn, before its end is passed on.
 		 */
 		ENDING
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -27,6 +27,11 @@
  */
 public final class Relay {
 
+	/**
+	 * How many times the time alone passes before help is asked for again, of others.
+	 */
+	private static final int HELP_PAUSES = 4;
+
 	private final ProgramTokens tokens;
 
 	private final KeptTurns turns;
@@ -47,6 +52,8 @@
 
 	private final Map<String, Long> contending = new LinkedHashMap<>();
 
+	private final Map<String, String> helping = new LinkedHashMap<>();
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	private boolean caughtUp;
@@ -88,7 +95,7 @@
 			case RelayEvent.EntriesRead read -> entriesRead(read);
 			case RelayEvent.CaughtUp ignored -> this.caughtUp = true;
 			case RelayEvent.Stored stored -> stored.requests().forEach(this::stored);
-			case RelayEvent.Copied copied -> copied(copied);
+			case RelayEvent.HelpAsked asked -> helpAsked(asked);
 			case RelayEvent.Isolation isolation -> isolation(isolation.isolated());
 			case RelayEvent.TableRead read -> tableRead(read.table());
 			case RelayEvent.UpstreamsRead read -> this.upstreams.replace(read.upstreams());
@@ -208,7 +215,7 @@
 		}
 		if (!findChain(exchange, turn)) {
 			this.effects.add(new RelayEffect.ReadLog());
-			remind(exchange, RelaySettings.CHAIN_WAIT, Reminder.CHAIN);
+			remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART), Reminder.CHAIN);
 			return;
 		}
 		dispatch(exchange);
@@ -430,7 +437,7 @@
 		settle(exchange, Optional.of(kept));
 		exchange.become(Phase.ENDING);
 		this.ending.put(exchange.head().id(), exchange.number());
-		remind(exchange, RelaySettings.LOG_ALONE, Reminder.COPIES);
+		remind(exchange, RelaySettings.ALONE, Reminder.STORED);
 	}
 
 	private void failed(Exchange exchange, FailureCause cause) {
@@ -524,7 +531,7 @@
 			case DUE -> due(exchange);
 			case CHAIN -> chainDue(exchange);
 			case ORDER -> orderDue(exchange);
-			case COPIES -> logAloneOver(exchange);
+			case STORED -> storeDue(exchange);
 		}
 	}
 
@@ -543,7 +550,7 @@
 
 	private void chainDue(Exchange exchange) {
 		if (exchange.phase() == Phase.WAITING_FOR_CHAIN) {
-			refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK_LATER));
+			refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
 		}
 	}
 
@@ -551,32 +558,36 @@
 		if (this.contending.containsKey(request)) {
 			this.effects.add(new RelayEffect.ReadLog());
 		}
+		String helped = this.helping.remove(request);
+		if (helped != null) {
+			this.effects.add(new RelayEffect.TellStored(helped, request));
+		}
 		Long number = this.ending.get(request);
 		if (number != null) {
 			endStream(this.exchanges.get(number));
 		}
 	}
 
-	private void copied(RelayEvent.Copied copied) {
-		for (String request : copied.requests()) {
-			Long number = this.ending.get(request);
-			if (number == null) {
-				continue;
-			}
-			Exchange exchange = this.exchanges.get(number);
-			exchange.copies().add(copied.peer());
-			endIfCopied(exchange);
+	/**
+	 * Asks others to write a turn that this relay can't write itself: the store may turn
+	 * away some relays and serve others. The end of the turn still waits for the log, for
+	 * the loss of all relays at once must not lose a turn that its caller saw whole.
+	 * @param exchange the exchange
+	 */
+	private void storeDue(Exchange exchange) {
+		if (exchange.phase() == Phase.ENDING) {
+			this.effects.add(new RelayEffect.AskForHelp(exchange.head().id()));
+			remind(exchange, RelaySettings.ALONE.multipliedBy(HELP_PAUSES), Reminder.STORED);
 		}
 	}
 
-	private void logAloneOver(Exchange exchange) {
-		exchange.countCopies();
-		endIfCopied(exchange);
-	}
-
-	private void endIfCopied(Exchange exchange) {
-		if (exchange.copiesCount() && exchange.copies().size() >= RelaySettings.COPIES) {
-			endStream(exchange);
+	private void helpAsked(RelayEvent.HelpAsked asked) {
+		for (String request : asked.requests()) {
+			Optional<LedgerEntry> turn = this.unlogged.turn(request);
+			if (turn.isPresent() && !this.helping.containsKey(request)) {
+				this.helping.put(request, asked.peer());
+				this.effects.add(new RelayEffect.Write(turn.get()));
+			}
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -106,6 +106,25 @@
 
 	}
 
+	/**
+	 * Ask other relays to write a turn to the log. They have its entry already.
+	 *
+	 * @param request the turn
+	 */
+	record AskForHelp(String request) implements RelayEffect {
+
+	}
+
+	/**
+	 * Tell another relay that the log has a turn that it asked for help with.
+	 *
+	 * @param peer the other relay
+	 * @param request the turn
+	 */
+	record TellStored(String peer, String request) implements RelayEffect {
+
+	}
+
 	/**
 	 * Read the log now rather than at the next regular time.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -172,7 +172,7 @@
 	}
 
 	/**
-	 * The log has entries of this relay.
+	 * The log has entries that this relay wrote, or asked another one to write.
 	 *
 	 * @param now when
 	 * @param requests the requests that they are about
@@ -182,21 +182,31 @@
 	}
 
 	/**
-	 * Another relay holds entries of this one.
+	 * Another relay can't write turns to the log and asks for help with it.
 	 *
 	 * @param now when
 	 * @param peer the other relay
-	 * @param requests the requests that they are about
+	 * @param requests the turns
 	 */
-	record Copied(long now, String peer, Set<String> requests) implements RelayEvent {
+	record HelpAsked(long now, String peer, Set<String> requests) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param peer the other relay
+		 * @param requests the turns
+		 */
+		public HelpAsked {
+			requests = Set.copyOf(requests);
+		}
 
 	}
 
 	/**
-	 * Whether this relay reaches the log or another relay.
+	 * Whether this relay reaches the log or the other relays.
 	 *
 	 * @param now when
-	 * @param isolated whether it reaches none of them
+	 * @param isolated whether it reaches neither the log nor half of the other relays
 	 */
 	record Isolation(long now, boolean isolated) implements RelayEvent {
 
@@ -272,9 +282,9 @@
 		ORDER,
 
 		/**
-		 * Copies at other relays now count for the end of a kept turn.
+		 * The log should have taken a kept turn.
 		 */
-		COPIES
+		STORED
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -13,10 +13,11 @@
 public record RelaySettings(String zone, long seed, long turnBytes, int programs) {
 
 	/**
-	 * How long a turn waits for the text of its chain: a read of the log takes some ten
-	 * milliseconds, a slow one some hundred.
+	 * The part of a route's target within which a turn whose chain is not found is
+	 * refused: soon enough for another relay to answer on time, and several times what a
+	 * read of the log takes.
 	 */
-	static final Duration CHAIN_WAIT = Duration.ofMillis(400);
+	static final int CHAIN_WAIT_PART = 5;
 
 	/**
 	 * How long a turn waits for the log to tell whether the budget holds it.
@@ -41,10 +42,10 @@
 	static final Duration COME_BACK_LATER = Duration.ofMillis(300);
 
 	/**
-	 * How long the end of a kept turn waits for the log alone. A log that answers takes
-	 * some ten milliseconds; after this, copies at other relays count as well.
+	 * How long a relay tries alone to write a kept turn before it asks others, and again
+	 * after that. A log that answers takes some ten milliseconds.
 	 */
-	static final Duration LOG_ALONE = Duration.ofMillis(60);
+	static final Duration ALONE = Duration.ofMillis(80);
 
 	/**
 	 * By how much relays differ in how long they wait for the log to show an entry of
@@ -57,10 +58,4 @@
 	 */
 	static final Duration LOG_GAP = Duration.ofMillis(1500);
 
-	/**
-	 * How many other relays must hold a turn that the log does not have yet before its
-	 * end is passed on: with two, no single failure loses it.
-	 */
-	static final int COPIES = 2;
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -6,13 +6,14 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * Entries that other relays told and the log has not shown yet. While the log is down, a
- * turn may end on the strength of copies at other relays. If its own relay then dies,
- * nobody would write it down, and after the loss of all relays a caller's conversation
- * would be gone; so whoever holds a copy writes it once the log had its time to show it.
- * Several may, which readers bear. Bounded: the oldest are given up. Used by one thread.
+ * Entries that other relays told and the log has not shown yet. If their own relay dies
+ * before it could write them, the tokens that they count would be forgotten with the last
+ * relay that was told, and a looping program be given them again; so whoever holds a copy
+ * writes it once the log had its time to show it. Several may, which readers bear.
+ * Bounded: the oldest are given up. Used by one thread.
  */
 final class UnloggedEntries {
 
@@ -49,6 +50,15 @@
 		}
 	}
 
+	/**
+	 * Returns the end of a turn that the log has not shown.
+	 * @param request the turn
+	 * @return the entry, or empty if it is not known or the log has it
+	 */
+	Optional<LedgerEntry> turn(String request) {
+		return Optional.ofNullable(this.waiting.get(new Key(request, LedgerEntry.Settled.class))).map(Waiting::entry);
+	}
+
 	void logged(LedgerEntry entry) {
 		Key key = Key.of(entry);
 		this.waiting.remove(key);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -195,33 +195,45 @@
 		assertThat(RelayFixture.of(stored, RelayEffect.EndStream.class)).hasSize(1);
 	}
 
-	// The log is down as a turn ends. Copies at two other relays stand in for it, but
-	// only after the log had its time.
+	// The store turns this relay away and serves others. The turn's end waits for the log
+	// all the same: on copies in memory alone, the loss of all relays would lose it. The
+	// others are asked to write it, and say when it is written.
 	@Test
-	void copiesAtTwoRelaysStandInForALogThatIsDown() {
+	void endOfAKeptTurnThatCannotBeWrittenHereWaitsForHelp() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
 		relay.open(1);
 		relay.end(1);
-		relay.on(new RelayEvent.Copied(relay.now(), "a", Set.of("t1")));
-		assertThat(ends(relay.on(new RelayEvent.Copied(relay.now(), "b", Set.of("t1"))))).isEmpty();
-		assertThat(ends(relay.remind(Reminder.COPIES))).hasSize(1);
+		List<RelayEffect> due = relay.remind(Reminder.STORED);
+		assertThat(RelayFixture.of(due, RelayEffect.AskForHelp.class)).hasSize(1);
+		assertThat(ends(due)).isEmpty();
+		assertThat(ends(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))).hasSize(1);
 	}
 
 	@Test
-	void oneCopyIsNotEnough() {
+	void helpIsGivenOnceAndTold() {
+		RelayFixture relay = RelayFixture.ready();
+		LedgerEntry turn = RelayFixture.kept("t1", null, "in;", "out;");
+		relay.told(turn);
+		RelayEvent.HelpAsked asked = new RelayEvent.HelpAsked(relay.now(), "peer", Set.of("t1", "t2"));
+		assertThat(RelayFixture.written(relay.on(asked))).containsExactly(turn);
+		assertThat(RelayFixture.written(relay.on(asked))).isEmpty();
+		assertThat(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))
+			.containsExactly(new RelayEffect.TellStored("peer", "t1"));
+	}
+
+	@Test
+	void turnThatIsNotStoredInTimeIsBrokenOff() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
 		relay.open(1);
 		relay.end(1);
-		relay.on(new RelayEvent.Copied(relay.now(), "a", Set.of("t1")));
-		assertThat(ends(relay.remind(Reminder.COPIES))).isEmpty();
 		assertThat(RelayFixture.of(relay.remind(Reminder.DUE), RelayEffect.BreakOff.class)).hasSize(1);
 	}
 
-	// While the log was down a relay ended a turn on the strength of copies, and died.
-	// Whoever holds a copy writes it once the log is back; without that the loss of all
-	// relays afterwards would lose the caller's conversation.
+	// While the log was down a relay told the others what it had given a program, and
+	// died. Whoever holds a copy writes it once the log is back; without that the loss of
+	// all relays afterwards would let a looping program spend it again.
 	@Test
 	void entryOfARelayThatDiedIsWrittenByTheOthers() {
 		RelayFixture relay = RelayFixture.ready();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -2,14 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
-import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
 import io.netty.bootstrap.Bootstrap;
@@ -52,14 +46,10 @@
 
 	private final Timers timers;
 
-	private final Map<Long, Set<String>> batches = new HashMap<>();
-
 	private Optional<Channel> channel = Optional.empty();
 
 	private Duration pause = FIRST_PAUSE;
 
-	private long number;
-
 	private boolean wanted = true;
 
 	PeerLink(EventLoop loop, String own, String address, PeerListener listener, Timers timers) {
@@ -94,7 +84,7 @@
 		});
 	}
 
-	void tell(List<LedgerEntry> entries) {
+	void send(PeerMessage message) {
 		if (this.channel.isEmpty()) {
 			return;
 		}
@@ -102,11 +92,7 @@
 			this.channel.get().close();
 			return;
 		}
-		this.number++;
-		Set<String> requests = new HashSet<>();
-		entries.forEach((entry) -> requests.add(entry.request()));
-		this.batches.put(this.number, requests);
-		PeerChannel.send(this.channel.get(), new PeerMessage.Batch(this.number, entries));
+		PeerChannel.send(this.channel.get(), message);
 	}
 
 	void close() {
@@ -132,18 +118,8 @@
 
 		@Override
 		void take(ChannelHandlerContext context, PeerMessage message) {
-			switch (message) {
-				case PeerMessage.Greeting ignored -> up(context.channel());
-				case PeerMessage.Receipt receipt -> {
-					Set<String> requests = PeerLink.this.batches.remove(receipt.number());
-					if (requests != null) {
-						PeerLink.this.listener.copied(PeerLink.this.address, requests);
-					}
-				}
-				case PeerMessage.Batch ignored -> {
-				}
-				case PeerMessage.Pulse ignored -> {
-				}
+			if (message instanceof PeerMessage.Greeting) {
+				up(context.channel());
 			}
 		}
 
@@ -151,7 +127,6 @@
 		public void channelInactive(ChannelHandlerContext context) {
 			if (PeerLink.this.channel.isPresent() && PeerLink.this.channel.get() == context.channel()) {
 				PeerLink.this.channel = Optional.empty();
-				PeerLink.this.batches.clear();
 				PeerLink.this.listener.lost(PeerLink.this.address, reason());
 			}
 			connectLater();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -17,11 +17,17 @@
 	void entries(List<LedgerEntry> entries);
 
 	/**
-	 * Another relay holds entries of this one.
+	 * Another relay asks for help with the log.
 	 * @param peer its address
-	 * @param requests the requests that they are about
+	 * @param requests the turns
 	 */
-	void copied(String peer, Set<String> requests);
+	void helpAsked(String peer, Set<String> requests);
+
+	/**
+	 * The log has turns that this relay asked for help with.
+	 * @param requests the turns
+	 */
+	void stored(Set<String> requests);
 
 	/**
 	 * A link to another relay is up.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -29,6 +29,11 @@
  */
 public final class Peers implements KeyFollower.Listener {
 
+	/**
+	 * How many others are asked at once: the store may turn one of them away too.
+	 */
+	private static final int HELPERS = 2;
+
 	private final EventLoop loop;
 
 	private final String own;
@@ -41,6 +46,8 @@
 
 	private final List<LedgerEntry> untold = new ArrayList<>();
 
+	private int nextHelper;
+
 	/**
 	 * Creates a relay's view of the others.
 	 * @param loop the event loop
@@ -88,6 +95,30 @@
 		this.untold.add(entry);
 	}
 
+	/**
+	 * Asks two other relays to write a turn to the log, each time the next two.
+	 * @param request the turn
+	 */
+	public void askForHelp(String request) {
+		List<PeerLink> up = this.links.values().stream().filter(PeerLink::up).toList();
+		for (int i = 0; i < Math.min(HELPERS, up.size()); i++) {
+			this.nextHelper = (this.nextHelper + 1) % up.size();
+			up.get(this.nextHelper).send(new PeerMessage.Help(Set.of(request)));
+		}
+	}
+
+	/**
+	 * Tells another relay that the log has a turn that it asked for help with.
+	 * @param peer its address
+	 * @param request the turn
+	 */
+	public void tellStored(String peer, String request) {
+		PeerLink link = this.links.get(peer);
+		if (link != null) {
+			link.send(new PeerMessage.Stored(Set.of(request)));
+		}
+	}
+
 	/**
 	 * Returns how many links are up.
 	 * @return the number
@@ -130,7 +161,8 @@
 	private void tellAll() {
 		List<LedgerEntry> batch = List.copyOf(this.untold);
 		this.untold.clear();
-		this.links.values().forEach((link) -> link.tell(batch));
+		PeerMessage message = new PeerMessage.Batch(batch);
+		this.links.values().forEach((link) -> link.send(message));
 	}
 
 	private void add(String address) {
@@ -154,19 +186,19 @@
 	 */
 	private final class Batches extends PeerChannel {
 
+		private String peer = "";
+
 		@Override
 		void take(ChannelHandlerContext context, PeerMessage message) {
 			switch (message) {
 				case PeerMessage.Greeting greeting -> {
 					send(context.channel(), new PeerMessage.Greeting(Peers.this.own));
-					add(greeting.address());
-				}
-				case PeerMessage.Batch batch -> {
-					Peers.this.listener.entries(batch.entries());
-					send(context.channel(), new PeerMessage.Receipt(batch.number()));
-				}
-				case PeerMessage.Receipt ignored -> {
+					this.peer = greeting.address();
+					add(this.peer);
 				}
+				case PeerMessage.Batch batch -> Peers.this.listener.entries(batch.entries());
+				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help.requests());
+				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
 				case PeerMessage.Pulse ignored -> {
 				}
 			}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
@@ -5,8 +5,9 @@
 import io.lentilslip.relay.store.Timers;
 
 /**
- * Whether a relay reaches the store or another relay. One that reaches neither can't know
- * what programs spend elsewhere. Used by the event loop's thread.
+ * Whether a relay reaches the store or half of the other relays. One that reaches neither
+ * can't know what programs spend elsewhere: several that are cut off together reach each
+ * other, and still not those that spend. Used by the event loop's thread.
  */
 final class Reachability {
 
@@ -41,7 +42,8 @@
 
 	void check() {
 		boolean storeLost = this.timers.now() - this.storeAnsweredAt > STORE_PATIENCE_MS;
-		boolean now = storeLost && this.peers.up() == 0;
+		boolean alone = 2 * this.peers.up() < Math.max(1, this.peers.known());
+		boolean now = storeLost && alone;
 		if (now != this.isolated) {
 			this.isolated = now;
 			this.events.on(new RelayEvent.Isolation(this.timers.now(), now));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -222,6 +222,8 @@
 				this.peers.tell(write.entry());
 				this.writer.write(write.entry());
 			}
+			case RelayEffect.AskForHelp help -> this.peers.askForHelp(help.request());
+			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.Remind remind -> this.timers.after(remind.delay(),
 					() -> on(new RelayEvent.Reminded(this.timers.now(), remind.exchange(), remind.reminder())));
@@ -370,8 +372,13 @@
 		}
 
 		@Override
-		public void copied(String peer, Set<String> requests) {
-			on(new RelayEvent.Copied(RelayProcess.this.timers.now(), peer, requests));
+		public void helpAsked(String peer, Set<String> requests) {
+			on(new RelayEvent.HelpAsked(RelayProcess.this.timers.now(), peer, requests));
+		}
+
+		@Override
+		public void stored(Set<String> requests) {
+			RelayProcess.this.stored(requests);
 		}
 
 		@Override
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.lentilslip.wire.relay;
 
 import java.util.List;
+import java.util.Set;
 
 import io.lentilslip.core.relay.LedgerEntry;
 
@@ -22,14 +23,12 @@
 	/**
 	 * Entries that the relay writes to the log.
 	 *
-	 * @param number the number of the batch on this link, from 1
 	 * @param entries the entries
 	 */
-	record Batch(long number, List<LedgerEntry> entries) implements PeerMessage {
+	record Batch(List<LedgerEntry> entries) implements PeerMessage {
 
 		/**
 		 * Creates a batch.
-		 * @param number the number of the batch on this link, from 1
 		 * @param entries the entries
 		 */
 		public Batch {
@@ -39,11 +38,36 @@
 	}
 
 	/**
-	 * The relay holds the entries of a batch.
+	 * The relay can't write turns to the log and asks for help with it.
 	 *
-	 * @param number the number of the batch on this link
+	 * @param requests the turns
 	 */
-	record Receipt(long number) implements PeerMessage {
+	record Help(Set<String> requests) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 * @param requests the turns
+		 */
+		public Help {
+			requests = Set.copyOf(requests);
+		}
+
+	}
+
+	/**
+	 * The log has turns that the other relay asked for help with.
+	 *
+	 * @param requests the turns
+	 */
+	record Stored(Set<String> requests) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 * @param requests the turns
+		 */
+		public Stored {
+			requests = Set.copyOf(requests);
+		}
 
 	}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -52,11 +53,10 @@
 		RelayProtocol.PeerMessage.Builder builder = RelayProtocol.PeerMessage.newBuilder();
 		switch (message) {
 			case PeerMessage.Greeting greeting -> builder.getGreetingBuilder().setAddress(greeting.address());
-			case PeerMessage.Batch batch -> {
-				builder.getBatchBuilder().setNumber(batch.number());
+			case PeerMessage.Batch batch ->
 				batch.entries().forEach((entry) -> builder.getBatchBuilder().addEntries(message(entry)));
-			}
-			case PeerMessage.Receipt receipt -> builder.getReceiptBuilder().setNumber(receipt.number());
+			case PeerMessage.Help help -> builder.getHelpBuilder().addAllRequest(help.requests());
+			case PeerMessage.Stored stored -> builder.getStoredBuilder().addAllRequest(stored.requests());
 			case PeerMessage.Pulse ignored -> builder.getPulseBuilder();
 		}
 		return builder.build().toByteArray();
@@ -73,7 +73,8 @@
 			return switch (message.getMessageCase()) {
 				case GREETING -> Either.right(new PeerMessage.Greeting(message.getGreeting().getAddress()));
 				case BATCH -> batch(message.getBatch());
-				case RECEIPT -> Either.right(new PeerMessage.Receipt(message.getReceipt().getNumber()));
+				case HELP -> Either.right(new PeerMessage.Help(Set.copyOf(message.getHelp().getRequestList())));
+				case STORED -> Either.right(new PeerMessage.Stored(Set.copyOf(message.getStored().getRequestList())));
 				case PULSE -> Either.right(new PeerMessage.Pulse());
 				case MESSAGE_NOT_SET -> Either.left("a message without content");
 			};
@@ -92,7 +93,7 @@
 			}
 			entries.add(entry.get());
 		}
-		return Either.right(new PeerMessage.Batch(batch.getNumber(), entries));
+		return Either.right(new PeerMessage.Batch(entries));
 	}
 
 	private static RelayProtocol.RelayEntry message(LedgerEntry entry) {
