--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -36,8 +36,6 @@
 
 	private final EventLoop loop;
 
-	private final String own;
-
 	private final PeerListener listener;
 
 	private final Timers timers;
@@ -48,16 +46,16 @@
 
 	private int nextHelper;
 
+	private String own = "";
+
 	/**
 	 * Creates a relay's view of the others.
 	 * @param loop the event loop
-	 * @param own the address at which this relay takes links, which names it
 	 * @param listener takes what the others say
 	 * @param timers runs steps later
 	 */
-	public Peers(EventLoop loop, String own, PeerListener listener, Timers timers) {
+	public Peers(EventLoop loop, PeerListener listener, Timers timers) {
 		this.loop = loop;
-		this.own = own;
 		this.listener = listener;
 		this.timers = timers;
 	}
@@ -84,6 +82,14 @@
 			.bind(address);
 	}
 
+	/**
+	 * Sets the name of this relay, before it follows the others.
+	 * @param name the address and port at which it takes links
+	 */
+	public void name(String name) {
+		this.own = name;
+	}
+
 	/**
 	 * Tells the others of an entry, together with others of the same moment.
 	 * @param entry the entry
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.process;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -38,6 +39,7 @@
 import io.lentilslip.relay.store.Topic;
 import io.lentilslip.relay.upstream.UpstreamClient;
 import io.lentilslip.telemetry.Notices;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 
@@ -100,6 +102,8 @@
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
+	private String name = "";
+
 	private boolean reducing;
 
 	private boolean ready;
@@ -119,7 +123,7 @@
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges);
-		this.peers = new Peers(this.loop, setup.addresses().name(), new PeerEvents(), this.timers);
+		this.peers = new Peers(this.loop, new PeerEvents(), this.timers);
 		this.reachability = new Reachability(this.timers, this.peers, this::on);
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored,
 				this.reachability::storeAnswered);
@@ -129,15 +133,24 @@
 
 	/**
 	 * Opens the ports and begins to follow the store. May be called by any thread.
+	 * @return the addresses, with the ports that were given where any would do
 	 */
-	public void start() {
-		RelayAddresses addresses = this.setup.addresses();
-		new ReadyServer(() -> this.ready && !this.draining, this.setup.metrics())
-			.open(this.group, addresses.readiness())
-			.syncUninterruptibly();
-		this.peers.open(this.group, addresses.links()).syncUninterruptibly();
-		this.callers.open(this.group, addresses.callers()).syncUninterruptibly();
-		this.loop.execute(this::follow);
+	public RelayAddresses start() {
+		RelayAddresses wanted = this.setup.addresses();
+		ReadyServer readiness = new ReadyServer(() -> this.ready && !this.draining, this.setup.metrics());
+		RelayAddresses open = new RelayAddresses(bound(this.callers.open(this.group, wanted.callers())),
+				bound(readiness.open(this.group, wanted.readiness())),
+				bound(this.peers.open(this.group, wanted.links())));
+		this.loop.execute(() -> {
+			this.name = open.name();
+			this.peers.name(this.name);
+			follow();
+		});
+		return open;
+	}
+
+	private static InetSocketAddress bound(ChannelFuture opening) {
+		return (InetSocketAddress) opening.syncUninterruptibly().channel().localAddress();
 	}
 
 	/**
@@ -183,7 +196,7 @@
 	}
 
 	private void announce() {
-		this.store.put(Topic.RELAYS, this.setup.addresses().name(), Optional.of(new byte[] { 1 }), (outcome) -> {
+		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
 			if (outcome instanceof Store.Appended.Done) {
 				follow(Topic.RELAYS, this.peers);
 				return;
@@ -253,7 +266,7 @@
 				List.of(new NoticeField(FieldName.ROLE, "relay"),
 						new NoticeField(FieldName.COUNT, Integer.toString(this.relay.underWay())),
 						new NoticeField(FieldName.LIMIT, this.setup.drainLimit().toString()))));
-		this.store.put(Topic.RELAYS, this.setup.addresses().name(), Optional.empty(), (outcome) -> {
+		this.store.put(Topic.RELAYS, this.name, Optional.empty(), (outcome) -> {
 			// Where this fails, the others find a closed port, and try ever more seldom.
 		});
 		long began = this.timers.now();
