--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -38,10 +38,11 @@
 	private static final long WAITING_BYTES = 24L * 1024 * 1024;
 
 	/**
-	 * How long entries that nobody waits for are gathered. Calls are priced, and these
-	 * entries have to be there before the first token is, not before the request is sent.
+	 * How long entries that nobody waits for are gathered: calls are priced. What is lost
+	 * with all relays at once within this time is the count of turns that have hardly
+	 * begun; it is far less than the one turn by which a budget may be passed.
 	 */
-	private static final Duration GATHER = Duration.ofMillis(15);
+	private static final Duration GATHER = Duration.ofMillis(100);
 
 	private final Store store;
 
