--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
@@ -0,0 +1,80 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * A store whose answers the test gives, and a clock that the test moves. Used by one
+ * thread.
+ */
+final class FakeStore implements Store, Timers {
+
+	final List<List<byte[]>> appends = new ArrayList<>();
+
+	final Deque<Consumer<Appended>> appendAnswers = new ArrayDeque<>();
+
+	final List<Long> reads = new ArrayList<>();
+
+	final Deque<Consumer<Read>> readAnswers = new ArrayDeque<>();
+
+	final Deque<Consumer<Newest>> newestAnswers = new ArrayDeque<>();
+
+	private final List<Step> steps = new ArrayList<>();
+
+	private long now;
+
+	@Override
+	public void append(Topic topic, List<byte[]> records, Consumer<Appended> then) {
+		this.appends.add(records);
+		this.appendAnswers.add(then);
+	}
+
+	@Override
+	public void put(Topic topic, String key, Optional<byte[]> value, Consumer<Appended> then) {
+		this.appendAnswers.add(then);
+	}
+
+	@Override
+	public void read(Topic topic, long from, Duration wait, Consumer<Read> then) {
+		this.reads.add(from);
+		this.readAnswers.add(then);
+	}
+
+	@Override
+	public void newest(Topic topic, Consumer<Newest> then) {
+		this.newestAnswers.add(then);
+	}
+
+	@Override
+	public void after(Duration delay, Runnable step) {
+		this.steps.add(new Step(this.now + delay.toMillis(), step));
+	}
+
+	@Override
+	public long now() {
+		return this.now;
+	}
+
+	void pass(long milliseconds) {
+		this.now += milliseconds;
+		List<Step> due = this.steps.stream().filter((step) -> step.at() <= this.now).toList();
+		this.steps.removeAll(due);
+		due.forEach((step) -> step.run().run());
+	}
+
+	/**
+	 * A step that waits for its time. Immutable.
+	 *
+	 * @param at when
+	 * @param run the step
+	 */
+	private record Step(long at, Runnable run) {
+
+	}
+
+}
--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/architecture/DependencyTests.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/architecture/DependencyTests.java
@@ -25,7 +25,25 @@
 		.dependOnClassesThat()
 		.resideInAnyPackage("io.lentilslip.wire..", "io.lentilslip.client..", "io.lentilslip.settings..",
 				"io.lentilslip.telemetry..", "io.lentilslip.runtime..", "io.lentilslip.entry..",
-				"io.lentilslip.sidecar..", "io.lentilslip.standin..", "io.lentilslip.application..");
+				"io.lentilslip.sidecar..", "io.lentilslip.relay..", "io.lentilslip.platform..",
+				"io.lentilslip.standin..", "io.lentilslip.application..");
+
+	@ArchTest
+	final ArchRule onlyTheCommandLineKnowsTheUsersPlatform = ArchRuleDefinition.noClasses()
+		.that()
+		.resideOutsideOfPackages("io.lentilslip.platform..", "io.lentilslip.application.command..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAPackage("io.lentilslip.platform..");
+
+	@ArchTest
+	final ArchRule relayKnowsNoOtherRole = ArchRuleDefinition.noClasses()
+		.that()
+		.resideInAnyPackage("io.lentilslip.relay..", "io.lentilslip.platform..")
+		.should()
+		.dependOnClassesThat()
+		.resideInAnyPackage("io.lentilslip.entry..", "io.lentilslip.sidecar..", "io.lentilslip.runtime..",
+				"io.lentilslip.client..", "io.lentilslip.standin..", "io.lentilslip.application..");
 
 	@ArchTest
 	final ArchRule coreUsesNoLibraryForInputOrOutput = ArchRuleDefinition.noClasses()
--- /dev/null
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -0,0 +1,56 @@
+package io.lentilslip.wire.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.PromptPart;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RelayCodecTests {
+
+	@Property(tries = 200)
+	void reservationsAreReadAsWritten(@ForAll int tokens, @ForAll long part, @ForAll boolean contending) {
+		LedgerEntry entry = new LedgerEntry.Reserved("r", "p", tokens, contending ? "" : "u",
+				List.of(new PromptPart(part, 7)), contending);
+		assertThat(RelayCodec.decode(RelayCodec.encode(entry)).get()).isEqualTo(entry);
+	}
+
+	@Property(tries = 200)
+	void settlementsAreReadAsWritten(@ForAll byte[] input, @ForAll byte[] output, @ForAll boolean first) {
+		Optional<String> previous = first ? Optional.empty() : Optional.of("before");
+		LedgerEntry.Settled entry = new LedgerEntry.Settled("r", "p", 9,
+				Optional.of(new LedgerEntry.KeptTurn(previous, input, output)));
+		LedgerEntry.Settled read = (LedgerEntry.Settled) RelayCodec.decode(RelayCodec.encode(entry)).get();
+		assertThat(read.kept().get()).usingRecursiveComparison().isEqualTo(entry.kept().get());
+		assertThat(read.tokens()).isEqualTo(9);
+	}
+
+	@Property(tries = 500)
+	void bytesThatAreNoMessageAreAValue(@ForAll byte[] bytes) {
+		assertThat(RelayCodec.decode(bytes)).isNotNull();
+		assertThat(RelayCodec.decodePeer(bytes)).isNotNull();
+	}
+
+	@Test
+	void entryWithoutContentIsRefused() {
+		assertThat(RelayCodec.decode(new byte[0]).isLeft()).isTrue();
+		assertThat(RelayCodec.decodePeer(new byte[0]).isLeft()).isTrue();
+	}
+
+	@Test
+	void messagesOfLinksAreReadAsWritten() {
+		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
+				new PeerMessage.Batch(List.of(new LedgerEntry.Blamed("r", -3, "u"))),
+				new PeerMessage.Help(Set.of("a", "b")), new PeerMessage.Stored(Set.of("a")), new PeerMessage.Pulse());
+		for (PeerMessage message : messages) {
+			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
+		}
+	}
+
+}
