--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
@@ -10,6 +10,7 @@
 import io.lentilslip.relay.process.RelayProcess;
 import io.lentilslip.runtime.node.StopSignals;
 import io.lentilslip.telemetry.LogSettings;
+import io.lentilslip.telemetry.Metrics;
 import io.lentilslip.telemetry.Notices;
 import org.apache.commons.cli.Options;
 import sun.misc.Signal;
@@ -56,7 +57,7 @@
 		Signal.handle(new Signal("HUP"), (signal) -> {
 		});
 		LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput().apply();
-		try (RelayProcess relay = PlatformRelay.create(Notices.ForLogger::ofProcess, () -> "")) {
+		try (RelayProcess relay = PlatformRelay.create(Notices.ForLogger::ofProcess, new Metrics())) {
 			relay.start();
 			signals.onFirst(() -> relay.drain().thenRun(() -> ended.complete(ExitCode.OK)));
 			return ended.get();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -438,6 +438,63 @@
 
 	}
 
+	/**
+	 * A request of a route has ended at a relay.
+	 *
+	 * @param route the name of the route
+	 * @param outcome how it ended
+	 * @param latency the time from the reading of the request to the end of its answer
+	 * @param firstEvent the time to the first event of a stream; empty if there was none
+	 */
+	record RouteRequestEnded(String route, Outcome outcome, Duration latency,
+			Optional<Duration> firstEvent) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param route the name of the route
+		 * @param outcome how it ended
+		 * @param latency the time from the reading of the request to the end of its
+		 * answer
+		 * @param firstEvent the time to the first event of a stream; empty if there was
+		 * none
+		 * @throws IllegalArgumentException if a time is negative
+		 */
+		public RouteRequestEnded {
+			Objects.requireNonNull(route, "route");
+			Objects.requireNonNull(outcome, "outcome");
+			requireNotNegative(latency, "latency");
+			firstEvent.ifPresent((time) -> requireNotNegative(time, "firstEvent"));
+		}
+
+		/**
+		 * How a request ended. Safe for use by several threads.
+		 */
+		public enum Outcome implements Label {
+
+			/**
+			 * With an upstream's whole answer.
+			 */
+			ANSWERED,
+
+			/**
+			 * With an answer of the relay's own.
+			 */
+			REFUSED,
+
+			/**
+			 * With a stream that was broken off.
+			 */
+			BROKEN_OFF,
+
+			/**
+			 * With a caller that left.
+			 */
+			CALLER_LEFT
+
+		}
+
+	}
+
 	/**
 	 * The links of this process to its peers of one kind.
 	 *
@@ -470,6 +527,11 @@
 			 */
 			ENTRY,
 
+			/**
+			 * Relays.
+			 */
+			RELAY,
+
 			/**
 			 * Processes beside upstreams.
 			 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -142,8 +142,9 @@
 		return this.events;
 	}
 
-	long firstEventAt() {
-		return this.firstEventAt;
+	Optional<Duration> firstEvent() {
+		return (this.events > 0) ? Optional.of(Duration.ofMillis(this.firstEventAt - this.asked.now()))
+				: Optional.empty();
 	}
 
 	boolean expects(long number) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
@@ -394,6 +396,7 @@
 			return;
 		}
 		this.effects.add(new RelayEffect.Tell(RelayNotices.answered(exchange, head.status(), this.now)));
+		measure(exchange, Outcome.ANSWERED);
 		close(exchange, new RelayEffect.Answer(exchange.number(), head, answered.body()));
 	}
 
@@ -523,6 +526,7 @@
 			settle(exchange, Optional.empty());
 		}
 		this.effects.add(new RelayEffect.Tell(RelayNotices.callerLeft(exchange, this.now)));
+		measure(exchange, Outcome.CALLER_LEFT);
 		forget(exchange);
 	}
 
@@ -676,19 +680,28 @@
 
 	private void refuse(Exchange exchange, Refusal refusal, Optional<Duration> comeBack) {
 		this.effects.add(new RelayEffect.Tell(RelayNotices.refused(exchange, refusal, this.now)));
+		measure(exchange, Outcome.REFUSED);
 		close(exchange, new RelayEffect.Refuse(exchange.number(), refusal, comeBack));
 	}
 
 	private void breakOff(Exchange exchange, Refusal reason) {
 		this.effects.add(new RelayEffect.Tell(RelayNotices.brokenOff(exchange, reason, this.now)));
+		measure(exchange, Outcome.BROKEN_OFF);
 		close(exchange, new RelayEffect.BreakOff(exchange.number()));
 	}
 
 	private void endStream(Exchange exchange) {
 		this.effects.add(new RelayEffect.Tell(RelayNotices.answered(exchange, AnswerHead.SUCCESS, this.now)));
+		measure(exchange, Outcome.ANSWERED);
 		close(exchange, new RelayEffect.EndStream(exchange.number()));
 	}
 
+	private void measure(Exchange exchange, Outcome outcome) {
+		Duration latency = Duration.ofMillis(this.now - exchange.asked().now());
+		this.effects.add(new RelayEffect.Measure(
+				new Measurement.RouteRequestEnded(exchange.route().name(), outcome, latency, exchange.firstEvent())));
+	}
+
 	private void close(Exchange exchange, RelayEffect last) {
 		this.effects.add(last);
 		forget(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.Notice;
 
 /**
@@ -161,6 +162,15 @@
 
 	}
 
+	/**
+	 * Count a measurement.
+	 *
+	 * @param measurement the measurement
+	 */
+	record Measure(Measurement measurement) implements RelayEffect {
+
+	}
+
 	/**
 	 * Write a notice.
 	 *
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -12,10 +12,12 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
@@ -207,6 +209,8 @@
 
 	private void checkReach() {
 		this.reachability.check();
+		this.setup.measurements()
+			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(), this.peers.known()));
 		this.timers.after(REACH_INTERVAL, this::checkReach);
 	}
 
@@ -242,6 +246,7 @@
 					() -> on(new RelayEvent.Reminded(this.timers.now(), remind.exchange(), remind.reminder())));
 			case RelayEffect.Ready now -> this.ready = now.ready();
 			case RelayEffect.Limit limit -> this.callers.limit(limit.limits());
+			case RelayEffect.Measure measure -> this.setup.measurements().accept(measure.measurement());
 			case RelayEffect.Tell tell -> this.notices.write(tell.notice());
 			default -> throw new IllegalStateException("nothing runs " + effect);
 		}
@@ -299,10 +304,12 @@
 	 * @param catalogue the formats of what is in the store
 	 * @param store makes the store for the event loop
 	 * @param notices takes notices
+	 * @param measurements takes measurements
 	 * @param metrics writes the metrics
 	 */
 	public record Setup(RelaySettings settings, RelayAddresses addresses, Duration drainLimit, Dialect dialect,
-			Catalogue catalogue, Function<EventLoop, Store> store, Notices notices, Supplier<String> metrics) {
+			Catalogue catalogue, Function<EventLoop, Store> store, Notices notices, Consumer<Measurement> measurements,
+			Supplier<String> metrics) {
 
 	}
 
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -40,6 +40,8 @@
 
 	private static final int CLASS_LIMIT = 16;
 
+	private static final int ROUTE_LIMIT = 50;
+
 	private static final String NO_GROUP = "none";
 
 	private static final double NANOSECONDS = 1e9;
@@ -109,6 +111,14 @@
 	private final Histogram logAppend = histogram("lentilslip_log_append_seconds",
 			"Time from an append to its answer, or to giving up.", "outcome", CALL_BOUNDS);
 
+	private final BoundedLabels routes = new BoundedLabels(ROUTE_LIMIT);
+
+	private final Histogram routeLatency = histogram("lentilslip_route_latency_seconds",
+			"Time from the reading of a request by a relay to the end of its answer.", CALL_BOUNDS, "route", "outcome");
+
+	private final Histogram routeFirstEvent = histogram("lentilslip_route_first_event_seconds",
+			"Time from the reading of a request by a relay to the first event of its answer.", "route", CALL_BOUNDS);
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -173,6 +183,7 @@
 				this.linksUp.labelValues(state.kind().label()).set(state.up());
 				this.linksKnown.labelValues(state.kind().label()).set(state.known());
 			}
+			case Measurement.RouteRequestEnded ended -> apply(ended);
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
@@ -248,6 +259,12 @@
 		this.generatedTokens.labelValues(group).inc(ended.generatedTokens());
 	}
 
+	private void apply(Measurement.RouteRequestEnded ended) {
+		String route = this.routes.labelOf(ended.route());
+		this.routeLatency.labelValues(route, ended.outcome().label()).observe(seconds(ended.latency()));
+		ended.firstEvent().ifPresent((time) -> this.routeFirstEvent.labelValues(route).observe(seconds(time)));
+	}
+
 	private void apply(Measurement.ProgramEnded ended) {
 		String group = labelOf(ended.group());
 		this.programLatency.labelValues(group).observe(seconds(ended.latency()));
@@ -275,10 +292,14 @@
 	}
 
 	private Histogram histogram(String name, String help, String label, double[] bounds) {
+		return histogram(name, help, bounds, label);
+	}
+
+	private Histogram histogram(String name, String help, double[] bounds, String... labels) {
 		return Histogram.builder()
 			.name(name)
 			.help(help)
-			.labelNames(label)
+			.labelNames(labels)
 			.classicOnly()
 			.classicUpperBounds(bounds)
 			.register(this.registry);
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -47,7 +47,9 @@
 			new Measurement.BudgetUse(GROUP, 1, 2), new Measurement.CollectionSize(CollectionName.LINKS, 1, 2),
 			new Measurement.LogAppend(Measurement.LogAppend.Outcome.APPENDED, Duration.ofMillis(1)),
 			new Measurement.LinkState(Measurement.LinkState.Kind.ENTRY, 1, 2),
-			new Measurement.Retries(Measurement.Retries.Operation.CALL, 1, 0));
+			new Measurement.Retries(Measurement.Retries.Operation.CALL, 1, 0),
+			new Measurement.RouteRequestEnded("chat", Measurement.RouteRequestEnded.Outcome.ANSWERED,
+					Duration.ofMillis(5), Optional.of(Duration.ofMillis(1))));
 
 	@Test
 	void eventsPageIsTheCatalogue() throws IOException {
