Split the relay's reducer by matter, and refuse turns that no record holds

Cause of the refusal: the store takes records of 256 KiB at most, the configuration allows bodies of 4 MiB; such a turn would have blocked its relay's appends for good (found by reading). The split moves code only.

--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -0,0 +1,144 @@
+package io.lentilslip.core.relay;
+
+import java.util.Optional;
+
+import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import io.lentilslip.core.relay.RequestHead.Turn;
+import io.lentilslip.core.relay.Upstreams.Known;
+
+/**
+ * What becomes of an attempt at an upstream: passed on, sent again, or given up. Used by
+ * one thread.
+ */
+final class AnswerRules {
+
+	private final RelayState state;
+
+	private final RequestRules requests;
+
+	private final ExchangeEnds ends;
+
+	AnswerRules(RelayState state, RequestRules requests, ExchangeEnds ends) {
+		this.state = state;
+		this.requests = requests;
+		this.ends = ends;
+	}
+
+	void ofAttempt(RelayEvent.OfAttempt event) {
+		Optional<Exchange> found = this.state.find(event);
+		if (found.isEmpty() || found.get().attempt() != event.attempt() || found.get().phase() != Phase.RUNNING) {
+			return;
+		}
+		Exchange exchange = found.get();
+		switch (event) {
+			case RelayEvent.Answered answered -> answered(exchange, answered);
+			case RelayEvent.StreamOpened opened -> streamOpened(exchange, opened);
+			case RelayEvent.EventArrived arrived -> eventArrived(exchange, arrived);
+			case RelayEvent.StreamEnded ended -> streamEnded(exchange);
+			case RelayEvent.AttemptFailed failed -> failed(exchange, failed.cause());
+		}
+	}
+
+	private void answered(Exchange exchange, RelayEvent.Answered answered) {
+		AnswerHead head = answered.head();
+		Optional<Known> known = this.state.known(exchange);
+		known.ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			head.load().ifPresent((load) -> upstream.reported(load, this.state.now));
+		});
+		if (head.notRun()) {
+			this.requests.again(exchange);
+			return;
+		}
+		exchange.mayRun();
+		if (head.success() && !head.signed()) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		known.ifPresent(Known::worked);
+		this.ends.settle(exchange, Optional.empty());
+		if (exchange.opened()) {
+			this.ends.breakOff(exchange, Refusal.ANSWER_LOST);
+			return;
+		}
+		this.state.tell(RelayNotices.answered(exchange, head.status(), this.state.now));
+		this.ends.measure(exchange, Outcome.ANSWERED);
+		this.ends.close(exchange, new RelayEffect.Answer(exchange.number(), head, answered.body()));
+	}
+
+	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
+		exchange.mayRun();
+		if (!opened.head().signed()) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		if (!exchange.opened()) {
+			exchange.open();
+			this.state.emit(new RelayEffect.OpenStream(exchange.number(), opened.head()));
+		}
+	}
+
+	private void eventArrived(Exchange exchange, RelayEvent.EventArrived event) {
+		if (exchange.has(event.number())) {
+			return;
+		}
+		if (!exchange.expects(event.number())) {
+			failed(exchange, FailureCause.UNREADABLE);
+			return;
+		}
+		exchange.passed(event);
+		this.state.emit(new RelayEffect.PassEvent(exchange.number(), event.raw()));
+	}
+
+	private void streamEnded(Exchange exchange) {
+		this.state.known(exchange).ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			upstream.worked();
+		});
+		if (!exchange.route().keepsTurns() || exchange.head().turn().isEmpty()) {
+			this.ends.settle(exchange, Optional.empty());
+			this.ends.endStream(exchange);
+			return;
+		}
+		Turn turn = exchange.head().turn().get();
+		KeptTurn kept = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
+		this.state.turns.add(exchange.head().id(), kept);
+		this.ends.settle(exchange, Optional.of(kept));
+		exchange.become(Phase.ENDING);
+		this.state.ending.put(exchange.head().id(), exchange.number());
+		this.state.remind(exchange, RelaySettings.ALONE, Reminder.STORED);
+	}
+
+	private void failed(Exchange exchange, FailureCause cause) {
+		Optional<Known> known = this.state.known(exchange);
+		known.ifPresent((upstream) -> {
+			upstream.ended(exchange.head().id());
+			upstream.failed(this.state.now);
+		});
+		this.state.tell(RelayNotices.attemptFailed(exchange, cause));
+		if (!cause.mayHaveRun()) {
+			exchange.notSent();
+		}
+		else {
+			exchange.mayRun();
+			blame(exchange, cause);
+			this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+		}
+		this.requests.again(exchange);
+	}
+
+	private void blame(Exchange exchange, FailureCause cause) {
+		if (cause != FailureCause.BROKEN || exchange.upstream().isEmpty()) {
+			return;
+		}
+		String upstream = exchange.upstream().get().id();
+		this.state.blames.add(exchange.asked().digest(), upstream);
+		this.state.emit(new RelayEffect.Write(
+				new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream)));
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -0,0 +1,130 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
+import io.lentilslip.core.relay.RequestHead.Turn;
+import io.lentilslip.core.verdict.Verdict;
+
+/**
+ * How exchanges end: each is told, counted, settled and forgotten in one place. Used by
+ * one thread.
+ */
+final class ExchangeEnds {
+
+	private final RelayState state;
+
+	ExchangeEnds(RelayState state) {
+		this.state = state;
+	}
+
+	void refuseUnknown(RelayEvent.Asked asked, Refusal refusal, Optional<Duration> comeBack) {
+		this.state.tell(RelayNotices.refused(asked.head(), refusal));
+		this.state.emit(new RelayEffect.Refuse(asked.exchange(), refusal, comeBack));
+	}
+
+	void refuse(Exchange exchange, Refusal refusal, Optional<Duration> comeBack) {
+		this.state.tell(RelayNotices.refused(exchange, refusal, this.state.now));
+		measure(exchange, Outcome.REFUSED);
+		close(exchange, new RelayEffect.Refuse(exchange.number(), refusal, comeBack));
+	}
+
+	void breakOff(Exchange exchange, Refusal reason) {
+		this.state.tell(RelayNotices.brokenOff(exchange, reason, this.state.now));
+		measure(exchange, Outcome.BROKEN_OFF);
+		close(exchange, new RelayEffect.BreakOff(exchange.number()));
+	}
+
+	void endStream(Exchange exchange) {
+		this.state.tell(RelayNotices.answered(exchange, AnswerHead.SUCCESS, this.state.now));
+		measure(exchange, Outcome.ANSWERED);
+		close(exchange, new RelayEffect.EndStream(exchange.number()));
+	}
+
+	void measure(Exchange exchange, Outcome outcome) {
+		Duration latency = Duration.ofMillis(this.state.now - exchange.asked().now());
+		this.state.emit(new RelayEffect.Measure(
+				new Measurement.RouteRequestEnded(exchange.route().name(), outcome, latency, exchange.firstEvent())));
+	}
+
+	void close(Exchange exchange, RelayEffect last) {
+		this.state.emit(last);
+		forget(exchange);
+	}
+
+	private void forget(Exchange exchange) {
+		this.state.exchanges.remove(exchange.number());
+		this.state.ending.remove(exchange.head().id());
+		this.state.contending.remove(exchange.head().id());
+	}
+
+	void giveUp(Exchange exchange, Refusal refusal) {
+		settle(exchange, Optional.empty());
+		if (exchange.opened()) {
+			breakOff(exchange, refusal);
+			return;
+		}
+		boolean worthAnother = refusal.verdict() == Verdict.NOT_RUN;
+		refuse(exchange, refusal, worthAnother ? Optional.of(RelaySettings.COME_BACK) : Optional.empty());
+	}
+
+	void settle(Exchange exchange, Optional<KeptTurn> kept) {
+		if (!exchange.reserved()) {
+			return;
+		}
+		Turn turn = exchange.head().turn().orElseThrow();
+		int perEvent = this.state.engine(exchange.upstream().map(Upstream::service).orElse(""))
+			.map(RouteTable.Engine::tokensPerEvent)
+			.orElse(1);
+		int given = exchange.events() * perEvent;
+		this.state.tokens.settle(turn.program(), exchange.head().id(), given);
+		this.state
+			.emit(new RelayEffect.Write(new LedgerEntry.Settled(exchange.head().id(), turn.program(), given, kept)));
+	}
+
+	void callerLeft(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
+			exchange.reserve();
+			settle(exchange, Optional.empty());
+		}
+		if (exchange.phase() == Phase.RUNNING) {
+			this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+			this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+			settle(exchange, Optional.empty());
+		}
+		this.state.tell(RelayNotices.callerLeft(exchange, this.state.now));
+		measure(exchange, Outcome.CALLER_LEFT);
+		forget(exchange);
+	}
+
+	void due(Exchange exchange) {
+		switch (exchange.phase()) {
+			case WAITING_FOR_CHAIN -> refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+			case WAITING_FOR_ORDER -> orderDue(exchange);
+			case RUNNING -> {
+				this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+				this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+				giveUp(exchange, Refusal.NO_ANSWER_IN_TIME);
+			}
+			case ENDING -> breakOff(exchange, Refusal.NOT_STORED_IN_TIME);
+		}
+	}
+
+	void orderDue(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
+			exchange.reserve();
+			giveUp(exchange, Refusal.NOT_READY);
+		}
+	}
+
+	void chainDue(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_CHAIN) {
+			refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+		}
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -0,0 +1,135 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+
+/**
+ * What relays write down and tell each other, and what follows from it. Used by one
+ * thread.
+ */
+final class LedgerRules {
+
+	/**
+	 * How many times the time alone passes before help is asked for again, of others.
+	 */
+	private static final int HELP_PAUSES = 4;
+
+	private final RelayState state;
+
+	private final RequestRules requests;
+
+	private final ExchangeEnds ends;
+
+	LedgerRules(RelayState state, RequestRules requests, ExchangeEnds ends) {
+		this.state = state;
+		this.requests = requests;
+		this.ends = ends;
+	}
+
+	void entriesRead(RelayEvent.EntriesRead read) {
+		for (LedgerEntry entry : read.entries()) {
+			if (read.fromLog()) {
+				this.state.unlogged.logged(entry);
+			}
+			else {
+				this.state.unlogged.told(entry, read.now());
+			}
+			switch (entry) {
+				case LedgerEntry.Reserved reserved -> reserved(reserved, read.fromLog());
+				case LedgerEntry.Settled settled -> settledElsewhere(settled);
+				case LedgerEntry.Blamed blamed -> this.state.blames.add(blamed.digest(), blamed.upstream());
+			}
+		}
+		if (read.fromLog()) {
+			adopt();
+		}
+		List<Exchange> waiting = this.state.exchanges.values()
+			.stream()
+			.filter((exchange) -> exchange.phase() == Phase.WAITING_FOR_CHAIN)
+			.toList();
+		for (Exchange exchange : waiting) {
+			if (this.requests.findChain(exchange, exchange.head().turn().orElseThrow())) {
+				this.requests.dispatch(exchange);
+			}
+		}
+	}
+
+	private void adopt() {
+		if (this.state.now - this.state.logReadAt > RelaySettings.LOG_GAP.toMillis()) {
+			this.state.unlogged.logBack(this.state.now);
+		}
+		this.state.logReadAt = this.state.now;
+		for (LedgerEntry entry : this.state.unlogged.overdue(this.state.now)) {
+			this.state.emit(new RelayEffect.Write(entry));
+		}
+	}
+
+	private void reserved(LedgerEntry.Reserved reserved, boolean fromLog) {
+		Long own = this.state.contending.remove(fromLog ? reserved.request() : "");
+		if (own != null) {
+			this.requests.ordered(this.state.exchanges.get(own));
+			return;
+		}
+		if (!reserved.contending() || fromLog) {
+			reservedElsewhere(reserved);
+		}
+	}
+
+	private void reservedElsewhere(LedgerEntry.Reserved reserved) {
+		this.state.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens());
+		if (this.state.tokens.open(reserved.program(), reserved.request())) {
+			this.state.upstreams.find(reserved.upstream()).ifPresent((known) -> {
+				known.began(reserved.request(), this.state.now);
+				known.read(reserved.prompt(),
+						this.state.engine(known.upstream().service()).map(RouteTable.Engine::memory).orElse(0L));
+			});
+		}
+	}
+
+	private void settledElsewhere(LedgerEntry.Settled settled) {
+		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		settled.kept().ifPresent((kept) -> this.state.turns.add(settled.request(), kept));
+		this.state.upstreams.ended(settled.request());
+	}
+
+	void stored(String request) {
+		if (this.state.contending.containsKey(request)) {
+			this.state.emit(new RelayEffect.ReadLog());
+		}
+		String helped = this.state.helping.remove(request);
+		if (helped != null) {
+			this.state.emit(new RelayEffect.TellStored(helped, request));
+		}
+		Long number = this.state.ending.get(request);
+		if (number != null) {
+			this.ends.endStream(this.state.exchanges.get(number));
+		}
+	}
+
+	/**
+	 * Asks others to write a turn that this relay can't write itself: the store may turn
+	 * away some relays and serve others. The end of the turn still waits for the log, for
+	 * the loss of all relays at once must not lose a turn that its caller saw whole.
+	 * @param exchange the exchange
+	 */
+	void storeDue(Exchange exchange) {
+		if (exchange.phase() == Phase.ENDING) {
+			this.state.emit(new RelayEffect.AskForHelp(exchange.head().id()));
+			this.state.remind(exchange, RelaySettings.ALONE.multipliedBy(HELP_PAUSES), Reminder.STORED);
+		}
+	}
+
+	void helpAsked(RelayEvent.HelpAsked asked) {
+		for (String request : asked.requests()) {
+			Optional<LedgerEntry> turn = this.state.unlogged.turn(request);
+			if (turn.isPresent() && !this.state.helping.containsKey(request)) {
+				this.state.helping.put(request, asked.peer());
+				this.state.emit(new RelayEffect.Write(turn.get()));
+			}
+		}
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -12,6 +12,11 @@
 	 */
 	NO_ROUTE(Verdict.NOT_RUN),
 
+	/**
+	 * The turn is too long for a record of the log.
+	 */
+	TOO_LONG(Verdict.NOT_RUN),
+
 	/**
 	 * The program's budget does not hold this turn.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -8,9 +8,11 @@
  * @param zone its availability zone
  * @param seed the seed of its random choices
  * @param turnBytes the most bytes of turns' text that it keeps
+ * @param inputBytes the most bytes of the input of a turn that is kept, so that it and
+ * its output fit into one record of the log
  * @param programs the most programs whose tokens it remembers
  */
-public record RelaySettings(String zone, long seed, long turnBytes, int programs) {
+public record RelaySettings(String zone, long seed, long turnBytes, int inputBytes, int programs) {
 
 	/**
 	 * The part of a route's target within which a turn whose chain is not found is
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -0,0 +1,112 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import io.lentilslip.core.relay.Upstreams.Known;
+
+/**
+ * What a relay knows, and what is to be done about the event at hand. The rules read and
+ * change it; a method here decides nothing. Used by one thread.
+ */
+final class RelayState {
+
+	final int inputBytes;
+
+	final ProgramTokens tokens;
+
+	final KeptTurns turns;
+
+	final Blames blames = new Blames();
+
+	final Upstreams upstreams = new Upstreams();
+
+	final UnloggedEntries unlogged;
+
+	final SplittableRandom random;
+
+	final UpstreamChoice choice;
+
+	/**
+	 * The exchanges under way, by number.
+	 */
+	final Map<Long, Exchange> exchanges = new HashMap<>();
+
+	/**
+	 * The exchanges whose end waits for the log, by request.
+	 */
+	final Map<String, Long> ending = new LinkedHashMap<>();
+
+	/**
+	 * The exchanges that wait for their place in the log, by request.
+	 */
+	final Map<String, Long> contending = new LinkedHashMap<>();
+
+	/**
+	 * The relays that asked for help with a turn, by request.
+	 */
+	final Map<String, String> helping = new LinkedHashMap<>();
+
+	Optional<RouteTable> table = Optional.empty();
+
+	boolean caughtUp;
+
+	boolean isolated;
+
+	boolean ready;
+
+	long now;
+
+	long logReadAt;
+
+	private List<RelayEffect> effects = new ArrayList<>();
+
+	RelayState(RelaySettings settings) {
+		this.inputBytes = settings.inputBytes();
+		this.tokens = new ProgramTokens(settings.programs());
+		this.turns = new KeptTurns(settings.turnBytes());
+		this.random = new SplittableRandom(settings.seed());
+		this.unlogged = new UnloggedEntries(this.random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()));
+		this.choice = new UpstreamChoice(settings.zone(), this.random);
+	}
+
+	void emit(RelayEffect effect) {
+		this.effects.add(effect);
+	}
+
+	void tell(Notice notice) {
+		emit(new RelayEffect.Tell(notice));
+	}
+
+	List<RelayEffect> take() {
+		List<RelayEffect> taken = this.effects;
+		this.effects = new ArrayList<>();
+		return taken;
+	}
+
+	Optional<Exchange> find(RelayEvent.OfExchange event) {
+		return Optional.ofNullable(this.exchanges.get(event.exchange()));
+	}
+
+	Optional<Known> known(Exchange exchange) {
+		return exchange.upstream().flatMap((upstream) -> this.upstreams.find(upstream.id()));
+	}
+
+	Optional<RouteTable.Engine> engine(String service) {
+		return this.table.flatMap((known) -> Optional.ofNullable(known.services().get(service)))
+			.flatMap(RouteTable.Service::engine);
+	}
+
+	void remind(Exchange exchange, Duration delay, Reminder reminder) {
+		emit(new RelayEffect.Remind(exchange.number(), delay, reminder));
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -0,0 +1,238 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import io.lentilslip.core.relay.RequestHead.Turn;
+import io.lentilslip.core.relay.Upstreams.Known;
+
+/**
+ * What becomes of a caller's request up to its sending: route, chain, budget and
+ * upstream. Used by one thread.
+ */
+final class RequestRules {
+
+	private final RelayState state;
+
+	private final ExchangeEnds ends;
+
+	RequestRules(RelayState state, ExchangeEnds ends) {
+		this.state = state;
+		this.ends = ends;
+	}
+
+	void asked(RelayEvent.Asked asked) {
+		if (this.state.table.isEmpty() || !this.state.upstreams.listed()) {
+			this.ends.refuseUnknown(asked, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			return;
+		}
+		Optional<Route> route = this.state.table.get().find(asked.head().host(), asked.head().path());
+		if (route.isEmpty()) {
+			this.ends.refuseUnknown(asked, Refusal.NO_ROUTE, Optional.empty());
+			return;
+		}
+		Exchange exchange = new Exchange(asked, route.get());
+		this.state.exchanges.put(asked.exchange(), exchange);
+		if (this.state.blames.stopped(asked.digest())) {
+			this.ends.refuse(exchange, Refusal.BLAMED, Optional.empty());
+			return;
+		}
+		this.state.remind(exchange, exchange.left(this.state.now), Reminder.DUE);
+		if (asked.head().turn().isPresent()) {
+			turnAsked(exchange, asked.head().turn().get());
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	private void turnAsked(Exchange exchange, Turn turn) {
+		// A turn that no record can hold would run and never end: its end waits for the
+		// log, and the entries behind it would wait with it.
+		if (exchange.route().keepsTurns() && exchange.asked().body().length > this.state.inputBytes) {
+			this.ends.refuse(exchange, Refusal.TOO_LONG, Optional.empty());
+			return;
+		}
+		if (!this.state.caughtUp) {
+			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			return;
+		}
+		// A relay that reaches nobody can't see what a program spends elsewhere, and
+		// would give it more than its budget. Refused here, the caller goes to a relay
+		// that can see.
+		if (this.state.isolated) {
+			this.ends.refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
+			return;
+		}
+		if (!findChain(exchange, turn)) {
+			this.state.emit(new RelayEffect.ReadLog());
+			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
+					Reminder.CHAIN);
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	boolean findChain(Exchange exchange, Turn turn) {
+		if (!exchange.route().keepsTurns() || turn.previous().isEmpty()) {
+			return true;
+		}
+		Optional<byte[]> chain = this.state.turns.chain(turn.previous().get());
+		chain.ifPresent(exchange::found);
+		return chain.isPresent();
+	}
+
+	void dispatch(Exchange exchange) {
+		if (!exchange.reserved()) {
+			switch (admission(exchange)) {
+				case REFUSED -> {
+					this.ends.refuse(exchange, Refusal.BUDGET_SPENT, Optional.empty());
+					return;
+				}
+				case CONTENDING -> {
+					contend(exchange);
+					return;
+				}
+				case ADMITTED -> {
+				}
+			}
+		}
+		Optional<Known> chosen = choose(exchange);
+		if (chosen.isEmpty()) {
+			this.ends.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
+			return;
+		}
+		send(exchange, chosen.get());
+	}
+
+	/**
+	 * Decides by what is known here whether a program's budget holds a turn. What other
+	 * relays began in the last moments is not known here yet. Far from the end of the
+	 * budget this does no harm; near it, turns that begin at once would together take
+	 * more than there is, so the log's order decides there.
+	 * @param exchange the exchange
+	 * @return the decision
+	 */
+	private Admission admission(Exchange exchange) {
+		Optional<Turn> turn = exchange.head().turn();
+		if (turn.isEmpty() || turn.get().budget().isEmpty()) {
+			return Admission.ADMITTED;
+		}
+		long taken = this.state.tokens.taken(turn.get().program());
+		long budget = turn.get().budget().getAsLong();
+		if (taken + turn.get().most() > budget) {
+			return Admission.REFUSED;
+		}
+		long atOnce = (long) RelaySettings.TURNS_AT_ONCE * turn.get().most();
+		return (taken + atOnce <= budget + turn.get().most()) ? Admission.ADMITTED : Admission.CONTENDING;
+	}
+
+	private void contend(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		exchange.become(Phase.WAITING_FOR_ORDER);
+		this.state.contending.put(exchange.head().id(), exchange.number());
+		this.state.emit(new RelayEffect.Write(
+				new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), true)));
+		this.state.remind(exchange, RelaySettings.ORDER_WAIT, Reminder.ORDER);
+	}
+
+	/**
+	 * Decides on a turn whose reservation was read from the log: everything before it
+	 * there is known now, and no relay takes anything after it into account first.
+	 * @param exchange the exchange
+	 */
+	void ordered(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		exchange.reserve();
+		boolean held = this.state.tokens.taken(turn.program()) + turn.most() <= turn.budget().orElseThrow();
+		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		if (!held) {
+			this.ends.giveUp(exchange, Refusal.BUDGET_SPENT);
+			return;
+		}
+		dispatch(exchange);
+	}
+
+	private Optional<Known> choose(Exchange exchange) {
+		String service = service(exchange.route());
+		boolean engine = this.state.engine(service).isPresent();
+		return this.state.choice.choose(this.state.upstreams.taking(service), exchange.tried(),
+				exchange.head().prompt(), engine, this.state.now);
+	}
+
+	private String service(Route route) {
+		double total = 0;
+		for (Route.WeightedService target : route.targets()) {
+			total += target.weight();
+		}
+		double point = this.state.random.nextDouble() * total;
+		for (Route.WeightedService target : route.targets()) {
+			point -= target.weight();
+			if (point < 0) {
+				return target.service();
+			}
+		}
+		return route.targets().getLast().service();
+	}
+
+	void send(Exchange exchange, Known known) {
+		Upstream upstream = known.upstream();
+		exchange.sentTo(upstream);
+		known.began(exchange.head().id(), this.state.now);
+		List<PromptPart> prompt = exchange.head().prompt();
+		known.read(prompt, this.state.engine(upstream.service()).map(RouteTable.Engine::memory).orElse(0L));
+		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
+		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
+		this.state.emit(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
+				exchange.left(this.state.now), exchange.lastEvent(), stream));
+	}
+
+	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
+		exchange.reserve();
+		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		this.state.emit(new RelayEffect.Write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(),
+				turn.most(), upstream.id(), prompt, false)));
+	}
+
+	/**
+	 * Sends a request once more if its route, its time and what it has done allow it, and
+	 * ends it otherwise.
+	 * @param exchange the exchange
+	 */
+	void again(Exchange exchange) {
+		boolean allowed = !exchange.mayHaveRun() || exchange.route().repeatable();
+		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
+		if (allowed && !blamed && exchange.sends() < exchange.route().attempts() && this.state.now < exchange.due()) {
+			Optional<Known> next = choose(exchange);
+			if (next.isPresent()) {
+				send(exchange, next.get());
+				return;
+			}
+		}
+		this.ends.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
+	}
+
+	/**
+	 * Whether a turn may run. Safe for use by several threads.
+	 */
+	private enum Admission {
+
+		/**
+		 * It may.
+		 */
+		ADMITTED,
+
+		/**
+		 * The log's order decides.
+		 */
+		CONTENDING,
+
+		/**
+		 * Its program's budget does not hold it.
+		 */
+		REFUSED
+
+	}
+
+}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -30,7 +30,7 @@
 
 	final List<RelayEffect> all = new ArrayList<>();
 
-	private final Relay relay = new Relay(new RelaySettings("zone-a", 7, 1_000_000, 1000));
+	private final Relay relay = new Relay(new RelaySettings("zone-a", 7, 1_000_000, 1000, 1000));
 
 	private long now = 1000;
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -159,6 +159,15 @@
 		assertThat(new String(send.chain())).isEqualTo("in1;out1;in2;out2;");
 	}
 
+	// A caller sends a turn that no record of the log can hold. Run, its end would wait
+	// for ever, and every entry behind it.
+	@Test
+	void turnThatNoRecordHoldsIsRefused() {
+		RelayFixture relay = RelayFixture.ready();
+		RequestHead head = RelayFixture.head("t1", "chat", Optional.of(RelayFixture.turn("p", 1000, 100, null)));
+		assertThat(refusal(relay.ask(head, "x".repeat(1001)))).contains(Refusal.TOO_LONG);
+	}
+
 	// The turn before ended at another relay a moment ago. Its text is on the way here:
 	// the request waits for it, and is neither refused nor run without it.
 	@Test
