--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import io.lentilslip.core.relay.RouteTable;
@@ -28,6 +29,8 @@
 
 	private RouteTable.Limits limits = RouteTable.Limits.beforeFirstTable();
 
+	private volatile Optional<Channel> port = Optional.empty();
+
 	private boolean draining;
 
 	/**
@@ -58,7 +61,9 @@
 				}
 
 			});
-		return bootstrap.bind(address);
+		ChannelFuture opening = bootstrap.bind(address);
+		this.port = Optional.of(opening.channel());
+		return opening;
 	}
 
 	/**
@@ -77,9 +82,13 @@
 	}
 
 	/**
-	 * Closes the connections that are idle, and lets the others end after their answers.
+	 * Closes the port and the connections that are idle, and lets the others end after
+	 * their answers. Whoever connects later is turned away before its request is read. A
+	 * relay that still took requests while it waits for its last answers would have to
+	 * cut them off at the end of its time.
 	 */
-	public void closeIdle() {
+	public void stopTaking() {
+		this.port.ifPresent(Channel::close);
 		List.copyOf(this.connections).forEach(CallerConnection::drain);
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -275,7 +275,7 @@
 			// Where this fails, the others find a closed port, and try ever more seldom.
 		});
 		long began = this.timers.now();
-		this.timers.after(STILL_TAKING, this.callers::closeIdle);
+		this.timers.after(STILL_TAKING, this.callers::stopTaking);
 		this.timers.after(SHORTEST_DRAIN, () -> endDrain(began));
 	}
 
@@ -290,7 +290,7 @@
 			this.drained.complete(null);
 			return;
 		}
-		this.callers.closeIdle();
+		this.callers.stopTaking();
 		this.timers.after(DRAIN_INTERVAL, () -> endDrain(began));
 	}
 
