Let only the end of a kept turn in the log stand for its being there

Cause (found by reading): the writer told that a request's entries were stored when its reservation was; where that append was under way as a short turn ended, the caller saw the end some ten milliseconds before the log had it, and the loss of all relays in that time would have lost the turn. Test: EntryWriterTests .reservationInTheLogDoesNotStandForTheEndOfItsTurn.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -96,9 +96,6 @@
 	}
 
 	void stored(String request) {
-		if (this.state.contending.containsKey(request)) {
-			this.state.emit(new RelayEffect.ReadLog());
-		}
 		String helped = this.state.helping.remove(request);
 		if (helped != null) {
 			this.state.emit(new RelayEffect.TellStored(helped, request));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -172,10 +172,12 @@
 	}
 
 	/**
-	 * The log has entries that this relay wrote, or asked another one to write.
+	 * The log has the ends of kept turns that this relay wrote, or asked another one to
+	 * write. Other entries of the same requests don't count: a turn that is reserved
+	 * there is not yet kept.
 	 *
 	 * @param now when
-	 * @param requests the requests that they are about
+	 * @param requests the turns
 	 */
 	record Stored(long now, Set<String> requests) implements RelayEvent {
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -127,7 +127,7 @@
 		this.callers = new CallerServer(this.exchanges);
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers);
 		this.reachability = new Reachability(this.timers, this.peers, this::on);
-		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored,
+		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored, this::contendersStored,
 				this.reachability::storeAnswered);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
 				this.reachability::storeAnswered);
@@ -260,6 +260,10 @@
 		on(new RelayEvent.EntriesRead(this.timers.now(), entries, true));
 	}
 
+	private void contendersStored() {
+		this.reader.read();
+	}
+
 	private void caughtUp() {
 		on(new RelayEvent.CaughtUp(this.timers.now()));
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -48,7 +48,9 @@
 
 	private final Timers timers;
 
-	private final Consumer<Set<String>> stored;
+	private final Consumer<Set<String>> turnsStored;
+
+	private final Runnable contendersStored;
 
 	private final Consumer<Boolean> health;
 
@@ -67,14 +69,16 @@
 	 * @param store the store
 	 * @param timers runs steps later
 	 * @param random spreads out tries
-	 * @param stored takes the requests whose entries are in the store
+	 * @param turnsStored takes the kept turns whose ends are in the store
+	 * @param contendersStored runs when turns that contend have their places there
 	 * @param health takes whether the store answered a call as it should
 	 */
-	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> stored,
-			Consumer<Boolean> health) {
+	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
+			Runnable contendersStored, Consumer<Boolean> health) {
 		this.store = store;
 		this.timers = timers;
-		this.stored = stored;
+		this.turnsStored = turnsStored;
+		this.contendersStored = contendersStored;
 		this.health = health;
 		this.backoff = new Backoff(random);
 	}
@@ -85,7 +89,7 @@
 	 */
 	public void write(LedgerEntry entry) {
 		byte[] encoded = RelayCodec.encode(entry);
-		this.waiting.add(new Waiting(entry.request(), encoded));
+		this.waiting.add(new Waiting(entry, encoded));
 		this.bytes += encoded.length;
 		while (this.bytes > WAITING_BYTES) {
 			this.bytes -= this.waiting.pollFirst().encoded().length;
@@ -160,19 +164,32 @@
 	private void done(List<Waiting> batch) {
 		this.backoff.reset();
 		this.calling = false;
-		Set<String> requests = new HashSet<>();
-		batch.forEach((entry) -> requests.add(entry.request()));
-		this.stored.accept(requests);
+		Set<String> turns = new HashSet<>();
+		boolean contenders = false;
+		for (Waiting written : batch) {
+			switch (written.entry()) {
+				case LedgerEntry.Settled settled when settled.kept().isPresent() -> turns.add(settled.request());
+				case LedgerEntry.Reserved reserved when reserved.contending() -> contenders = true;
+				default -> {
+				}
+			}
+		}
+		if (!turns.isEmpty()) {
+			this.turnsStored.accept(turns);
+		}
+		if (contenders) {
+			this.contendersStored.run();
+		}
 		call();
 	}
 
 	/**
 	 * An entry that is not in the store yet. Immutable.
 	 *
-	 * @param request the request that it is about
+	 * @param entry the entry
 	 * @param encoded its bytes
 	 */
-	private record Waiting(String request, byte[] encoded) {
+	private record Waiting(LedgerEntry entry, byte[] encoded) {
 
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -1,6 +1,7 @@
 package io.lentilslip.relay.store;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -17,8 +18,10 @@
 
 	private final Set<String> stored = new HashSet<>();
 
+	private int contenders;
+
 	private final EntryWriter writer = new EntryWriter(this.store, this.store, new SplittableRandom(1),
-			this.stored::addAll, (well) -> {
+			this.stored::addAll, () -> this.contenders++, (well) -> {
 			});
 
 	@Test
@@ -36,8 +39,30 @@
 		this.writer.write(settled("b", Optional.empty()));
 		this.store.pass(100);
 		assertThat(this.store.appends).hasSize(1);
+		assertThat(this.store.appends.getFirst()).hasSize(2);
+	}
+
+	// A turn's reservation is on its way to the log as the turn ends. Its being there
+	// says
+	// nothing of the end: told as stored, the caller would see the end of a turn that the
+	// loss of all relays takes away.
+	@Test
+	void reservationInTheLogDoesNotStandForTheEndOfItsTurn() {
+		this.writer.write(new LedgerEntry.Reserved("a", "p", 9, "u", List.of(), false));
+		this.store.pass(100);
+		this.writer.write(settled("a", Optional.of(new KeptTurn(Optional.empty(), new byte[1], new byte[1]))));
 		this.store.appendAnswers.poll().accept(new Store.Appended.Done(0));
-		assertThat(this.stored).containsExactlyInAnyOrder("a", "b");
+		assertThat(this.stored).isEmpty();
+		this.store.appendAnswers.poll().accept(new Store.Appended.Done(1));
+		assertThat(this.stored).containsExactly("a");
+	}
+
+	@Test
+	void contenderInTheLogIsToldAtOnce() {
+		this.writer.write(new LedgerEntry.Reserved("a", "p", 9, "", List.of(), true));
+		this.store.appendAnswers.poll().accept(new Store.Appended.Done(0));
+		assertThat(this.contenders).isEqualTo(1);
+		assertThat(this.stored).isEmpty();
 	}
 
 	// An append's answer is lost. The entries may stand in the log or not: they are
