Use one piece for what the relay wrote twice, and drop what nothing calls

Sockets were set up alike in six places: net.Sockets opens them (the readiness and link ports get the callers' backlog and no-delay with it). Giving up an attempt and an engine's memory stood twice in core.relay. Notices of the drain use NoticeCode.with. Dropped: Refusal.OUT_OF_TIME, RelayProcess.execute, HttpLane.close, Upstreams.size. Decisions, bounds and tests stay as they were; BackoffTests is new.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -92,8 +92,7 @@
 			settle(exchange, Optional.empty());
 		}
 		if (exchange.phase() == Phase.RUNNING) {
-			this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
-			this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+			stopAttempt(exchange);
 			settle(exchange, Optional.empty());
 		}
 		this.state.tell(RelayNotices.callerLeft(exchange, this.state.now));
@@ -106,14 +105,18 @@
 			case WAITING_FOR_CHAIN -> refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
 			case WAITING_FOR_ORDER -> orderDue(exchange);
 			case RUNNING -> {
-				this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
-				this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+				stopAttempt(exchange);
 				giveUp(exchange, Refusal.NO_ANSWER_IN_TIME);
 			}
 			case ENDING -> breakOff(exchange, Refusal.NOT_STORED_IN_TIME);
 		}
 	}
 
+	private void stopAttempt(Exchange exchange) {
+		this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
+		this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+	}
+
 	void orderDue(Exchange exchange) {
 		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
 			exchange.reserve();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -83,8 +83,7 @@
 		if (this.state.tokens.open(reserved.program(), reserved.request())) {
 			this.state.upstreams.find(reserved.upstream()).ifPresent((known) -> {
 				known.began(reserved.request(), this.state.now);
-				known.read(reserved.prompt(),
-						this.state.engine(known.upstream().service()).map(RouteTable.Engine::memory).orElse(0L));
+				known.read(reserved.prompt(), this.state.memory(known.upstream()));
 			});
 		}
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -47,11 +47,6 @@
 	 */
 	BLAMED(Verdict.NOT_RUN),
 
-	/**
-	 * The time ran out before the request was sent.
-	 */
-	OUT_OF_TIME(Verdict.NOT_RUN),
-
 	/**
 	 * The time ran out, and the request may have run.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -105,6 +105,10 @@
 			.flatMap(RouteTable.Service::engine);
 	}
 
+	long memory(Upstream upstream) {
+		return engine(upstream.service()).map(RouteTable.Engine::memory).orElse(0L);
+	}
+
 	void remind(Exchange exchange, Duration delay, Reminder reminder) {
 		emit(new RelayEffect.Remind(exchange.number(), delay, reminder));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -181,7 +181,7 @@
 		exchange.sentTo(upstream);
 		known.began(exchange.head().id(), this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
-		known.read(prompt, this.state.engine(upstream.service()).map(RouteTable.Engine::memory).orElse(0L));
+		known.read(prompt, this.state.memory(upstream));
 		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
 		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
 		this.state.emit(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -60,10 +60,6 @@
 		return this.listed;
 	}
 
-	int size() {
-		return this.known.size();
-	}
-
 	Optional<Known> find(String id) {
 		return Optional.ofNullable(this.known.get(id));
 	}
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/loop/Backoff.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/retry/Backoff.java
@@ -1,4 +1,4 @@
-package io.lentilslip.runtime.loop;
+package io.lentilslip.core.retry;
 
 import java.time.Duration;
 
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/retry/BackoffTests.java
@@ -0,0 +1,30 @@
+package io.lentilslip.core.retry;
+
+import java.time.Duration;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class BackoffTests {
+
+	private static final Backoff BACKOFF = new Backoff(Duration.ofMillis(40), Duration.ofMillis(400));
+
+	@Property
+	void pauseIsBetweenHalfAndTheWholeOfItsBound(@ForAll @IntRange(min = 1, max = 100) int failures,
+			@ForAll long seed) {
+		Duration bound = Duration.ofMillis((failures < 5) ? 40L << (failures - 1) : 400);
+		Duration pause = BACKOFF.after(failures, seed);
+		assertThat(pause).isBetween(bound.dividedBy(2), bound);
+	}
+
+	@Test
+	void pausesThatShrinkAreRefused() {
+		assertThatIllegalArgumentException().isThrownBy(() -> new Backoff(Duration.ofMillis(2), Duration.ofMillis(1)));
+	}
+
+}
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/link/SidecarLinks.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/link/SidecarLinks.java
@@ -20,7 +20,7 @@
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.runtime.loop.Backoff;
+import io.lentilslip.core.retry.Backoff;
 import io.lentilslip.wire.codec.CodecProblem;
 import io.lentilslip.wire.link.Link;
 import io.lentilslip.wire.link.LinkClosure;
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/link/SidecarLinksTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/link/SidecarLinksTests.java
@@ -24,7 +24,7 @@
 import io.lentilslip.core.link.LinkMessage;
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.Notice;
-import io.lentilslip.runtime.loop.Backoff;
+import io.lentilslip.core.retry.Backoff;
 import io.lentilslip.wire.link.Link;
 import io.lentilslip.wire.link.LinkClosure;
 import io.lentilslip.wire.link.LinkListener;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.lentilslip.core.relay.AnswerHead;
 import io.lentilslip.core.relay.RouteTable;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -239,9 +240,7 @@
 				refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 				return;
 			}
-			byte[] part = new byte[bytes.readableBytes()];
-			bytes.readBytes(part);
-			this.body.writeBytes(part);
+			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 			if (content instanceof LastHttpContent) {
 				complete();
 			}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -7,13 +7,10 @@
 import java.util.Set;
 
 import io.lentilslip.core.relay.RouteTable;
-import io.netty.bootstrap.ServerBootstrap;
+import io.lentilslip.relay.net.Sockets;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
@@ -21,8 +18,6 @@
  */
 public final class CallerServer {
 
-	private static final int BACKLOG = 1024;
-
 	private final CallerListener listener;
 
 	private final Set<CallerConnection> connections = new HashSet<>();
@@ -48,20 +43,7 @@
 	 * @return the opening
 	 */
 	public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
-		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new ChannelInitializer<>() {
-
-				@Override
-				protected void initChannel(Channel channel) {
-					accept(channel);
-				}
-
-			});
-		ChannelFuture opening = bootstrap.bind(address);
+		ChannelFuture opening = Sockets.open(loop, address, this::accept);
 		this.port = Optional.of(opening.channel());
 		return opening;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/HttpLane.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/HttpLane.java
@@ -8,15 +8,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.netty.bootstrap.Bootstrap;
+import io.lentilslip.relay.net.Sockets;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -31,7 +28,7 @@
  */
 public final class HttpLane {
 
-	private static final int CONNECT_TIMEOUT_MS = 500;
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
 	/**
 	 * The most bytes of an answer: above what one read of the store returns.
@@ -71,13 +68,6 @@
 		next();
 	}
 
-	/**
-	 * Closes the connection; calls that wait are not answered.
-	 */
-	public void close() {
-		this.channel.ifPresent(Channel::close);
-	}
-
 	private void next() {
 		if (this.current.isPresent() || this.calls.isEmpty()) {
 			return;
@@ -94,20 +84,9 @@
 	}
 
 	private void connect(Call call) {
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.handler(new ChannelInitializer<>() {
-
-				@Override
-				protected void initChannel(Channel created) {
-					created.pipeline()
-						.addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_BYTES), new Answers());
-				}
-
-			});
-		ChannelFuture connecting = bootstrap.connect(this.address);
+		ChannelFuture connecting = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT,
+				(created) -> created.pipeline()
+					.addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_BYTES), new Answers()));
 		connecting.addListener((done) -> {
 			if (!isCurrent(call)) {
 				connecting.channel().close();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/ReadyServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/ReadyServer.java
@@ -5,16 +5,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import io.netty.bootstrap.ServerBootstrap;
+import io.lentilslip.relay.net.Sockets;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -59,20 +55,10 @@
 	 * @return the opening
 	 */
 	public ChannelFuture open(EventLoopGroup loop, InetSocketAddress address) {
-		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childHandler(new ChannelInitializer<>() {
-
-				@Override
-				protected void initChannel(Channel channel) {
-					channel.pipeline()
-						.addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler(),
-								new HttpObjectAggregator(REQUEST_BYTES), new Answers());
-				}
-
-			});
-		return bootstrap.bind(address);
+		return Sockets.open(loop, address,
+				(channel) -> channel.pipeline()
+					.addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler(),
+							new HttpObjectAggregator(REQUEST_BYTES), new Answers()));
 	}
 
 	/**
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How the relay opens sockets.
+ */
+package io.lentilslip.relay.net;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
@@ -6,10 +6,10 @@
 import io.lentilslip.wire.relay.PeerMessage;
 import io.lentilslip.wire.relay.RelayCodec;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -42,21 +42,14 @@
 	private String reason = "closed";
 
 	/**
-	 * Returns what sets up a channel with this handler.
-	 * @return the initializer
+	 * Puts this handler, and what it needs before it, into a connection's pipeline.
+	 * @param channel the connection
 	 */
-	ChannelInitializer<Channel> initializer() {
-		return new ChannelInitializer<>() {
-
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline()
-					.addLast(new IdleStateHandler(SILENCE.toMillis(), PULSE.toMillis(), 0, TimeUnit.MILLISECONDS),
-							new LengthFieldBasedFrameDecoder(FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-							new LengthFieldPrepender(LENGTH_BYTES), PeerChannel.this);
-			}
-
-		};
+	void setUp(Channel channel) {
+		channel.pipeline()
+			.addLast(new IdleStateHandler(SILENCE.toMillis(), PULSE.toMillis(), 0, TimeUnit.MILLISECONDS),
+					new LengthFieldBasedFrameDecoder(FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+					new LengthFieldPrepender(LENGTH_BYTES), this);
 	}
 
 	/**
@@ -80,9 +73,7 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-		byte[] bytes = new byte[frame.readableBytes()];
-		frame.readBytes(bytes);
-		Either<String, PeerMessage> message = RelayCodec.decodePeer(bytes);
+		Either<String, PeerMessage> message = RelayCodec.decodePeer(ByteBufUtil.getBytes(frame));
 		if (message.isLeft()) {
 			end(context, message.getLeft());
 			return;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -4,15 +4,13 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 
 /**
  * The link over which this relay tells another one what it writes. It is made anew while
@@ -21,7 +19,7 @@
  */
 final class PeerLink {
 
-	private static final int CONNECT_TIMEOUT_MS = 500;
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
 	/**
 	 * The pauses between tries: the first ones short, since a relay that restarts is back
@@ -71,12 +69,7 @@
 		int colon = this.address.lastIndexOf(':');
 		InetSocketAddress target = new InetSocketAddress(this.address.substring(0, colon),
 				Integer.parseInt(this.address.substring(colon + 1)));
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.handler(new Receipts().initializer());
-		ChannelFuture connecting = bootstrap.connect(target);
+		ChannelFuture connecting = Sockets.connect(this.loop, target, CONNECT_TIMEOUT, new Receipts()::setUp);
 		connecting.addListener((done) -> {
 			if (!done.isSuccess()) {
 				connectLater();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -9,18 +9,14 @@
 import java.util.Set;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.KeyFollower;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 
 /**
  * The other relays, as far as they have written their addresses to the store, with a link
@@ -67,19 +63,7 @@
 	 * @return the opening
 	 */
 	public ChannelFuture open(EventLoopGroup group, InetSocketAddress address) {
-		return new ServerBootstrap().group(group)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new ChannelInitializer<SocketChannel>() {
-
-				@Override
-				protected void initChannel(SocketChannel channel) {
-					channel.pipeline().addLast(new Batches().initializer());
-				}
-
-			})
-			.bind(address);
+		return Sockets.open(group, address, (channel) -> new Batches().setUp(channel));
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -19,9 +19,7 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
-import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.core.notice.NoticeField;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Relay;
 import io.lentilslip.core.relay.RelayEffect;
@@ -68,6 +66,8 @@
 	 */
 	private static final Duration SHORTEST_DRAIN = Duration.ofMillis(3200);
 
+	private static final String ROLE = "relay";
+
 	private static final Duration DRAIN_INTERVAL = Duration.ofMillis(50);
 
 	private final Setup setup;
@@ -168,14 +168,6 @@
 		return this.drained;
 	}
 
-	/**
-	 * Runs a step on the event loop. May be called by any thread.
-	 * @param step the step
-	 */
-	public void execute(Runnable step) {
-		this.loop.execute(step);
-	}
-
 	/**
 	 * Closes everything at once. May be called by any thread.
 	 */
@@ -271,10 +263,9 @@
 	private void beginDrain() {
 		this.draining = true;
 		this.callers.drain();
-		this.notices.write(new Notice(NoticeCode.DRAINING_BEGAN,
-				List.of(new NoticeField(FieldName.ROLE, "relay"),
-						new NoticeField(FieldName.COUNT, Integer.toString(this.relay.underWay())),
-						new NoticeField(FieldName.LIMIT, this.setup.drainLimit().toString()))));
+		this.notices.write(NoticeCode.DRAINING_BEGAN.with(FieldName.ROLE, ROLE)
+			.with(FieldName.COUNT, this.relay.underWay())
+			.with(FieldName.LIMIT, this.setup.drainLimit()));
 		this.store.put(Topic.RELAYS, this.name, Optional.empty(), (outcome) -> {
 			// Where this fails, the others find a closed port, and try ever more seldom.
 		});
@@ -287,10 +278,9 @@
 		boolean over = this.timers.now() - began > this.setup.drainLimit().toMillis();
 		boolean idle = this.exchanges.size() == 0 && this.writer.size() == 0 && this.callers.size() == 0;
 		if (over || idle) {
-			this.notices.write(new Notice(NoticeCode.DRAINING_ENDED,
-					List.of(new NoticeField(FieldName.ROLE, "relay"),
-							new NoticeField(FieldName.COUNT, Integer.toString(this.exchanges.size())),
-							new NoticeField(FieldName.MILLISECONDS, Long.toString(this.timers.now() - began)))));
+			this.notices.write(NoticeCode.DRAINING_ENDED.with(FieldName.ROLE, ROLE)
+				.with(FieldName.COUNT, this.exchanges.size())
+				.with(FieldName.MILLISECONDS, this.timers.now() - began));
 			this.drained.complete(null);
 			return;
 		}
@@ -407,15 +397,14 @@
 
 		@Override
 		public void linked(String peer) {
-			RelayProcess.this.notices
-				.write(new Notice(NoticeCode.PEER_LINKED, List.of(new NoticeField(FieldName.ADDRESS, peer))));
+			RelayProcess.this.notices.write(NoticeCode.PEER_LINKED.with(FieldName.ADDRESS, peer));
 			RelayProcess.this.reader.read();
 		}
 
 		@Override
 		public void lost(String peer, String reason) {
-			RelayProcess.this.notices.write(new Notice(NoticeCode.PEER_LOST,
-					List.of(new NoticeField(FieldName.ADDRESS, peer), new NoticeField(FieldName.REASON, reason))));
+			RelayProcess.this.notices
+				.write(NoticeCode.PEER_LOST.with(FieldName.ADDRESS, peer).with(FieldName.REASON, reason));
 		}
 
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -38,7 +38,7 @@
 
 	private final Consumer<Boolean> health;
 
-	private final Backoff backoff;
+	private final Pauses pauses;
 
 	private long next;
 
@@ -66,7 +66,7 @@
 		this.entries = entries;
 		this.caughtUp = caughtUp;
 		this.health = health;
-		this.backoff = new Backoff(random);
+		this.pauses = new Pauses(random);
 	}
 
 	/**
@@ -91,12 +91,12 @@
 				this.next = Math.max(this.next, deleted.first());
 				read();
 			}
-			case Store.Read.Failed ignored -> readAfter(this.backoff.next());
+			case Store.Read.Failed ignored -> readAfter(this.pauses.next());
 		}
 	}
 
 	private void took(Store.Read.Records records) {
-		this.backoff.reset();
+		this.pauses.reset();
 		this.next = records.next();
 		this.entries.accept(decode(records.records()));
 		boolean atEnd = this.next >= records.end();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -54,7 +54,7 @@
 
 	private final Consumer<Boolean> health;
 
-	private final Backoff backoff;
+	private final Pauses pauses;
 
 	private final Deque<Waiting> waiting = new ArrayDeque<>();
 
@@ -80,7 +80,7 @@
 		this.turnsStored = turnsStored;
 		this.contendersStored = contendersStored;
 		this.health = health;
-		this.backoff = new Backoff(random);
+		this.pauses = new Pauses(random);
 	}
 
 	/**
@@ -157,12 +157,12 @@
 				done(batch);
 				return;
 			}
-			this.timers.after(this.backoff.next(), () -> append(batch));
+			this.timers.after(this.pauses.next(), () -> append(batch));
 		});
 	}
 
 	private void done(List<Waiting> batch) {
-		this.backoff.reset();
+		this.pauses.reset();
 		this.calling = false;
 		Set<String> turns = new HashSet<>();
 		boolean contenders = false;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/KeyFollower.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/KeyFollower.java
@@ -32,7 +32,7 @@
 
 	private final Consumer<Boolean> health;
 
-	private final Backoff backoff;
+	private final Pauses pauses;
 
 	private final Map<String, Long> offsets = new HashMap<>();
 
@@ -54,7 +54,7 @@
 		this.topic = topic;
 		this.listener = listener;
 		this.health = health;
-		this.backoff = new Backoff(random);
+		this.pauses = new Pauses(random);
 	}
 
 	/**
@@ -73,7 +73,7 @@
 					startLater();
 					return;
 				}
-				this.backoff.reset();
+				this.pauses.reset();
 				takeAll(records);
 				this.next = records.end();
 				read();
@@ -123,7 +123,7 @@
 	}
 
 	private void startLater() {
-		this.timers.after(this.backoff.next(), this::start);
+		this.timers.after(this.pauses.next(), this::start);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.relay.http.Dialect;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -191,9 +192,7 @@
 			fail(FailureCause.UNREADABLE);
 			return;
 		}
-		byte[] part = new byte[bytes.readableBytes()];
-		bytes.readBytes(part);
-		this.body.writeBytes(part);
+		this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 	}
 
 	private void end() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -8,14 +8,10 @@
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -31,7 +27,7 @@
 	 * How long a new connection may take. Within a region one takes a few milliseconds;
 	 * one whose first packet was dropped takes a second, and another upstream is sooner.
 	 */
-	private static final int CONNECT_TIMEOUT_MS = 400;
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
 	/**
 	 * How long before the upstream's own time an idle connection is given up: more than
@@ -100,19 +96,9 @@
 
 	private void connect(UpstreamConnection.Outgoing outgoing, Attempt attempt) {
 		UpstreamConnection connection = new UpstreamConnection(this.dialect, new IdleConnections());
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.handler(new ChannelInitializer<>() {
-
-				@Override
-				protected void initChannel(Channel created) {
-					created.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(connection), connection);
-				}
-
-			});
-		ChannelFuture connecting = bootstrap.connect(this.address);
+		ChannelFuture connecting = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT,
+				(created) -> created.pipeline()
+					.addLast(new HttpRequestEncoder(), new AnswerDecoder(connection), connection));
 		connecting.addListener((done) -> {
 			if (attempt.cancelled) {
 				connecting.channel().close();
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/StreamFollower.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/log/StreamFollower.java
@@ -12,7 +12,7 @@
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.runtime.loop.Backoff;
+import io.lentilslip.core.retry.Backoff;
 import io.lentilslip.runtime.loop.ProcessContext;
 
 /**
