Refuse at once what only an unreachable log could decide

Now what a relay reaches is one of three (log, relays, nothing), told by four refused calls over 200 ms or 1.5 s of silence. Without the log, turns that contend are refused at once, those that wait already too, and help is asked for as soon as others were told of the turn. Tests: relayWithoutTheLogRefusesContendingTurnsAtOnce, relayWithoutTheLogAsksForHelpAtOnce (fail without it).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -192,7 +192,7 @@
 	/**
 	 * Written when a relay loses or regains all others and the log.
 	 */
-	ISOLATION_CHANGED(3011, Level.WARN, "A relay reaches neither the log nor another relay, or reaches one again.",
+	REACH_CHANGED(3011, Level.WARN, "What a relay reaches has changed: the log, only relays, or nothing.",
 			"Check the network of its VM.", FieldName.REASON),
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -6,6 +6,7 @@
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import io.lentilslip.core.relay.RequestHead.Turn;
 import io.lentilslip.core.relay.Upstreams.Known;
@@ -110,7 +111,8 @@
 		this.ends.settle(exchange, Optional.of(kept));
 		exchange.become(Phase.ENDING);
 		this.state.ending.put(exchange.head().id(), exchange.number());
-		this.state.remind(exchange, RelaySettings.ALONE, Reminder.STORED);
+		boolean alone = this.state.reach == Reach.LOG;
+		this.state.remind(exchange, alone ? RelaySettings.ALONE : RelaySettings.TELLING, Reminder.STORED);
 	}
 
 	private void failed(Exchange exchange, FailureCause cause) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -120,7 +120,7 @@
 	void orderDue(Exchange exchange) {
 		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
 			exchange.reserve();
-			giveUp(exchange, Refusal.NOT_READY);
+			giveUp(exchange, Refusal.LOG_LOST);
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -32,6 +32,11 @@
 	 */
 	ISOLATED(Verdict.NOT_RUN),
 
+	/**
+	 * The relay does not reach the log, whose order would have to decide on the turn.
+	 */
+	LOG_LOST(Verdict.NOT_RUN),
+
 	/**
 	 * The turn that is continued from is not found, and may exist.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -31,7 +31,7 @@
 	public Relay(RelaySettings settings) {
 		this.state = new RelayState(settings);
 		this.ends = new ExchangeEnds(this.state);
-		this.site = new SiteRules(this.state);
+		this.site = new SiteRules(this.state, this.ends);
 		this.requests = new RequestRules(this.state, this.ends);
 		this.answers = new AnswerRules(this.state, this.requests, this.ends);
 		this.ledger = new LedgerRules(this.state, this.requests, this.ends);
@@ -54,7 +54,7 @@
 			case RelayEvent.CaughtUp ignored -> this.state.caughtUp = true;
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.ledger::stored);
 			case RelayEvent.HelpAsked asked -> this.ledger.helpAsked(asked);
-			case RelayEvent.Isolation isolation -> this.site.isolation(isolation.isolated());
+			case RelayEvent.ReachChanged changed -> this.site.reachChanged(changed.reach());
 			case RelayEvent.TableRead read -> this.site.tableRead(read.table());
 			case RelayEvent.UpstreamsRead read -> this.state.upstreams.replace(read.upstreams());
 			case RelayEvent.UpstreamListed read -> this.site.listed(read.upstream());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -205,12 +205,12 @@
 	}
 
 	/**
-	 * Whether this relay reaches the log or the other relays.
+	 * What this relay reaches has changed.
 	 *
 	 * @param now when
-	 * @param isolated whether it reaches neither the log nor half of the other relays
+	 * @param reach what it reaches
 	 */
-	record Isolation(long now, boolean isolated) implements RelayEvent {
+	record ReachChanged(long now, Reach reach) implements RelayEvent {
 
 	}
 
@@ -263,6 +263,28 @@
 
 	}
 
+	/**
+	 * What a relay reaches of the rest of its site. Safe for use by several threads.
+	 */
+	enum Reach {
+
+		/**
+		 * The log, and perhaps other relays.
+		 */
+		LOG,
+
+		/**
+		 * Half of the other relays or more, and not the log.
+		 */
+		RELAYS,
+
+		/**
+		 * Neither the log nor half of the other relays.
+		 */
+		NOTHING
+
+	}
+
 	/**
 	 * What an exchange can be reminded of. Safe for use by several threads.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -37,8 +37,8 @@
 		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
 	}
 
-	static Notice isolation(boolean isolated) {
-		return notice(NoticeCode.ISOLATION_CHANGED, field(FieldName.REASON, isolated ? "isolated" : "reached"));
+	static Notice reach(RelayEvent.Reach reach) {
+		return notice(NoticeCode.REACH_CHANGED, field(FieldName.REASON, reach));
 	}
 
 	static Notice attemptFailed(Exchange exchange, RelayEvent.FailureCause cause) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -49,6 +49,12 @@
 	 */
 	static final Duration ALONE = Duration.ofMillis(80);
 
+	/**
+	 * How long a relay that does not reach the log waits before it asks others to write a
+	 * kept turn: they have to have been told of the turn itself.
+	 */
+	static final Duration TELLING = Duration.ofMillis(5);
+
 	/**
 	 * By how much relays differ in how long they wait for the log to show an entry of
 	 * another relay: several times what one needs to read what another wrote.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 
 import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import io.lentilslip.core.relay.Upstreams.Known;
 
@@ -59,7 +60,7 @@
 
 	boolean caughtUp;
 
-	boolean isolated;
+	Reach reach = Reach.LOG;
 
 	boolean ready;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import io.lentilslip.core.relay.RequestHead.Turn;
 import io.lentilslip.core.relay.Upstreams.Known;
@@ -61,7 +62,7 @@
 		// A relay that reaches nobody can't see what a program spends elsewhere, and
 		// would give it more than its budget. Refused here, the caller goes to a relay
 		// that can see.
-		if (this.state.isolated) {
+		if (this.state.reach == Reach.NOTHING) {
 			this.ends.refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
 			return;
 		}
@@ -129,6 +130,12 @@
 	}
 
 	private void contend(Exchange exchange) {
+		// A relay that does not reach the log would only wait for it in vain; refused at
+		// once, the caller has time for a relay that does.
+		if (this.state.reach != Reach.LOG) {
+			this.ends.refuse(exchange, Refusal.LOG_LOST, Optional.of(RelaySettings.COME_BACK));
+			return;
+		}
 		Turn turn = exchange.head().turn().orElseThrow();
 		exchange.become(Phase.WAITING_FOR_ORDER);
 		this.state.contending.put(exchange.head().id(), exchange.number());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -1,7 +1,9 @@
 package io.lentilslip.core.relay;
 
+import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.Upstreams.Known;
 
 /**
@@ -12,13 +14,16 @@
 
 	private final RelayState state;
 
-	SiteRules(RelayState state) {
+	private final ExchangeEnds ends;
+
+	SiteRules(RelayState state, ExchangeEnds ends) {
 		this.state = state;
+		this.ends = ends;
 	}
 
 	void updateReadiness() {
 		boolean now = this.state.table.isPresent() && this.state.upstreams.listed() && this.state.caughtUp
-				&& !this.state.isolated;
+				&& this.state.reach != Reach.NOTHING;
 		if (now != this.state.ready) {
 			this.state.ready = now;
 			this.state.emit(new RelayEffect.Ready(now));
@@ -47,9 +52,19 @@
 		this.state.tell(RelayNotices.gone(upstream));
 	}
 
-	void isolation(boolean isolated) {
-		this.state.isolated = isolated;
-		this.state.tell(RelayNotices.isolation(isolated));
+	/**
+	 * Takes what the relay reaches. Turns that wait for their place in a log that is out
+	 * of reach are refused at once, so that their callers try a relay that reaches it
+	 * while there is time.
+	 * @param reach what it reaches
+	 */
+	void reachChanged(Reach reach) {
+		this.state.reach = reach;
+		this.state.tell(RelayNotices.reach(reach));
+		if (reach != Reach.LOG) {
+			List.copyOf(this.state.contending.values())
+				.forEach((number) -> this.ends.orderDue(this.state.exchanges.get(number)));
+		}
 	}
 
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -7,6 +7,7 @@
 
 import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import org.junit.jupiter.api.Test;
 
@@ -219,6 +220,19 @@
 		assertThat(ends(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))).hasSize(1);
 	}
 
+	// Where the relay knows already that it does not reach the log, nothing is gained by
+	// trying alone first: the caller waits for the end all the while.
+	@Test
+	void relayWithoutTheLogAsksForHelpAtOnce() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		List<RelayEffect.Remind> reminds = RelayFixture.of(relay.end(1), RelayEffect.Remind.class);
+		assertThat(reminds).singleElement()
+			.satisfies((remind) -> assertThat(remind.delay()).isEqualTo(RelaySettings.TELLING));
+	}
+
 	@Test
 	void helpIsGivenOnceAndTold() {
 		RelayFixture relay = RelayFixture.ready();
@@ -317,16 +331,32 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
 		List<RelayEffect> effects = relay.remind(Reminder.ORDER);
-		assertThat(refusal(effects)).contains(Refusal.NOT_READY);
+		assertThat(refusal(effects)).contains(Refusal.LOG_LOST);
 		assertThat(settled(effects).tokens()).isZero();
 	}
 
+	// The store turns this relay away and serves others. A turn near the end of its
+	// budget needs the log's order: it is refused at once, and the one that waits
+	// already with it, so that their callers have time for another relay. Turns far from
+	// the end go on.
+	@Test
+	void relayWithoutTheLogRefusesContendingTurnsAtOnce() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		List<RelayEffect> lost = relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
+		assertThat(refusal(lost)).contains(Refusal.LOG_LOST);
+		List<RelayEffect> asked = relay.askTurn("t2", "draft", RelayFixture.turn("q", 100, 100, null));
+		assertThat(refusal(asked)).contains(Refusal.LOG_LOST);
+		assertThat(RelayFixture.written(asked)).isEmpty();
+		assertThat(sends(relay.askTurn("t3", "draft", RelayFixture.turn("r", 1000, 100, null)))).hasSize(1);
+	}
+
 	// A relay that is cut off from the log and from all relays can't see what a program
 	// spends elsewhere, so it runs no turns; requests without a budget go on.
 	@Test
 	void isolatedRelayRunsNoTurns() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.Isolation(relay.now(), true));
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.NOTHING));
 		assertThat(refusal(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null))))
 			.contains(Refusal.ISOLATED);
 		assertThat(sends(relay.ask("r1", "look"))).hasSize(1);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
@@ -1,22 +1,32 @@
 package io.lentilslip.relay.process;
 
 import io.lentilslip.core.relay.RelayEvent;
+import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.relay.peer.Peers;
 import io.lentilslip.relay.store.Timers;
 
 /**
- * Whether a relay reaches the store or half of the other relays. One that reaches neither
- * can't know what programs spend elsewhere: several that are cut off together reach each
- * other, and still not those that spend. Used by the event loop's thread.
+ * What a relay reaches: the store, half of the other relays, or nothing. One that reaches
+ * nothing can't know what programs spend elsewhere: several that are cut off together
+ * reach each other, and still not those that spend. Used by the event loop's thread.
  */
 final class Reachability {
 
 	/**
-	 * How long the store may have failed before it counts as out of reach: more than a
-	 * slow answer, less than a second turn of a looping program takes.
+	 * How long the store may have been silent before it counts as out of reach: more than
+	 * a slow answer, less than a second turn of a looping program takes.
 	 */
 	private static final long STORE_PATIENCE_MS = 1500;
 
+	/**
+	 * How many calls in a row, and for how long, the store has to turn away before it
+	 * counts as out of reach. It says so at once, so nothing is gained by waiting; a
+	 * single refusal or reset is no outage.
+	 */
+	private static final int REFUSED_CALLS = 4;
+
+	private static final long REFUSING_MS = 200;
+
 	private final Timers timers;
 
 	private final Peers peers;
@@ -25,7 +35,11 @@
 
 	private long storeAnsweredAt;
 
-	private boolean isolated;
+	private long failingSince;
+
+	private int failures;
+
+	private Reach reach = Reach.LOG;
 
 	Reachability(Timers timers, Peers peers, Exchanges.EventSink events) {
 		this.timers = timers;
@@ -35,19 +49,43 @@
 	}
 
 	void storeAnswered(boolean well) {
+		long now = this.timers.now();
 		if (well) {
-			this.storeAnsweredAt = this.timers.now();
+			this.storeAnsweredAt = now;
+			this.failures = 0;
+			if (this.reach != Reach.LOG) {
+				check();
+			}
+			return;
+		}
+		if (this.failures == 0) {
+			this.failingSince = now;
 		}
+		this.failures++;
 	}
 
 	void check() {
-		boolean storeLost = this.timers.now() - this.storeAnsweredAt > STORE_PATIENCE_MS;
-		boolean alone = 2 * this.peers.up() < Math.max(1, this.peers.known());
-		boolean now = storeLost && alone;
-		if (now != this.isolated) {
-			this.isolated = now;
-			this.events.on(new RelayEvent.Isolation(this.timers.now(), now));
+		Reach now = storeLost() ? (alone() ? Reach.NOTHING : Reach.RELAYS) : Reach.LOG;
+		if (now != this.reach) {
+			this.reach = now;
+			this.events.on(new RelayEvent.ReachChanged(this.timers.now(), now));
 		}
 	}
 
+	private boolean storeLost() {
+		long now = this.timers.now();
+		boolean silent = now - this.storeAnsweredAt > STORE_PATIENCE_MS;
+		boolean refusing = this.failures >= REFUSED_CALLS && now - this.failingSince > REFUSING_MS;
+		return silent || refusing;
+	}
+
+	/**
+	 * Returns whether this relay is linked to fewer than half of the relays that it knows
+	 * of.
+	 * @return whether it is
+	 */
+	boolean alone() {
+		return 2 * this.peers.up() < Math.max(1, this.peers.known());
+	}
+
 }
