Let a relay that slept or stands alone see what others gave before it decides

Cause: two gaps in what a relay knows of budgets, both found by reading. One that was frozen decided on turns that came meanwhile by what it believed before; one that reaches the store and hardly a relay read the log only twice a second. Ruled out: that the links close the gap; after a sleep they are closed by the others, and what was sent on them is only in the log.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -195,6 +195,12 @@
 	REACH_CHANGED(3011, Level.WARN, "What a relay reaches has changed: the log, only relays, or nothing.",
 			"Check the network of its VM.", FieldName.REASON),
 
+	/**
+	 * Written when a relay finds that it did not run for a while.
+	 */
+	RELAY_WOKEN(3012, Level.WARN, "A relay did not run for a while; its turns wait until it has read the log again.",
+			"If it repeats, check the VM: what freezes or starves it?", FieldName.MILLISECONDS),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -102,7 +102,7 @@
 
 	void due(Exchange exchange) {
 		switch (exchange.phase()) {
-			case WAITING_FOR_CHAIN -> refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+			case WAITING_FOR_CHAIN -> chainDue(exchange);
 			case WAITING_FOR_ORDER -> orderDue(exchange);
 			case RUNNING -> {
 				stopAttempt(exchange);
@@ -126,7 +126,8 @@
 
 	void chainDue(Exchange exchange) {
 		if (exchange.phase() == Phase.WAITING_FOR_CHAIN) {
-			refuse(exchange, Refusal.TURN_UNCERTAIN, Optional.of(RelaySettings.COME_BACK));
+			Refusal reason = this.state.stale ? Refusal.NOT_READY : Refusal.TURN_UNCERTAIN;
+			refuse(exchange, reason, Optional.of(RelaySettings.COME_BACK));
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -46,6 +46,19 @@
 		if (read.fromLog()) {
 			adopt();
 		}
+		dispatchWaiting();
+	}
+
+	void caughtUp() {
+		this.state.caughtUp = true;
+		this.state.stale = false;
+		dispatchWaiting();
+	}
+
+	private void dispatchWaiting() {
+		if (this.state.stale) {
+			return;
+		}
 		List<Exchange> waiting = this.state.exchanges.values()
 			.stream()
 			.filter((exchange) -> exchange.phase() == Phase.WAITING_FOR_CHAIN)
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -51,7 +51,8 @@
 			case RelayEvent.Reminded reminded ->
 				this.state.find(reminded).ifPresent((exchange) -> reminded(exchange, reminded.reminder()));
 			case RelayEvent.EntriesRead read -> this.ledger.entriesRead(read);
-			case RelayEvent.CaughtUp ignored -> this.state.caughtUp = true;
+			case RelayEvent.Woken woken -> this.site.woken(woken.slept());
+			case RelayEvent.CaughtUp ignored -> this.ledger.caughtUp();
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.ledger::stored);
 			case RelayEvent.HelpAsked asked -> this.ledger.helpAsked(asked);
 			case RelayEvent.ReachChanged changed -> this.site.reachChanged(changed.reach());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -133,6 +133,13 @@
 
 	}
 
+	/**
+	 * Read the log up to its end as it is now, and say when it is reached.
+	 */
+	record CatchUp() implements RelayEffect {
+
+	}
+
 	/**
 	 * Remind an exchange later.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 
@@ -163,7 +164,19 @@
 	}
 
 	/**
-	 * The log was read up to its end for the first time in this life.
+	 * This process did not run for a while: it was frozen, suspended or starved. What it
+	 * believes is as old as that.
+	 *
+	 * @param now when
+	 * @param slept for how long, at most
+	 */
+	record Woken(long now, Duration slept) implements RelayEvent {
+
+	}
+
+	/**
+	 * The log was read up to its end, for the first time in this life or since the relay
+	 * woke.
 	 *
 	 * @param now when
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 
 import io.lentilslip.core.notice.FieldName;
@@ -37,6 +38,10 @@
 		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
 	}
 
+	static Notice woken(Duration slept) {
+		return notice(NoticeCode.RELAY_WOKEN, field(FieldName.MILLISECONDS, slept.toMillis()));
+	}
+
 	static Notice reach(RelayEvent.Reach reach) {
 		return notice(NoticeCode.REACH_CHANGED, field(FieldName.REASON, reach));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -60,6 +60,8 @@
 
 	boolean caughtUp;
 
+	boolean stale;
+
 	Reach reach = Reach.LOG;
 
 	boolean ready;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -66,7 +66,7 @@
 			this.ends.refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
 			return;
 		}
-		if (!findChain(exchange, turn)) {
+		if (this.state.stale || !findChain(exchange, turn)) {
 			this.state.emit(new RelayEffect.ReadLog());
 			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
 					Reminder.CHAIN);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -52,6 +53,20 @@
 		this.state.tell(RelayNotices.gone(upstream));
 	}
 
+	/**
+	 * Takes that the relay did not run for a while. What others gave to programs
+	 * meanwhile is not known here; decided on old beliefs, a turn that came during the
+	 * sleep could pass its budget. So turns wait until the log was read once more.
+	 * @param slept for how long
+	 */
+	void woken(Duration slept) {
+		this.state.tell(RelayNotices.woken(slept));
+		if (this.state.caughtUp) {
+			this.state.stale = true;
+			this.state.emit(new RelayEffect.CatchUp());
+		}
+	}
+
 	/**
 	 * Takes what the relay reaches. Turns that wait for their place in a log that is out
 	 * of reach are refused at once, so that their callers try a relay that reaches it
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -351,6 +352,30 @@
 		assertThat(sends(relay.askTurn("t3", "draft", RelayFixture.turn("r", 1000, 100, null)))).hasSize(1);
 	}
 
+	// A relay is frozen for seconds, and a looping program spends its budget elsewhere. A
+	// turn that came during the freeze is read first when the relay wakes: decided on
+	// what it believed before, it would pass the budget. It waits for the log instead.
+	@Test
+	void wokenRelayDecidesOnTurnsWhenItHasReadTheLog() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> woken = relay.on(new RelayEvent.Woken(relay.now(), Duration.ofSeconds(4)));
+		assertThat(RelayFixture.of(woken, RelayEffect.CatchUp.class)).hasSize(1);
+		assertThat(sends(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).isEmpty();
+		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 1000, Optional.empty()));
+		List<RelayEffect> caughtUp = relay.on(new RelayEvent.CaughtUp(relay.now()));
+		assertThat(refusal(caughtUp)).contains(Refusal.BUDGET_SPENT);
+		assertThat(sends(relay.askTurn("t2", "draft", RelayFixture.turn("q", 1000, 100, null)))).hasSize(1);
+	}
+
+	@Test
+	void wokenRelayThatCannotReadTheLogRefusesTurnsAsNotRun() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.Woken(relay.now(), Duration.ofSeconds(4)));
+		relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null));
+		assertThat(refusal(relay.remind(Reminder.CHAIN))).contains(Refusal.NOT_READY);
+		assertThat(sends(relay.ask("r1", "look"))).hasSize(1);
+	}
+
 	// A relay that is cut off from the log and from all relays can't see what a program
 	// spends elsewhere, so it runs no turns; requests without a budget go on.
 	@Test
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -100,6 +100,8 @@
 
 	private final Reachability reachability;
 
+	private final SleepWatch sleep = new SleepWatch(REACH_INTERVAL);
+
 	private final Deque<RelayEvent> pending = new ArrayDeque<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -130,7 +132,7 @@
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored, this::contendersStored,
 				this.reachability::storeAnswered);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
-				this.reachability::storeAnswered);
+				this.reachability::storeAnswered, this.reachability::alone);
 	}
 
 	/**
@@ -199,7 +201,17 @@
 		});
 	}
 
+	/**
+	 * Looks before each event, not only at intervals: after a sleep, what arrived
+	 * meanwhile is read before any timer runs.
+	 */
+	private void lookForSleep() {
+		this.sleep.look(this.timers.now(), System.currentTimeMillis())
+			.ifPresent((slept) -> this.pending.add(new RelayEvent.Woken(this.timers.now(), slept)));
+	}
+
 	private void checkReach() {
+		lookForSleep();
 		this.reachability.check();
 		this.setup.measurements()
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(), this.peers.known()));
@@ -207,6 +219,7 @@
 	}
 
 	private void on(RelayEvent event) {
+		lookForSleep();
 		this.pending.add(event);
 		if (this.reducing) {
 			return;
@@ -234,6 +247,7 @@
 			case RelayEffect.AskForHelp help -> this.peers.askForHelp(help.request());
 			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
 			case RelayEffect.ReadLog ignored -> this.reader.read();
+			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
 			case RelayEffect.Remind remind -> this.timers.after(remind.delay(),
 					() -> on(new RelayEvent.Reminded(this.timers.now(), remind.exchange(), remind.reminder())));
 			case RelayEffect.Ready now -> this.ready = now.ready();
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/SleepWatch.java
@@ -0,0 +1,52 @@
+package io.lentilslip.relay.process;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Finds out that this process did not run for a while: by a steady clock that jumped
+ * between two looks, or by a clock of the day that went on while the steady one stood.
+ * Looked at regularly, and before each decision. A change of the clock of the day looks
+ * the same, and costs a read of the log. Used by one thread.
+ */
+final class SleepWatch {
+
+	/**
+	 * By how much a look may be late. Pauses of the collector and a quota that is used up
+	 * stay below it; what other relays tell in this time is less than a turn.
+	 */
+	private static final long LATE_MS = 400;
+
+	private final long interval;
+
+	private long steady;
+
+	private long ofDay;
+
+	private boolean looked;
+
+	/**
+	 * Creates a watch.
+	 * @param interval how often it is looked at
+	 */
+	SleepWatch(Duration interval) {
+		this.interval = interval.toMillis();
+	}
+
+	/**
+	 * Looks.
+	 * @param now milliseconds of the steady clock
+	 * @param time milliseconds of the clock of the day
+	 * @return how long the process slept, if it did since the look before
+	 */
+	Optional<Duration> look(long now, long time) {
+		long gap = now - this.steady;
+		long missing = Math.abs(time - this.ofDay - gap);
+		boolean slept = this.looked && (gap > this.interval + LATE_MS || missing > LATE_MS);
+		this.steady = now;
+		this.ofDay = time;
+		this.looked = true;
+		return slept ? Optional.of(Duration.ofMillis(gap + missing)) : Optional.empty();
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -21,11 +22,18 @@
 public final class EntryReader {
 
 	/**
-	 * The pause between reads. The log only fills what the links lost, and each call is
-	 * priced.
+	 * The pause between reads while the links bring the same. The log only fills what
+	 * they lost, and each call is priced.
 	 */
 	private static final Duration PAUSE = Duration.ofMillis(500);
 
+	/**
+	 * The pause while most links are down. What others give to a program is then seen
+	 * only here, and a program may begin several turns within half a second: read this
+	 * often, a relay lags behind by less than one turn.
+	 */
+	private static final Duration PAUSE_ALONE = Duration.ofMillis(80);
+
 	private static final Logger logger = LoggerFactory.getLogger(EntryReader.class);
 
 	private final Store store;
@@ -38,6 +46,8 @@
 
 	private final Consumer<Boolean> health;
 
+	private final BooleanSupplier alone;
+
 	private final Pauses pauses;
 
 	private long next;
@@ -56,16 +66,19 @@
 	 * @param timers runs steps later
 	 * @param random spreads out tries
 	 * @param entries takes what was read, also where that is nothing
-	 * @param caughtUp runs once, when the end was reached for the first time
+	 * @param caughtUp runs when the end was reached for the first time, and again after
+	 * each {@link #catchUp()}
 	 * @param health takes whether the store answered a call as it should
+	 * @param alone tells whether most links to other relays are down
 	 */
 	public EntryReader(Store store, Timers timers, RandomGenerator random, Consumer<List<LedgerEntry>> entries,
-			Runnable caughtUp, Consumer<Boolean> health) {
+			Runnable caughtUp, Consumer<Boolean> health, BooleanSupplier alone) {
 		this.store = store;
 		this.timers = timers;
 		this.entries = entries;
 		this.caughtUp = caughtUp;
 		this.health = health;
+		this.alone = alone;
 		this.pauses = new Pauses(random);
 	}
 
@@ -82,6 +95,16 @@
 		this.store.read(Topic.ENTRIES, this.next, Duration.ZERO, this::take);
 	}
 
+	/**
+	 * Reads up to the end as it is now, and tells when it is reached. A read that is
+	 * under way doesn't count: its answer may have been waiting for as long as this
+	 * process slept.
+	 */
+	public void catchUp() {
+		this.complete = false;
+		read();
+	}
+
 	private void take(Store.Read outcome) {
 		this.calling = false;
 		this.health.accept(!(outcome instanceof Store.Read.Failed));
@@ -100,7 +123,7 @@
 		this.next = records.next();
 		this.entries.accept(decode(records.records()));
 		boolean atEnd = this.next >= records.end();
-		if (atEnd && !this.complete) {
+		if (atEnd && !this.complete && !this.again) {
 			this.complete = true;
 			this.caughtUp.run();
 		}
@@ -109,7 +132,7 @@
 			read();
 			return;
 		}
-		readAfter(PAUSE);
+		readAfter(this.alone.getAsBoolean() ? PAUSE_ALONE : PAUSE);
 	}
 
 	private void readAfter(Duration pause) {
