Leave upstreams that fall silent, and keep one decision's fault from the others

Cause: a connection may go dead without a reset; a lookup, or a stream that may be resumed, waited for it until the route's time was over. Ruled out that a shorter time for the answer would do: it would cut off what an engine reads for long. Now such a request goes to another upstream after the route's target (streams: five of them without an event), if one has a free place: where all are full the silence is a queue. An exception of a rule was logged by Netty and left its exchange open until its time was over; it is told now (1009) and ends that exchange. Runs and exchanges that wait are found by name: each end told by another relay looked at all upstreams, and each batch at all exchanges. Tests: idempotentRequestLeavesASilentUpstream, resumableStreamLeavesASilentUpstreamAfterItsLastEvent and the two on requests that stay.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -73,6 +73,12 @@
 			"Lower the load, or add entries and upstreams.", FieldName.ROLE, FieldName.VM, FieldName.COUNT,
 			FieldName.LIMIT),
 
+	/**
+	 * Written when a rule of a relay throws; the exchange that the event belongs to ends.
+	 */
+	DECISION_FAILED(1009, Level.ERROR, "A fault in the program itself broke off one decision; the relay goes on.",
+			"Report the fault with this line and the lines before it.", FieldName.CALL, FieldName.REASON),
+
 	/**
 	 * Written by each process that puts a version in force; {@code COUNT} is of groups.
 	 */
@@ -199,7 +205,7 @@
 	 * Written when a relay finds that it did not run for a while.
 	 */
 	RELAY_WOKEN(3012, Level.WARN, "A relay did not run for a while; its turns wait until it has read the log again.",
-			"If it repeats, check the VM: what freezes or starves it?", FieldName.MILLISECONDS),
+			"If it repeats, look for what freezes or starves its VM.", FieldName.MILLISECONDS),
 
 	/**
 	 * Written when the claim is read back from the log as the valid one.
@@ -319,7 +325,7 @@
 	ATTEMPT_FAILED(4017, Level.WARN,
 			"An attempt at an upstream failed; the request is sent again only where its route allows it.",
 			"Follow the upstream: if many attempts at it fail, take it out.", FieldName.REQUEST, FieldName.UPSTREAM,
-			FieldName.ATTEMPT, FieldName.REASON, FieldName.COUNT),
+			FieldName.ATTEMPT, FieldName.REASON, FieldName.COUNT, FieldName.MILLISECONDS),
 
 	/**
 	 * Written for each request that a relay answers itself.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
@@ -47,10 +48,8 @@
 	private void answered(Exchange exchange, RelayEvent.Answered answered) {
 		AnswerHead head = answered.head();
 		Optional<Known> known = this.state.known(exchange);
-		known.ifPresent((upstream) -> {
-			upstream.ended(exchange.head().id());
-			head.load().ifPresent((load) -> upstream.reported(load, this.state.now));
-		});
+		this.state.upstreams.ended(exchange.head().id());
+		known.ifPresent((upstream) -> head.load().ifPresent((load) -> upstream.reported(load, this.state.now)));
 		if (head.notRun()) {
 			this.requests.again(exchange);
 			return;
@@ -96,10 +95,8 @@
 	}
 
 	private void streamEnded(Exchange exchange) {
-		this.state.known(exchange).ifPresent((upstream) -> {
-			upstream.ended(exchange.head().id());
-			upstream.worked();
-		});
+		this.state.upstreams.ended(exchange.head().id());
+		this.state.known(exchange).ifPresent(Known::worked);
 		if (!exchange.route().keepsTurns() || exchange.head().turn().isEmpty()) {
 			this.ends.settle(exchange, Optional.empty());
 			this.ends.endStream(exchange);
@@ -115,13 +112,27 @@
 		this.state.remind(exchange, alone ? RelaySettings.ALONE : RelaySettings.TELLING, Reminder.STORED);
 	}
 
+	/**
+	 * Looks whether an upstream has been silent for too long.
+	 * @param exchange the exchange
+	 */
+	void silenceDue(Exchange exchange) {
+		if (exchange.phase() != Phase.RUNNING) {
+			return;
+		}
+		long patience = exchange.route().patience().toMillis();
+		long silence = this.state.now - exchange.heardAt();
+		if (silence >= patience) {
+			this.requests.leaveSilent(exchange);
+			silence = 0;
+		}
+		this.state.remind(exchange, Duration.ofMillis(patience - silence), Reminder.SILENCE);
+	}
+
 	private void failed(Exchange exchange, FailureCause cause) {
-		Optional<Known> known = this.state.known(exchange);
-		known.ifPresent((upstream) -> {
-			upstream.ended(exchange.head().id());
-			upstream.failed(this.state.now);
-		});
-		this.state.tell(RelayNotices.attemptFailed(exchange, cause));
+		this.state.upstreams.ended(exchange.head().id());
+		this.state.known(exchange).ifPresent((upstream) -> upstream.failed(this.state.now));
+		this.state.tell(RelayNotices.attemptFailed(exchange, cause, this.state.now));
 		if (!cause.mayHaveRun()) {
 			exchange.notSent();
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -45,6 +45,10 @@
 
 	private long firstEventAt;
 
+	private long heardAt;
+
+	private boolean watched;
+
 	Exchange(RelayEvent.Asked asked, Route route) {
 		this.asked = asked;
 		this.route = route;
@@ -118,7 +122,8 @@
 		this.sends--;
 	}
 
-	void sentTo(Upstream next) {
+	void sentTo(Upstream next, long now) {
+		this.heardAt = now;
 		this.attempt++;
 		this.sends++;
 		this.tried.add(next.id());
@@ -147,6 +152,24 @@
 				: Optional.empty();
 	}
 
+	/**
+	 * Returns when the upstream was last heard of, or the request sent to it.
+	 * @return milliseconds of a steady clock
+	 */
+	long heardAt() {
+		return this.heardAt;
+	}
+
+	/**
+	 * Notes that the silence of the upstream is watched from now on.
+	 * @return whether it was not before
+	 */
+	boolean watch() {
+		boolean first = !this.watched;
+		this.watched = true;
+		return first;
+	}
+
 	boolean expects(long number) {
 		return this.lastEvent.isEmpty() || number == this.lastEvent.getAsLong() + 1;
 	}
@@ -160,6 +183,7 @@
 			this.firstEventAt = event.now();
 		}
 		this.events++;
+		this.heardAt = event.now();
 		this.lastEvent = OptionalLong.of(event.number());
 		if (this.route.keepsTurns()) {
 			this.output.writeBytes(event.data());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -58,6 +58,7 @@
 
 	private void forget(Exchange exchange) {
 		this.state.exchanges.remove(exchange.number());
+		this.state.waiting.remove(exchange.number());
 		this.state.ending.remove(exchange.head().id());
 		this.state.contending.remove(exchange.head().id());
 	}
@@ -112,9 +113,9 @@
 		}
 	}
 
-	private void stopAttempt(Exchange exchange) {
+	void stopAttempt(Exchange exchange) {
 		this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
-		this.state.known(exchange).ifPresent((upstream) -> upstream.ended(exchange.head().id()));
+		this.state.upstreams.ended(exchange.head().id());
 	}
 
 	void orderDue(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -59,11 +59,7 @@
 		if (this.state.stale) {
 			return;
 		}
-		List<Exchange> waiting = this.state.exchanges.values()
-			.stream()
-			.filter((exchange) -> exchange.phase() == Phase.WAITING_FOR_CHAIN)
-			.toList();
-		for (Exchange exchange : waiting) {
+		for (Exchange exchange : List.copyOf(this.state.waiting.values())) {
 			if (this.requests.findChain(exchange, exchange.head().turn().orElseThrow())) {
 				this.requests.dispatch(exchange);
 			}
@@ -95,7 +91,7 @@
 		this.state.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens());
 		if (this.state.tokens.open(reserved.program(), reserved.request())) {
 			this.state.upstreams.find(reserved.upstream()).ifPresent((known) -> {
-				known.began(reserved.request(), this.state.now);
+				this.state.upstreams.began(reserved.request(), known, this.state.now);
 				known.read(reserved.prompt(), this.state.memory(known.upstream()));
 			});
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -79,6 +79,7 @@
 			case CHAIN -> this.ends.chainDue(exchange);
 			case ORDER -> this.ends.orderDue(exchange);
 			case STORED -> this.ledger.storeDue(exchange);
+			case SILENCE -> this.answers.silenceDue(exchange);
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -321,7 +321,12 @@
 		/**
 		 * The log should have taken a kept turn.
 		 */
-		STORED
+		STORED,
+
+		/**
+		 * The upstream should have said something.
+		 */
+		SILENCE
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -46,9 +46,18 @@
 		return notice(NoticeCode.REACH_CHANGED, field(FieldName.REASON, reach));
 	}
 
-	static Notice attemptFailed(Exchange exchange, RelayEvent.FailureCause cause) {
+	static Notice attemptFailed(Exchange exchange, RelayEvent.FailureCause cause, long now) {
+		return attemptFailed(exchange, cause.toString(), now);
+	}
+
+	private static Notice attemptFailed(Exchange exchange, String reason, long now) {
 		return notice(NoticeCode.ATTEMPT_FAILED, request(exchange), upstream(exchange), attempt(exchange),
-				field(FieldName.REASON, cause), events(exchange));
+				field(FieldName.REASON, reason), events(exchange),
+				field(FieldName.MILLISECONDS, now - exchange.heardAt()));
+	}
+
+	static Notice silent(Exchange exchange, long now) {
+		return attemptFailed(exchange, "SILENT", now);
 	}
 
 	static Notice refused(RequestHead head, Refusal refusal) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -51,6 +51,12 @@
 	 */
 	final Map<String, Long> contending = new LinkedHashMap<>();
 
+	/**
+	 * The exchanges that wait for the text of the turns before, or for the log to be read
+	 * after a sleep, by number.
+	 */
+	final Map<Long, Exchange> waiting = new LinkedHashMap<>();
+
 	/**
 	 * The relays that asked for help with a turn, by request.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -67,6 +67,7 @@
 			return;
 		}
 		if (this.state.stale || !findChain(exchange, turn)) {
+			this.state.waiting.put(exchange.number(), exchange);
 			this.state.emit(new RelayEffect.ReadLog());
 			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
 					Reminder.CHAIN);
@@ -85,6 +86,7 @@
 	}
 
 	void dispatch(Exchange exchange) {
+		this.state.waiting.remove(exchange.number());
 		if (!exchange.reserved()) {
 			switch (admission(exchange)) {
 				case REFUSED -> {
@@ -161,6 +163,27 @@
 		dispatch(exchange);
 	}
 
+	/**
+	 * Sends a request whose upstream is silent to another one, if one has a free place: a
+	 * connection may be gone without a word, and only time tells. Where all are busy the
+	 * silence is a queue, and going to the end of another one helps nobody. Only for
+	 * requests that may run twice.
+	 * @param exchange the exchange
+	 */
+	void leaveSilent(Exchange exchange) {
+		Optional<Known> next = choose(exchange)
+			.filter((known) -> !known.avoided(this.state.now) && known.load(this.state.now) < known.places());
+		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
+		if (next.isEmpty() || blamed || exchange.sends() >= exchange.route().attempts()) {
+			return;
+		}
+		exchange.mayRun();
+		this.ends.stopAttempt(exchange);
+		this.state.known(exchange).ifPresent((known) -> known.failed(this.state.now));
+		this.state.tell(RelayNotices.silent(exchange, this.state.now));
+		send(exchange, next.get());
+	}
+
 	private Optional<Known> choose(Exchange exchange) {
 		String service = service(exchange.route());
 		boolean engine = this.state.engine(service).isPresent();
@@ -185,11 +208,14 @@
 
 	void send(Exchange exchange, Known known) {
 		Upstream upstream = known.upstream();
-		exchange.sentTo(upstream);
-		known.began(exchange.head().id(), this.state.now);
+		exchange.sentTo(upstream, this.state.now);
+		this.state.upstreams.began(exchange.head().id(), known, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		known.read(prompt, this.state.memory(upstream));
 		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
+		if (exchange.route().repeatable() && exchange.watch()) {
+			this.state.remind(exchange, exchange.route().patience(), Reminder.SILENCE);
+		}
 		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
 		this.state.emit(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
 				exchange.left(this.state.now), exchange.lastEvent(), stream));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
@@ -24,6 +24,12 @@
 		Duration target, int attempts, int priority, boolean resumable, boolean keepsTurns, Duration retention,
 		List<WeightedService> targets) {
 
+	/**
+	 * By how many targets a stream may be silent: well above what engines show under full
+	 * load, well below the seconds after which callers give up.
+	 */
+	private static final int STREAM_PATIENCE = 5;
+
 	/**
 	 * Creates a route.
 	 * @param name the name, as operators see it
@@ -52,6 +58,16 @@
 				|| (this.repeatability == Repeatability.STREAM && this.resumable);
 	}
 
+	/**
+	 * Returns how long an upstream may be silent before a request that may run twice goes
+	 * to another one. A plain answer that is not there at its target is late already. An
+	 * engine is silent while it reads a long prompt or waits for a place.
+	 * @return the time
+	 */
+	public Duration patience() {
+		return (this.repeatability == Repeatability.STREAM) ? this.target.multipliedBy(STREAM_PATIENCE) : this.target;
+	}
+
 	/**
 	 * A service with its part of a route's requests. Immutable.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -32,8 +32,16 @@
 
 	private static final long LONGEST_AVOIDANCE_MS = 4_000;
 
+	/**
+	 * How many requests are known to run, above what all relays of a site run at once.
+	 * Ends that never come would let them grow without it.
+	 */
+	private static final int RUNNING_BOUND = 50_000;
+
 	private final Map<String, Known> known = new HashMap<>();
 
+	private final Map<String, Known> running = new LinkedHashMap<>();
+
 	private boolean listed;
 
 	void replace(List<Upstream> upstreams) {
@@ -52,8 +60,30 @@
 		this.known.remove(id);
 	}
 
+	/**
+	 * Notes that an upstream runs a request.
+	 * @param request the request
+	 * @param upstream the upstream
+	 * @param now when it began
+	 */
+	void began(String request, Known upstream, long now) {
+		ended(request);
+		upstream.began(request, now);
+		this.running.put(request, upstream);
+		if (this.running.size() > RUNNING_BOUND) {
+			ended(this.running.keySet().iterator().next());
+		}
+	}
+
+	/**
+	 * Notes that a request has ended wherever it ran.
+	 * @param request the request
+	 */
 	void ended(String request) {
-		this.known.values().forEach((upstream) -> upstream.ended(request));
+		Known upstream = this.running.remove(request);
+		if (upstream != null) {
+			upstream.ended(request);
+		}
 	}
 
 	boolean listed() {
@@ -104,6 +134,10 @@
 			return this.upstream;
 		}
 
+		int places() {
+			return Math.max(1, this.upstream.slots());
+		}
+
 		void began(String request, long now) {
 			this.runs.put(request, now);
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -417,6 +417,60 @@
 		assertThat(ends(relay.end(2))).hasSize(1);
 	}
 
+	// A connection has gone dead without a word. A lookup goes to another upstream when
+	// its target is over; the first attempt is given up, and its answer meets nothing.
+	@Test
+	void idempotentRequestLeavesASilentUpstream() {
+		RelayFixture relay = RelayFixture.ready();
+		String first = sends(relay.ask("r1", "look")).getFirst().upstream().id();
+		relay.pass(200);
+		List<RelayEffect> effects = relay.remind(Reminder.SILENCE);
+		assertThat(RelayFixture.of(effects, RelayEffect.Cancel.class)).hasSize(1);
+		assertThat(sends(effects)).singleElement()
+			.satisfies((send) -> assertThat(send.upstream().id()).isNotEqualTo(first));
+		assertThat(relay.answer(1, RelayFixture.SIGNED)).isEmpty();
+		assertThat(RelayFixture.of(relay.answer(2, RelayFixture.SIGNED), RelayEffect.Answer.class)).hasSize(1);
+	}
+
+	@Test
+	void requestThatRunsOnceStaysWithASilentUpstream() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> asked = relay.ask("r1", "order");
+		assertThat(RelayFixture.of(asked, RelayEffect.Remind.class)).extracting(RelayEffect.Remind::reminder)
+			.containsExactly(Reminder.DUE);
+	}
+
+	// All upstreams are full, so the silence is a queue. At the end of another queue the
+	// request would wait longer, and the others behind it too.
+	@Test
+	void requestStaysWhereItWaitsIfAllUpstreamsAreFull() {
+		RelayFixture relay = RelayFixture.ready();
+		for (int i = 0; i < 3 * 6; i++) {
+			relay.ask("r" + i, "look");
+		}
+		relay.pass(200);
+		List<RelayEffect> effects = relay.remind(Reminder.SILENCE);
+		assertThat(sends(effects)).isEmpty();
+		assertThat(RelayFixture.of(effects, RelayEffect.Remind.class)).hasSize(1);
+	}
+
+	// A stream that may be resumed falls silent after its second event: it goes on at
+	// another upstream from there, and its caller sees a pause of a second.
+	@Test
+	void resumableStreamLeavesASilentUpstreamAfterItsLastEvent() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "draft");
+		relay.open(1);
+		relay.pass(700);
+		relay.event(1, 1);
+		relay.event(1, 2);
+		relay.pass(300);
+		assertThat(sends(relay.remind(Reminder.SILENCE))).isEmpty();
+		relay.pass(700);
+		RelayEffect.Send again = sends(relay.remind(Reminder.SILENCE)).getFirst();
+		assertThat(again.lastEvent()).hasValue(2);
+	}
+
 	@Test
 	void streamWithAMissingEventIsNotPassedOnAsIfWhole() {
 		RelayFixture relay = RelayFixture.ready();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -64,6 +64,14 @@
 		this.events.on(new RelayEvent.CallerLeft(this.timers.now(), exchange));
 	}
 
+	/**
+	 * Ends an exchange on which no decision was reached.
+	 * @param exchange the exchange
+	 */
+	void breakOff(long exchange) {
+		remove(exchange).ifPresent((known) -> known.connection().breakOff());
+	}
+
 	/**
 	 * Runs an effect that concerns an exchange.
 	 * @param effect the effect
@@ -81,8 +89,7 @@
 				find(event.exchange()).ifPresent((exchange) -> exchange.connection().pass(event.raw()));
 			case RelayEffect.EndStream end ->
 				remove(end.exchange()).ifPresent((exchange) -> exchange.connection().end());
-			case RelayEffect.BreakOff broken ->
-				remove(broken.exchange()).ifPresent((exchange) -> exchange.connection().breakOff());
+			case RelayEffect.BreakOff broken -> breakOff(broken.exchange());
 			case RelayEffect.Refuse refuse -> remove(refuse.exchange()).ifPresent((exchange) -> exchange.connection()
 				.answer(this.dialect.refuse(refuse.refusal(), refuse.comeBack())));
 			default -> {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -42,6 +42,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A relay as a process: its ports, its store, its links, and the reducer between them.
@@ -70,6 +72,8 @@
 
 	private static final Duration DRAIN_INTERVAL = Duration.ofMillis(50);
 
+	private static final Logger logger = LoggerFactory.getLogger(RelayProcess.class);
+
 	private final Setup setup;
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -227,7 +231,7 @@
 		this.reducing = true;
 		try {
 			while (!this.pending.isEmpty()) {
-				this.relay.on(this.pending.pollFirst()).forEach(this::run);
+				reduce(this.pending.pollFirst());
 			}
 		}
 		finally {
@@ -235,6 +239,22 @@
 		}
 	}
 
+	// A fault of a rule must not pass unseen, nor take the other exchanges with it: the
+	// event is told, and its own exchange ends without a claim about what has run.
+	private void reduce(RelayEvent event) {
+		try {
+			this.relay.on(event).forEach(this::run);
+		}
+		catch (RuntimeException ex) {
+			this.notices.write(NoticeCode.DECISION_FAILED.with(FieldName.REASON, ex)
+				.with(FieldName.CALL, event.getClass().getSimpleName()));
+			logger.error("a decision failed", ex);
+			if (event instanceof RelayEvent.OfExchange of) {
+				this.exchanges.breakOff(of.exchange());
+			}
+		}
+	}
+
 	private void run(RelayEffect effect) {
 		if (this.exchanges.run(effect)) {
 			return;
