Tell what a request was placed among, and never wait for the reader of the log

Cause: on call had neither the candidates of a placement nor the age of what was known of them, a fault on each request wrote a line on each, and a reader that stops reading standard output stopped the event loop. Cost in processor time not measured yet.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
@@ -10,6 +10,7 @@
 import io.lentilslip.relay.process.RelayProcess;
 import io.lentilslip.runtime.node.StopSignals;
 import io.lentilslip.telemetry.LogSettings;
+import io.lentilslip.telemetry.LogWriting;
 import io.lentilslip.telemetry.Metrics;
 import io.lentilslip.telemetry.Notices;
 import org.apache.commons.cli.Options;
@@ -21,6 +22,12 @@
  */
 final class RelayCommand implements Command {
 
+	/**
+	 * How many events of one kind a relay writes in a second: above the requests that one
+	 * serves, so that only what repeats is held back.
+	 */
+	private static final int EVENTS_PER_SECOND = 200;
+
 	private final StopRequests stops;
 
 	/**
@@ -48,6 +55,10 @@
 		return new Options();
 	}
 
+	private static Notices notices(String process) {
+		return Notices.Limited.perSecond(Notices.ForLogger.ofProcess(process), EVENTS_PER_SECOND);
+	}
+
 	@Override
 	public ExitCode run(Arguments arguments, Console console) throws InterruptedException {
 		CompletableFuture<ExitCode> ended = new CompletableFuture<>();
@@ -56,8 +67,9 @@
 		// changed; what a relay takes from them does not change during its life.
 		Signal.handle(new Signal("HUP"), (signal) -> {
 		});
-		LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput().apply();
-		try (RelayProcess relay = PlatformRelay.create(Notices.ForLogger::ofProcess, new Metrics())) {
+		LogSettings log = LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput();
+		try (LogWriting writing = log.applyWithoutWaiting();
+				RelayProcess relay = PlatformRelay.create(RelayCommand::notices, new Metrics())) {
 			relay.start();
 			signals.onFirst(() -> relay.drain().thenRun(() -> ended.complete(ExitCode.OK)));
 			return ended.get();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -157,7 +157,13 @@
 	/**
 	 * A status of HTTP.
 	 */
-	STATUS;
+	STATUS,
+
+	/**
+	 * The upstreams that a request could have gone to, the best first, each with what
+	 * made it better or worse and how old that knowledge was.
+	 */
+	CANDIDATES;
 
 	/**
 	 * Returns the text that stands before the value in a line and in JSON.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -79,6 +79,21 @@
 	DECISION_FAILED(1009, Level.ERROR, "A fault in the program itself broke off one decision; the relay goes on.",
 			"Report the fault with this line and the lines before it.", FieldName.CALL, FieldName.REASON),
 
+	/**
+	 * Written with the first event after a second in which more of one kind came;
+	 * {@code KEY} is the number of that kind.
+	 */
+	EVENTS_HELD_BACK(1010, Level.WARN,
+			"More events of one kind came in a second than are written; the rest was counted.",
+			"Read the metric of events; whatever repeats that often is one cause.", FieldName.KEY, FieldName.COUNT,
+			FieldName.LIMIT),
+
+	/**
+	 * Written when lines are taken again after some were dropped.
+	 */
+	LINES_DROPPED(1011, Level.WARN, "The reader of the log was too slow, and lines were dropped in place of waiting.",
+			"Check what reads the process's standard output.", FieldName.COUNT),
+
 	/**
 	 * Written by each process that puts a version in force; {@code COUNT} is of groups.
 	 */
@@ -358,6 +373,14 @@
 			"Follow the attempts of the request.", FieldName.REQUEST, FieldName.PROGRAM, FieldName.UPSTREAM,
 			FieldName.ATTEMPT, FieldName.COUNT, FieldName.MILLISECONDS, FieldName.REASON),
 
+	/**
+	 * Written at each sending; {@code VERSION} is of the routes in force and
+	 * {@code MILLISECONDS} from the reading of the request.
+	 */
+	REQUEST_PLACED(4022, Level.INFO, "A request was sent to the best of the upstreams.", "Nothing.", FieldName.REQUEST,
+			FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.VERSION, FieldName.CANDIDATES,
+			FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.Collectors;
 
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.notice.NoticeField;
+import io.lentilslip.core.relay.UpstreamChoice.Weighed;
+import io.lentilslip.core.relay.Upstreams.Known;
 
 /**
  * The notices of a relay, each with the fields that lead from a request to what was
@@ -56,6 +59,29 @@
 				field(FieldName.MILLISECONDS, now - exchange.heardAt()));
 	}
 
+	/**
+	 * Tells where a request goes, out of what.
+	 * @param exchange the exchange, already sent
+	 * @param weighed the candidates, the chosen one first
+	 * @param state what the relay knows
+	 * @return the notice
+	 */
+	static Notice placed(Exchange exchange, List<Weighed> weighed, RelayState state) {
+		String candidates = weighed.stream()
+			.map((next) -> describe(next, exchange, state.now))
+			.collect(Collectors.joining("; "));
+		return notice(NoticeCode.REQUEST_PLACED, request(exchange), program(exchange), upstream(exchange),
+				attempt(exchange), field(FieldName.VERSION, state.table.map(RouteTable::version).orElse(0L)),
+				field(FieldName.CANDIDATES, candidates), taken(exchange, state.now));
+	}
+
+	private static String describe(Weighed weighed, Exchange exchange, long now) {
+		Known known = weighed.candidate();
+		String age = known.reportAge(now).isPresent() ? Long.toString(known.reportAge(now).getAsLong()) : NONE;
+		return known.upstream().id() + " cost=" + Math.round(weighed.cost()) + " load=" + known.load(now) + " unread="
+				+ known.uncached(exchange.head().prompt()) + " age=" + age;
+	}
+
 	static Notice silent(Exchange exchange, long now) {
 		return attemptFailed(exchange, "SILENT", now);
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -7,6 +7,7 @@
 import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import io.lentilslip.core.relay.RequestHead.Turn;
+import io.lentilslip.core.relay.UpstreamChoice.Weighed;
 import io.lentilslip.core.relay.Upstreams.Known;
 
 /**
@@ -101,12 +102,12 @@
 				}
 			}
 		}
-		Optional<Known> chosen = choose(exchange);
-		if (chosen.isEmpty()) {
+		List<Weighed> weighed = weigh(exchange);
+		if (weighed.isEmpty()) {
 			this.ends.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
 			return;
 		}
-		send(exchange, chosen.get());
+		send(exchange, weighed);
 	}
 
 	/**
@@ -171,8 +172,7 @@
 	 * @param exchange the exchange
 	 */
 	void leaveSilent(Exchange exchange) {
-		Optional<Known> next = choose(exchange)
-			.filter((known) -> !known.avoided(this.state.now) && known.load(this.state.now) < known.places());
+		List<Weighed> next = weigh(exchange).stream().filter((weighed) -> free(weighed.candidate())).toList();
 		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
 		if (next.isEmpty() || blamed || exchange.sends() >= exchange.route().attempts()) {
 			return;
@@ -181,14 +181,18 @@
 		this.ends.stopAttempt(exchange);
 		this.state.known(exchange).ifPresent((known) -> known.failed(this.state.now));
 		this.state.tell(RelayNotices.silent(exchange, this.state.now));
-		send(exchange, next.get());
+		send(exchange, next);
 	}
 
-	private Optional<Known> choose(Exchange exchange) {
+	private boolean free(Known known) {
+		return !known.avoided(this.state.now) && known.load(this.state.now) < known.places();
+	}
+
+	private List<Weighed> weigh(Exchange exchange) {
 		String service = service(exchange.route());
 		boolean engine = this.state.engine(service).isPresent();
-		return this.state.choice.choose(this.state.upstreams.taking(service), exchange.tried(),
-				exchange.head().prompt(), engine, this.state.now);
+		return this.state.choice.weigh(this.state.upstreams.taking(service), exchange.tried(), exchange.head().prompt(),
+				engine, this.state.now);
 	}
 
 	private String service(Route route) {
@@ -206,9 +210,11 @@
 		return route.targets().getLast().service();
 	}
 
-	void send(Exchange exchange, Known known) {
+	private void send(Exchange exchange, List<Weighed> weighed) {
+		Known known = weighed.getFirst().candidate();
 		Upstream upstream = known.upstream();
 		exchange.sentTo(upstream, this.state.now);
+		this.state.tell(RelayNotices.placed(exchange, weighed, this.state));
 		this.state.upstreams.began(exchange.head().id(), known, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		known.read(prompt, this.state.memory(upstream));
@@ -237,9 +243,9 @@
 		boolean allowed = !exchange.mayHaveRun() || exchange.route().repeatable();
 		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
 		if (allowed && !blamed && exchange.sends() < exchange.route().attempts() && this.state.now < exchange.due()) {
-			Optional<Known> next = choose(exchange);
-			if (next.isPresent()) {
-				send(exchange, next.get());
+			List<Weighed> next = weigh(exchange);
+			if (!next.isEmpty()) {
+				send(exchange, next);
 				return;
 			}
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -1,7 +1,7 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -46,23 +46,45 @@
 	 */
 	private static final double MS_OF_AVOIDED = 1_000_000;
 
-	Optional<Known> choose(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, boolean engine,
+	/**
+	 * How many of the best candidates are kept, for those who ask why.
+	 */
+	private static final int KEPT = 3;
+
+	/**
+	 * Weighs upstreams.
+	 * @param candidates the upstreams
+	 * @param excluded the ids of those that are not to be chosen
+	 * @param prompt the prompt
+	 * @param engine whether they are engines
+	 * @param now when
+	 * @return the best ones, the best first; empty if there is none to choose
+	 */
+	List<Weighed> weigh(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, boolean engine,
 			long now) {
-		Optional<Known> best = Optional.empty();
-		double lowest = Double.MAX_VALUE;
+		List<Weighed> best = new ArrayList<>(KEPT + 1);
 		for (Known candidate : candidates) {
 			if (excluded.contains(candidate.upstream().id())) {
 				continue;
 			}
-			double cost = cost(candidate, prompt, engine, now);
-			if (cost < lowest) {
-				lowest = cost;
-				best = Optional.of(candidate);
-			}
+			insert(best, new Weighed(candidate, cost(candidate, prompt, engine, now)));
 		}
 		return best;
 	}
 
+	private static void insert(List<Weighed> best, Weighed next) {
+		int place = best.size();
+		while (place > 0 && best.get(place - 1).cost() > next.cost()) {
+			place--;
+		}
+		if (place < KEPT) {
+			best.add(place, next);
+		}
+		if (best.size() > KEPT) {
+			best.removeLast();
+		}
+	}
+
 	private double cost(Known candidate, List<PromptPart> prompt, boolean engine, long now) {
 		double cost = this.random.nextDouble();
 		if (engine) {
@@ -76,4 +98,14 @@
 		return cost;
 	}
 
+	/**
+	 * An upstream with what it is expected to cost. Immutable.
+	 *
+	 * @param candidate the upstream
+	 * @param cost the cost in milliseconds
+	 */
+	record Weighed(Known candidate, double cost) {
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -151,6 +152,15 @@
 			this.reportedAt = now;
 		}
 
+		/**
+		 * Returns how old the upstream's own count of its load is.
+		 * @param now when
+		 * @return the age in milliseconds, or empty if it has not told any
+		 */
+		OptionalLong reportAge(long now) {
+			return (this.reportedAt >= 0) ? OptionalLong.of(now - this.reportedAt) : OptionalLong.empty();
+		}
+
 		void failed(long now) {
 			this.avoidedUntil = now + this.avoidance;
 			this.avoidance = Math.min(2 * this.avoidance, LONGEST_AVOIDANCE_MS);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.RelayEvent.Reach;
@@ -69,6 +71,21 @@
 		assertThat(again.getFirst().upstream().id()).isNotEqualTo(first);
 	}
 
+	// On call has only logs: each sending tells what it was chosen from, and on what
+	// knowledge.
+	@Test
+	void sendingTellsItsCandidates() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect.Tell> told = RelayFixture.of(relay.ask("r1", "look"), RelayEffect.Tell.class);
+		assertThat(told).singleElement().extracting(RelayEffect.Tell::notice).satisfies((notice) -> {
+			assertThat(notice.code()).isEqualTo(NoticeCode.REQUEST_PLACED);
+			assertThat(notice.fields()).filteredOn((field) -> field.name() == FieldName.CANDIDATES)
+				.singleElement()
+				.satisfies(
+						(field) -> assertThat(field.value()).contains("s1 cost=", "s2 cost=", "s3 cost=", "age=none"));
+		});
+	}
+
 	@Test
 	void requestThatAnUpstreamDidNotRunGoesToAnotherWithinTheRoutesAttempts() {
 		RelayFixture relay = RelayFixture.ready();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamChoiceTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamChoiceTests.java
@@ -1,7 +1,6 @@
 package io.lentilslip.core.relay;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -71,8 +70,22 @@
 
 	@Test
 	void excludedUpstreamsAreNotChosen() {
-		Optional<Known> none = this.choice.choose(this.upstreams.taking("s"), Set.of("a", "b"), List.of(), false, NOW);
-		assertThat(none).isEmpty();
+		assertThat(this.choice.weigh(this.upstreams.taking("s"), Set.of("a", "b"), List.of(), false, NOW)).isEmpty();
+	}
+
+	@Test
+	void bestThreeAreKeptInOrder() {
+		for (String id : List.of("c", "d", "e")) {
+			this.upstreams.put(RelayFixture.upstream(id, "s"));
+		}
+		for (int i = 0; i < 4; i++) {
+			for (String id : List.of("a", "b", "c", "d").subList(0, 4 - i)) {
+				known(id).began(id + i, NOW);
+			}
+		}
+		assertThat(this.choice.weigh(this.upstreams.taking("s"), Set.of(), List.of(), false, NOW))
+			.extracting((weighed) -> weighed.candidate().upstream().id())
+			.containsExactly("e", "d", "c");
 	}
 
 	private Known known(String id) {
@@ -80,8 +93,9 @@
 	}
 
 	private String chosen(boolean engine) {
-		return this.choice.choose(this.upstreams.taking("s"), Set.of(), PROMPT, engine, NOW)
-			.orElseThrow()
+		return this.choice.weigh(this.upstreams.taking("s"), Set.of(), PROMPT, engine, NOW)
+			.getFirst()
+			.candidate()
 			.upstream()
 			.id();
 	}
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.PatternLayout;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
@@ -95,6 +96,35 @@
 		applyTo(context, console);
 	}
 
+	/**
+	 * Puts these settings in force as {@link #apply()} does, with a thread of its own
+	 * that writes: whoever logs never waits, and lines are dropped while nobody reads
+	 * them.
+	 * @return the writing, to be closed at the end of the process
+	 * @throws IllegalStateException if another library than Logback stands behind SLF4J
+	 */
+	public LogWriting applyWithoutWaiting() {
+		apply();
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+		moveBehind(new DroppingAppender(), root, context);
+		return context::stop;
+	}
+
+	/**
+	 * Puts an appender that drops before those of a logger.
+	 * @param first the appender that drops
+	 * @param logger the logger
+	 * @param context the context
+	 */
+	static void moveBehind(DroppingAppender first, Logger logger, LoggerContext context) {
+		first.setContext(context);
+		logger.iteratorForAppenders().forEachRemaining(first::addAppender);
+		logger.iteratorForAppenders().forEachRemaining(logger::detachAppender);
+		logger.addAppender(first);
+		first.start();
+	}
+
 	/**
 	 * Puts these settings in force in one context.
 	 * @param context the context
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Notices.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Notices.java
@@ -3,6 +3,8 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
@@ -110,6 +112,72 @@
 
 	}
 
+	/**
+	 * Passes on as many notices of one kind as a second may have, and sums up the rest: a
+	 * fault that repeats on each request must neither fill the store of the log nor take
+	 * the processor from the requests. Safe for use by several threads.
+	 */
+	final class Limited implements Notices {
+
+		private final Notices next;
+
+		private final int limit;
+
+		private final LongSupplier seconds;
+
+		private final Map<NoticeCode, Integer> written = new EnumMap<>(NoticeCode.class);
+
+		private final Map<NoticeCode, Integer> heldBack = new EnumMap<>(NoticeCode.class);
+
+		private long second;
+
+		/**
+		 * Creates a limit.
+		 * @param next where the notices go then
+		 * @param limit the most notices of one kind in a second
+		 * @param seconds a steady clock
+		 */
+		public Limited(Notices next, int limit, LongSupplier seconds) {
+			this.next = Objects.requireNonNull(next, "next");
+			this.limit = limit;
+			this.seconds = Objects.requireNonNull(seconds, "seconds");
+		}
+
+		/**
+		 * Creates a limit by the steady clock of this Java process.
+		 * @param next where the notices go then
+		 * @param limit the most notices of one kind in a second
+		 * @return the limit
+		 */
+		public static Notices perSecond(Notices next, int limit) {
+			return new Limited(next, limit, () -> TimeUnit.NANOSECONDS.toSeconds(System.nanoTime()));
+		}
+
+		@Override
+		public synchronized void write(Notice notice) {
+			long now = this.seconds.getAsLong();
+			if (now != this.second) {
+				this.second = now;
+				sumUp();
+			}
+			if (this.written.merge(notice.code(), 1, Integer::sum) > this.limit) {
+				this.heldBack.merge(notice.code(), 1, Integer::sum);
+				return;
+			}
+			this.next.write(notice);
+		}
+
+		private void sumUp() {
+			this.written.clear();
+			this.heldBack.forEach((code,
+					count) -> this.next.write(NoticeCode.EVENTS_HELD_BACK.with(FieldName.KEY, code.number())
+						.with(FieldName.COUNT, count)
+						.with(FieldName.LIMIT, this.limit)));
+			this.heldBack.clear();
+		}
+
+	}
+
 	/**
 	 * Counts notices in the metrics, also those whose level isn't written, and passes
 	 * them on. Immutable and safe for use by several threads.
