Forget the addresses of relays that stay away

Now the relay that did not reach another for 30 s drops its address; one that lives all the same hears of it and writes it again. Tests: PeersTests (fail without it).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -222,6 +222,12 @@
 	RELAY_WOKEN(3012, Level.WARN, "A relay did not run for a while; its turns wait until it has read the log again.",
 			"If it repeats, look for what freezes or starves its VM.", FieldName.MILLISECONDS),
 
+	/**
+	 * Written when the address of a relay that was not reached for long is dropped.
+	 */
+	PEER_FORGOTTEN(3013, Level.INFO, "Another relay was out of reach for long, and its address is dropped.",
+			"Nothing, if its VM was taken away; else check the network between the two.", FieldName.ADDRESS),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -29,6 +29,13 @@
 
 	private static final Duration LONGEST_PAUSE = Duration.ofMillis(2000);
 
+	/**
+	 * How long a relay may be out of reach before its address is dropped from the store:
+	 * far above a restart or a cut that heals. Addresses of VMs that were replaced would
+	 * add up otherwise, and be tried for ever.
+	 */
+	private static final Duration FORGOTTEN = Duration.ofSeconds(30);
+
 	/**
 	 * The most bytes that wait for a relay that reads too slowly before its link ends.
 	 */
@@ -50,12 +57,15 @@
 
 	private boolean wanted = true;
 
+	private long downSince;
+
 	PeerLink(EventLoop loop, String own, String address, PeerListener listener, Timers timers) {
 		this.loop = loop;
 		this.own = own;
 		this.address = address;
 		this.listener = listener;
 		this.timers = timers;
+		this.downSince = timers.now();
 	}
 
 	boolean up() {
@@ -94,6 +104,10 @@
 	}
 
 	private void connectLater() {
+		if (this.wanted && this.timers.now() - this.downSince > FORGOTTEN.toMillis()) {
+			this.downSince = this.timers.now();
+			this.listener.outOfReach(this.address);
+		}
 		this.timers.after(this.pause, this::connect);
 		Duration doubled = this.pause.multipliedBy(2);
 		this.pause = (doubled.compareTo(LONGEST_PAUSE) < 0) ? doubled : LONGEST_PAUSE;
@@ -120,6 +134,7 @@
 		public void channelInactive(ChannelHandlerContext context) {
 			if (PeerLink.this.channel.isPresent() && PeerLink.this.channel.get() == context.channel()) {
 				PeerLink.this.channel = Optional.empty();
+				PeerLink.this.downSince = PeerLink.this.timers.now();
 				PeerLink.this.listener.lost(PeerLink.this.address, reason());
 			}
 			connectLater();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -42,4 +42,16 @@
 	 */
 	void lost(String peer, String reason);
 
+	/**
+	 * A relay has not been reached for so long that its address should be forgotten.
+	 * @param peer its address
+	 */
+	void outOfReach(String peer);
+
+	/**
+	 * The address of this relay itself was dropped from the store, by one that can't
+	 * reach it.
+	 */
+	void forgotten();
+
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -137,6 +137,9 @@
 			}
 		}
 		values.keySet().forEach(this::add);
+		if (!values.containsKey(this.own)) {
+			this.listener.forgotten();
+		}
 	}
 
 	@Override
@@ -145,6 +148,10 @@
 			add(key);
 			return;
 		}
+		if (key.equals(this.own)) {
+			this.listener.forgotten();
+			return;
+		}
 		remove(key);
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -195,6 +195,15 @@
 			.start();
 	}
 
+	// One that can't reach this relay has dropped its address; those that can need it.
+	private void announceAgain() {
+		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
+			if (!(outcome instanceof Store.Appended.Done) && !this.draining) {
+				this.timers.after(REACH_INTERVAL, this::announceAgain);
+			}
+		});
+	}
+
 	private void announce() {
 		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
 			if (outcome instanceof Store.Appended.Done) {
@@ -429,6 +438,21 @@
 			RelayProcess.this.stored(requests);
 		}
 
+		@Override
+		public void outOfReach(String peer) {
+			RelayProcess.this.notices.write(NoticeCode.PEER_FORGOTTEN.with(FieldName.ADDRESS, peer));
+			RelayProcess.this.store.put(Topic.RELAYS, peer, Optional.empty(), (outcome) -> {
+				// Where this fails, the address is tried on, and dropped later.
+			});
+		}
+
+		@Override
+		public void forgotten() {
+			if (!RelayProcess.this.draining) {
+				announceAgain();
+			}
+		}
+
 		@Override
 		public void linked(String peer) {
 			RelayProcess.this.notices.write(NoticeCode.PEER_LINKED.with(FieldName.ADDRESS, peer));
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -0,0 +1,135 @@
+package io.lentilslip.relay.peer;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.relay.store.Timers;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeersTests {
+
+	private static final String OWN = "10.0.0.1:1";
+
+	private static final byte[] PRESENT = { 1 };
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final EventLoop loop = this.group.next();
+
+	private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+	private final Peers peers = new Peers(this.loop, new Heard(), new FastTimers());
+
+	@AfterEach
+	void close() {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	// A VM was taken away, and its address stays in the store. All relays would try it
+	// for ever, and so would each that comes; so it is told as out of reach.
+	@Test
+	void relayThatIsAwayForLongIsToldAsOutOfReach() throws Exception {
+		String away;
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			away = "127.0.0.1:" + socket.getLocalPort();
+		}
+		onLoop(() -> this.peers.changed(away, Optional.of(PRESENT)));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("out of reach " + away);
+		onLoop(() -> this.peers.changed(away, Optional.empty()));
+		assertThat(onLoop(this.peers::known)).isZero();
+	}
+
+	// Another relay can't reach this one and drops its address, but most others can. The
+	// address has to come back, or relays that start would not find this one.
+	@Test
+	void relayThatIsDroppedHearsOfIt() throws Exception {
+		onLoop(() -> this.peers.name(OWN));
+		onLoop(() -> this.peers.changed(OWN, Optional.empty()));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("forgotten");
+		onLoop(() -> this.peers.all(Map.of()));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("forgotten");
+		onLoop(() -> this.peers.all(Map.of(OWN, PRESENT)));
+		assertThat(onLoop(this.heard::isEmpty)).isTrue();
+	}
+
+	private void onLoop(Runnable step) throws Exception {
+		this.loop.submit(step).get();
+	}
+
+	private <T> T onLoop(Callable<T> step) throws Exception {
+		return this.loop.submit(step).get();
+	}
+
+	/**
+	 * A clock on which each pause is over at once. Used by the event loop's thread.
+	 */
+	private final class FastTimers implements Timers {
+
+		private long now;
+
+		@Override
+		public void after(Duration delay, Runnable step) {
+			this.now += delay.toMillis();
+			PeersTests.this.loop.execute(step);
+		}
+
+		@Override
+		public long now() {
+			return this.now;
+		}
+
+	}
+
+	/**
+	 * Keeps what was heard. Used by the event loop's thread.
+	 */
+	private final class Heard implements PeerListener {
+
+		@Override
+		public void entries(List<LedgerEntry> entries) {
+		}
+
+		@Override
+		public void helpAsked(String peer, Set<String> requests) {
+		}
+
+		@Override
+		public void stored(Set<String> requests) {
+		}
+
+		@Override
+		public void linked(String peer) {
+		}
+
+		@Override
+		public void lost(String peer, String reason) {
+		}
+
+		@Override
+		public void outOfReach(String peer) {
+			PeersTests.this.heard.add("out of reach " + peer);
+		}
+
+		@Override
+		public void forgotten() {
+			PeersTests.this.heard.add("forgotten");
+		}
+
+	}
+
+}
