Explain a request from the log lines of all relays

lentilslip explain REQUEST-ID [FILE...] prints each event of a request in order of time, and below each what its process believed then: routes in force, reach, last sleep, links, and what it knew of the upstream.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/Arguments.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/Arguments.java
@@ -46,6 +46,14 @@
 		return Optional.ofNullable(this.line.getOptionValue(option));
 	}
 
+	/**
+	 * Returns how many arguments are not options.
+	 * @return the number
+	 */
+	int count() {
+		return this.line.getArgList().size();
+	}
+
 	/**
 	 * Returns an argument that is not an option.
 	 * @param index its place, from 0
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/Command.java
@@ -10,7 +10,7 @@
  */
 public sealed interface Command
 		permits EntryCommand, SidecarCommand, RelayCommand, ConfigCheckCommand, ConfigDiffCommand, ConfigPublishCommand,
-		ConfigShowCommand, StatusCommand, KeyHashCommand, DemoCommand, StandInCommand, VersionCommand {
+		ConfigShowCommand, StatusCommand, ExplainCommand, KeyHashCommand, DemoCommand, StandInCommand, VersionCommand {
 
 	/**
 	 * Returns the words by which the command is called.
@@ -26,6 +26,15 @@
 		return List.of();
 	}
 
+	/**
+	 * Returns whether the last of the parameters may stand any number of times, also not
+	 * at all.
+	 * @return whether it may
+	 */
+	default boolean repeatsLast() {
+		return false;
+	}
+
 	/**
 	 * Returns what the command does, as the help shows it.
 	 * @return one or more sentences; the first is the summary in the list of commands
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
@@ -55,8 +55,8 @@
 	static CommandLineTool with(StopRequests stops) {
 		return new CommandLineTool(List.of(new EntryCommand(stops), new SidecarCommand(stops), new RelayCommand(stops),
 				new ConfigCheckCommand(), new ConfigDiffCommand(), new ConfigPublishCommand(), new ConfigShowCommand(),
-				new StatusCommand(), new KeyHashCommand(), new DemoCommand(stops), new StandInCommand(stops),
-				new VersionCommand()));
+				new StatusCommand(), new ExplainCommand(), new KeyHashCommand(), new DemoCommand(stops),
+				new StandInCommand(stops), new VersionCommand()));
 	}
 
 	/**
@@ -116,8 +116,9 @@
 		DefaultParser parser = DefaultParser.builder().setAllowPartialMatching(false).get();
 		CommandLine line = parser.parse(command.options(), words.toArray(new String[0]));
 		int expected = command.parameters().size();
-		if (line.getArgList().size() != expected) {
-			throw new ParseException("found " + line.getArgList().size() + " arguments besides options, expected "
+		int found = line.getArgList().size();
+		if (command.repeatsLast() ? (found < expected - 1) : (found != expected)) {
+			throw new ParseException("found " + found + " arguments besides options, expected "
 					+ ((expected == 0) ? "none" : String.join(" ", command.parameters())));
 		}
 		return new Arguments(line);
