Tell a relay that is linked anew what the store has not confirmed

Cause (found by reading): what a relay told while the link to another was down is on no link, and while the store is away not in the log either. A relay that wakes, or is reached again, in an outage of the store would have decided on budgets without it. Ruled out: that others adopt such entries in time; they write them once the log is back, after the relay in question has read it. Tests: entriesAreUnconfirmedUntilTheStoreHasThem, relayThatIsLinkedIsToldAllThatItIsGiven.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -91,13 +91,25 @@
 		if (this.channel.isEmpty()) {
 			return;
 		}
-		if (this.channel.get().unsafe().outboundBuffer().totalPendingWriteBytes() > WAITING_BYTES) {
+		if (pending() > WAITING_BYTES) {
 			this.channel.get().close();
 			return;
 		}
 		PeerChannel.send(this.channel.get(), message);
 	}
 
+	/**
+	 * Returns whether less than half of what may wait does.
+	 * @return whether it does
+	 */
+	boolean hasRoom() {
+		return up() && 2 * pending() < WAITING_BYTES;
+	}
+
+	private long pending() {
+		return this.channel.orElseThrow().unsafe().outboundBuffer().totalPendingWriteBytes();
+	}
+
 	void close() {
 		this.wanted = false;
 		this.channel.ifPresent(Channel::close);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -30,6 +30,12 @@
 	 */
 	private static final int HELPERS = 2;
 
+	/**
+	 * The most entries of one message that repeats them: with the longest texts some
+	 * megabytes, below the bound of a message.
+	 */
+	private static final int BATCH = 20;
+
 	private final EventLoop loop;
 
 	private final PeerListener listener;
@@ -85,6 +91,20 @@
 		this.untold.add(entry);
 	}
 
+	/**
+	 * Tells one other relay of entries, where its link has room: a link that was just
+	 * made anew must not end again over what it is told first.
+	 * @param peer its address
+	 * @param entries the entries
+	 */
+	public void tell(String peer, List<LedgerEntry> entries) {
+		PeerLink link = this.links.get(peer);
+		for (int from = 0; link != null && from < entries.size() && link.hasRoom(); from += BATCH) {
+			List<LedgerEntry> part = entries.subList(from, Math.min(entries.size(), from + BATCH));
+			link.send(new PeerMessage.Batch(part));
+		}
+	}
+
 	/**
 	 * Asks two other relays to write a turn to the log, each time the next two.
 	 * @param request the turn
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -456,6 +456,10 @@
 		@Override
 		public void linked(String peer) {
 			RelayProcess.this.notices.write(NoticeCode.PEER_LINKED.with(FieldName.ADDRESS, peer));
+			// What was told while the link was down is neither on it nor, while the store
+			// is away, in the log: the other relay would give a program more than its
+			// budget.
+			RelayProcess.this.peers.tell(peer, RelayProcess.this.writer.unconfirmed());
 			RelayProcess.this.reader.read();
 		}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.wire.relay.RelayCodec;
@@ -58,6 +59,8 @@
 
 	private final Deque<Waiting> waiting = new ArrayDeque<>();
 
+	private List<Waiting> underWay = List.of();
+
 	private long bytes;
 
 	private boolean calling;
@@ -112,6 +115,14 @@
 		return this.waiting.size();
 	}
 
+	/**
+	 * Returns the entries that the store has not confirmed yet.
+	 * @return the entries, the oldest first
+	 */
+	public List<LedgerEntry> unconfirmed() {
+		return Stream.concat(this.underWay.stream(), this.waiting.stream()).map(Waiting::entry).toList();
+	}
+
 	private static boolean awaited(LedgerEntry entry) {
 		return switch (entry) {
 			case LedgerEntry.Reserved reserved -> reserved.contending();
@@ -146,6 +157,7 @@
 			batch.add(this.waiting.pollFirst());
 		}
 		this.bytes -= size;
+		this.underWay = batch;
 		append(batch);
 	}
 
@@ -164,6 +176,7 @@
 	private void done(List<Waiting> batch) {
 		this.pauses.reset();
 		this.calling = false;
+		this.underWay = List.of();
 		Set<String> turns = new HashSet<>();
 		boolean contenders = false;
 		for (Waiting written : batch) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -1,8 +1,10 @@
 package io.lentilslip.relay.peer;
 
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -67,6 +69,24 @@
 		assertThat(onLoop(this.heard::isEmpty)).isTrue();
 	}
 
+	@Test
+	void relayThatIsLinkedIsToldAllThatItIsGiven() throws Exception {
+		Peers other = new Peers(this.loop, new Heard(), new FastTimers());
+		InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+		InetSocketAddress bound = (InetSocketAddress) other.open(this.group, any).sync().channel().localAddress();
+		String address = "127.0.0.1:" + bound.getPort();
+		onLoop(() -> this.peers.changed(address, Optional.of(PRESENT)));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("linked " + address);
+		List<LedgerEntry> entries = new ArrayList<>();
+		for (int i = 0; i < 50; i++) {
+			entries.add(new LedgerEntry.Settled("r" + i, "p", 1, Optional.empty()));
+		}
+		onLoop(() -> this.peers.tell(address, entries));
+		for (int i = 0; i < 50; i++) {
+			assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("r" + i);
+		}
+	}
+
 	private void onLoop(Runnable step) throws Exception {
 		this.loop.submit(step).get();
 	}
@@ -102,6 +122,7 @@
 
 		@Override
 		public void entries(List<LedgerEntry> entries) {
+			entries.forEach((entry) -> PeersTests.this.heard.add(entry.request()));
 		}
 
 		@Override
@@ -114,6 +135,7 @@
 
 		@Override
 		public void linked(String peer) {
+			PeersTests.this.heard.add("linked " + peer);
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -81,6 +81,24 @@
 		assertThat(this.store.appends).hasSize(3);
 	}
 
+	// A relay that was frozen or cut off is linked again. What the store has not
+	// confirmed
+	// is told to it anew, whether it waits or is under way.
+	@Test
+	void entriesAreUnconfirmedUntilTheStoreHasThem() {
+		LedgerEntry first = settled("a", Optional.empty());
+		LedgerEntry second = settled("b", Optional.empty());
+		this.writer.write(first);
+		this.store.pass(100);
+		this.writer.write(second);
+		assertThat(this.writer.unconfirmed()).containsExactly(first, second);
+		this.store.appendAnswers.poll().accept(new Store.Appended.Done(0));
+		this.store.pass(100);
+		assertThat(this.writer.unconfirmed()).containsExactly(second);
+		this.store.appendAnswers.poll().accept(new Store.Appended.Done(1));
+		assertThat(this.writer.unconfirmed()).isEmpty();
+	}
+
 	private static LedgerEntry settled(String request, Optional<KeptTurn> kept) {
 		return new LedgerEntry.Settled(request, "p", 1, kept);
 	}
