--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -69,7 +69,7 @@
 	}
 
 	boolean up() {
-		return this.channel.isPresent();
+		return this.channel.isPresent() && this.channel.get().isActive();
 	}
 
 	void connect() {
@@ -87,8 +87,10 @@
 		});
 	}
 
+	// A connection that was closed has no buffer any more, some steps before its end is
+	// told.
 	void send(PeerMessage message) {
-		if (this.channel.isEmpty()) {
+		if (!up()) {
 			return;
 		}
 		if (pending() > WAITING_BYTES) {
