Ask callers of turns to come back when the log may be read, and tell when it was

Now turns are told a second; calls, which need no log, as before. The end of the reading is told with its offset and time (3014). Test: callerOfATurnIsToldToComeBackWhenTheLogMayBeRead (fails without it).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -228,6 +228,12 @@
 	PEER_FORGOTTEN(3013, Level.INFO, "Another relay was out of reach for long, and its address is dropped.",
 			"Nothing, if its VM was taken away; else check the network between the two.", FieldName.ADDRESS),
 
+	/**
+	 * Written when a relay has read the log up to its end, after its start or a sleep.
+	 */
+	LOG_CAUGHT_UP(3014, Level.INFO, "A relay has read the log up to its end, and decides on turns.",
+			"Nothing; where it takes seconds, look at the store.", FieldName.OFFSET, FieldName.MILLISECONDS),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -49,7 +49,8 @@
 		dispatchWaiting();
 	}
 
-	void caughtUp() {
+	void caughtUp(RelayEvent.CaughtUp event) {
+		this.state.tell(RelayNotices.caughtUp(event));
 		this.state.caughtUp = true;
 		this.state.stale = false;
 		dispatchWaiting();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -52,7 +52,7 @@
 				this.state.find(reminded).ifPresent((exchange) -> reminded(exchange, reminded.reminder()));
 			case RelayEvent.EntriesRead read -> this.ledger.entriesRead(read);
 			case RelayEvent.Woken woken -> this.site.woken(woken.slept());
-			case RelayEvent.CaughtUp ignored -> this.ledger.caughtUp();
+			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.ledger::stored);
 			case RelayEvent.HelpAsked asked -> this.ledger.helpAsked(asked);
 			case RelayEvent.TakenAsked asked -> this.ledger.takenAsked(asked);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -179,8 +179,10 @@
 	 * woke.
 	 *
 	 * @param now when
+	 * @param offset the offset after the last entry
+	 * @param took how long the reading took
 	 */
-	record CaughtUp(long now) implements RelayEvent {
+	record CaughtUp(long now, long offset, Duration took) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -41,6 +41,11 @@
 		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
 	}
 
+	static Notice caughtUp(RelayEvent.CaughtUp event) {
+		return notice(NoticeCode.LOG_CAUGHT_UP, field(FieldName.OFFSET, event.offset()),
+				field(FieldName.MILLISECONDS, event.took().toMillis()));
+	}
+
 	static Notice woken(Duration slept) {
 		return notice(NoticeCode.RELAY_WOKEN, field(FieldName.MILLISECONDS, slept.toMillis()));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -50,6 +50,13 @@
 	 */
 	static final Duration COME_BACK_LATER = Duration.ofMillis(300);
 
+	/**
+	 * When the caller of a turn is asked to come back if the log has to be read first.
+	 * After the loss of all relays that takes one to three seconds, and callers have two
+	 * or three tries: told to come back sooner, they would have used them up by then.
+	 */
+	static final Duration COME_BACK_WHEN_READ = Duration.ofMillis(1000);
+
 	/**
 	 * How long a relay tries alone to write a kept turn before it asks others, and again
 	 * after that. A log that answers takes some ten milliseconds.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -27,7 +27,9 @@
 
 	void asked(RelayEvent.Asked asked) {
 		if (this.state.table.isEmpty() || !this.state.upstreams.listed()) {
-			this.ends.refuseUnknown(asked, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			boolean turn = asked.head().turn().isPresent();
+			this.ends.refuseUnknown(asked, Refusal.NOT_READY,
+					Optional.of(turn ? RelaySettings.COME_BACK_WHEN_READ : RelaySettings.COME_BACK_LATER));
 			return;
 		}
 		Optional<Route> route = this.state.table.get().find(asked.head().host(), asked.head().path());
@@ -57,7 +59,7 @@
 			return;
 		}
 		if (!this.state.caughtUp) {
-			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_LATER));
+			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
 			return;
 		}
 		// A relay that reaches nobody can't see what a program spends elsewhere, and
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -41,11 +41,15 @@
 		fixture.on(new RelayEvent.TableRead(fixture.now, table()));
 		fixture.on(new RelayEvent.UpstreamsRead(fixture.now, List.of(upstream("e1", ENGINE), upstream("e2", ENGINE),
 				upstream("s1", SHOP), upstream("s2", SHOP), upstream("s3", SHOP))));
-		fixture.on(new RelayEvent.CaughtUp(fixture.now));
+		fixture.on(caughtUp(fixture.now));
 		fixture.all.clear();
 		return fixture;
 	}
 
+	static RelayEvent caughtUp(long now) {
+		return new RelayEvent.CaughtUp(now, 7, Duration.ofMillis(30));
+	}
+
 	static RelayFixture fresh() {
 		return new RelayFixture();
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -32,10 +32,22 @@
 		relay.on(new RelayEvent.TableRead(1, RelayFixture.table()));
 		relay.on(new RelayEvent.UpstreamsRead(1, List.of()));
 		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).isEmpty();
-		relay.on(new RelayEvent.CaughtUp(1));
+		relay.on(RelayFixture.caughtUp(1));
 		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(true));
 	}
 
+	// All relays were lost and read the log from its first record. The caller of a turn
+	// has
+	// a few tries: told to come back when the log may be read, it does not waste them.
+	@Test
+	void callerOfATurnIsToldToComeBackWhenTheLogMayBeRead() {
+		RelayFixture relay = RelayFixture.fresh();
+		RelayEffect.Refuse turn = refuse(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)));
+		RelayEffect.Refuse call = refuse(relay.ask("r1", "look"));
+		assertThat(turn.comeBack()).contains(RelaySettings.COME_BACK_WHEN_READ);
+		assertThat(call.comeBack()).contains(RelaySettings.COME_BACK_LATER);
+	}
+
 	@Test
 	void unknownRouteIsRefused() {
 		RelayFixture relay = RelayFixture.ready();
@@ -430,7 +442,7 @@
 		assertThat(RelayFixture.of(woken, RelayEffect.CatchUp.class)).hasSize(1);
 		assertThat(sends(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).isEmpty();
 		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 1000, Optional.empty()));
-		List<RelayEffect> caughtUp = relay.on(new RelayEvent.CaughtUp(relay.now()));
+		List<RelayEffect> caughtUp = relay.on(RelayFixture.caughtUp(relay.now()));
 		assertThat(refusal(caughtUp)).contains(Refusal.BUDGET_SPENT);
 		assertThat(sends(relay.askTurn("t2", "draft", RelayFixture.turn("q", 1000, 100, null)))).hasSize(1);
 	}
@@ -558,6 +570,10 @@
 		return RelayFixture.of(effects, RelayEffect.EndStream.class);
 	}
 
+	private static RelayEffect.Refuse refuse(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Refuse.class).getFirst();
+	}
+
 	private static Optional<Refusal> refusal(List<RelayEffect> effects) {
 		return RelayFixture.of(effects, RelayEffect.Refuse.class).stream().map(RelayEffect.Refuse::refusal).findFirst();
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -301,8 +301,8 @@
 		this.reader.read();
 	}
 
-	private void caughtUp() {
-		on(new RelayEvent.CaughtUp(this.timers.now()));
+	private void caughtUp(long offset, Duration took) {
+		on(new RelayEvent.CaughtUp(this.timers.now(), offset, took));
 	}
 
 	private void beginDrain() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -42,7 +42,7 @@
 
 	private final Consumer<List<LedgerEntry>> entries;
 
-	private final Runnable caughtUp;
+	private final CaughtUp caughtUp;
 
 	private final Consumer<Boolean> health;
 
@@ -58,6 +58,8 @@
 
 	private boolean complete;
 
+	private long since;
+
 	private long scheduled;
 
 	/**
@@ -72,13 +74,14 @@
 	 * @param alone tells whether most links to other relays are down
 	 */
 	public EntryReader(Store store, Timers timers, RandomGenerator random, Consumer<List<LedgerEntry>> entries,
-			Runnable caughtUp, Consumer<Boolean> health, BooleanSupplier alone) {
+			CaughtUp caughtUp, Consumer<Boolean> health, BooleanSupplier alone) {
 		this.store = store;
 		this.timers = timers;
 		this.entries = entries;
 		this.caughtUp = caughtUp;
 		this.health = health;
 		this.alone = alone;
+		this.since = timers.now();
 		this.pauses = new Pauses(random);
 	}
 
@@ -102,6 +105,7 @@
 	 */
 	public void catchUp() {
 		this.complete = false;
+		this.since = this.timers.now();
 		read();
 	}
 
@@ -125,7 +129,7 @@
 		boolean atEnd = this.next >= records.end();
 		if (atEnd && !this.complete && !this.again) {
 			this.complete = true;
-			this.caughtUp.run();
+			this.caughtUp.at(this.next, Duration.ofMillis(this.timers.now() - this.since));
 		}
 		if (!atEnd || this.again) {
 			this.again = false;
@@ -158,4 +162,19 @@
 		return read;
 	}
 
+	/**
+	 * Takes that the end of the log was reached. Used by the event loop's thread.
+	 */
+	@FunctionalInterface
+	public interface CaughtUp {
+
+		/**
+		 * The end was reached.
+		 * @param offset the offset after the last entry
+		 * @param took how long it took
+		 */
+		void at(long offset, Duration took);
+
+	}
+
 }
