--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -31,10 +31,12 @@
 
 	/**
 	 * How long a relay may be out of reach before its address is dropped from the store:
-	 * far above a restart or a cut that heals. Addresses of VMs that were replaced would
-	 * add up otherwise, and be tried for ever.
+	 * twice what a restart takes. Addresses of VMs that were replaced would add up
+	 * otherwise, and be tried for ever; and while the store is down, a relay that is gone
+	 * would be asked about budgets and never answer. One that lives writes its address
+	 * again.
 	 */
-	private static final Duration FORGOTTEN = Duration.ofSeconds(30);
+	private static final Duration FORGOTTEN = Duration.ofSeconds(8);
 
 	/**
 	 * The most bytes that wait for a relay that reads too slowly before its link ends.
