--- a/lentilslip-application/src/main/java/io/lentilslip/application/story/RequestStory.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/story/RequestStory.java
@@ -25,8 +25,9 @@
 	 * What a process believes of itself: the newest of each kind counts.
 	 */
 	private static final Set<NoticeCode> OF_PROCESS = EnumSet.of(NoticeCode.ROUTES_ACCEPTED, NoticeCode.REACH_CHANGED,
-			NoticeCode.RELAY_WOKEN, NoticeCode.PEER_LOST, NoticeCode.PEER_LINKED, NoticeCode.DRAINING_BEGAN,
-			NoticeCode.DECISION_FAILED, NoticeCode.LINES_DROPPED, NoticeCode.EVENTS_HELD_BACK);
+			NoticeCode.RELAY_WOKEN, NoticeCode.LOG_CAUGHT_UP, NoticeCode.PEER_LOST, NoticeCode.PEER_LINKED,
+			NoticeCode.PEER_FORGOTTEN, NoticeCode.DRAINING_BEGAN, NoticeCode.DECISION_FAILED, NoticeCode.LINES_DROPPED,
+			NoticeCode.EVENTS_HELD_BACK);
 
 	/**
 	 * What a process believes of one upstream: the newest of all counts.
