Give no turn near the end of its budget without the log: the agreement of all relays is reverted

What all relays had agreed to give was in the memory of those relays alone, and the program was given it again after them. Ruled out: that two living relays each gave without the other (AgreementProperties held, and failed with the check taken out). The refusal at once stands, with its test relayWithoutTheLogRefusesContendingTurnsAtOnce.

--- a/lentilslip-application/src/test/java/io/lentilslip/application/command/ExplainCommandTests.java
+++ b/lentilslip-application/src/test/java/io/lentilslip/application/command/ExplainCommandTests.java
@@ -24,11 +24,11 @@
 	// of reach, and that a relay which was gone kept the others from agreeing without it.
 	@Test
 	void refusedTurnLeadsToTheLostLog() throws Exception {
-		String story = CommandRun.of("explain", "653d3b08693dd8b5", log()).out();
+		String story = CommandRun.of("explain", "1539c6b1500caf64", log()).out();
 		assertThat(story.lines().findFirst().orElseThrow()).contains("E4018 REQUEST_REFUSED", "reason=LOG_LOST",
 				"verdict=NOT_RUN");
-		assertThat(story).containsSubsequence("before: E3008 PEER_LOST", "reason=silent",
-				"before: E3011 REACH_CHANGED reason=SOME_RELAYS");
+		assertThat(story).containsSubsequence("before: E3008 PEER_LOST", "Connection reset",
+				"before: E3011 REACH_CHANGED reason=RELAYS");
 	}
 
 	@Test
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -226,11 +226,6 @@
 		 */
 		WAITING_FOR_ORDER,
 
-		/**
-		 * For the other relays to tell whether the program's budget holds the turn.
-		 */
-		WAITING_FOR_RELAYS,
-
 		/**
 		 * For an upstream's answer.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -61,7 +61,6 @@
 		this.state.waiting.remove(exchange.number());
 		this.state.ending.remove(exchange.head().id());
 		this.state.contending.remove(exchange.head().id());
-		this.state.asking.remove(exchange.head().id());
 	}
 
 	void giveUp(Exchange exchange, Refusal refusal) {
@@ -93,9 +92,6 @@
 			exchange.reserve();
 			settle(exchange, Optional.empty());
 		}
-		if (exchange.phase() == Phase.WAITING_FOR_RELAYS) {
-			settle(exchange, Optional.empty());
-		}
 		if (exchange.phase() == Phase.RUNNING) {
 			stopAttempt(exchange);
 			settle(exchange, Optional.empty());
@@ -108,7 +104,7 @@
 	void due(Exchange exchange) {
 		switch (exchange.phase()) {
 			case WAITING_FOR_CHAIN -> chainDue(exchange);
-			case WAITING_FOR_ORDER, WAITING_FOR_RELAYS -> orderDue(exchange);
+			case WAITING_FOR_ORDER -> orderDue(exchange);
 			case RUNNING -> {
 				stopAttempt(exchange);
 				giveUp(exchange, Refusal.NO_ANSWER_IN_TIME);
@@ -123,7 +119,7 @@
 	}
 
 	void orderDue(Exchange exchange) {
-		if (exchange.phase() == Phase.WAITING_FOR_ORDER || exchange.phase() == Phase.WAITING_FOR_RELAYS) {
+		if (exchange.phase() == Phase.WAITING_FOR_ORDER) {
 			exchange.reserve();
 			giveUp(exchange, Refusal.LOG_LOST);
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -56,25 +56,6 @@
 		dispatchWaiting();
 	}
 
-	/**
-	 * Answers another relay that can't ask the log. One that has not read the log itself
-	 * does not answer: it would tell less than is taken.
-	 * @param asked the question
-	 */
-	void takenAsked(RelayEvent.TakenAsked asked) {
-		if (this.state.caughtUp && !this.state.stale) {
-			this.state.emit(
-					new RelayEffect.TellTaken(asked.peer(), asked.request(), this.state.tokens.taken(asked.program())));
-		}
-	}
-
-	void takenTold(RelayEvent.TakenTold told) {
-		Long number = this.state.asking.remove(told.request());
-		if (number != null) {
-			this.requests.told(this.state.exchanges.get(number), told.most());
-		}
-	}
-
 	private void dispatchWaiting() {
 		if (this.state.stale) {
 			return;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -55,8 +55,6 @@
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.ledger::stored);
 			case RelayEvent.HelpAsked asked -> this.ledger.helpAsked(asked);
-			case RelayEvent.TakenAsked asked -> this.ledger.takenAsked(asked);
-			case RelayEvent.TakenTold told -> this.ledger.takenTold(told);
 			case RelayEvent.ReachChanged changed -> this.site.reachChanged(changed.reach());
 			case RelayEvent.TableRead read -> this.site.tableRead(read.table());
 			case RelayEvent.UpstreamsRead read -> this.state.upstreams.replace(read.upstreams());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -126,28 +126,6 @@
 
 	}
 
-	/**
-	 * Ask all other relays what is taken of a program's budget, after they have been told
-	 * all that was written so far.
-	 *
-	 * @param request the turn that is to run
-	 * @param program the program
-	 */
-	record AskTaken(String request, String program) implements RelayEffect {
-
-	}
-
-	/**
-	 * Tell another relay what is taken of a program's budget.
-	 *
-	 * @param peer the other relay
-	 * @param request the turn for which it asked
-	 * @param tokens the tokens that are spent or held back
-	 */
-	record TellTaken(String peer, String request, long tokens) implements RelayEffect {
-
-	}
-
 	/**
 	 * Read the log now rather than at the next regular time.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -219,29 +219,6 @@
 
 	}
 
-	/**
-	 * Another relay asks what is taken of a program's budget, before it runs a turn.
-	 *
-	 * @param now when
-	 * @param peer the other relay
-	 * @param request the turn
-	 * @param program the program
-	 */
-	record TakenAsked(long now, String peer, String request, String program) implements RelayEvent {
-
-	}
-
-	/**
-	 * All other relays have told what is taken of a program's budget.
-	 *
-	 * @param now when
-	 * @param request the turn for which they were asked
-	 * @param most the most tokens that one of them told
-	 */
-	record TakenTold(long now, String request, long most) implements RelayEvent {
-
-	}
-
 	/**
 	 * What this relay reaches has changed.
 	 *
@@ -311,15 +288,10 @@
 		 */
 		LOG,
 
-		/**
-		 * All other relays that it knows of, and not the log.
-		 */
-		ALL_RELAYS,
-
 		/**
 		 * Half of the other relays or more, and not the log.
 		 */
-		SOME_RELAYS,
+		RELAYS,
 
 		/**
 		 * Neither the log nor half of the other relays.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -26,13 +26,6 @@
 	 */
 	static final Duration ORDER_WAIT = Duration.ofMillis(400);
 
-	/**
-	 * How long a turn waits for the other relays to tell whether the budget holds it:
-	 * many times what a message there and back takes. One that does not answer within it
-	 * may be frozen.
-	 */
-	static final Duration RELAYS_WAIT = Duration.ofMillis(60);
-
 	/**
 	 * How many turns of one program are reckoned to begin at once at different relays,
 	 * before these hear of each other: a turn and the sub-agents that start with it.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -51,11 +51,6 @@
 	 */
 	final Map<String, Long> contending = new LinkedHashMap<>();
 
-	/**
-	 * The exchanges that wait for the other relays to tell what is taken, by request.
-	 */
-	final Map<String, Long> asking = new LinkedHashMap<>();
-
 	/**
 	 * The exchanges that wait for the text of the turns before, or for the log to be read
 	 * after a sleep, by number.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -135,51 +135,12 @@
 	}
 
 	private void contend(Exchange exchange) {
-		switch (this.state.reach) {
-			case LOG -> contendInLog(exchange);
-			case ALL_RELAYS -> contendAmongRelays(exchange);
-			// Without the log, what one relay that can't be asked has given is not known.
-			// Refused at once, the caller has time for a relay that can know.
-			case SOME_RELAYS, NOTHING ->
-				this.ends.refuse(exchange, Refusal.LOG_LOST, Optional.of(RelaySettings.COME_BACK));
-		}
-	}
-
-	/**
-	 * Asks all other relays what is taken of the budget, after the turn is held back here
-	 * and they were told so. Of two relays that do this at once, at least one hears of
-	 * the other's turn in its answers: each relay counts what it is told before it
-	 * answers, and holds its own turns back before it asks.
-	 * @param exchange the exchange
-	 */
-	private void contendAmongRelays(Exchange exchange) {
-		Turn turn = exchange.head().turn().orElseThrow();
-		exchange.become(Phase.WAITING_FOR_RELAYS);
-		exchange.reserve();
-		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.state.asking.put(exchange.head().id(), exchange.number());
-		this.state.emit(new RelayEffect.Write(
-				new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false)));
-		this.state.emit(new RelayEffect.AskTaken(exchange.head().id(), turn.program()));
-		this.state.remind(exchange, RelaySettings.RELAYS_WAIT, Reminder.ORDER);
-	}
-
-	/**
-	 * Decides on a turn for which all other relays have told what is taken.
-	 * @param exchange the exchange
-	 * @param most the most that one of them told
-	 */
-	void told(Exchange exchange, long most) {
-		Turn turn = exchange.head().turn().orElseThrow();
-		long taken = Math.max(most, this.state.tokens.taken(turn.program()));
-		if (taken > turn.budget().orElseThrow()) {
-			this.ends.giveUp(exchange, Refusal.LOG_LOST);
+		// A relay that does not reach the log would only wait for it in vain; refused at
+		// once, the caller has time for a relay that does.
+		if (this.state.reach != Reach.LOG) {
+			this.ends.refuse(exchange, Refusal.LOG_LOST, Optional.of(RelaySettings.COME_BACK));
 			return;
 		}
-		dispatch(exchange);
-	}
-
-	private void contendInLog(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		exchange.become(Phase.WAITING_FOR_ORDER);
 		this.state.contending.put(exchange.head().id(), exchange.number());
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -255,7 +255,7 @@
 	@Test
 	void relayWithoutTheLogAsksForHelpAtOnce() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.SOME_RELAYS));
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
 		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
 		relay.open(1);
 		List<RelayEffect.Remind> reminds = RelayFixture.of(relay.end(1), RelayEffect.Remind.class);
@@ -373,7 +373,7 @@
 	void relayWithoutTheLogRefusesContendingTurnsAtOnce() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		List<RelayEffect> lost = relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.SOME_RELAYS));
+		List<RelayEffect> lost = relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
 		assertThat(refusal(lost)).contains(Refusal.LOG_LOST);
 		List<RelayEffect> asked = relay.askTurn("t2", "draft", RelayFixture.turn("q", 100, 100, null));
 		assertThat(refusal(asked)).contains(Refusal.LOG_LOST);
@@ -381,57 +381,6 @@
 		assertThat(sends(relay.askTurn("t3", "draft", RelayFixture.turn("r", 1000, 100, null)))).hasSize(1);
 	}
 
-	// The store is down for all. A turn near the end of its budget runs if no relay knows
-	// of more than the budget holds with it.
-	@Test
-	void turnNearTheEndRunsWithoutTheLogIfAllRelaysAgree() {
-		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.ALL_RELAYS));
-		List<RelayEffect> asked = relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		assertThat(sends(asked)).isEmpty();
-		assertThat(RelayFixture.of(asked, RelayEffect.AskTaken.class)).hasSize(1);
-		assertThat(RelayFixture.written(asked)).hasSize(1);
-		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100)))).hasSize(1);
-	}
-
-	// Another relay has given the program a turn of which this one does not know. The
-	// turn is refused as not run, and what was held back for it is given back.
-	@Test
-	void turnIsRefusedIfAnotherRelayKnowsOfMore() {
-		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.ALL_RELAYS));
-		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 200));
-		assertThat(refusal(told)).contains(Refusal.LOG_LOST);
-		assertThat(settled(told).tokens()).isZero();
-	}
-
-	// One of the relays is frozen and does not answer. What it has given can't be known.
-	@Test
-	void turnIsRefusedIfOneRelayDoesNotAnswer() {
-		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.ALL_RELAYS));
-		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		assertThat(refusal(relay.remind(Reminder.ORDER))).contains(Refusal.LOG_LOST);
-		assertThat(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100))).isEmpty();
-	}
-
-	@Test
-	void questionIsAnsweredWithAllThatIsTaken() {
-		RelayFixture relay = RelayFixture.ready();
-		relay.told(new LedgerEntry.Settled("t0", "p", 30, Optional.empty()));
-		relay.told(new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false));
-		assertThat(relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p")))
-			.containsExactly(new RelayEffect.TellTaken("peer", "t1", 130));
-	}
-
-	@Test
-	void relayThatHasNotReadTheLogAnswersNoQuestion() {
-		RelayFixture relay = RelayFixture.ready();
-		relay.on(new RelayEvent.Woken(relay.now(), Duration.ofSeconds(4)));
-		assertThat(relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p"))).isEmpty();
-	}
-
 	// A relay is frozen for seconds, and a looping program spends its budget elsewhere. A
 	// turn that came during the freeze is read first when the relay wakes: decided on
 	// what it believed before, it would pass the budget. It waits for the log instead.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -32,9 +32,7 @@
 	/**
 	 * How long a relay may be out of reach before its address is dropped from the store:
 	 * twice what a restart takes. Addresses of VMs that were replaced would add up
-	 * otherwise, and be tried for ever; and while the store is down, a relay that is gone
-	 * would be asked about budgets and never answer. One that lives writes its address
-	 * again.
+	 * otherwise, and be tried for ever. One that lives writes its address again.
 	 */
 	private static final Duration FORGOTTEN = Duration.ofSeconds(8);
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -54,19 +54,4 @@
 	 */
 	void forgotten();
 
-	/**
-	 * Another relay asks what is taken of a program's budget.
-	 * @param peer its address
-	 * @param request the turn for which it asks
-	 * @param program the program
-	 */
-	void takenAsked(String peer, String request, String program);
-
-	/**
-	 * All other relays have answered a question.
-	 * @param request the turn for which they were asked
-	 * @param most the most tokens that one of them told
-	 */
-	void takenTold(String request, long most);
-
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -1,10 +1,8 @@
 package io.lentilslip.relay.peer;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,12 +36,6 @@
 	 */
 	private static final int BATCH = 20;
 
-	/**
-	 * How long answers to a question are waited for; the turn it is about is refused
-	 * sooner.
-	 */
-	private static final Duration ANSWERS = Duration.ofMillis(500);
-
 	private final EventLoop loop;
 
 	private final PeerListener listener;
@@ -54,8 +46,6 @@
 
 	private final List<LedgerEntry> untold = new ArrayList<>();
 
-	private final Map<String, Question> questions = new HashMap<>();
-
 	private int nextHelper;
 
 	private String own = "";
@@ -127,48 +117,6 @@
 		}
 	}
 
-	/**
-	 * Asks all other relays what is taken of a program's budget, after all that they are
-	 * to be told so far. If one is not linked nobody is asked, and no answer comes.
-	 * @param request the turn for which is asked
-	 * @param program the program
-	 */
-	public void askTaken(String request, String program) {
-		tellAll();
-		Map<String, PeerLink> asked = Map.copyOf(this.links);
-		if (asked.isEmpty() || up() < asked.size()) {
-			return;
-		}
-		this.questions.put(request, new Question(new HashSet<>(asked.keySet())));
-		asked.values().forEach((link) -> link.send(new PeerMessage.Question(request, program)));
-		this.timers.after(ANSWERS, () -> this.questions.remove(request));
-	}
-
-	/**
-	 * Answers another relay's question.
-	 * @param peer its address
-	 * @param request the turn for which it asked
-	 * @param tokens the tokens that are taken
-	 */
-	public void tellTaken(String peer, String request, long tokens) {
-		PeerLink link = this.links.get(peer);
-		if (link != null) {
-			link.send(new PeerMessage.Taken(request, tokens));
-		}
-	}
-
-	private void taken(String peer, PeerMessage.Taken taken) {
-		Question question = this.questions.get(taken.request());
-		if (question == null || !question.awaited.remove(peer)) {
-			return;
-		}
-		question.most = Math.max(question.most, taken.tokens());
-		if (question.awaited.isEmpty()) {
-			this.questions.remove(taken.request());
-			this.listener.takenTold(taken.request(), question.most);
-		}
-	}
-
 	/**
 	 * Tells another relay that the log has a turn that it asked for help with.
 	 * @param peer its address
@@ -228,9 +176,6 @@
 	}
 
 	private void tellAll() {
-		if (this.untold.isEmpty()) {
-			return;
-		}
 		List<LedgerEntry> batch = List.copyOf(this.untold);
 		this.untold.clear();
 		PeerMessage message = new PeerMessage.Batch(batch);
@@ -253,21 +198,6 @@
 		}
 	}
 
-	/**
-	 * A question to all other relays. Used by the event loop's thread.
-	 */
-	private static final class Question {
-
-		private final Set<String> awaited;
-
-		private long most;
-
-		Question(Set<String> awaited) {
-			this.awaited = awaited;
-		}
-
-	}
-
 	/**
 	 * Takes what another relay tells on its link. Used by the event loop's thread.
 	 */
@@ -286,9 +216,6 @@
 				case PeerMessage.Batch batch -> Peers.this.listener.entries(batch.entries());
 				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help.requests());
 				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
-				case PeerMessage.Question question ->
-					Peers.this.listener.takenAsked(this.peer, question.request(), question.program());
-				case PeerMessage.Taken taken -> taken(this.peer, taken);
 				case PeerMessage.Pulse ignored -> {
 				}
 			}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
@@ -65,20 +65,13 @@
 	}
 
 	void check() {
-		Reach now = storeLost() ? withoutStore() : Reach.LOG;
+		Reach now = storeLost() ? (alone() ? Reach.NOTHING : Reach.RELAYS) : Reach.LOG;
 		if (now != this.reach) {
 			this.reach = now;
 			this.events.on(new RelayEvent.ReachChanged(this.timers.now(), now));
 		}
 	}
 
-	private Reach withoutStore() {
-		if (alone()) {
-			return Reach.NOTHING;
-		}
-		return (this.peers.up() == this.peers.known()) ? Reach.ALL_RELAYS : Reach.SOME_RELAYS;
-	}
-
 	private boolean storeLost() {
 		long now = this.timers.now();
 		boolean silent = now - this.storeAnsweredAt > STORE_PATIENCE_MS;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -275,8 +275,6 @@
 			}
 			case RelayEffect.AskForHelp help -> this.peers.askForHelp(help.request());
 			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
-			case RelayEffect.AskTaken ask -> this.peers.askTaken(ask.request(), ask.program());
-			case RelayEffect.TellTaken tell -> this.peers.tellTaken(tell.peer(), tell.request(), tell.tokens());
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
 			case RelayEffect.Remind remind -> this.timers.after(remind.delay(),
@@ -435,16 +433,6 @@
 			on(new RelayEvent.HelpAsked(RelayProcess.this.timers.now(), peer, requests));
 		}
 
-		@Override
-		public void takenAsked(String peer, String request, String program) {
-			on(new RelayEvent.TakenAsked(RelayProcess.this.timers.now(), peer, request, program));
-		}
-
-		@Override
-		public void takenTold(String request, long most) {
-			on(new RelayEvent.TakenTold(RelayProcess.this.timers.now(), request, most));
-		}
-
 		@Override
 		public void stored(Set<String> requests) {
 			RelayProcess.this.stored(requests);
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -5,7 +5,6 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,12 +35,6 @@
 
 	private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
-	private final BlockingQueue<String> linkedBack = new LinkedBlockingQueue<>();
-
-	private volatile boolean fast = true;
-
-	private final Map<String, Peers> others = new HashMap<>();
-
 	private String own = OWN;
 
 	private final Peers peers = new Peers(this.loop, new Heard(), new FastTimers());
@@ -92,35 +85,12 @@
 		}
 	}
 
-	// A question goes out behind all that was told before it, so that the answer counts
-	// it; it is answered when all have, and the highest answer counts.
-	@Test
-	void questionFollowsWhatWasToldAndTakesTheHighestAnswer() throws Exception {
-		open();
-		String first = opened();
-		String second = opened();
-		for (int i = 0; i < 2; i++) {
-			assertThat(this.linkedBack.poll(20, TimeUnit.SECONDS)).isNotNull();
-		}
-		this.fast = false;
-		onLoop(() -> this.peers.tell(new LedgerEntry.Settled("r", "p", 1, Optional.empty())));
-		onLoop(() -> this.peers.askTaken("t", "p"));
-		for (int i = 0; i < 2; i++) {
-			assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("r");
-			assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("asked t of p");
-		}
-		onLoop(() -> this.others.get(first).tellTaken(this.own, "t", 7));
-		onLoop(() -> this.others.get(second).tellTaken(this.own, "t", 9));
-		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("told t 9");
-	}
-
 	private String opened() throws Exception {
 		Peers other = new Peers(this.loop, new Heard(), new FastTimers());
 		InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
 		InetSocketAddress bound = (InetSocketAddress) other.open(this.group, any).sync().channel().localAddress();
 		String address = "127.0.0.1:" + bound.getPort();
 		other.name(address);
-		this.others.put(address, other);
 		onLoop(() -> this.peers.changed(address, Optional.of(PRESENT)));
 		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("linked " + address);
 		return address;
@@ -142,8 +112,7 @@
 	}
 
 	/**
-	 * A clock on which each pause is over at once, or none ever. Used by the event loop's
-	 * thread.
+	 * A clock on which each pause is over at once. Used by the event loop's thread.
 	 */
 	private final class FastTimers implements Timers {
 
@@ -151,10 +120,8 @@
 
 		@Override
 		public void after(Duration delay, Runnable step) {
-			if (PeersTests.this.fast) {
-				this.now += delay.toMillis();
-				PeersTests.this.loop.execute(step);
-			}
+			this.now += delay.toMillis();
+			PeersTests.this.loop.execute(step);
 		}
 
 		@Override
@@ -184,24 +151,15 @@
 
 		@Override
 		public void linked(String peer) {
-			boolean back = peer.equals(PeersTests.this.own);
-			(back ? PeersTests.this.linkedBack : PeersTests.this.heard).add("linked " + peer);
+			if (!peer.equals(PeersTests.this.own)) {
+				PeersTests.this.heard.add("linked " + peer);
+			}
 		}
 
 		@Override
 		public void lost(String peer, String reason) {
 		}
 
-		@Override
-		public void takenAsked(String peer, String request, String program) {
-			PeersTests.this.heard.add("asked " + request + " of " + program);
-		}
-
-		@Override
-		public void takenTold(String request, long most) {
-			PeersTests.this.heard.add("told " + request + " " + most);
-		}
-
 		@Override
 		public void outOfReach(String peer) {
 			PeersTests.this.heard.add("out of reach " + peer);
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -71,27 +71,6 @@
 
 	}
 
-	/**
-	 * The relay asks what is taken of a program's budget before a turn runs. All that it
-	 * told before on the same link is part of the answer.
-	 *
-	 * @param request the turn
-	 * @param program the program
-	 */
-	record Question(String request, String program) implements PeerMessage {
-
-	}
-
-	/**
-	 * The answer to a question.
-	 *
-	 * @param request the turn
-	 * @param tokens the tokens that are spent or held back
-	 */
-	record Taken(String request, long tokens) implements PeerMessage {
-
-	}
-
 	/**
 	 * The relay is alive.
 	 */
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -57,10 +57,6 @@
 				batch.entries().forEach((entry) -> builder.getBatchBuilder().addEntries(message(entry)));
 			case PeerMessage.Help help -> builder.getHelpBuilder().addAllRequest(help.requests());
 			case PeerMessage.Stored stored -> builder.getStoredBuilder().addAllRequest(stored.requests());
-			case PeerMessage.Question question ->
-				builder.getQuestionBuilder().setRequest(question.request()).setProgram(question.program());
-			case PeerMessage.Taken taken ->
-				builder.getTakenBuilder().setRequest(taken.request()).setTokens(taken.tokens());
 			case PeerMessage.Pulse ignored -> builder.getPulseBuilder();
 		}
 		return builder.build().toByteArray();
@@ -79,10 +75,6 @@
 				case BATCH -> batch(message.getBatch());
 				case HELP -> Either.right(new PeerMessage.Help(Set.copyOf(message.getHelp().getRequestList())));
 				case STORED -> Either.right(new PeerMessage.Stored(Set.copyOf(message.getStored().getRequestList())));
-				case QUESTION -> Either.right(new PeerMessage.Question(message.getQuestion().getRequest(),
-						message.getQuestion().getProgram()));
-				case TAKEN -> Either
-					.right(new PeerMessage.Taken(message.getTaken().getRequest(), message.getTaken().getTokens()));
 				case PULSE -> Either.right(new PeerMessage.Pulse());
 				case MESSAGE_NOT_SET -> Either.left("a message without content");
 			};
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -47,8 +47,7 @@
 	void messagesOfLinksAreReadAsWritten() {
 		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
 				new PeerMessage.Batch(List.of(new LedgerEntry.Blamed("r", -3, "u"))),
-				new PeerMessage.Help(Set.of("a", "b")), new PeerMessage.Stored(Set.of("a")), new PeerMessage.Pulse(),
-				new PeerMessage.Question("r", "p"), new PeerMessage.Taken("r", 1L << 40));
+				new PeerMessage.Help(Set.of("a", "b")), new PeerMessage.Stored(Set.of("a")), new PeerMessage.Pulse());
 		for (PeerMessage message : messages) {
 			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
 		}
