Write once what the relay, its log and its tests wrote twice

Behaviour as before but for one case: a relay that drains before its address was ever written no longer goes on writing it.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/story/RequestStory.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/story/RequestStory.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -114,21 +115,30 @@
 	}
 
 	private List<LogLine> restingOn(LogLine line) {
-		List<LogLine> before = this.beliefs.stream()
-			.filter((belief) -> belief.process().equals(line.process()) && !belief.time().isAfter(line.time()))
-			.toList();
-		List<LogLine> resting = new ArrayList<>();
-		for (NoticeCode code : OF_PROCESS) {
-			newest(before.stream().filter((belief) -> belief.number() == code.number()).toList())
-				.ifPresent(resting::add);
+		Map<String, LogLine> newest = new HashMap<>();
+		for (LogLine belief : this.beliefs) {
+			if (belief.process().equals(line.process()) && !belief.time().isAfter(line.time())) {
+				subject(belief, line).ifPresent((subject) -> newest.put(subject, belief));
+			}
 		}
-		List<LogLine> ofUpstream = before.stream().filter((belief) -> concerns(belief, line)).toList();
-		newest(ofUpstream.stream().filter((belief) -> belief.number() == NoticeCode.ATTEMPT_FAILED.number()).toList())
-			.ifPresent(resting::add);
-		newest(ofUpstream.stream().filter((belief) -> belief.number() != NoticeCode.ATTEMPT_FAILED.number()).toList())
-			.ifPresent(resting::add);
-		resting.sort(Comparator.comparing(LogLine::time));
-		return resting;
+		return newest.values().stream().sorted(Comparator.comparing(LogLine::time)).toList();
+	}
+
+	/**
+	 * Returns what a belief is about. A later one about the same replaces it.
+	 * @param belief the belief
+	 * @param line the event that may rest on it
+	 * @return the subject, or empty if the event does not rest on such beliefs
+	 */
+	private static Optional<String> subject(LogLine belief, LogLine line) {
+		NoticeCode code = BELIEFS.get(belief.number());
+		if (OF_PROCESS.contains(code)) {
+			return Optional.of(code.name());
+		}
+		if (!concerns(belief, line)) {
+			return Optional.empty();
+		}
+		return Optional.of(OF_UPSTREAM.contains(code) ? "listing" : code.name());
 	}
 
 	private static boolean concerns(LogLine belief, LogLine line) {
@@ -137,10 +147,6 @@
 				&& (belief.field(FieldName.UPSTREAM).equals(upstream) || belief.field(FieldName.VM).equals(upstream));
 	}
 
-	private static Optional<LogLine> newest(List<LogLine> ordered) {
-		return ordered.isEmpty() ? Optional.empty() : Optional.of(ordered.getLast());
-	}
-
 	private String describe(LogLine line, String process) {
 		StringBuilder text = new StringBuilder();
 		text.append('E').append(line.number()).append(' ').append(line.name());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -108,8 +108,8 @@
 		this.ends.settle(exchange, Optional.of(kept));
 		exchange.become(Phase.ENDING);
 		this.state.ending.put(exchange.head().id(), exchange.number());
-		boolean alone = this.state.reach == Reach.LOG;
-		this.state.remind(exchange, alone ? RelaySettings.ALONE : RelaySettings.TELLING, Reminder.STORED);
+		Duration pause = (this.state.reach == Reach.LOG) ? RelaySettings.ALONE : RelaySettings.TELLING;
+		this.state.remind(exchange, pause, Reminder.STORED);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -72,19 +72,17 @@
 	 * @return the notice
 	 */
 	static Notice placed(Exchange exchange, List<Weighed> weighed, RelayState state) {
-		String candidates = weighed.stream()
-			.map((next) -> describe(next, exchange, state.now))
-			.collect(Collectors.joining("; "));
+		String candidates = weighed.stream().map((next) -> describe(next, state.now)).collect(Collectors.joining("; "));
 		return notice(NoticeCode.REQUEST_PLACED, request(exchange), program(exchange), upstream(exchange),
 				attempt(exchange), field(FieldName.VERSION, state.table.map(RouteTable::version).orElse(0L)),
 				field(FieldName.CANDIDATES, candidates), taken(exchange, state.now));
 	}
 
-	private static String describe(Weighed weighed, Exchange exchange, long now) {
+	private static String describe(Weighed weighed, long now) {
 		Known known = weighed.candidate();
-		String age = known.reportAge(now).isPresent() ? Long.toString(known.reportAge(now).getAsLong()) : NONE;
-		return known.upstream().id() + " cost=" + Math.round(weighed.cost()) + " load=" + known.load(now) + " unread="
-				+ known.uncached(exchange.head().prompt()) + " age=" + age;
+		String age = known.reportAge(now).stream().mapToObj(Long::toString).findFirst().orElse(NONE);
+		return known.upstream().id() + " cost=" + Math.round(weighed.cost()) + " load=" + weighed.load() + " unread="
+				+ weighed.unread() + " age=" + age;
 	}
 
 	static Notice silent(Exchange exchange, long now) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -174,7 +174,7 @@
 	 * @param exchange the exchange
 	 */
 	void leaveSilent(Exchange exchange) {
-		List<Weighed> next = weigh(exchange).stream().filter((weighed) -> free(weighed.candidate())).toList();
+		List<Weighed> next = weigh(exchange).stream().filter(this::free).toList();
 		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
 		if (next.isEmpty() || blamed || exchange.sends() >= exchange.route().attempts()) {
 			return;
@@ -186,8 +186,9 @@
 		send(exchange, next);
 	}
 
-	private boolean free(Known known) {
-		return !known.avoided(this.state.now) && known.load(this.state.now) < known.places();
+	private boolean free(Weighed weighed) {
+		Known known = weighed.candidate();
+		return !known.avoided(this.state.now) && weighed.load() < known.places();
 	}
 
 	private List<Weighed> weigh(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -67,7 +67,7 @@
 			if (excluded.contains(candidate.upstream().id())) {
 				continue;
 			}
-			insert(best, new Weighed(candidate, cost(candidate, prompt, engine, now)));
+			insert(best, weigh(candidate, prompt, engine, now));
 		}
 		return best;
 	}
@@ -85,26 +85,26 @@
 		}
 	}
 
-	private double cost(Known candidate, List<PromptPart> prompt, boolean engine, long now) {
+	private Weighed weigh(Known candidate, List<PromptPart> prompt, boolean engine, long now) {
+		int load = candidate.load(now);
+		long unread = candidate.uncached(prompt);
 		double cost = this.random.nextDouble();
-		if (engine) {
-			cost += candidate.uncached(prompt) / TOKENS_PER_MS + MS_PER_RUN * candidate.load(now);
-		}
-		else {
-			cost += MS_AT_FULL_SERVICE * candidate.load(now) / Math.max(1, candidate.upstream().slots());
-		}
+		cost += engine ? (unread / TOKENS_PER_MS + MS_PER_RUN * load)
+				: (MS_AT_FULL_SERVICE * load / candidate.places());
 		cost += candidate.upstream().zone().equals(this.zone) ? 0 : MS_OF_OTHER_ZONE;
 		cost += candidate.avoided(now) ? MS_OF_AVOIDED : 0;
-		return cost;
+		return new Weighed(candidate, load, unread, cost);
 	}
 
 	/**
-	 * An upstream with what it is expected to cost. Immutable.
+	 * An upstream with what it is expected to cost, and by what. Immutable.
 	 *
 	 * @param candidate the upstream
+	 * @param load the requests that it is believed to run
+	 * @param unread the tokens of the prompt that it is believed not to have cached
 	 * @param cost the cost in milliseconds
 	 */
-	record Weighed(Known candidate, double cost) {
+	record Weighed(Known candidate, int load, long unread, double cost) {
 
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.lentilslip.core.retry.Backoff;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
@@ -25,9 +26,12 @@
 	 * The pauses between tries: the first ones short, since a relay that restarts is back
 	 * in half a second, later ones long, since it may be gone.
 	 */
-	private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
+	private static final Backoff BACKOFF = new Backoff(Duration.ofMillis(100), Duration.ofMillis(2000));
 
-	private static final Duration LONGEST_PAUSE = Duration.ofMillis(2000);
+	/**
+	 * Takes no random part off a pause: a relay that is back needs all its links at once.
+	 */
+	private static final long WHOLE_PAUSE = 0;
 
 	/**
 	 * How long a relay may be out of reach before its address is dropped from the store:
@@ -53,7 +57,7 @@
 
 	private Optional<Channel> channel = Optional.empty();
 
-	private Duration pause = FIRST_PAUSE;
+	private int failures;
 
 	private boolean wanted = true;
 
@@ -122,9 +126,8 @@
 			this.downSince = this.timers.now();
 			this.listener.outOfReach(this.address);
 		}
-		this.timers.after(this.pause, this::connect);
-		Duration doubled = this.pause.multipliedBy(2);
-		this.pause = (doubled.compareTo(LONGEST_PAUSE) < 0) ? doubled : LONGEST_PAUSE;
+		this.failures++;
+		this.timers.after(BACKOFF.after(this.failures, WHOLE_PAUSE), this::connect);
 	}
 
 	/**
@@ -156,7 +159,7 @@
 
 		private void up(Channel linked) {
 			PeerLink.this.channel = Optional.of(linked);
-			PeerLink.this.pause = FIRST_PAUSE;
+			PeerLink.this.failures = 0;
 			PeerLink.this.listener.linked(PeerLink.this.address);
 		}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
@@ -65,13 +65,20 @@
 	}
 
 	void check() {
-		Reach now = storeLost() ? (alone() ? Reach.NOTHING : Reach.RELAYS) : Reach.LOG;
+		Reach now = reach();
 		if (now != this.reach) {
 			this.reach = now;
 			this.events.on(new RelayEvent.ReachChanged(this.timers.now(), now));
 		}
 	}
 
+	private Reach reach() {
+		if (!storeLost()) {
+			return Reach.LOG;
+		}
+		return alone() ? Reach.NOTHING : Reach.RELAYS;
+	}
+
 	private boolean storeLost() {
 		long now = this.timers.now();
 		boolean silent = now - this.storeAnsweredAt > STORE_PATIENCE_MS;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -186,7 +186,7 @@
 		follow(Topic.ROUTES, new Routes());
 		follow(Topic.UPSTREAMS, new UpstreamList());
 		this.reader.read();
-		announce();
+		announce(() -> follow(Topic.RELAYS, this.peers));
 		checkReach();
 	}
 
@@ -195,25 +195,26 @@
 			.start();
 	}
 
-	// One that can't reach this relay has dropped its address; those that can need it.
-	private void announceAgain() {
-		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
-			if (!(outcome instanceof Store.Appended.Done) && !this.draining) {
-				this.timers.after(REACH_INTERVAL, this::announceAgain);
-			}
-		});
-	}
-
-	private void announce() {
+	/**
+	 * Writes this relay's address to the store, and tries until it is there.
+	 * @param then runs when it is there
+	 */
+	private void announce(Runnable then) {
 		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
 			if (outcome instanceof Store.Appended.Done) {
-				follow(Topic.RELAYS, this.peers);
+				then.run();
 				return;
 			}
-			this.timers.after(REACH_INTERVAL, this::announce);
+			this.timers.after(REACH_INTERVAL, () -> announceUnlessDraining(then));
 		});
 	}
 
+	private void announceUnlessDraining(Runnable then) {
+		if (!this.draining) {
+			announce(then);
+		}
+	}
+
 	/**
 	 * Looks before each event, not only at intervals: after a sleep, what arrived
 	 * meanwhile is read before any timer runs.
@@ -448,9 +449,11 @@
 
 		@Override
 		public void forgotten() {
-			if (!RelayProcess.this.draining) {
-				announceAgain();
-			}
+			// One that can't reach this relay has dropped its address; those that can
+			// need
+			// it.
+			announceUnlessDraining(() -> {
+			});
 		}
 
 		@Override
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/DroppingAppender.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/DroppingAppender.java
@@ -8,6 +8,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.core.Appender;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
 import org.slf4j.event.KeyValuePair;
@@ -32,7 +33,7 @@
 
 	private int dropped;
 
-	DroppingAppender() {
+	private DroppingAppender() {
 		setQueueSize(QUEUE);
 		setDiscardingThreshold(0);
 		setNeverBlock(true);
@@ -40,6 +41,20 @@
 		setMaxFlushTime(FLUSH_MS);
 	}
 
+	/**
+	 * Creates an appender that is started already.
+	 * @param context the context
+	 * @param next where the lines go, already started
+	 * @return the appender
+	 */
+	static DroppingAppender before(LoggerContext context, Appender<ILoggingEvent> next) {
+		DroppingAppender first = new DroppingAppender();
+		first.setContext(context);
+		first.addAppender(next);
+		first.start();
+		return first;
+	}
+
 	@Override
 	protected void append(ILoggingEvent event) {
 		synchronized (this) {
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/LogSettings.java
@@ -88,12 +88,7 @@
 	 * @throws IllegalStateException if another library than Logback stands behind SLF4J
 	 */
 	public void apply() {
-		if (!(LoggerFactory.getILoggerFactory() instanceof LoggerContext context)) {
-			throw new IllegalStateException("Logback does not stand behind SLF4J");
-		}
-		ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
-		console.setTarget(this.target.getName());
-		applyTo(context, console);
+		applyTo(context(), console());
 	}
 
 	/**
@@ -104,25 +99,24 @@
 	 * @throws IllegalStateException if another library than Logback stands behind SLF4J
 	 */
 	public LogWriting applyWithoutWaiting() {
-		apply();
-		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
-		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-		moveBehind(new DroppingAppender(), root, context);
+		LoggerContext context = context();
+		ConsoleAppender<ILoggingEvent> console = console();
+		start(context, console);
+		root(context).addAppender(DroppingAppender.before(context, console));
 		return context::stop;
 	}
 
-	/**
-	 * Puts an appender that drops before those of a logger.
-	 * @param first the appender that drops
-	 * @param logger the logger
-	 * @param context the context
-	 */
-	static void moveBehind(DroppingAppender first, Logger logger, LoggerContext context) {
-		first.setContext(context);
-		logger.iteratorForAppenders().forEachRemaining(first::addAppender);
-		logger.iteratorForAppenders().forEachRemaining(logger::detachAppender);
-		logger.addAppender(first);
-		first.start();
+	private static LoggerContext context() {
+		if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+			return context;
+		}
+		throw new IllegalStateException("Logback does not stand behind SLF4J");
+	}
+
+	private ConsoleAppender<ILoggingEvent> console() {
+		ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+		console.setTarget(this.target.getName());
+		return console;
 	}
 
 	/**
@@ -131,6 +125,11 @@
 	 * @param appender where the output goes
 	 */
 	void applyTo(LoggerContext context, OutputStreamAppender<ILoggingEvent> appender) {
+		start(context, appender);
+		root(context).addAppender(appender);
+	}
+
+	private void start(LoggerContext context, OutputStreamAppender<ILoggingEvent> appender) {
 		context.reset();
 		Encoder<ILoggingEvent> encoder = switch (this.form) {
 			case LINES -> lineEncoder(context);
@@ -142,9 +141,11 @@
 		appender.start();
 		Level own = Level.toLevel(this.level.name());
 		context.getLogger(PROJECT_LOGGER).setLevel(own);
-		context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)
-			.setLevel(own.isGreaterOrEqual(Level.WARN) ? own : Level.WARN);
-		context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(appender);
+		root(context).setLevel(own.isGreaterOrEqual(Level.WARN) ? own : Level.WARN);
+	}
+
+	private static Logger root(LoggerContext context) {
+		return context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
 	}
 
 	private static Encoder<ILoggingEvent> lineEncoder(LoggerContext context) {
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DroppingAppenderTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DroppingAppenderTests.java
@@ -33,9 +33,8 @@
 		blocked.setContext(this.context);
 		blocked.start();
 		this.logger.setLevel(Level.INFO);
-		this.logger.addAppender(blocked);
-		DroppingAppender dropping = new DroppingAppender();
-		LogSettings.moveBehind(dropping, this.logger, this.context);
+		DroppingAppender dropping = DroppingAppender.before(this.context, blocked);
+		this.logger.addAppender(dropping);
 		for (int i = 0; i < LINES; i++) {
 			this.logger.info("line");
 		}
