Use only what names an upstream, and believe nothing of a life that is over

Cause: the list of upstreams may hold records of other writers. Change: a record is decoded to an upstream or a typed problem, told once by key and reason (E3015) and bounded; a life is id and beginning, on all relays; a request that crashed three lives of one id is stopped; requests about one object meet at one upstream where a route says that it helps and none is busier.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -234,6 +234,13 @@
 	LOG_CAUGHT_UP(3014, Level.INFO, "A relay has read the log up to its end, and decides on turns.",
 			"Nothing; where it takes seconds, look at the store.", FieldName.OFFSET, FieldName.MILLISECONDS),
 
+	/**
+	 * Written once for each key and reason, as long as these are remembered.
+	 */
+	UPSTREAM_UNUSABLE(3015, Level.WARN, "A record of the list of upstreams names none that can be used.",
+			"Look for what else writes to that list; the other upstreams are used as before.", FieldName.UPSTREAM,
+			FieldName.REASON),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -148,7 +148,7 @@
 		if (cause != FailureCause.BROKEN || exchange.upstream().isEmpty()) {
 			return;
 		}
-		String upstream = exchange.upstream().get().id();
+		String upstream = exchange.upstream().get().life();
 		this.state.blames.add(exchange.asked().digest(), upstream);
 		this.state.emit(new RelayEffect.Write(
 				new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream)));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -23,7 +23,7 @@
 	 * @param request the id of the caller's attempt
 	 * @param program the program
 	 * @param tokens the most tokens that the turn generates
-	 * @param upstream the id of the upstream; empty while the turn contends
+	 * @param upstream the life of the upstream; empty while the turn contends
 	 * @param prompt the parts of the prompt that the upstream then holds
 	 * @param contending whether the turn runs only if the log's order leaves enough of
 	 * the budget for it; otherwise it runs already
@@ -36,7 +36,7 @@
 		 * @param request the id of the caller's attempt
 		 * @param program the program
 		 * @param tokens the most tokens that the turn generates
-		 * @param upstream the id of the upstream
+		 * @param upstream the life of the upstream
 		 * @param prompt the parts of the prompt that the upstream then holds
 		 * @param contending whether the turn runs only if the log's order leaves enough
 		 * of the budget for it; otherwise it runs already
@@ -64,7 +64,7 @@
 	 *
 	 * @param request the id of the caller's attempt
 	 * @param digest the digest of the request's content, the same for each resend
-	 * @param upstream the id of the upstream
+	 * @param upstream the life of the upstream
 	 */
 	record Blamed(String request, long digest, String upstream) implements LedgerEntry {
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -91,7 +91,7 @@
 	private void reservedElsewhere(LedgerEntry.Reserved reserved) {
 		this.state.tokens.reserve(reserved.program(), reserved.request(), reserved.tokens());
 		if (this.state.tokens.open(reserved.program(), reserved.request())) {
-			this.state.upstreams.find(reserved.upstream()).ifPresent((known) -> {
+			this.state.upstreams.ofLife(reserved.upstream()).ifPresent((known) -> {
 				this.state.upstreams.began(reserved.request(), known, this.state.now);
 				known.read(reserved.prompt(), this.state.memory(known.upstream()));
 			});
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -59,6 +59,7 @@
 			case RelayEvent.TableRead read -> this.site.tableRead(read.table());
 			case RelayEvent.UpstreamsRead read -> this.state.upstreams.replace(read.upstreams());
 			case RelayEvent.UpstreamListed read -> this.site.listed(read.upstream());
+			case RelayEvent.UpstreamUnusable unusable -> this.site.unusable(unusable.id(), unusable.problem());
 			case RelayEvent.UpstreamGone gone -> this.site.gone(gone.id());
 		}
 		this.site.updateReadiness();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -268,6 +268,17 @@
 
 	}
 
+	/**
+	 * A record of the list of upstreams names none that can be used.
+	 *
+	 * @param now when
+	 * @param id the key of the record
+	 * @param problem why
+	 */
+	record UpstreamUnusable(long now, String id, EntryProblem problem) implements RelayEvent {
+
+	}
+
 	/**
 	 * An upstream is no longer listed.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -37,6 +37,16 @@
 				field(FieldName.ADDRESS, upstream.host() + ":" + upstream.port()));
 	}
 
+	/**
+	 * Tells of a record that names no upstream to use.
+	 * @param key the key of the record
+	 * @param problem why
+	 * @return the notice
+	 */
+	static Notice unusable(String key, EntryProblem problem) {
+		return notice(NoticeCode.UPSTREAM_UNUSABLE, field(FieldName.UPSTREAM, key), field(FieldName.REASON, problem));
+	}
+
 	static Notice gone(String upstream) {
 		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -106,7 +106,7 @@
 	}
 
 	Optional<Known> known(Exchange exchange) {
-		return exchange.upstream().flatMap((upstream) -> this.upstreams.find(upstream.id()));
+		return exchange.upstream().flatMap((upstream) -> this.upstreams.ofLife(upstream.life()));
 	}
 
 	Optional<RouteTable.Engine> engine(String service) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
@@ -17,9 +17,11 @@
  * @param prompt the parts of its prompt, in order
  * @param promptTokens the tokens of its prompt
  * @param lastEvent the last event that the caller has of an earlier attempt
+ * @param object names the object that the request is about; requests about one object
+ * share it
  */
 public record RequestHead(String id, String host, String path, Optional<Duration> patience, Optional<Turn> turn,
-		List<PromptPart> prompt, int promptTokens, OptionalLong lastEvent) {
+		List<PromptPart> prompt, int promptTokens, OptionalLong lastEvent, Optional<String> object) {
 
 	/**
 	 * Creates a head.
@@ -31,6 +33,9 @@
 	 * @param prompt the parts of its prompt, in order
 	 * @param promptTokens the tokens of its prompt
 	 * @param lastEvent the last event that the caller has of an earlier attempt
+	 * @param object names the object that the request is about
+	 * @param object names the object that the request is about; requests about one object
+	 * share it
 	 */
 	public RequestHead {
 		prompt = List.copyOf(prompt);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -194,8 +194,10 @@
 	private List<Weighed> weigh(Exchange exchange) {
 		String service = service(exchange.route());
 		boolean engine = this.state.engine(service).isPresent();
+		boolean warm = exchange.route().warm() && !engine;
+		Optional<String> object = exchange.head().object().filter((name) -> warm);
 		return this.state.choice.weigh(this.state.upstreams.taking(service), exchange.tried(), exchange.head().prompt(),
-				engine, this.state.now);
+				engine, object, this.state.now);
 	}
 
 	private String service(Route route) {
@@ -234,7 +236,7 @@
 		exchange.reserve();
 		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
 		this.state.emit(new RelayEffect.Write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(),
-				turn.most(), upstream.id(), prompt, false)));
+				turn.most(), upstream.life(), prompt, false)));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
@@ -18,11 +18,12 @@
  * @param resumable whether a stream may go on at another upstream
  * @param keepsTurns whether turns carry new input only and the relay holds the rest
  * @param retention how long turns are kept, and programs remembered
+ * @param warm whether an upstream that handled an object lately handles it faster
  * @param targets the services that share the route's requests
  */
 public record Route(String name, String host, String prefix, Repeatability repeatability, Duration timeout,
 		Duration target, int attempts, int priority, boolean resumable, boolean keepsTurns, Duration retention,
-		List<WeightedService> targets) {
+		boolean warm, List<WeightedService> targets) {
 
 	/**
 	 * By how many targets a stream may be silent: well above what engines show under full
@@ -43,6 +44,7 @@
 	 * @param resumable whether a stream may go on at another upstream
 	 * @param keepsTurns whether turns carry new input only and the relay holds the rest
 	 * @param retention how long turns are kept, and programs remembered
+	 * @param warm whether an upstream that handled an object lately handles it faster
 	 * @param targets the services that share the route's requests
 	 */
 	public Route {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -17,6 +17,8 @@
 
 	private final ExchangeEnds ends;
 
+	private final ToldProblems problems = new ToldProblems();
+
 	SiteRules(RelayState state, ExchangeEnds ends) {
 		this.state = state;
 		this.ends = ends;
@@ -42,12 +44,34 @@
 
 	void listed(Upstream upstream) {
 		Optional<Upstream> before = this.state.upstreams.find(upstream.id()).map(Known::upstream);
-		this.state.upstreams.put(upstream);
+		if (!this.state.upstreams.put(upstream)) {
+			tellUnusable(upstream.id(), EntryProblem.EARLIER_LIFE);
+			return;
+		}
 		if (!before.equals(Optional.of(upstream))) {
 			this.state.tell(RelayNotices.listed(upstream));
 		}
 	}
 
+	/**
+	 * Takes that a record names no upstream to use: an upstream that it named before is
+	 * used no more, and all others hold.
+	 * @param key the key of the record
+	 * @param problem why
+	 */
+	void unusable(String key, EntryProblem problem) {
+		tellUnusable(key, problem);
+		if (this.state.upstreams.find(key).isPresent()) {
+			gone(key);
+		}
+	}
+
+	private void tellUnusable(String key, EntryProblem problem) {
+		if (this.problems.first(key, problem)) {
+			this.state.tell(RelayNotices.unusable(key, problem));
+		}
+	}
+
 	void gone(String upstream) {
 		this.state.upstreams.remove(upstream);
 		this.state.tell(RelayNotices.gone(upstream));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 
 import io.lentilslip.core.relay.Upstreams.Known;
@@ -35,6 +37,13 @@
 	 */
 	private static final double MS_AT_FULL_SERVICE = 100;
 
+	/**
+	 * Milliseconds for which an upstream that the object of a request leads to is
+	 * preferred: less than one more request makes there, so that an object never queues
+	 * behind others for the sake of being known.
+	 */
+	private static final double MS_OF_KNOWN_OBJECT = 10;
+
 	/**
 	 * Milliseconds that another zone costs there and back.
 	 */
@@ -62,16 +71,49 @@
 	 */
 	List<Weighed> weigh(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, boolean engine,
 			long now) {
+		return weigh(candidates, excluded, prompt, engine, Optional.empty(), now);
+	}
+
+	/**
+	 * Weighs upstreams for a request about an object.
+	 * @param candidates the upstreams
+	 * @param excluded the ids of those that are not to be chosen
+	 * @param prompt the prompt
+	 * @param engine whether they are engines
+	 * @param object the object, if an upstream that knows it is faster
+	 * @param now when
+	 * @return the best ones, the best first; empty if there is none to choose
+	 */
+	List<Weighed> weigh(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, boolean engine,
+			Optional<String> object, long now) {
+		Optional<Known> home = object.flatMap((name) -> home(candidates, name));
 		List<Weighed> best = new ArrayList<>(KEPT + 1);
 		for (Known candidate : candidates) {
 			if (excluded.contains(candidate.upstream().id())) {
 				continue;
 			}
-			insert(best, weigh(candidate, prompt, engine, now));
+			insert(best, weigh(candidate, prompt, engine, home.isPresent() && home.get() == candidate, now));
 		}
 		return best;
 	}
 
+	// All relays come to the same upstream without telling each other, and an upstream
+	// that
+	// comes or goes moves only the objects that lead to it.
+	private static Optional<Known> home(List<Known> candidates, String object) {
+		Optional<Known> home = Optional.empty();
+		int highest = Integer.MIN_VALUE;
+		for (Known candidate : candidates) {
+			long seed = ((long) object.hashCode() << Integer.SIZE) ^ candidate.upstream().life().hashCode();
+			int score = new SplittableRandom(seed).nextInt();
+			if (home.isEmpty() || score > highest) {
+				home = Optional.of(candidate);
+				highest = score;
+			}
+		}
+		return home;
+	}
+
 	private static void insert(List<Weighed> best, Weighed next) {
 		int place = best.size();
 		while (place > 0 && best.get(place - 1).cost() > next.cost()) {
@@ -85,13 +127,14 @@
 		}
 	}
 
-	private Weighed weigh(Known candidate, List<PromptPart> prompt, boolean engine, long now) {
+	private Weighed weigh(Known candidate, List<PromptPart> prompt, boolean engine, boolean home, long now) {
 		int load = candidate.load(now);
 		long unread = candidate.uncached(prompt);
 		double cost = this.random.nextDouble();
 		cost += engine ? (unread / TOKENS_PER_MS + MS_PER_RUN * load)
 				: (MS_AT_FULL_SERVICE * load / candidate.places());
 		cost += candidate.upstream().zone().equals(this.zone) ? 0 : MS_OF_OTHER_ZONE;
+		cost -= home ? MS_OF_KNOWN_OBJECT : 0;
 		cost += candidate.avoided(now) ? MS_OF_AVOIDED : 0;
 		return new Weighed(candidate, load, unread, cost);
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -41,6 +41,8 @@
 
 	private final Map<String, Known> known = new HashMap<>();
 
+	private final Map<String, Known> lives = new HashMap<>();
+
 	private final Map<String, Known> running = new LinkedHashMap<>();
 
 	private boolean listed;
@@ -48,17 +50,38 @@
 	void replace(List<Upstream> upstreams) {
 		Set<String> ids = new HashSet<>();
 		upstreams.forEach((upstream) -> ids.add(upstream.id()));
-		this.known.keySet().retainAll(ids);
+		Set.copyOf(this.known.keySet()).stream().filter((id) -> !ids.contains(id)).forEach(this::remove);
 		upstreams.forEach(this::put);
 		this.listed = true;
 	}
 
-	void put(Upstream upstream) {
-		this.known.computeIfAbsent(upstream.id(), (id) -> new Known()).upstream = upstream;
+	/**
+	 * Takes what an upstream says of itself. A new life holds and knows nothing of the
+	 * one before, so nothing that was believed of that one is kept.
+	 * @param upstream the upstream
+	 * @return whether it was taken: a claim of an earlier life changes nothing
+	 */
+	boolean put(Upstream upstream) {
+		Known before = this.known.get(upstream.id());
+		if (before != null && !upstream.follows(before.upstream)) {
+			return false;
+		}
+		boolean sameLife = before != null && before.upstream.life().equals(upstream.life());
+		if (!sameLife) {
+			remove(upstream.id());
+		}
+		Known now = sameLife ? before : new Known();
+		now.upstream = upstream;
+		this.known.put(upstream.id(), now);
+		this.lives.put(upstream.life(), now);
+		return true;
 	}
 
 	void remove(String id) {
-		this.known.remove(id);
+		Known gone = this.known.remove(id);
+		if (gone != null) {
+			this.lives.remove(gone.upstream.life());
+		}
 	}
 
 	/**
@@ -95,6 +118,15 @@
 		return Optional.ofNullable(this.known.get(id));
 	}
 
+	/**
+	 * Returns what is believed of one life of an upstream.
+	 * @param life the name of the life
+	 * @return the belief, or empty if that life is over or not known
+	 */
+	Optional<Known> ofLife(String life) {
+		return Optional.ofNullable(this.lives.get(life));
+	}
+
 	/**
 	 * Returns the upstreams of a service that take new work.
 	 * @param service the service
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -68,11 +68,15 @@
 
 	static Route route(String name, Repeatability repeatability, boolean resumable, boolean keeps, String service) {
 		return new Route(name, "host", "/" + name + "/", repeatability, Duration.ofSeconds(4), Duration.ofMillis(200),
-				2, 0, resumable, keeps, Duration.ofSeconds(60), List.of(new Route.WeightedService(service, 1)));
+				2, 0, resumable, keeps, Duration.ofSeconds(60), false, List.of(new Route.WeightedService(service, 1)));
 	}
 
 	static Upstream upstream(String id, String service) {
-		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false);
+		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty());
+	}
+
+	static Upstream born(String id, String service, long born) {
+		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.of(born));
 	}
 
 	static RequestHead.Turn turn(String program, long budget, int most, String previous) {
@@ -81,7 +85,7 @@
 
 	static RequestHead head(String id, String route, Optional<RequestHead.Turn> turn) {
 		return new RequestHead(id, "host", "/" + route + "/x", Optional.of(Duration.ofSeconds(3)), turn, List.of(), 0,
-				OptionalLong.empty());
+				OptionalLong.empty(), Optional.empty());
 	}
 
 	List<RelayEffect> on(RelayEvent event) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -141,14 +142,50 @@
 		RelayFixture relay = RelayFixture.ready();
 		for (String id : List.of("s1", "s2")) {
 			Upstream gone = RelayFixture.upstream(id, RelayFixture.SHOP);
-			relay.on(new RelayEvent.UpstreamListed(2,
-					new Upstream(id, gone.service(), gone.host(), gone.port(), gone.zone(), gone.slots(), true)));
+			relay.on(new RelayEvent.UpstreamListed(2, new Upstream(id, gone.service(), gone.host(), gone.port(),
+					gone.zone(), gone.slots(), true, gone.born())));
 		}
 		for (int i = 0; i < 10; i++) {
 			assertThat(sends(relay.ask("r" + i, "look")).getFirst().upstream().id()).isEqualTo("s3");
 		}
 	}
 
+	// Another writer spoils the record of one upstream, over and over. It is told once,
+	// the
+	// upstream is given nothing more, and the others go on.
+	@Test
+	void unusableRecordIsToldOnceAndTheOthersHold() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> effects = new ArrayList<>();
+		for (int i = 0; i < 1000; i++) {
+			effects.addAll(relay.on(new RelayEvent.UpstreamUnusable(relay.now(), "s1", EntryProblem.ADDRESS)));
+			effects.addAll(relay.on(new RelayEvent.UpstreamUnusable(relay.now(), "junk", EntryProblem.UNREADABLE)));
+		}
+		assertThat(RelayFixture.of(effects, RelayEffect.Tell.class)
+			.stream()
+			.filter((tell) -> tell.notice().code() == NoticeCode.UPSTREAM_UNUSABLE)).hasSize(2);
+		for (int i = 0; i < 10; i++) {
+			assertThat(sends(relay.ask("r" + i, "look")).getFirst().upstream().id()).isIn("s2", "s3");
+		}
+	}
+
+	// One upstream starts again under its id after each crash. Counted by id, a request
+	// that crashes it would be sent to it for ever.
+	@Test
+	void requestThatCrashedThreeLivesOfOneIdIsStopped() {
+		RelayFixture relay = RelayFixture.ready();
+		for (String other : List.of("s2", "s3")) {
+			relay.on(new RelayEvent.UpstreamGone(relay.now(), other));
+		}
+		for (int life = 1; life <= 3; life++) {
+			relay.on(new RelayEvent.UpstreamListed(relay.now(), RelayFixture.born("s1", RelayFixture.SHOP, life)));
+			assertThat(sends(relay.ask("r" + life, "look"))).hasSize(1);
+			relay.fail(1, FailureCause.BROKEN);
+		}
+		relay.on(new RelayEvent.UpstreamListed(relay.now(), RelayFixture.born("s1", RelayFixture.SHOP, 4)));
+		assertThat(refusal(relay.ask("r4", "look"))).contains(Refusal.BLAMED);
+	}
+
 	@Test
 	void callerThatLeavesCancelsItsRequest() {
 		RelayFixture relay = RelayFixture.ready();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RouteTableTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RouteTableTests.java
@@ -32,7 +32,7 @@
 	private static Route route(String name, String prefix) {
 		Route any = RelayFixture.route(name, Repeatability.IDEMPOTENT, false, false, "s");
 		return new Route(name, "host", prefix, any.repeatability(), any.timeout(), any.target(), any.attempts(),
-				any.priority(), any.resumable(), any.keepsTurns(), any.retention(), any.targets());
+				any.priority(), any.resumable(), any.keepsTurns(), any.retention(), any.warm(), any.targets());
 	}
 
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamChoiceTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamChoiceTests.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -88,6 +90,37 @@
 			.containsExactly("e", "d", "c");
 	}
 
+	// Every relay has its own random choices; requests about one object still meet at one
+	// upstream, unless it is busier than another.
+	@Test
+	void requestsAboutOneObjectMeetAtOneUpstreamUnlessItIsBusier() {
+		Set<String> chosen = new HashSet<>();
+		for (int relay = 0; relay < 20; relay++) {
+			chosen.add(chosenFor("tank-7", new UpstreamChoice("zone-a", new SplittableRandom(relay))));
+		}
+		assertThat(chosen).hasSize(1);
+		String home = chosen.iterator().next();
+		known(home).began("r1", NOW);
+		assertThat(chosenFor("tank-7", this.choice)).isNotEqualTo(home);
+	}
+
+	@Test
+	void objectsSpreadOverUpstreams() {
+		Set<String> chosen = new HashSet<>();
+		for (int object = 0; object < 20; object++) {
+			chosen.add(chosenFor("tank-" + object, this.choice));
+		}
+		assertThat(chosen).containsExactlyInAnyOrder("a", "b");
+	}
+
+	private String chosenFor(String object, UpstreamChoice by) {
+		return by.weigh(this.upstreams.taking("s"), Set.of(), List.of(), false, Optional.of(object), NOW)
+			.getFirst()
+			.candidate()
+			.upstream()
+			.id();
+	}
+
 	private Known known(String id) {
 		return this.upstreams.find(id).orElseThrow();
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Catalogue.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Catalogue.java
@@ -2,8 +2,10 @@
 
 import java.util.Optional;
 
+import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.core.relay.Upstream;
+import io.vavr.control.Either;
 
 /**
  * The formats in which operators and upstreams write to the store. Implementations decide
@@ -25,11 +27,11 @@
 	Optional<RouteTable> table(byte[] value);
 
 	/**
-	 * Decodes what an upstream wrote.
+	 * Decodes what an upstream wrote. Others may write there too, so any bytes may come.
 	 * @param key the key
 	 * @param value the value
-	 * @return the upstream, or empty if the value is none
+	 * @return the upstream, or why the value names none that can be used
 	 */
-	Optional<Upstream> upstream(String key, byte[] value);
+	Either<EntryProblem, Upstream> upstream(String key, byte[] value);
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,7 @@
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Relay;
 import io.lentilslip.core.relay.RelayEffect;
@@ -42,6 +44,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -397,23 +400,32 @@
 		@Override
 		public void all(Map<String, byte[]> values) {
 			List<Upstream> listed = new ArrayList<>();
-			values.forEach((key, value) -> decode(key, value).ifPresent(listed::add));
+			Map<String, EntryProblem> unusable = new HashMap<>();
+			values.forEach(
+					(key, value) -> decode(key, value).peek(listed::add).peekLeft((why) -> unusable.put(key, why)));
 			RelayProcess.this.upstreams.keepOnly(listed.stream().map(Upstream::id).collect(Collectors.toSet()));
 			on(new RelayEvent.UpstreamsRead(RelayProcess.this.timers.now(), listed));
+			unusable.forEach(this::unusable);
 		}
 
 		@Override
 		public void changed(String key, Optional<byte[]> value) {
-			Optional<Upstream> upstream = value.flatMap((bytes) -> decode(key, bytes));
-			if (upstream.isPresent()) {
-				on(new RelayEvent.UpstreamListed(RelayProcess.this.timers.now(), upstream.get()));
+			if (value.isEmpty()) {
+				RelayProcess.this.upstreams.forget(key);
+				on(new RelayEvent.UpstreamGone(RelayProcess.this.timers.now(), key));
 				return;
 			}
+			decode(key, value.get())
+				.peek((upstream) -> on(new RelayEvent.UpstreamListed(RelayProcess.this.timers.now(), upstream)))
+				.peekLeft((problem) -> unusable(key, problem));
+		}
+
+		private void unusable(String key, EntryProblem problem) {
 			RelayProcess.this.upstreams.forget(key);
-			on(new RelayEvent.UpstreamGone(RelayProcess.this.timers.now(), key));
+			on(new RelayEvent.UpstreamUnusable(RelayProcess.this.timers.now(), key, problem));
 		}
 
-		private Optional<Upstream> decode(String key, byte[] value) {
+		private Either<EntryProblem, Upstream> decode(String key, byte[] value) {
 			return RelayProcess.this.setup.catalogue().upstream(key, value);
 		}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -1,6 +1,5 @@
 package io.lentilslip.relay.upstream;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -102,8 +101,14 @@
 	}
 
 	private UpstreamPool pool(Upstream upstream) {
-		return this.pools.computeIfAbsent(upstream.id(), (id) -> new UpstreamPool(this.loop,
-				new InetSocketAddress(upstream.host(), upstream.port()), this.dialect, this.timers));
+		UpstreamPool known = this.pools.get(upstream.id());
+		if (known != null && known.life().equals(upstream.life())) {
+			return known;
+		}
+		forget(upstream.id());
+		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers);
+		this.pools.put(upstream.id(), pool);
+		return pool;
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
@@ -17,9 +18,9 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
- * The connections to one upstream. A connection that was idle for nearly as long as its
- * upstream keeps it is not used again: its close could cross a request, which then may or
- * may not have run. Used by the event loop's thread.
+ * The connections to one life of an upstream. A connection that was idle for nearly as
+ * long as its upstream keeps it is not used again: its close could cross a request, which
+ * then may or may not have run. Used by the event loop's thread.
  */
 final class UpstreamPool {
 
@@ -44,6 +45,8 @@
 
 	private final EventLoop loop;
 
+	private final String life;
+
 	private final InetSocketAddress address;
 
 	private final Dialect dialect;
@@ -52,9 +55,10 @@
 
 	private final Deque<Idle> idle = new ArrayDeque<>();
 
-	UpstreamPool(EventLoop loop, InetSocketAddress address, Dialect dialect, Timers timers) {
+	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers) {
 		this.loop = loop;
-		this.address = address;
+		this.life = upstream.life();
+		this.address = new InetSocketAddress(upstream.host(), upstream.port());
 		this.dialect = dialect;
 		this.timers = timers;
 	}
@@ -76,6 +80,14 @@
 		return attempt;
 	}
 
+	/**
+	 * Returns to which life of the upstream the connections lead.
+	 * @return the name of the life
+	 */
+	String life() {
+		return this.life;
+	}
+
 	void close() {
 		while (!this.idle.isEmpty()) {
 			this.idle.pollFirst().connection().cancel();
