Tell with each placed and refused turn what was taken of its budget

Cause: a turn refused for its budget could not be explained from the logs: neither what the relay believed to be spent nor the budget stood there. Change: E4018 and E4022 carry both (tokens, limit).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -367,7 +367,7 @@
 	REQUEST_REFUSED(4018, Level.WARN, "A relay refused a request or gave it up.",
 			"Follow the reason; the verdict tells the caller whether to repeat it.", FieldName.REQUEST,
 			FieldName.PROGRAM, FieldName.ROUTE, FieldName.REASON, FieldName.VERDICT, FieldName.UPSTREAM,
-			FieldName.ATTEMPT, FieldName.MILLISECONDS),
+			FieldName.ATTEMPT, FieldName.MILLISECONDS, FieldName.TOKENS, FieldName.LIMIT),
 
 	/**
 	 * Written when a caller closes its connection before the end of its answer;
@@ -398,7 +398,7 @@
 	 */
 	REQUEST_PLACED(4022, Level.INFO, "A request was sent to the best of the upstreams.", "Nothing.", FieldName.REQUEST,
 			FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.VERSION, FieldName.CANDIDATES,
-			FieldName.MILLISECONDS),
+			FieldName.MILLISECONDS, FieldName.TOKENS, FieldName.LIMIT),
 
 	/**
 	 * Written once for each group and period.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -28,7 +28,7 @@
 	}
 
 	void refuse(Exchange exchange, Refusal refusal, Optional<Duration> comeBack) {
-		this.state.tell(RelayNotices.refused(exchange, refusal, this.state.now));
+		this.state.tell(RelayNotices.refused(exchange, refusal, this.state));
 		measure(exchange, Outcome.REFUSED);
 		close(exchange, new RelayEffect.Refuse(exchange.number(), refusal, comeBack));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 import io.lentilslip.core.notice.FieldName;
@@ -85,7 +86,8 @@
 		String candidates = weighed.stream().map((next) -> describe(next, state.now)).collect(Collectors.joining("; "));
 		return notice(NoticeCode.REQUEST_PLACED, request(exchange), program(exchange), upstream(exchange),
 				attempt(exchange), field(FieldName.VERSION, state.table.map(RouteTable::version).orElse(0L)),
-				field(FieldName.CANDIDATES, candidates), taken(exchange, state.now));
+				field(FieldName.CANDIDATES, candidates), taken(exchange, state.now), tokens(exchange, state),
+				budget(exchange));
 	}
 
 	private static String describe(Weighed weighed, long now) {
@@ -104,11 +106,11 @@
 				field(FieldName.VERDICT, refusal.verdict()));
 	}
 
-	static Notice refused(Exchange exchange, Refusal refusal, long now) {
+	static Notice refused(Exchange exchange, Refusal refusal, RelayState state) {
 		return notice(NoticeCode.REQUEST_REFUSED, request(exchange), program(exchange),
 				field(FieldName.ROUTE, exchange.route().name()), field(FieldName.REASON, refusal),
 				field(FieldName.VERDICT, refusal.verdict()), upstream(exchange), attempt(exchange),
-				taken(exchange, now));
+				taken(exchange, state.now), tokens(exchange, state), budget(exchange));
 	}
 
 	static Notice callerLeft(Exchange exchange, long now) {
@@ -147,6 +149,17 @@
 		return field(FieldName.COUNT, exchange.events());
 	}
 
+	// What the relay believes to be spent or held back of the budget that follows.
+	private static NoticeField tokens(Exchange exchange, RelayState state) {
+		return field(FieldName.TOKENS,
+				exchange.head().turn().map((turn) -> state.tokens.taken(turn.program())).orElse(0L));
+	}
+
+	private static NoticeField budget(Exchange exchange) {
+		OptionalLong budget = exchange.head().turn().map(RequestHead.Turn::budget).orElse(OptionalLong.empty());
+		return field(FieldName.LIMIT, budget.stream().mapToObj(Long::toString).findFirst().orElse(NONE));
+	}
+
 	private static NoticeField taken(Exchange exchange, long now) {
 		return field(FieldName.MILLISECONDS, now - exchange.asked().now());
 	}
