--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -130,8 +131,9 @@
 			askRelays(exchange);
 			return;
 		}
-		if (poll != null && !poll.extended && (poll.log || this.state.reach == Reach.LOG)) {
+		if (poll != null && !poll.extended && (poll.log() || this.state.reach == Reach.LOG)) {
 			poll.extended = true;
+			askPlace(exchange, poll);
 			this.state.remind(exchange, RelaySettings.ORDER_WAIT, Reminder.ORDER);
 			return;
 		}
@@ -169,19 +171,36 @@
 		}
 		poll.answers++;
 		poll.most = Math.max(poll.most, told.tokens());
-		// One that reaches the log has others give turns there that no majority knows of.
-		// Its answer from the log follows.
-		poll.log = poll.log || told.log();
-		if (poll.log || poll.answers < (told.others() + 1) / 2) {
+		Exchange exchange = this.state.exchanges.get(poll.exchange);
+		// Where one reaches the log, others may give turns there that no majority knows
+		// of:
+		// the log decides for all. One relay is asked for a place, since each call of the
+		// log is priced; if it is gone too, the next one in time.
+		if (told.log()) {
+			poll.placers.add(told.peer());
+			if (poll.placed == 0) {
+				askPlace(exchange, poll);
+			}
+		}
+		if (poll.log() || poll.answers < (told.others() + 1) / 2) {
 			return Optional.empty();
 		}
-		Turn turn = this.state.exchanges.get(poll.exchange).head().turn().orElseThrow();
+		Turn turn = exchange.head().turn().orElseThrow();
 		long budget = turn.budget().orElseThrow();
 		long taken = Math.max(poll.most, this.state.tokens.taken(turn.program())) + missed(turn.most(), budget);
 		decided(told.request());
 		return Optional.of(taken <= withoutLog(turn.most(), budget));
 	}
 
+	private void askPlace(Exchange exchange, Poll poll) {
+		if (poll.placed < poll.placers.size()) {
+			Turn turn = exchange.head().turn().orElseThrow();
+			this.state.emit(new RelayEffect.AskPlace(poll.placers.get(poll.placed), exchange.head().id(),
+					turn.program(), turn.most(), turn.budget().orElseThrow()));
+			poll.placed++;
+		}
+	}
+
 	void decided(String request) {
 		this.state.polls.remove(request);
 		this.state.contending.remove(request);
@@ -190,21 +209,22 @@
 	/**
 	 * Answers another relay that can't ask the log. One that may miss turns itself does
 	 * not answer: it would tell less than is taken. One that reaches the log gets the
-	 * turn a place there besides.
+	 * turn a place there if it is asked to.
 	 * @param asked the question
 	 */
 	void asked(RelayEvent.TakenAsked asked) {
 		if (!this.state.caughtUp || this.state.stale || !this.state.complete) {
 			return;
 		}
-		boolean log = this.state.reach == Reach.LOG;
-		this.state.emit(new RelayEffect.TellTaken(asked.peer(), asked.request(),
-				this.state.tokens.taken(asked.program()), log, this.state.unlogged.of(asked.program())));
-		if (log) {
+		if (asked.place()) {
 			this.state.placing.put(asked.request(), asked);
 			this.state.emit(new RelayEffect.Write(
 					new Reserved(asked.request(), asked.program(), asked.most(), "", List.of(), true)));
+			return;
 		}
+		this.state
+			.emit(new RelayEffect.TellTaken(asked.peer(), asked.request(), this.state.tokens.taken(asked.program()),
+					this.state.reach == Reach.LOG, this.state.unlogged.of(asked.program())));
 	}
 
 	/**
@@ -252,7 +272,9 @@
 
 		private long most;
 
-		private boolean log;
+		private final List<String> placers = new ArrayList<>();
+
+		private int placed;
 
 		private boolean extended;
 
@@ -264,6 +286,10 @@
 			return this.exchange;
 		}
 
+		boolean log() {
+			return !this.placers.isEmpty();
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -140,6 +140,19 @@
 
 	}
 
+	/**
+	 * Ask another relay, which reaches the log, to get a turn a place there.
+	 *
+	 * @param peer the other relay
+	 * @param request the turn that is to run
+	 * @param program the program
+	 * @param most the most tokens of the turn
+	 * @param budget the program's budget
+	 */
+	record AskPlace(String peer, String request, String program, int most, long budget) implements RelayEffect {
+
+	}
+
 	/**
 	 * Tell another relay what is taken of a program's budget, after the entries that it
 	 * may not have heard of.
@@ -147,7 +160,7 @@
 	 * @param peer the other relay
 	 * @param request the turn for which it asked
 	 * @param tokens the tokens that are spent or held back
-	 * @param log whether this relay reaches the log, and gets the turn a place there
+	 * @param log whether this relay reaches the log, and can get the turn a place there
 	 * @param entries entries of the program that the log has not shown
 	 */
 	record TellTaken(String peer, String request, long tokens, boolean log,
@@ -158,7 +171,8 @@
 		 * @param peer the other relay
 		 * @param request the turn for which it asked
 		 * @param tokens the tokens that are spent or held back
-		 * @param log whether this relay reaches the log, and gets the turn a place there
+		 * @param log whether this relay reaches the log, and can get the turn a place
+		 * there
 		 * @param entries entries of the program that the log has not shown
 		 */
 		public TellTaken {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -228,9 +228,10 @@
 	 * @param program the program
 	 * @param most the most tokens of the turn
 	 * @param budget the program's budget
+	 * @param place whether a place in the log is asked for, instead of an answer at once
 	 */
-	record TakenAsked(long now, String peer, String request, String program, int most,
-			long budget) implements RelayEvent {
+	record TakenAsked(long now, String peer, String request, String program, int most, long budget,
+			boolean place) implements RelayEvent {
 
 	}
 
@@ -238,12 +239,14 @@
 	 * Another relay has told what is taken of a program's budget.
 	 *
 	 * @param now when
+	 * @param peer the other relay
 	 * @param request the turn for which it was asked
 	 * @param tokens the tokens that it knows to be taken
-	 * @param log whether it reaches the log, and gets the turn a place there
+	 * @param log whether it reaches the log, and can get the turn a place there
 	 * @param others how many other relays are known
 	 */
-	record TakenTold(long now, String request, long tokens, boolean log, int others) implements RelayEvent {
+	record TakenTold(long now, String peer, String request, long tokens, boolean log,
+			int others) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/OutageProperties.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/OutageProperties.java
@@ -300,10 +300,12 @@
 						toOthers(from, (to) -> tell(to, write.entry()));
 					}
 					case RelayEffect.AskTaken ask -> toOthers(from, (to) -> ask(from, to, ask));
+					case RelayEffect.AskPlace ask ->
+						send(from, Integer.parseInt(ask.peer()), (to) -> place(from, to, ask));
 					case RelayEffect.TellTaken tell -> send(from, Integer.parseInt(tell.peer()), (to) -> {
 						tell.entries().forEach((entry) -> tell(to, entry));
-						take(to, to.relay.on(new RelayEvent.TakenTold(to.relay.now(), tell.request(), tell.tokens(),
-								tell.log(), this.members.size() - 1)));
+						take(to, to.relay.on(new RelayEvent.TakenTold(to.relay.now(), Integer.toString(from.index),
+								tell.request(), tell.tokens(), tell.log(), this.members.size() - 1)));
 					});
 					case RelayEffect.TellPlace tell -> send(from, Integer.parseInt(tell.peer()), (to) -> take(to,
 							to.relay.on(new RelayEvent.PlaceTold(to.relay.now(), tell.request(), tell.held()))));
@@ -317,7 +319,12 @@
 
 		private void ask(Member from, Member to, RelayEffect.AskTaken ask) {
 			take(to, to.relay.on(new RelayEvent.TakenAsked(to.relay.now(), Integer.toString(from.index), ask.request(),
-					ask.program(), ask.most(), ask.budget())));
+					ask.program(), ask.most(), ask.budget(), false)));
+		}
+
+		private void place(Member from, Member to, RelayEffect.AskPlace ask) {
+			take(to, to.relay.on(new RelayEvent.TakenAsked(to.relay.now(), Integer.toString(from.index), ask.request(),
+					ask.program(), ask.most(), ask.budget(), true)));
 		}
 
 		private void tellUnlogged(Member from, RelayEffect.TellUnlogged tell) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -432,9 +432,9 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
 		relay.askTurn("t1", "draft", RelayFixture.turn("p", 400, 100, null));
-		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 200, false, 4)))).isEmpty();
-		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100, false, 4)))).hasSize(1);
-		assertThat(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100, false, 4))).isEmpty();
+		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 200, false, 4)))).isEmpty();
+		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 4)))).hasSize(1);
+		assertThat(relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 4))).isEmpty();
 	}
 
 	// What is given without the log is in no log if all relays are lost. The second half
@@ -444,8 +444,8 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
 		relay.askTurn("t1", "draft", RelayFixture.turn("p", 400, 100, null));
-		relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100, false, 4));
-		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 300, false, 4));
+		relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 4));
+		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 300, false, 4));
 		assertThat(refusal(told)).contains(Refusal.LOG_LOST);
 		assertThat(settled(told).tokens()).isZero();
 	}
@@ -457,17 +457,31 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
 		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100, true, 2)))).isEmpty();
-		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "t1", 100, false, 2)))).isEmpty();
+		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, true, 2));
+		assertThat(told).containsExactly(new RelayEffect.AskPlace("a", "t1", "p", 100, 100));
+		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 2)))).isEmpty();
 		assertThat(sends(relay.on(new RelayEvent.PlaceTold(relay.now(), "t1", true)))).hasSize(1);
 	}
 
+	// Each call of the log is priced, so one relay is asked for a place; the next one
+	// only
+	// if it does not answer in time.
+	@Test
+	void oneRelayAfterTheOtherIsAskedForAPlace() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
+		relay.askTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, true, 2));
+		assertThat(relay.on(new RelayEvent.TakenTold(relay.now(), "b", "t1", 100, true, 2))).isEmpty();
+		assertThat(relay.remind(Reminder.ORDER)).contains(new RelayEffect.AskPlace("b", "t1", "p", 100, 100));
+		assertThat(refusal(relay.remind(Reminder.ORDER))).contains(Refusal.LOG_LOST);
+	}
+
 	@Test
 	void placeInTheLogIsGotForAnotherRelay() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.told(new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false));
-		List<RelayEffect> asked = relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p", 100, 100));
-		assertThat(RelayFixture.of(asked, RelayEffect.TellTaken.class).getFirst().log()).isTrue();
+		List<RelayEffect> asked = relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p", 100, 100, true));
 		List<RelayEffect> read = relay.readFromLog(RelayFixture.written(asked).toArray(new LedgerEntry[0]));
 		assertThat(RelayFixture.of(read, RelayEffect.TellPlace.class))
 			.containsExactly(new RelayEffect.TellPlace("peer", "t1", true));
@@ -481,7 +495,7 @@
 		LedgerEntry reserved = new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false);
 		relay.told(settled);
 		relay.told(reserved);
-		assertThat(relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p", 100, 400)))
+		assertThat(relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p", 100, 400, false)))
 			.containsExactly(new RelayEffect.TellTaken("peer", "t1", 130, false, List.of(settled, reserved)));
 	}
 
@@ -489,9 +503,9 @@
 	void relayThatMayMissTurnsAnswersNoQuestion() {
 		RelayFixture woken = RelayFixture.ready();
 		woken.on(new RelayEvent.Woken(woken.now(), Duration.ofSeconds(4)));
-		assertThat(woken.on(new RelayEvent.TakenAsked(woken.now(), "peer", "t1", "p", 100, 400))).isEmpty();
+		assertThat(woken.on(new RelayEvent.TakenAsked(woken.now(), "peer", "t1", "p", 100, 400, false))).isEmpty();
 		RelayFixture lost = RelayFixture.readyAfterLoss();
-		assertThat(lost.on(new RelayEvent.TakenAsked(lost.now(), "peer", "t1", "p", 100, 400))).isEmpty();
+		assertThat(lost.on(new RelayEvent.TakenAsked(lost.now(), "peer", "t1", "p", 100, 400, false))).isEmpty();
 	}
 
 	// All relays were lost, perhaps in an outage in which a program was given half of its
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -39,9 +39,10 @@
 
 	/**
 	 * Another relay has answered a question.
+	 * @param peer its address
 	 * @param taken the answer
 	 */
-	void takenTold(PeerMessage.Taken taken);
+	void takenTold(String peer, PeerMessage.Taken taken);
 
 	/**
 	 * Another relay has read from the log whether a budget holds a turn of this one.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -251,7 +251,7 @@
 				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help.requests());
 				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
 				case PeerMessage.Question question -> Peers.this.listener.takenAsked(this.peer, question);
-				case PeerMessage.Taken taken -> Peers.this.listener.takenTold(taken);
+				case PeerMessage.Taken taken -> Peers.this.listener.takenTold(this.peer, taken);
 				case PeerMessage.Place place -> Peers.this.listener.placeTold(place);
 				case PeerMessage.Told ignored -> Peers.this.listener.allTold(this.peer);
 				case PeerMessage.Pulse ignored -> {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -281,7 +281,9 @@
 			case RelayEffect.AskForHelp help -> this.peers.askForHelp(help.request());
 			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
 			case RelayEffect.AskTaken ask ->
-				this.peers.ask(new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget()));
+				this.peers.ask(new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), false));
+			case RelayEffect.AskPlace ask -> this.peers.send(ask.peer(),
+					new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), true));
 			case RelayEffect.TellTaken tell -> this.peers.answer(tell.peer(), tell.entries(),
 					new PeerMessage.Taken(tell.request(), tell.tokens(), tell.log()));
 			case RelayEffect.TellPlace tell ->
@@ -468,13 +470,13 @@
 		@Override
 		public void takenAsked(String peer, PeerMessage.Question question) {
 			on(new RelayEvent.TakenAsked(RelayProcess.this.timers.now(), peer, question.request(), question.program(),
-					question.most(), question.budget()));
+					question.most(), question.budget(), question.place()));
 		}
 
 		@Override
-		public void takenTold(PeerMessage.Taken taken) {
-			on(new RelayEvent.TakenTold(RelayProcess.this.timers.now(), taken.request(), taken.tokens(), taken.log(),
-					RelayProcess.this.peers.known()));
+		public void takenTold(String peer, PeerMessage.Taken taken) {
+			on(new RelayEvent.TakenTold(RelayProcess.this.timers.now(), peer, taken.request(), taken.tokens(),
+					taken.log(), RelayProcess.this.peers.known()));
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -156,7 +156,7 @@
 		}
 
 		@Override
-		public void takenTold(PeerMessage.Taken taken) {
+		public void takenTold(String peer, PeerMessage.Taken taken) {
 			PeersTests.this.heard.add("told " + taken.request() + " " + taken.tokens());
 		}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -79,8 +79,9 @@
 	 * @param program the program
 	 * @param most the most tokens of the turn
 	 * @param budget the program's budget
+	 * @param place whether a place in the log is asked for, instead of an answer at once
 	 */
-	record Question(String request, String program, int most, long budget) implements PeerMessage {
+	record Question(String request, String program, int most, long budget, boolean place) implements PeerMessage {
 
 	}
 
@@ -89,7 +90,7 @@
 	 *
 	 * @param request the turn
 	 * @param tokens the tokens that are spent or held back
-	 * @param log whether the relay reaches the log, and gets the turn a place there
+	 * @param log whether the relay reaches the log, and can get the turn a place there
 	 */
 	record Taken(String request, long tokens, boolean log) implements PeerMessage {
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -61,7 +61,8 @@
 				.setRequest(question.request())
 				.setProgram(question.program())
 				.setMost(question.most())
-				.setBudget(question.budget());
+				.setBudget(question.budget())
+				.setPlace(question.place());
 			case PeerMessage.Taken taken ->
 				builder.getTakenBuilder().setRequest(taken.request()).setTokens(taken.tokens()).setLog(taken.log());
 			case PeerMessage.Place place -> builder.getPlaceBuilder().setRequest(place.request()).setHeld(place.held());
@@ -111,7 +112,7 @@
 
 	private static PeerMessage question(RelayProtocol.Question question) {
 		return new PeerMessage.Question(question.getRequest(), question.getProgram(), question.getMost(),
-				question.getBudget());
+				question.getBudget(), question.getPlace());
 	}
 
 	private static Either<String, PeerMessage> batch(RelayProtocol.Batch batch) {
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -55,7 +55,7 @@
 		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
 				new PeerMessage.Batch(List.of(new LedgerEntry.Blamed("r", -3, "u"))),
 				new PeerMessage.Help(Set.of("a", "b")), new PeerMessage.Stored(Set.of("a")), new PeerMessage.Pulse(),
-				new PeerMessage.Question("r", "p", 588, 1L << 41), new PeerMessage.Taken("r", 1L << 40, true),
+				new PeerMessage.Question("r", "p", 588, 1L << 41, true), new PeerMessage.Taken("r", 1L << 40, true),
 				new PeerMessage.Place("r", true), new PeerMessage.Told());
 		for (PeerMessage message : messages) {
 			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
