Tell who decided on a turn, and when a relay has heard of all that may stand in no log

Cause: the decisions of the log, of another relay in its place and of a majority left no line in the log, so a refusal or a late turn could not be led back to them. Change: E4023 for each turn that a relay did not decide alone, with who did, how many had answered, what was taken and the budget; E3016 when a relay that started is complete.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -241,6 +241,13 @@
 			"Look for what else writes to that list; the other upstreams are used as before.", FieldName.UPSTREAM,
 			FieldName.REASON),
 
+	/**
+	 * Written when a relay that started knows what was given without the log, or that it
+	 * is over.
+	 */
+	RELAY_COMPLETE(3016, Level.INFO, "A relay that started has heard of all turns that may stand in no log.",
+			"Nothing; where it takes the retention of a route, all relays were lost before.", FieldName.COUNT),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
@@ -400,6 +407,15 @@
 			FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.VERSION, FieldName.CANDIDATES,
 			FieldName.MILLISECONDS, FieldName.TOKENS, FieldName.LIMIT),
 
+	/**
+	 * Written for each turn that a relay did not decide alone; {@code REASON} says who
+	 * did, {@code COUNT} how many other relays had answered.
+	 */
+	TURN_DECIDED(4023, Level.INFO, "The log or other relays decided whether a program's budget holds a turn.",
+			"Nothing; the reason MAJORITY tells that the log was out of reach.", FieldName.REQUEST, FieldName.PROGRAM,
+			FieldName.REASON, FieldName.COUNT, FieldName.VERDICT, FieldName.TOKENS, FieldName.LIMIT,
+			FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -151,7 +151,7 @@
 		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), turn.budget().orElseThrow());
 		exchange.reserve();
 		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		decided(exchange.head().id());
+		decided(exchange, Decider.LOG, held);
 		return held;
 	}
 
@@ -188,8 +188,24 @@
 		Turn turn = exchange.head().turn().orElseThrow();
 		long budget = turn.budget().orElseThrow();
 		long taken = Math.max(poll.most, this.state.tokens.taken(turn.program())) + missed(turn.most(), budget);
-		decided(told.request());
-		return Optional.of(taken <= withoutLog(turn.most(), budget));
+		boolean held = taken <= withoutLog(turn.most(), budget);
+		decided(exchange, Decider.MAJORITY, held);
+		return Optional.of(held);
+	}
+
+	/**
+	 * Takes what another relay read from the log of a turn of this one.
+	 * @param told what it read
+	 * @return the exchange of the turn, or empty if it is decided already
+	 */
+	Optional<Exchange> placeTold(RelayEvent.PlaceTold told) {
+		Poll poll = this.state.polls.get(told.request());
+		if (poll == null) {
+			return Optional.empty();
+		}
+		Exchange exchange = this.state.exchanges.get(poll.exchange);
+		decided(exchange, Decider.PLACE, told.held());
+		return Optional.of(exchange);
 	}
 
 	private void askPlace(Exchange exchange, Poll poll) {
@@ -201,9 +217,10 @@
 		}
 	}
 
-	void decided(String request) {
-		this.state.polls.remove(request);
-		this.state.contending.remove(request);
+	private void decided(Exchange exchange, Decider by, boolean held) {
+		Poll poll = this.state.polls.remove(exchange.head().id());
+		this.state.contending.remove(exchange.head().id());
+		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers : 0, held, this.state));
 	}
 
 	/**
@@ -261,6 +278,28 @@
 
 	}
 
+	/**
+	 * Who decided on a turn. Safe for use by several threads.
+	 */
+	enum Decider {
+
+		/**
+		 * The log, read by this relay.
+		 */
+		LOG,
+
+		/**
+		 * The log, read by another relay.
+		 */
+		PLACE,
+
+		/**
+		 * A majority of the relays.
+		 */
+		MAJORITY
+
+	}
+
 	/**
 	 * The answers to a question of this relay. Used by one thread.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -67,11 +67,7 @@
 	}
 
 	void placeTold(RelayEvent.PlaceTold told) {
-		BudgetRules.Poll poll = this.state.polls.get(told.request());
-		if (poll != null) {
-			this.budgets.decided(told.request());
-			dispatchIf(this.state.exchanges.get(poll.exchange()), told.held(), Refusal.BUDGET_SPENT);
-		}
+		this.budgets.placeTold(told).ifPresent((exchange) -> dispatchIf(exchange, told.held(), Refusal.BUDGET_SPENT));
 	}
 
 	void caughtUp(RelayEvent.CaughtUp event) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -52,6 +52,25 @@
 		return notice(NoticeCode.UPSTREAM_GONE, field(FieldName.UPSTREAM, upstream));
 	}
 
+	/**
+	 * Tells who decided whether a budget holds a turn.
+	 * @param exchange the exchange
+	 * @param by who did
+	 * @param answers how many other relays had answered
+	 * @param held whether the budget holds the turn
+	 * @param state what the relay knows
+	 * @return the notice
+	 */
+	static Notice decided(Exchange exchange, BudgetRules.Decider by, int answers, boolean held, RelayState state) {
+		return notice(NoticeCode.TURN_DECIDED, request(exchange), program(exchange), field(FieldName.REASON, by),
+				field(FieldName.COUNT, answers), field(FieldName.VERDICT, held ? "HELD" : "NOT_HELD"),
+				tokens(exchange, state), budget(exchange), taken(exchange, state.now));
+	}
+
+	static Notice complete(int told) {
+		return notice(NoticeCode.RELAY_COMPLETE, field(FieldName.COUNT, told));
+	}
+
 	static Notice caughtUp(RelayEvent.CaughtUp event) {
 		return notice(NoticeCode.LOG_CAUGHT_UP, field(FieldName.OFFSET, event.offset()),
 				field(FieldName.MILLISECONDS, event.took().toMillis()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -52,7 +52,9 @@
 			.map(Route::retention)
 			.max(Duration::compareTo)
 			.orElse(Duration.ZERO);
-		this.state.complete = this.state.caughtUp && this.state.now - this.firstSeen > longest.toMillis();
+		if (this.state.caughtUp && this.state.now - this.firstSeen > longest.toMillis()) {
+			complete();
+		}
 	}
 
 	void tableRead(RouteTable read) {
@@ -132,7 +134,16 @@
 	void told(String peer, int others) {
 		this.complete.add(peer);
 		boolean enough = this.complete.size() >= (others + 2) / 2;
-		this.state.complete = this.state.complete || enough;
+		if (enough) {
+			complete();
+		}
+	}
+
+	private void complete() {
+		if (!this.state.complete) {
+			this.state.complete = true;
+			this.state.tell(RelayNotices.complete(this.complete.size()));
+		}
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -8,7 +8,9 @@
 import java.util.Set;
 
 import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.notice.NoticeField;
 import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.RelayEvent.Reach;
@@ -161,9 +163,7 @@
 			effects.addAll(relay.on(new RelayEvent.UpstreamUnusable(relay.now(), "s1", EntryProblem.ADDRESS)));
 			effects.addAll(relay.on(new RelayEvent.UpstreamUnusable(relay.now(), "junk", EntryProblem.UNREADABLE)));
 		}
-		assertThat(RelayFixture.of(effects, RelayEffect.Tell.class)
-			.stream()
-			.filter((tell) -> tell.notice().code() == NoticeCode.UPSTREAM_UNUSABLE)).hasSize(2);
+		assertThat(notices(effects, NoticeCode.UPSTREAM_UNUSABLE)).hasSize(2);
 		for (int i = 0; i < 10; i++) {
 			assertThat(sends(relay.ask("r" + i, "look")).getFirst().upstream().id()).isIn("s2", "s3");
 		}
@@ -460,7 +460,18 @@
 		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, true, 2));
 		assertThat(told).containsExactly(new RelayEffect.AskPlace("a", "t1", "p", 100, 100));
 		assertThat(sends(relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 2)))).isEmpty();
-		assertThat(sends(relay.on(new RelayEvent.PlaceTold(relay.now(), "t1", true)))).hasSize(1);
+		List<RelayEffect> placed = relay.on(new RelayEvent.PlaceTold(relay.now(), "t1", true));
+		assertThat(sends(placed)).hasSize(1);
+		assertThat(notices(placed, NoticeCode.TURN_DECIDED).getFirst().fields())
+			.contains(new NoticeField(FieldName.REASON, "PLACE"), new NoticeField(FieldName.VERDICT, "HELD"));
+	}
+
+	private static List<Notice> notices(List<RelayEffect> effects, NoticeCode code) {
+		return RelayFixture.of(effects, RelayEffect.Tell.class)
+			.stream()
+			.map(RelayEffect.Tell::notice)
+			.filter((notice) -> notice.code() == code)
+			.toList();
 	}
 
 	// Each call of the log is priced, so one relay is asked for a place; the next one
