Leave the text of turns out of what relays tell each other beyond the log

Cause: a relay that starts is told by each other one all that the log has not shown. At 31 relays that would be the text of some hundred turns from each, some 100 MB over links of 21 Mbit/s (worked out from rates and sizes, not measured). Change: only what tokens are counted by is told; turns with text stay reserved at their most until the log shows them.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Entries that other relays told and the log has not shown yet. If their own relay dies
@@ -60,31 +61,38 @@
 	}
 
 	/**
-	 * Returns the entries of one program.
+	 * Returns the entries of one program that its tokens are counted by. Turns with text
+	 * are left out: to whoever is told, they stay reserved at their most until the log
+	 * shows them, while their text, told by all relays to one that starts, would fill its
+	 * link and its memory.
 	 * @param program the program
 	 * @return the entries, the oldest first
 	 */
 	List<LedgerEntry> of(String program) {
-		List<LedgerEntry> found = new ArrayList<>();
-		for (Waiting next : this.waiting.values()) {
-			boolean same = switch (next.entry()) {
-				case LedgerEntry.Reserved reserved -> reserved.program().equals(program);
-				case LedgerEntry.Settled settled -> settled.program().equals(program);
-				case LedgerEntry.Blamed ignored -> false;
-			};
-			if (same) {
-				found.add(next.entry());
-			}
-		}
-		return found;
+		return counted().filter((entry) -> program.equals(program(entry))).toList();
 	}
 
 	/**
-	 * Returns all entries.
+	 * Returns the entries of all programs that their tokens are counted by.
 	 * @return the entries, the oldest first
 	 */
 	List<LedgerEntry> all() {
-		return this.waiting.values().stream().map(Waiting::entry).toList();
+		return counted().toList();
+	}
+
+	private Stream<LedgerEntry> counted() {
+		return this.waiting.values()
+			.stream()
+			.map(Waiting::entry)
+			.filter((entry) -> !(entry instanceof LedgerEntry.Settled settled && settled.kept().isPresent()));
+	}
+
+	private static String program(LedgerEntry entry) {
+		return switch (entry) {
+			case LedgerEntry.Reserved reserved -> reserved.program();
+			case LedgerEntry.Settled settled -> settled.program();
+			case LedgerEntry.Blamed ignored -> "";
+		};
 	}
 
 	void logged(LedgerEntry entry) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
@@ -1,5 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -43,4 +46,17 @@
 		assertThat(this.entries.turn("b")).isEmpty();
 	}
 
+	// A relay that starts is told by all others what the log has not shown. With the text
+	// of turns this would be megabytes from each, over the smallest link of the site.
+	@Test
+	void entriesThatCountTokensAreFoundByTheirProgramWithoutTexts() {
+		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 7, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled("s", "p", 5, Optional.empty());
+		LedgerEntry other = new LedgerEntry.Settled("o", "q", 5, Optional.empty());
+		List.of(reserved, RelayFixture.kept("k", null, "in", "out"), settled, other)
+			.forEach((entry) -> this.entries.told(entry, 0));
+		assertThat(this.entries.of("p")).containsExactly(reserved, settled);
+		assertThat(this.entries.all()).containsExactly(reserved, settled, other);
+	}
+
 }
