--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -173,9 +173,8 @@
 		poll.most = Math.max(poll.most, told.tokens());
 		Exchange exchange = this.state.exchanges.get(poll.exchange);
 		// Where one reaches the log, others may give turns there that no majority knows
-		// of:
-		// the log decides for all. One relay is asked for a place, since each call of the
-		// log is priced; if it is gone too, the next one in time.
+		// of, so the log decides for all. One relay is asked for a place, since each call
+		// of the log is priced; if it does not answer, the next one is.
 		if (told.log()) {
 			poll.placers.add(told.peer());
 			if (poll.placed == 0) {
