Gather the beginnings of turns for 30 ms before relays tell each other

Each of 31 relays told each other one of each entry by a message of its own, and of turns that contend although nobody counts these before the log shows them. Hypothesis: most of these messages can wait for each other. Change: turns that contend are not told; beginnings of turns wait for 30 ms or for the next end of a turn, which is told at once. Ruled out: that ends of turns wait too: the next turn of a program of few turns would be refused for tokens that are free again.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -1,6 +1,7 @@
 package io.lentilslip.relay.peer;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -36,6 +37,14 @@
 	 */
 	private static final int BATCH = 20;
 
+	/**
+	 * How long the beginnings of turns are gathered: each message costs every other relay
+	 * a wake-up, and at 31 relays these messages are most of what they do. Turns of one
+	 * program that begin together do not know of each other anyway, and the next ones
+	 * follow after the 100 ms and more that a turn takes.
+	 */
+	private static final Duration GATHER = Duration.ofMillis(30);
+
 	private final EventLoop loop;
 
 	private final PeerListener listener;
@@ -46,6 +55,10 @@
 
 	private final List<LedgerEntry> untold = new ArrayList<>();
 
+	private boolean telling;
+
+	private boolean gathering;
+
 	private int nextHelper;
 
 	private String own = "";
@@ -81,14 +94,42 @@
 	}
 
 	/**
-	 * Tells the others of an entry, together with others of the same moment.
+	 * Tells the others of an entry, together with others of the same moment, or of the
+	 * next ones if it can wait. A turn that contends is not told: it counts from its
+	 * place in the log on.
 	 * @param entry the entry
 	 */
 	public void tell(LedgerEntry entry) {
-		if (this.untold.isEmpty()) {
-			this.loop.execute(this::tellAll);
+		if (entry instanceof LedgerEntry.Reserved reserved && reserved.contending()) {
+			return;
 		}
 		this.untold.add(entry);
+		if (!(entry instanceof LedgerEntry.Reserved)) {
+			tellSoon();
+			return;
+		}
+		if (!this.gathering) {
+			this.gathering = true;
+			this.timers.after(GATHER, this::tellGathered);
+		}
+	}
+
+	// The end of a turn is told at once: the program's next turn may come to another
+	// relay
+	// within milliseconds, and would be refused for tokens that are free again.
+	private void tellSoon() {
+		if (!this.telling) {
+			this.telling = true;
+			this.loop.execute(() -> {
+				this.telling = false;
+				tellAll();
+			});
+		}
+	}
+
+	private void tellGathered() {
+		this.gathering = false;
+		tellAll();
 	}
 
 	/**
