Leave an upstream that is no longer at its address, and send its requests elsewhere

The list had the lives before for three to four seconds; each was asked, said that it is not the one that is named, was the fastest and least loaded of all, and so was chosen again; routes that allow one upstream refused. Change: such an answer counts as a failure of that life, which is avoided, and the request goes on to another upstream: nobody ran it, and the one that it was sent to is gone. Tests: upstreamThatIsNoLongerAtItsAddressIsLeftAtOnce, requestThatNobodyIsThereForDoesNotCountAsSent.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerHead.java
@@ -21,6 +21,8 @@
 
 	private static final int REDIRECTION = 300;
 
+	private static final int MISDIRECTED = 421;
+
 	/**
 	 * Creates a head.
 	 * @param status the status
@@ -42,6 +44,14 @@
 		return this.status >= SUCCESS && this.status < REDIRECTION;
 	}
 
+	/**
+	 * Returns whether the request named another upstream than the one that answered.
+	 * @return whether it did
+	 */
+	boolean misdirected() {
+		return this.status == MISDIRECTED;
+	}
+
 	/**
 	 * An upstream's own count of its requests. Immutable.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -51,6 +51,9 @@
 		this.state.upstreams.ended(exchange.head().id());
 		known.ifPresent((upstream) -> head.load().ifPresent((load) -> upstream.reported(load, this.state.now)));
 		if (head.notRun()) {
+			if (head.misdirected()) {
+				misdirected(exchange);
+			}
 			this.requests.again(exchange);
 			return;
 		}
@@ -70,6 +73,19 @@
 		this.ends.close(exchange, new RelayEffect.Answer(exchange.number(), head, answered.body()));
 	}
 
+	/**
+	 * Takes that another upstream answers at the address: the life that was named is
+	 * over, though the list still has it. It answers faster than any other does, so that
+	 * it would be chosen again and again; and nobody runs the request there, so that
+	 * another may.
+	 * @param exchange the exchange
+	 */
+	private void misdirected(Exchange exchange) {
+		this.state.known(exchange).ifPresent((known) -> known.failed(this.state.now));
+		this.state.tell(RelayNotices.misdirected(exchange, this.state.now));
+		exchange.notSent();
+	}
+
 	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
 		exchange.mayRun();
 		if (!opened.head().signed()) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -116,6 +116,10 @@
 				+ weighed.unread() + " age=" + age;
 	}
 
+	static Notice misdirected(Exchange exchange, long now) {
+		return attemptFailed(exchange, "MISDIRECTED", now);
+	}
+
 	static Notice silent(Exchange exchange, long now) {
 		return attemptFailed(exchange, "SILENT", now);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -26,6 +26,8 @@
 
 	static final AnswerHead UNSIGNED = new AnswerHead(200, List.of(), false, false, Optional.empty());
 
+	static final AnswerHead MISDIRECTED = new AnswerHead(421, List.of(), true, false, Optional.empty());
+
 	static final AnswerHead FULL = new AnswerHead(503, List.of(), true, false, Optional.empty());
 
 	final List<RelayEffect> all = new ArrayList<>();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -139,6 +139,33 @@
 		assertThat(relay.answer(1, RelayFixture.SIGNED)).isEmpty();
 	}
 
+	// An upstream crashed, and another one starts at its address while the list still has
+	// the one before. Callers' requests that name that one are turned away at once, each
+	// faster than any other answer. They go to other upstreams, although their route
+	// allows
+	// one only, and none follows them there.
+	@Test
+	void upstreamThatIsNoLongerAtItsAddressIsLeftAtOnce() {
+		RelayFixture relay = RelayFixture.ready();
+		String gone = sends(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null))).getFirst()
+			.upstream()
+			.id();
+		List<RelayEffect> again = relay.answer(1, RelayFixture.MISDIRECTED);
+		assertThat(sends(again).getFirst().upstream().id()).isNotEqualTo(gone);
+		for (int i = 0; i < 5; i++) {
+			assertThat(sends(relay.ask("r" + i, "draft")).getFirst().upstream().id()).isNotEqualTo(gone);
+		}
+	}
+
+	@Test
+	void requestThatNobodyIsThereForDoesNotCountAsSent() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "order");
+		assertThat(sends(relay.answer(1, RelayFixture.MISDIRECTED))).hasSize(1);
+		assertThat(sends(relay.answer(2, RelayFixture.MISDIRECTED))).hasSize(1);
+		assertThat(refusal(relay.answer(3, RelayFixture.MISDIRECTED))).contains(Refusal.NO_UPSTREAM);
+	}
+
 	@Test
 	void leavingUpstreamGetsNoNewWork() {
 		RelayFixture relay = RelayFixture.ready();
