Write the secret of a test site once, before its first process starts

The fixture wrote that file anew for each process that it started, and one that read it in that moment found it empty. Change: the file is written before the first process starts.

--- a/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
+++ b/lentilslip-verification/src/test/java/io/lentilslip/verification/process/Site.java
@@ -101,6 +101,7 @@
 	}
 
 	private void open(SitePlan plan) {
+		writeSecret();
 		for (int i = 1; i <= plan.engines(); i++) {
 			EngineStandIn engine = EngineStandIn.start(plan.engine());
 			this.engines.put("engine-" + i, engine);
@@ -138,9 +139,8 @@
 	private void launch(String role, String vm, String listen, String sections) {
 		this.lives++;
 		try {
-			Path secret = Files.writeString(this.folder.resolve("secret"), "a secret of the tests");
 			Path settings = Files.writeString(this.folder.resolve(vm + ".ini"),
-					settings(vm, secret, listen) + sections);
+					settings(vm, secret(), listen) + sections);
 			this.processes.put(vm,
 					RunningProcess.start(role, vm, settings, this.folder.resolve(vm + "-" + this.lives + ".log")));
 		}
@@ -149,6 +149,22 @@
 		}
 	}
 
+	private Path secret() {
+		return this.folder.resolve("secret");
+	}
+
+	// Once, before any process starts: one that reads it while it is written anew finds
+	// an
+	// empty file, and ends.
+	private void writeSecret() {
+		try {
+			Files.writeString(secret(), "a secret of the tests");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private String settings(String vm, Path secret, String listen) {
 		return """
 				[process]
