Keep nothing back after the loss of all relays if the log had just been written to

Cause: a relay that starts keeps half of each budget back until a majority has told it what it knows. Hypothesis: most losses of all come without an outage before, and the log shows it. Change: entries of the log carry the time of their writing. If the newest is less than 3 s old when a relay first reads the end, and no majority has told anything for 2 s, all that was given stands in the log. Ruled out: the time alone, at once: the loss of one relay looks the same, and those that live may hold what the log lacks.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -72,6 +72,10 @@
 
 	void caughtUp(RelayEvent.CaughtUp event) {
 		this.state.tell(RelayNotices.caughtUp(event));
+		if (!this.state.caughtUp && event.age().isPresent()) {
+			this.state.logWasRecent = event.age().get().compareTo(RelaySettings.RECENT) < 0;
+		}
+		this.state.caughtUpAt = event.now();
 		this.state.caughtUp = true;
 		this.state.stale = false;
 		dispatchWaiting();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -181,8 +182,10 @@
 	 * @param now when
 	 * @param offset the offset after the last entry
 	 * @param took how long the reading took
+	 * @param age how long ago the newest entry was written, by clocks that may be off;
+	 * empty if there is none
 	 */
-	record CaughtUp(long now, long offset, Duration took) implements RelayEvent {
+	record CaughtUp(long now, long offset, Duration took, Optional<Duration> age) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -36,6 +36,22 @@
 	 */
 	static final Duration RELAYS_WAIT = Duration.ofMillis(60);
 
+	/**
+	 * How old the newest entry of the log may be when a relay first reads it, so that no
+	 * outage counts as having come before: the loss of all relays and a start take two to
+	 * three seconds. In an outage that fits in besides, no program is given more without
+	 * the log than the one turn by which a budget may be passed: turns take some hundred
+	 * milliseconds, and those of looping programs most of what they may.
+	 */
+	static final Duration RECENT = Duration.ofSeconds(3);
+
+	/**
+	 * How long a relay that started waits for a majority of others to tell what they know
+	 * beyond the log, before the log's own age decides: those that live are linked within
+	 * a second.
+	 */
+	static final Duration SURVIVORS_WAIT = Duration.ofSeconds(2);
+
 	/**
 	 * How many turns of other relays get a place in the log at once.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -84,6 +84,13 @@
 
 	boolean stale;
 
+	long caughtUpAt;
+
+	/**
+	 * Whether the log had been written to shortly before this relay first read its end.
+	 */
+	boolean logWasRecent;
+
 	/**
 	 * Whether all is known here that programs were given, also without the log.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -21,8 +21,6 @@
 
 	private final Set<String> complete = new HashSet<>();
 
-	private long firstSeen = -1;
-
 	private final ToldProblems problems = new ToldProblems();
 
 	SiteRules(RelayState state, BudgetRules budgets) {
@@ -31,8 +29,8 @@
 	}
 
 	void updateReadiness() {
-		if (!this.state.complete) {
-			forgetWhatIsOver();
+		if (!this.state.complete && this.state.caughtUp) {
+			lookWhetherComplete();
 		}
 		boolean now = this.state.table.isPresent() && this.state.upstreams.listed() && this.state.caughtUp
 				&& this.state.reach != Reach.NOTHING;
@@ -42,17 +40,22 @@
 		}
 	}
 
-	// Programs are remembered for as long as their routes say. After that time nothing
-	// that
-	// was given before this relay's start is asked for any more.
-	private void forgetWhatIsOver() {
-		this.firstSeen = (this.firstSeen < 0) ? this.state.now : this.firstSeen;
+	// Programs are remembered for as long as their routes say: after that time nothing is
+	// asked for any more that was given before this relay's start. Where the log had just
+	// been written to, all relays were lost without an outage before, and all that they
+	// gave stands in it.
+	private void lookWhetherComplete() {
+		long waited = this.state.now - this.state.caughtUpAt;
+		if (this.state.logWasRecent && waited > RelaySettings.SURVIVORS_WAIT.toMillis()) {
+			complete();
+			return;
+		}
 		Duration longest = this.state.table.stream()
 			.flatMap((table) -> table.routes().stream())
 			.map(Route::retention)
 			.max(Duration::compareTo)
 			.orElse(Duration.ZERO);
-		if (this.state.caughtUp && this.state.now - this.firstSeen > longest.toMillis()) {
+		if (waited > longest.toMillis()) {
 			complete();
 		}
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -83,7 +83,7 @@
 	}
 
 	static RelayEvent caughtUp(long now) {
-		return new RelayEvent.CaughtUp(now, 7, Duration.ofMillis(30));
+		return new RelayEvent.CaughtUp(now, 7, Duration.ofMillis(30), Optional.empty());
 	}
 
 	static RelayFixture fresh() {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -420,6 +420,38 @@
 		assertThat(settled(effects).tokens()).isZero();
 	}
 
+	// All relays are lost, and the log was written to until then: no outage came before,
+	// so
+	// nothing was given that it does not have. Kept back all the same, half of the budget
+	// would be missing to programs that need it.
+	@Test
+	void relayThatStartsBehindARecentLogSoonMissesNothing() {
+		RelayFixture relay = RelayFixture.afterLoss();
+		relay.on(new RelayEvent.CaughtUp(relay.now(), 7, Duration.ofMillis(30), Optional.of(Duration.ofMillis(2900))));
+		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 310, Optional.empty()));
+		assertThat(refusal(relay.askTurn("t1", "draft", RelayFixture.turn("p", 600, 150, null))))
+			.contains(Refusal.BUDGET_SPENT);
+		relay.pass(2001);
+		relay.readFromLog();
+		assertThat(refusal(relay.askTurn("t2", "draft", RelayFixture.turn("p", 600, 150, null)))).isEmpty();
+	}
+
+	// All relays are lost in an outage. The log is read when it is back, and its newest
+	// entry is older than a loss alone can make it.
+	@Test
+	void relayThatStartsBehindAnOldLogKeepsHalfOfABudgetBack() {
+		RelayFixture relay = RelayFixture.afterLoss();
+		relay.on(new RelayEvent.CaughtUp(relay.now(), 7, Duration.ofMillis(30), Optional.of(Duration.ofSeconds(3))));
+		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 310, Optional.empty()));
+		relay.pass(30_000);
+		relay.readFromLog();
+		assertThat(refusal(relay.askTurn("t1", "draft", RelayFixture.turn("p", 600, 150, null))))
+			.contains(Refusal.BUDGET_SPENT);
+		relay.pass(31_000);
+		relay.readFromLog();
+		assertThat(refusal(relay.askTurn("t2", "draft", RelayFixture.turn("p", 600, 150, null)))).isEmpty();
+	}
+
 	// The log falls silent, and the other relays too. Whoever waits for either is refused
 	// as not run, and what was held back for the turn is given back.
 	@Test
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -324,8 +324,8 @@
 		this.reader.read();
 	}
 
-	private void caughtUp(long offset, Duration took) {
-		on(new RelayEvent.CaughtUp(this.timers.now(), offset, took));
+	private void caughtUp(long offset, Duration took, Optional<Duration> age) {
+		on(new RelayEvent.CaughtUp(this.timers.now(), offset, took, age));
 	}
 
 	private void beginDrain() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -58,6 +60,8 @@
 
 	private boolean complete;
 
+	private OptionalLong newest = OptionalLong.empty();
+
 	private long since;
 
 	private long scheduled;
@@ -126,10 +130,13 @@
 		this.pauses.reset();
 		this.next = records.next();
 		this.entries.accept(decode(records.records()));
+		if (!this.complete) {
+			note(records.records());
+		}
 		boolean atEnd = this.next >= records.end();
 		if (atEnd && !this.complete && !this.again) {
 			this.complete = true;
-			this.caughtUp.at(this.next, Duration.ofMillis(this.timers.now() - this.since));
+			this.caughtUp.at(this.next, Duration.ofMillis(this.timers.now() - this.since), age());
 		}
 		if (!atEnd || this.again) {
 			this.again = false;
@@ -139,6 +146,20 @@
 		readAfter(this.alone.getAsBoolean() ? PAUSE_ALONE : PAUSE);
 	}
 
+	private void note(List<Store.StoredRecord> records) {
+		if (records.isEmpty()) {
+			return;
+		}
+		OptionalLong written = RelayCodec.written(records.getLast().value().orElse(new byte[0]));
+		written.ifPresent((time) -> this.newest = OptionalLong.of(Math.max(this.newest.orElse(0), time)));
+	}
+
+	private Optional<Duration> age() {
+		return this.newest.stream()
+			.mapToObj((time) -> Duration.ofMillis(Math.abs(this.timers.timeOfDay() - time)))
+			.findFirst();
+	}
+
 	private void readAfter(Duration pause) {
 		long turn = this.scheduled;
 		this.timers.after(pause, () -> {
@@ -172,8 +193,10 @@
 		 * The end was reached.
 		 * @param offset the offset after the last entry
 		 * @param took how long it took
+		 * @param age how long ago the newest entry was written, by the clocks of its
+		 * writer and this process; empty if there is none
 		 */
-		void at(long offset, Duration took);
+		void at(long offset, Duration took, Optional<Duration> age);
 
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -91,7 +91,7 @@
 	 * @param entry the entry
 	 */
 	public void write(LedgerEntry entry) {
-		byte[] encoded = RelayCodec.encode(entry);
+		byte[] encoded = RelayCodec.encode(entry, this.timers.timeOfDay());
 		this.waiting.add(new Waiting(entry, encoded));
 		this.bytes += encoded.length;
 		while (this.bytes > WAITING_BYTES) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Timers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Timers.java
@@ -20,4 +20,12 @@
 	 */
 	long now();
 
+	/**
+	 * Returns the time of a clock of the day, which may be off and may be set.
+	 * @return milliseconds since the epoch
+	 */
+	default long timeOfDay() {
+		return System.currentTimeMillis();
+	}
+
 }
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
@@ -22,7 +22,7 @@
 	private boolean alone;
 
 	private final EntryReader reader = new EntryReader(this.store, this.store, new SplittableRandom(1),
-			this.read::addAll, (offset, took) -> this.caughtUp++, (well) -> {
+			this.read::addAll, (offset, took, age) -> this.caughtUp++, (well) -> {
 			}, () -> this.alone);
 
 	@Test
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import com.google.protobuf.ByteString;
@@ -44,6 +45,32 @@
 		}
 	}
 
+	/**
+	 * Writes an entry for the log, with its time.
+	 * @param entry the entry
+	 * @param written when it was written, in milliseconds of a clock of the day
+	 * @return its bytes
+	 */
+	public static byte[] encode(LedgerEntry entry, long written) {
+		return message(entry).toBuilder().setWritten(written).build().toByteArray();
+	}
+
+	/**
+	 * Reads when an entry of the log was written.
+	 * @param bytes the bytes of the entry
+	 * @return milliseconds of its writer's clock of the day, or empty if it does not say
+	 */
+	public static OptionalLong written(byte[] bytes) {
+		try {
+			long written = RelayProtocol.RelayEntry.parseFrom(bytes).getWritten();
+			return (written > 0) ? OptionalLong.of(written) : OptionalLong.empty();
+		}
+		catch (InvalidProtocolBufferException ex) {
+			// Told by whoever decodes the entry itself.
+			return OptionalLong.empty();
+		}
+	}
+
 	/**
 	 * Writes a message to another relay.
 	 * @param message the message
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -37,6 +37,16 @@
 		assertThat(RelayCodec.decodePeer(bytes)).isNotNull();
 	}
 
+	@Test
+	void timeOfAnEntryIsReadAsWritten() {
+		LedgerEntry entry = new LedgerEntry.Blamed("r", 3, "u");
+		byte[] bytes = RelayCodec.encode(entry, 1_790_000_000_000L);
+		assertThat(RelayCodec.written(bytes)).hasValue(1_790_000_000_000L);
+		assertThat(RelayCodec.decode(bytes).get()).isEqualTo(entry);
+		assertThat(RelayCodec.written(RelayCodec.encode(entry))).isEmpty();
+		assertThat(RelayCodec.written(new byte[] { 1 })).isEmpty();
+	}
+
 	@Test
 	void entryWithoutContentIsRefused() {
 		assertThat(RelayCodec.decode(new byte[0]).isLeft()).isTrue();
