--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -39,9 +39,9 @@
 	/**
 	 * How old the newest entry of the log may be when a relay first reads it, so that no
 	 * outage counts as having come before: the loss of all relays and a start take two to
-	 * three seconds. In an outage that fits in besides, no program is given more without
-	 * the log than the one turn by which a budget may be passed: turns take some hundred
-	 * milliseconds, and those of looping programs most of what they may.
+	 * three seconds. An outage that fits in besides is taken for none; it is too short
+	 * for more than one or two turns of a program without the log, and one turn is what a
+	 * budget may be passed by.
 	 */
 	static final Duration RECENT = Duration.ofSeconds(3);
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -39,8 +39,8 @@
 
 	/**
 	 * Milliseconds for which an upstream that the object of a request leads to is
-	 * preferred: less than one more request makes there, so that an object never queues
-	 * behind others for the sake of being known.
+	 * preferred: less than one more request makes at a service of up to ten places, so
+	 * that an object does not queue behind others there for the sake of being known.
 	 */
 	private static final double MS_OF_KNOWN_OBJECT = 10;
 
@@ -97,8 +97,7 @@
 		return best;
 	}
 
-	// All relays come to the same upstream without telling each other, and an upstream
-	// that
+	// All relays come to the same upstream without telling each other. An upstream that
 	// comes or goes moves only the objects that lead to it.
 	private static Optional<Known> home(List<Known> candidates, String object) {
 		Optional<Known> home = Optional.empty();
