--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -63,6 +63,7 @@
 			return;
 		}
 		known.ifPresent(Known::worked);
+		this.state.silence.ended(exchange);
 		this.ends.settle(exchange, Optional.empty());
 		if (exchange.opened()) {
 			this.ends.breakOff(exchange, Refusal.ANSWER_LOST);
@@ -106,6 +107,9 @@
 			failed(exchange, FailureCause.UNREADABLE);
 			return;
 		}
+		if (exchange.events() == 0) {
+			this.state.silence.ended(exchange);
+		}
 		exchange.passed(event);
 		this.state.emit(new RelayEffect.PassEvent(exchange.number(), event.raw()));
 	}
@@ -136,13 +140,10 @@
 		if (exchange.phase() != Phase.RUNNING) {
 			return;
 		}
-		long patience = exchange.route().patience().toMillis();
-		long silence = this.state.now - exchange.heardAt();
-		if (silence >= patience) {
+		if (this.state.silence.tooLong(exchange)) {
 			this.requests.leaveSilent(exchange);
-			silence = 0;
+			this.state.silence.watch(exchange);
 		}
-		this.state.remind(exchange, Duration.ofMillis(patience - silence), Reminder.SILENCE);
 	}
 
 	private void failed(Exchange exchange, FailureCause cause) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -47,6 +47,8 @@
 
 	private long heardAt;
 
+	private long lookAt;
+
 	private boolean watched;
 
 	Exchange(RelayEvent.Asked asked, Route route) {
@@ -170,6 +172,18 @@
 		return first;
 	}
 
+	/**
+	 * Returns when the silence of the upstream is to be looked at next.
+	 * @return milliseconds of a steady clock
+	 */
+	long lookAt() {
+		return this.lookAt;
+	}
+
+	void lookAt(long next) {
+		this.lookAt = next;
+	}
+
 	boolean expects(long number) {
 		return this.lastEvent.isEmpty() || number == this.lastEvent.getAsLong() + 1;
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -32,6 +32,8 @@
 
 	final UnloggedEntries unlogged;
 
+	final Silence silence = new Silence(this);
+
 	final SplittableRandom random;
 
 	final UpstreamChoice choice;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -173,7 +173,7 @@
 		known.read(prompt, this.state.memory(upstream));
 		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
 		if (exchange.route().repeatable() && exchange.watch()) {
-			this.state.remind(exchange, exchange.route().patience(), Reminder.SILENCE);
+			this.state.silence.watch(exchange);
 		}
 		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
 		this.state.emit(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AnswerRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AnswerRulesTests.java
@@ -47,11 +47,12 @@
 		for (int i = 0; i < 20; i++) {
 			answerAfter(relay, "w" + i, 300);
 		}
+		long asked = relay.now();
 		relay.ask("r", "look");
 		relay.pass(200);
 		RelayEffect.Remind again = RelayFixture.of(relay.remind(Reminder.SILENCE), RelayEffect.Remind.class).getFirst();
 		relay.pass(again.delay().toMillis());
-		assertThat(relay.now()).isGreaterThan(300);
+		assertThat(relay.now() - asked).isGreaterThan(300);
 		assertThat(RelayFixture.of(relay.remind(Reminder.SILENCE), RelayEffect.Send.class)).hasSize(1);
 	}
 
