--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -1,15 +1,10 @@
 package io.lentilslip.core.relay;
 
-import java.time.Duration;
 import java.util.Optional;
 
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
 import io.lentilslip.core.relay.Exchange.Phase;
-import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
-import io.lentilslip.core.relay.RelayEvent.Reach;
-import io.lentilslip.core.relay.RelayEvent.Reminder;
-import io.lentilslip.core.relay.RequestHead.Turn;
 import io.lentilslip.core.relay.Upstreams.Known;
 
 /**
@@ -22,11 +17,14 @@
 
 	private final RequestRules requests;
 
+	private final TextRules texts;
+
 	private final ExchangeEnds ends;
 
-	AnswerRules(RelayState state, RequestRules requests, ExchangeEnds ends) {
+	AnswerRules(RelayState state, RequestRules requests, TextRules texts, ExchangeEnds ends) {
 		this.state = state;
 		this.requests = requests;
+		this.texts = texts;
 		this.ends = ends;
 	}
 
@@ -122,14 +120,7 @@
 			this.ends.endStream(exchange);
 			return;
 		}
-		Turn turn = exchange.head().turn().get();
-		KeptTurn kept = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
-		this.state.turns.add(exchange.head().id(), kept);
-		this.ends.settle(exchange, Optional.of(kept));
-		exchange.become(Phase.ENDING);
-		this.state.ending.put(exchange.head().id(), exchange.number());
-		Duration pause = (this.state.reach == Reach.LOG) ? RelaySettings.ALONE : RelaySettings.TELLING;
-		this.state.remind(exchange, pause, Reminder.STORED);
+		this.texts.ended(exchange);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -51,6 +51,10 @@
 
 	private boolean watched;
 
+	private boolean bringing;
+
+	private boolean extended;
+
 	Exchange(RelayEvent.Asked asked, Route route) {
 		this.asked = asked;
 		this.route = route;
@@ -133,6 +137,28 @@
 		this.phase = Phase.RUNNING;
 	}
 
+	/**
+	 * Returns whether the texts of the turns before are being brought.
+	 * @return whether they are
+	 */
+	boolean bringing() {
+		return this.bringing;
+	}
+
+	void bring() {
+		this.bringing = true;
+	}
+
+	/**
+	 * Notes that the request is waited for longer than usual.
+	 * @return whether it was not before
+	 */
+	boolean extend() {
+		boolean first = !this.extended;
+		this.extended = true;
+		return first;
+	}
+
 	OptionalLong lastEvent() {
 		return this.lastEvent;
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -6,7 +6,6 @@
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
 import io.lentilslip.core.relay.Exchange.Phase;
-import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
 import io.lentilslip.core.relay.RequestHead.Turn;
 import io.lentilslip.core.verdict.Verdict;
 
@@ -74,18 +73,27 @@
 		refuse(exchange, refusal, worthAnother ? Optional.of(RelaySettings.COME_BACK) : Optional.empty());
 	}
 
-	void settle(Exchange exchange, Optional<KeptTurn> kept) {
+	void settle(Exchange exchange, Optional<TextPlace> text) {
 		if (!exchange.reserved()) {
 			return;
 		}
+		LedgerEntry.Settled settled = settlement(exchange, text);
+		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		this.state.emit(new RelayEffect.Write(settled));
+	}
+
+	/**
+	 * Returns what a turn has taken of its program's budget.
+	 * @param exchange the exchange of the turn
+	 * @param text where its text is, if it is kept
+	 * @return the entry
+	 */
+	LedgerEntry.Settled settlement(Exchange exchange, Optional<TextPlace> text) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		int perEvent = this.state.engine(exchange.upstream().map(Upstream::service).orElse(""))
 			.map(RouteTable.Engine::tokensPerEvent)
 			.orElse(1);
-		int given = exchange.events() * perEvent;
-		this.state.tokens.settle(turn.program(), exchange.head().id(), given);
-		this.state
-			.emit(new RelayEffect.Write(new LedgerEntry.Settled(exchange.head().id(), turn.program(), given, kept)));
+		return new LedgerEntry.Settled(exchange.head().id(), turn.program(), exchange.events() * perEvent, text);
 	}
 
 	void callerLeft(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
@@ -2,22 +2,44 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
-import io.lentilslip.core.relay.LedgerEntry.KeptTurn;
-
 /**
- * The text of turns that later turns may continue from. Bounded in bytes: the oldest
- * turns go first. A turn whose chain is not whole is treated as unknown, so no upstream
- * is given a shortened history. Used by one thread.
+ * The turns that later turns may continue from: of all of them where their texts are, and
+ * the texts that this relay ran or asked for last. Texts are bounded in bytes, places in
+ * number, those untouched for longest go first; a text that is gone from memory is read
+ * from the log again. A turn whose chain is not whole is never taken for a shorter one.
+ * Used by one thread.
  */
 final class KeptTurns {
 
+	/**
+	 * How many places are remembered: a minute of what 380 relays would tell, at some 200
+	 * bytes each.
+	 */
+	private static final int PLACES = 50_000;
+
+	/**
+	 * How many places of one text are remembered: its own relay's, and that of one that
+	 * helped.
+	 */
+	private static final int COPIES = 2;
+
 	private final long bound;
 
-	private final LinkedHashMap<String, KeptTurn> turns = new LinkedHashMap<>();
+	private final LinkedHashMap<String, KeptTurn> texts = new LinkedHashMap<>(64, 0.75f, true);
+
+	private final Map<String, Known> places = new LinkedHashMap<>(64, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Known> eldest) {
+			return size() > PLACES;
+		}
+	};
 
 	private long bytes;
 
@@ -25,46 +47,150 @@
 		this.bound = bound;
 	}
 
-	void add(String request, KeptTurn turn) {
-		if (this.turns.putIfAbsent(request, turn) != null) {
+	void add(String request, KeptTurn text) {
+		if (this.texts.putIfAbsent(request, text) != null) {
 			return;
 		}
-		this.bytes += turn.size();
-		while (this.bytes > this.bound) {
-			this.bytes -= this.turns.pollFirstEntry().getValue().size();
+		this.bytes += text.size();
+		while (this.bytes > this.bound && this.texts.size() > 1) {
+			this.bytes -= this.texts.pollFirstEntry().getValue().size();
 		}
 	}
 
+	/**
+	 * Notes where the text of a turn is. Told again, the turn may have another place,
+	 * since a relay that helped wrote it too; who ran it stays known.
+	 * @param request the turn
+	 * @param place its place in the log
+	 * @param holder the relay that ran it, if it told so itself
+	 */
+	void note(String request, TextPlace place, Optional<String> holder) {
+		Known before = this.places.getOrDefault(request, new Known(List.of(), Optional.empty()));
+		List<TextPlace> known = new ArrayList<>(before.places());
+		known.remove(place);
+		known.addFirst(place);
+		this.places.put(request,
+				new Known(known.subList(0, Math.min(known.size(), COPIES)), holder.or(before::holder)));
+	}
+
+	Optional<KeptTurn> text(String request) {
+		return Optional.ofNullable(this.texts.get(request));
+	}
+
+	/**
+	 * Returns where the log may have the text of a turn. A place that was told may not be
+	 * written to yet, so all that are known count.
+	 * @param request the turn
+	 * @return the places, the last told one first
+	 */
+	List<TextPlace> places(String request) {
+		return Optional.ofNullable(this.places.get(request)).map(Known::places).orElse(List.of());
+	}
+
+	/**
+	 * Returns which relay ran a turn, and so had the texts of its whole chain.
+	 * @param request the turn
+	 * @return the relay, or empty if it is not known
+	 */
+	Optional<String> holder(String request) {
+		return Optional.ofNullable(this.places.get(request)).flatMap(Known::holder);
+	}
+
 	/**
 	 * Returns what an upstream is to read before the new input of a turn.
 	 * @param previous the turn that is continued from
-	 * @return inputs and outputs of the whole chain, or empty if a part is unknown
+	 * @return inputs and outputs of the whole chain, or what is missing
 	 */
-	Optional<byte[]> chain(String previous) {
-		Deque<KeptTurn> chain = new ArrayDeque<>();
+	Chain chain(String previous) {
+		Deque<KeptTurn> found = new ArrayDeque<>();
+		List<String> elsewhere = new ArrayList<>();
 		Optional<String> next = Optional.of(previous);
 		while (next.isPresent()) {
-			KeptTurn turn = this.turns.get(next.get());
-			if (turn == null) {
-				return Optional.empty();
+			KeptTurn text = this.texts.get(next.get());
+			Known known = this.places.get(next.get());
+			if (text == null && known == null) {
+				return new Chain.Unknown();
+			}
+			if (text == null) {
+				elsewhere.add(next.get());
+				next = known.places().getFirst().previous();
+				continue;
 			}
-			chain.addFirst(turn);
-			next = turn.previous();
+			found.addFirst(text);
+			next = text.previous();
 		}
+		return elsewhere.isEmpty() ? new Chain.Whole(join(found)) : new Chain.Elsewhere(elsewhere);
+	}
+
+	private static byte[] join(Deque<KeptTurn> chain) {
 		ByteArrayOutputStream text = new ByteArrayOutputStream();
 		for (KeptTurn turn : chain) {
 			text.writeBytes(turn.input());
 			text.writeBytes(turn.output());
 		}
-		return Optional.of(text.toByteArray());
+		return text.toByteArray();
 	}
 
 	int size() {
-		return this.turns.size();
+		return this.texts.size();
 	}
 
 	long bytes() {
 		return this.bytes;
 	}
 
+	/**
+	 * What is known of a chain of turns. Immutable.
+	 */
+	sealed interface Chain {
+
+		/**
+		 * All texts are at hand.
+		 *
+		 * @param text the texts, in order; shared, never written to
+		 */
+		record Whole(byte[] text) implements Chain {
+
+		}
+
+		/**
+		 * All turns are known, and some texts are not at hand.
+		 *
+		 * @param turns the turns whose texts are missing, the newest first
+		 */
+		record Elsewhere(List<String> turns) implements Chain {
+
+			/**
+			 * Creates a chain.
+			 * @param turns the turns whose texts are missing, the newest first
+			 */
+			public Elsewhere {
+				turns = List.copyOf(turns);
+			}
+
+		}
+
+		/**
+		 * Some turn is not known.
+		 */
+		record Unknown() implements Chain {
+
+		}
+
+	}
+
+	/**
+	 * Where the text of a turn is. Immutable.
+	 *
+	 * @param places its places in the log, the last told one first
+	 * @param holder the relay that ran the turn
+	 */
+	private record Known(List<TextPlace> places, Optional<String> holder) {
+
+		private Known {
+			places = List.copyOf(places);
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -53,9 +53,9 @@
 	 * @param request the id of the caller's attempt
 	 * @param program the program
 	 * @param tokens the tokens that the caller was given
-	 * @param kept the turn's text if later turns may continue from it
+	 * @param text where the turn's text is, if later turns may continue from it
 	 */
-	record Settled(String request, String program, int tokens, Optional<KeptTurn> kept) implements LedgerEntry {
+	record Settled(String request, String program, int tokens, Optional<TextPlace> text) implements LedgerEntry {
 
 	}
 
@@ -70,23 +70,4 @@
 
 	}
 
-	/**
-	 * The text of a turn. The arrays are shared and never written to.
-	 *
-	 * @param previous the turn that it continues from; empty at the start of a chain
-	 * @param input the new input
-	 * @param output the data of its events, a line feed after each
-	 */
-	record KeptTurn(Optional<String> previous, byte[] input, byte[] output) {
-
-		/**
-		 * Returns how many bytes the text has.
-		 * @return the number
-		 */
-		public int size() {
-			return this.input.length + this.output.length;
-		}
-
-	}
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -1,22 +1,13 @@
 package io.lentilslip.core.relay;
 
-import java.util.List;
 import java.util.Optional;
 
-import io.lentilslip.core.relay.Exchange.Phase;
-import io.lentilslip.core.relay.RelayEvent.Reminder;
-
 /**
  * What relays write down and tell each other, and what follows from it. Used by one
  * thread.
  */
 final class LedgerRules {
 
-	/**
-	 * How many times the time alone passes before help is asked for again, of others.
-	 */
-	private static final int HELP_PAUSES = 4;
-
 	private final RelayState state;
 
 	private final RequestRules requests;
@@ -42,14 +33,14 @@
 			}
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> reserved(reserved, read.fromLog());
-				case LedgerEntry.Settled settled -> settledElsewhere(settled);
+				case LedgerEntry.Settled settled -> settledElsewhere(settled, read.teller());
 				case LedgerEntry.Blamed blamed -> this.state.blames.add(blamed.digest(), blamed.upstream());
 			}
 		}
 		if (read.fromLog()) {
 			adopt();
 		}
-		dispatchWaiting();
+		this.requests.dispatchWaiting();
 	}
 
 	private void dispatchIf(Exchange exchange, boolean held, Refusal otherwise) {
@@ -78,18 +69,7 @@
 		this.state.caughtUpAt = event.now();
 		this.state.caughtUp = true;
 		this.state.stale = false;
-		dispatchWaiting();
-	}
-
-	private void dispatchWaiting() {
-		if (this.state.stale) {
-			return;
-		}
-		for (Exchange exchange : List.copyOf(this.state.waiting.values())) {
-			if (this.requests.findChain(exchange, exchange.head().turn().orElseThrow())) {
-				this.requests.dispatch(exchange);
-			}
-		}
+		this.requests.dispatchWaiting();
 	}
 
 	private void adopt() {
@@ -127,44 +107,10 @@
 		}
 	}
 
-	private void settledElsewhere(LedgerEntry.Settled settled) {
+	private void settledElsewhere(LedgerEntry.Settled settled, Optional<String> teller) {
 		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
-		settled.kept().ifPresent((kept) -> this.state.turns.add(settled.request(), kept));
+		settled.text().ifPresent((place) -> this.state.turns.note(settled.request(), place, teller));
 		this.state.upstreams.ended(settled.request());
 	}
 
-	void stored(String request) {
-		String helped = this.state.helping.remove(request);
-		if (helped != null) {
-			this.state.emit(new RelayEffect.TellStored(helped, request));
-		}
-		Long number = this.state.ending.get(request);
-		if (number != null) {
-			this.ends.endStream(this.state.exchanges.get(number));
-		}
-	}
-
-	/**
-	 * Asks others to write a turn that this relay can't write itself: the store may turn
-	 * away some relays and serve others. The end of the turn still waits for the log, for
-	 * the loss of all relays at once must not lose a turn that its caller saw whole.
-	 * @param exchange the exchange
-	 */
-	void storeDue(Exchange exchange) {
-		if (exchange.phase() == Phase.ENDING) {
-			this.state.emit(new RelayEffect.AskForHelp(exchange.head().id()));
-			this.state.remind(exchange, RelaySettings.ALONE.multipliedBy(HELP_PAUSES), Reminder.STORED);
-		}
-	}
-
-	void helpAsked(RelayEvent.HelpAsked asked) {
-		for (String request : asked.requests()) {
-			Optional<LedgerEntry> turn = this.state.unlogged.turn(request);
-			if (turn.isPresent() && !this.state.helping.containsKey(request)) {
-				this.state.helping.put(request, asked.peer());
-				this.state.emit(new RelayEffect.Write(turn.get()));
-			}
-		}
-	}
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -24,6 +24,8 @@
 
 	private final LedgerRules ledger;
 
+	private final TextRules texts;
+
 	private final ExchangeEnds ends;
 
 	/**
@@ -35,8 +37,9 @@
 		this.ends = new ExchangeEnds(this.state);
 		this.budgets = new BudgetRules(this.state, this.ends);
 		this.site = new SiteRules(this.state, this.budgets);
-		this.requests = new RequestRules(this.state, this.budgets, this.ends);
-		this.answers = new AnswerRules(this.state, this.requests, this.ends);
+		this.texts = new TextRules(this.state, this.ends);
+		this.requests = new RequestRules(this.state, this.budgets, this.texts, this.ends);
+		this.answers = new AnswerRules(this.state, this.requests, this.texts, this.ends);
 		this.ledger = new LedgerRules(this.state, this.requests, this.budgets, this.ends);
 	}
 
@@ -56,13 +59,25 @@
 			case RelayEvent.EntriesRead read -> this.ledger.entriesRead(read);
 			case RelayEvent.Woken woken -> this.site.woken(woken.slept());
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
-			case RelayEvent.Stored stored -> stored.requests().forEach(this.ledger::stored);
+			case RelayEvent.Stored stored -> stored.requests().forEach(this.texts::entryStored);
+			case RelayEvent.TextsStored stored -> this.texts.textsStored(stored);
+			case RelayEvent.Helped helped -> helped.requests().forEach(this.texts::helped);
+			case RelayEvent.TextsAsked asked -> this.texts.asked(asked);
+			case RelayEvent.TextsTold told -> {
+				this.texts.told(told);
+				this.requests.dispatchWaiting();
+			}
+			case RelayEvent.TextRead read -> {
+				this.texts.read(read);
+				this.requests.dispatchWaiting();
+			}
 			case RelayEvent.TakenAsked asked -> this.budgets.asked(asked);
 			case RelayEvent.TakenTold told -> this.ledger.takenTold(told);
 			case RelayEvent.PlaceTold told -> this.ledger.placeTold(told);
 			case RelayEvent.PeerLinked linked -> this.site.linked(linked.peer());
 			case RelayEvent.PeerTold told -> this.site.told(told.peer(), told.others());
-			case RelayEvent.HelpAsked asked -> this.ledger.helpAsked(asked);
+			case RelayEvent.PeerLost lost -> this.site.lost(lost.peer());
+			case RelayEvent.HelpAsked asked -> this.texts.helpAsked(asked);
 			case RelayEvent.ReachChanged changed -> this.site.reachChanged(changed.reach());
 			case RelayEvent.TableRead read -> this.site.tableRead(read.table());
 			case RelayEvent.UpstreamsRead read -> this.state.upstreams.replace(read.upstreams());
@@ -85,9 +100,10 @@
 	private void reminded(Exchange exchange, RelayEvent.Reminder reminder) {
 		switch (reminder) {
 			case DUE -> this.ends.due(exchange);
-			case CHAIN -> this.ends.chainDue(exchange);
+			case CHAIN -> this.texts.chainDue(exchange);
+			case TEXTS -> this.texts.textsDue(exchange);
 			case ORDER -> this.budgets.orderDue(exchange);
-			case STORED -> this.ledger.storeDue(exchange);
+			case STORED -> this.texts.storeDue(exchange);
 			case SILENCE -> this.answers.silenceDue(exchange);
 		}
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -109,11 +109,79 @@
 	}
 
 	/**
-	 * Ask other relays to write a turn to the log. They have its entry already.
+	 * Write the text of a turn to the log, to this relay's partition of the texts.
 	 *
 	 * @param request the turn
+	 * @param text its text
 	 */
-	record AskForHelp(String request) implements RelayEffect {
+	record StoreText(String request, KeptTurn text) implements RelayEffect {
+
+	}
+
+	/**
+	 * Read the text of a turn from the log.
+	 *
+	 * @param request the turn
+	 * @param places where it may stand
+	 */
+	record ReadText(String request, List<TextPlace> places) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param request the turn
+		 * @param places where it may stand
+		 */
+		public ReadText {
+			places = List.copyOf(places);
+		}
+
+	}
+
+	/**
+	 * Ask the relay that ran a turn for texts of its chain.
+	 *
+	 * @param peer the other relay
+	 * @param requests the turns
+	 */
+	record AskTexts(String peer, List<String> requests) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peer the other relay
+		 * @param requests the turns
+		 */
+		public AskTexts {
+			requests = List.copyOf(requests);
+		}
+
+	}
+
+	/**
+	 * Send another relay the texts that it asked for.
+	 *
+	 * @param peer the other relay
+	 * @param texts those that are in memory
+	 */
+	record TellTexts(String peer, List<TurnText> texts) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peer the other relay
+		 * @param texts those that are in memory
+		 */
+		public TellTexts {
+			texts = List.copyOf(texts);
+		}
+
+	}
+
+	/**
+	 * Ask other relays to write a turn to the log.
+	 *
+	 * @param end what the turn has taken of its program's budget
+	 * @param text its text
+	 */
+	record AskForHelp(LedgerEntry.Settled end, KeptTurn text) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -146,22 +146,30 @@
 	 *
 	 * @param now when
 	 * @param entries the entries
-	 * @param fromLog whether they were read from the log, and so stand in the order that
-	 * all relays see
+	 * @param teller the relay that told them; empty if they were read from the log, and
+	 * so stand in the order that all relays see
 	 */
-	record EntriesRead(long now, List<LedgerEntry> entries, boolean fromLog) implements RelayEvent {
+	record EntriesRead(long now, List<LedgerEntry> entries, Optional<String> teller) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now when
 		 * @param entries the entries
-		 * @param fromLog whether they were read from the log, and so stand in the order
-		 * that all relays see
+		 * @param teller the relay that told them; empty if they were read from the log,
+		 * and so stand in the order that all relays see
 		 */
 		public EntriesRead {
 			entries = List.copyOf(entries);
 		}
 
+		/**
+		 * Returns whether the entries were read from the log.
+		 * @return whether they were
+		 */
+		boolean fromLog() {
+			return this.teller.isEmpty();
+		}
+
 	}
 
 	/**
@@ -190,9 +198,9 @@
 	}
 
 	/**
-	 * The log has the ends of kept turns that this relay wrote, or asked another one to
-	 * write. Other entries of the same requests don't count: a turn that is reserved
-	 * there is not yet kept.
+	 * The log has the entries by which kept turns end, written by this relay. Other
+	 * entries of the same requests don't count: a turn that is reserved there is not yet
+	 * kept.
 	 *
 	 * @param now when
 	 * @param requests the turns
@@ -202,13 +210,67 @@
 	}
 
 	/**
-	 * Another relay can't write turns to the log and asks for help with it.
+	 * The log has texts that this relay wrote, or has told where they go.
+	 *
+	 * @param now when
+	 * @param requests the turns whose texts they are
+	 * @param end where the partition of this relay's texts ends now
+	 * @param took how long the log took
+	 */
+	record TextsStored(long now, Set<String> requests, long end, Duration took) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param requests the turns whose texts they are
+		 * @param end where the partition of this relay's texts ends now
+		 * @param took how long the log took
+		 */
+		public TextsStored {
+			requests = Set.copyOf(requests);
+		}
+
+	}
+
+	/**
+	 * The log has whole turns that this relay asked another one to write.
+	 *
+	 * @param now when
+	 * @param requests the turns
+	 */
+	record Helped(long now, Set<String> requests) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param requests the turns
+		 */
+		public Helped {
+			requests = Set.copyOf(requests);
+		}
+
+	}
+
+	/**
+	 * Another relay can't write a turn to the log and asks for help with it.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param end what the turn has taken of its program's budget
+	 * @param text its text
+	 */
+	record HelpAsked(long now, String peer, LedgerEntry.Settled end, KeptTurn text) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay asks for texts that this one may have in memory.
 	 *
 	 * @param now when
 	 * @param peer the other relay
 	 * @param requests the turns
 	 */
-	record HelpAsked(long now, String peer, Set<String> requests) implements RelayEvent {
+	record TextsAsked(long now, String peer, Set<String> requests) implements RelayEvent {
 
 		/**
 		 * Creates an event.
@@ -216,12 +278,42 @@
 		 * @param peer the other relay
 		 * @param requests the turns
 		 */
-		public HelpAsked {
+		public TextsAsked {
 			requests = Set.copyOf(requests);
 		}
 
 	}
 
+	/**
+	 * Another relay has sent texts that this one asked for.
+	 *
+	 * @param now when
+	 * @param texts the texts
+	 */
+	record TextsTold(long now, List<TurnText> texts) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param texts the texts
+		 */
+		public TextsTold {
+			texts = List.copyOf(texts);
+		}
+
+	}
+
+	/**
+	 * The log was read for a text.
+	 *
+	 * @param now when
+	 * @param request the turn
+	 * @param text the text, or empty if it was not found
+	 */
+	record TextRead(long now, String request, Optional<KeptTurn> text) implements RelayEvent {
+
+	}
+
 	/**
 	 * Another relay asks what is taken of a program's budget, before it runs a turn.
 	 *
@@ -274,6 +366,16 @@
 
 	}
 
+	/**
+	 * A link that this relay had made to another one is lost.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 */
+	record PeerLost(long now, String peer) implements RelayEvent {
+
+	}
+
 	/**
 	 * Another relay that misses nothing has told all that it knows beyond the log.
 	 *
@@ -392,6 +494,11 @@
 		 */
 		CHAIN,
 
+		/**
+		 * The texts of its chain should have been brought.
+		 */
+		TEXTS,
+
 		/**
 		 * The log should have told whether the budget holds the turn.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -7,14 +7,16 @@
  *
  * @param zone its availability zone
  * @param seed the seed of its random choices
- * @param turnBytes the most bytes of turns' text that it keeps
+ * @param turnBytes the most bytes of turns' text that it has in memory
  * @param inputBytes the most bytes of the input of a turn that is kept, so that it and
  * its output fit into one record of the log
  * @param programs the most programs whose tokens it remembers
+ * @param textPart the partition of the log to which it writes texts
  * @param first whether the whole site starts for the first time, so that nothing was
  * given before
  */
-public record RelaySettings(String zone, long seed, long turnBytes, int inputBytes, int programs, boolean first) {
+public record RelaySettings(String zone, long seed, long turnBytes, int inputBytes, int programs, int textPart,
+		boolean first) {
 
 	/**
 	 * The part of a route's target within which a turn whose chain is not found is
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.lentilslip.core.notice.Notice;
@@ -44,9 +46,9 @@
 	final Map<Long, Exchange> exchanges = new HashMap<>();
 
 	/**
-	 * The exchanges whose end waits for the log, by request.
+	 * The turns of this relay whose end waits for the log, by request.
 	 */
-	final Map<String, Long> ending = new LinkedHashMap<>();
+	final Map<String, TextRules.Ending> ending = new LinkedHashMap<>();
 
 	/**
 	 * The exchanges that wait for their place in the log, by request.
@@ -76,9 +78,34 @@
 	final Map<Long, Exchange> waiting = new LinkedHashMap<>();
 
 	/**
-	 * The relays that asked for help with a turn, by request.
+	 * The turns that are written for other relays, by request.
 	 */
-	final Map<String, String> helping = new LinkedHashMap<>();
+	final Map<String, TextRules.Helping> helping = new LinkedHashMap<>();
+
+	/**
+	 * The turns whose texts are being read from the log. Each reading ends, found or not.
+	 */
+	final Set<String> reading = new HashSet<>();
+
+	/**
+	 * The relays that this one is linked to.
+	 */
+	final Set<String> linked = new HashSet<>();
+
+	/**
+	 * The partition to which this relay writes texts.
+	 */
+	final int textPart;
+
+	/**
+	 * Where that partition ended when it was last heard of.
+	 */
+	long textEnd;
+
+	/**
+	 * How long the log took to store the last texts.
+	 */
+	Duration logTook = Duration.ZERO;
 
 	Optional<RouteTable> table = Optional.empty();
 
@@ -110,6 +137,7 @@
 
 	RelayState(RelaySettings settings) {
 		this.inputBytes = settings.inputBytes();
+		this.textPart = settings.textPart();
 		this.tokens = new ProgramTokens(settings.programs());
 		this.turns = new KeptTurns(settings.turnBytes());
 		this.complete = settings.first();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -19,11 +19,14 @@
 
 	private final BudgetRules budgets;
 
+	private final TextRules texts;
+
 	private final ExchangeEnds ends;
 
-	RequestRules(RelayState state, BudgetRules budgets, ExchangeEnds ends) {
+	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeEnds ends) {
 		this.state = state;
 		this.budgets = budgets;
+		this.texts = texts;
 		this.ends = ends;
 	}
 
@@ -47,13 +50,13 @@
 		}
 		this.state.remind(exchange, exchange.left(this.state.now), Reminder.DUE);
 		if (asked.head().turn().isPresent()) {
-			turnAsked(exchange, asked.head().turn().get());
+			turnAsked(exchange);
 			return;
 		}
 		dispatch(exchange);
 	}
 
-	private void turnAsked(Exchange exchange, Turn turn) {
+	private void turnAsked(Exchange exchange) {
 		// A turn that no record can hold would run and never end: its end waits for the
 		// log, and the entries behind it would wait with it.
 		if (exchange.route().keepsTurns() && exchange.asked().body().length > this.state.inputBytes) {
@@ -71,9 +74,11 @@
 			this.ends.refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
 			return;
 		}
-		if (this.state.stale || !findChain(exchange, turn)) {
+		if (this.state.stale || !this.texts.find(exchange)) {
 			this.state.waiting.put(exchange.number(), exchange);
-			this.state.emit(new RelayEffect.ReadLog());
+			if (!exchange.bringing()) {
+				this.state.emit(new RelayEffect.ReadLog());
+			}
 			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
 					Reminder.CHAIN);
 			return;
@@ -81,13 +86,18 @@
 		dispatch(exchange);
 	}
 
-	boolean findChain(Exchange exchange, Turn turn) {
-		if (!exchange.route().keepsTurns() || turn.previous().isEmpty()) {
-			return true;
+	/**
+	 * Goes on with the turns whose texts before are at hand by now.
+	 */
+	void dispatchWaiting() {
+		if (this.state.stale) {
+			return;
+		}
+		for (Exchange exchange : List.copyOf(this.state.waiting.values())) {
+			if (this.texts.find(exchange)) {
+				dispatch(exchange);
+			}
 		}
-		Optional<byte[]> chain = this.state.turns.chain(turn.previous().get());
-		chain.ifPresent(exchange::found);
-		return chain.isPresent();
 	}
 
 	void dispatch(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -123,9 +123,18 @@
 	 * @param peer the other relay
 	 */
 	void linked(String peer) {
+		this.state.linked.add(peer);
 		this.state.emit(new RelayEffect.TellUnlogged(peer, this.state.unlogged.all(), this.state.complete));
 	}
 
+	/**
+	 * Takes that the link to another relay is lost.
+	 * @param peer the other relay
+	 */
+	void lost(String peer) {
+		this.state.linked.remove(peer);
+	}
+
 	/**
 	 * Takes that another relay, which misses nothing, has told all that it knows beyond
 	 * the log. What was given without the log is known to a majority, of which this relay
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -0,0 +1,291 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.KeptTurns.Chain;
+import io.lentilslip.core.relay.RelayEvent.Reach;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import io.lentilslip.core.relay.RequestHead.Turn;
+
+/**
+ * How the texts of turns are kept and found. A text is written to the log once, by the
+ * relay that ran the turn, and read by a relay that has to continue from it: from the
+ * memory of the one that ran it, or else from the log. All relays know of all turns where
+ * their texts are, which is some hundred bytes each. Used by one thread.
+ */
+final class TextRules {
+
+	/**
+	 * How many times the time alone passes before help is asked for again, of others.
+	 */
+	private static final int HELP_PAUSES = 4;
+
+	/**
+	 * How long a relay that ran a turn may take to send its texts before they are read
+	 * from the log: several times what a message there and back takes, less than a turn
+	 * can wait.
+	 */
+	private static final Duration HOLDER_WAIT = Duration.ofMillis(30);
+
+	/**
+	 * After what time texts that could not be read from the log are tried for again.
+	 */
+	private static final Duration READ_WAIT = Duration.ofMillis(250);
+
+	/**
+	 * The part of its time that a turn waits at most for texts that are known to exist.
+	 */
+	private static final int TEXTS_WAIT_PART = 3;
+
+	private final RelayState state;
+
+	private final ExchangeEnds ends;
+
+	TextRules(RelayState state, ExchangeEnds ends) {
+		this.state = state;
+		this.ends = ends;
+	}
+
+	/**
+	 * Takes that an upstream ended a kept turn. Its end is passed on when the log has its
+	 * text and where that is: a turn counts once its caller has seen the end, and must
+	 * then be found after the loss of all relays at once.
+	 * @param exchange the exchange
+	 */
+	void ended(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		KeptTurn text = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
+		TextPlace place = place(text);
+		exchange.become(Phase.ENDING);
+		this.state.turns.add(exchange.head().id(), text);
+		this.state.turns.note(exchange.head().id(), place, Optional.empty());
+		this.state.ending.put(exchange.head().id(), new Ending(exchange.number()));
+		this.state.emit(new RelayEffect.StoreText(exchange.head().id(), text));
+		this.ends.settle(exchange, Optional.of(place));
+		Duration pause = (this.state.reach == Reach.LOG) ? RelaySettings.ALONE : RelaySettings.TELLING;
+		this.state.remind(exchange, pause, Reminder.STORED);
+	}
+
+	private TextPlace place(KeptTurn text) {
+		return new TextPlace(text.previous(), text.size(), this.state.textPart, this.state.textEnd);
+	}
+
+	/**
+	 * Takes that the log has texts that this relay wrote.
+	 * @param stored which
+	 */
+	void textsStored(RelayEvent.TextsStored stored) {
+		this.state.textEnd = Math.max(this.state.textEnd, stored.end());
+		this.state.logTook = stored.took();
+		for (String request : stored.requests()) {
+			Optional.ofNullable(this.state.ending.get(request)).ifPresent((ending) -> ending.text = true);
+			Optional.ofNullable(this.state.helping.get(request)).ifPresent((helping) -> helping.text = true);
+			endIfStored(request);
+		}
+	}
+
+	/**
+	 * Takes that the log has the end of a turn that this relay wrote.
+	 * @param request the turn
+	 */
+	void entryStored(String request) {
+		Optional.ofNullable(this.state.ending.get(request)).ifPresent((ending) -> ending.entry = true);
+		Optional.ofNullable(this.state.helping.get(request)).ifPresent((helping) -> helping.entry = true);
+		endIfStored(request);
+	}
+
+	private void endIfStored(String request) {
+		Helping helping = this.state.helping.get(request);
+		if (helping != null && helping.text && helping.entry) {
+			this.state.helping.remove(request);
+			this.state.emit(new RelayEffect.TellStored(helping.peer, request));
+		}
+		Ending ending = this.state.ending.get(request);
+		if (ending != null && ending.text && ending.entry) {
+			helped(request);
+		}
+	}
+
+	/**
+	 * Takes that the log has a turn of this relay, by whoever wrote it.
+	 * @param request the turn
+	 */
+	void helped(String request) {
+		Ending ending = this.state.ending.get(request);
+		if (ending != null) {
+			this.ends.endStream(this.state.exchanges.get(ending.exchange));
+		}
+	}
+
+	/**
+	 * Asks others to write a turn that this relay can't write itself: the store may turn
+	 * away some relays and serve others. The end of the turn still waits for the log, for
+	 * the loss of all relays at once must not lose a turn that its caller saw whole.
+	 * @param exchange the exchange
+	 */
+	void storeDue(Exchange exchange) {
+		Optional<KeptTurn> text = this.state.turns.text(exchange.head().id());
+		if (exchange.phase() != Phase.ENDING || text.isEmpty()) {
+			return;
+		}
+		this.state.emit(new RelayEffect.AskForHelp(this.ends.settlement(exchange, Optional.empty()), text.get()));
+		this.state.remind(exchange, RelaySettings.ALONE.multipliedBy(HELP_PAUSES), Reminder.STORED);
+	}
+
+	/**
+	 * Writes a turn for another relay, unless the log is as slow here as it may be there:
+	 * a second and third copy of each turn would make it slower for all.
+	 * @param asked what is asked for
+	 */
+	void helpAsked(RelayEvent.HelpAsked asked) {
+		String request = asked.end().request();
+		boolean slow = this.state.logTook.compareTo(RelaySettings.ALONE) > 0;
+		if (this.state.reach != Reach.LOG || slow || this.state.helping.containsKey(request)) {
+			return;
+		}
+		TextPlace place = place(asked.text());
+		this.state.turns.note(request, place, Optional.of(asked.peer()));
+		this.state.helping.put(request, new Helping(asked.peer()));
+		this.state.emit(new RelayEffect.StoreText(request, asked.text()));
+		this.state.emit(new RelayEffect.Write(
+				new LedgerEntry.Settled(request, asked.end().program(), asked.end().tokens(), Optional.of(place))));
+	}
+
+	/**
+	 * Looks for the texts of the turns before a turn, and has them brought if they are
+	 * elsewhere.
+	 * @param exchange the exchange of the turn
+	 * @return whether they are at hand
+	 */
+	boolean find(Exchange exchange) {
+		Optional<String> previous = exchange.head().turn().flatMap(Turn::previous);
+		if (!exchange.route().keepsTurns() || previous.isEmpty()) {
+			return true;
+		}
+		return switch (this.state.turns.chain(previous.get())) {
+			case Chain.Whole whole -> {
+				exchange.found(whole.text());
+				yield true;
+			}
+			case Chain.Elsewhere elsewhere -> {
+				bring(exchange, elsewhere);
+				yield false;
+			}
+			case Chain.Unknown ignored -> false;
+		};
+	}
+
+	private void bring(Exchange exchange, Chain.Elsewhere elsewhere) {
+		if (exchange.bringing()) {
+			return;
+		}
+		exchange.bring();
+		Optional<String> holder = this.state.turns.holder(elsewhere.turns().getFirst())
+			.filter(this.state.linked::contains);
+		if (holder.isEmpty()) {
+			read(exchange, elsewhere);
+			return;
+		}
+		this.state.emit(new RelayEffect.AskTexts(holder.get(), elsewhere.turns()));
+		this.state.remind(exchange, HOLDER_WAIT, Reminder.TEXTS);
+	}
+
+	private void read(Exchange exchange, Chain.Elsewhere elsewhere) {
+		for (String request : elsewhere.turns()) {
+			if (this.state.reading.add(request)) {
+				this.state.emit(new RelayEffect.ReadText(request, this.state.turns.places(request)));
+			}
+		}
+		this.state.remind(exchange, READ_WAIT, Reminder.TEXTS);
+	}
+
+	/**
+	 * Reads from the log what the relay that ran a turn has not sent.
+	 * @param exchange the exchange that waits
+	 */
+	void textsDue(Exchange exchange) {
+		if (exchange.phase() == Phase.WAITING_FOR_CHAIN && chain(exchange) instanceof Chain.Elsewhere elsewhere) {
+			read(exchange, elsewhere);
+		}
+	}
+
+	/**
+	 * Gives up a turn whose chain is not found. One whose texts are only elsewhere is
+	 * waited for a while longer: refused, its caller would come for the same texts again.
+	 * @param exchange the exchange that waits
+	 */
+	void chainDue(Exchange exchange) {
+		boolean exists = exchange.phase() == Phase.WAITING_FOR_CHAIN && !this.state.stale
+				&& chain(exchange) instanceof Chain.Elsewhere;
+		if (exists && exchange.extend()) {
+			this.state.remind(exchange, exchange.left(this.state.now).dividedBy(TEXTS_WAIT_PART), Reminder.CHAIN);
+			return;
+		}
+		this.ends.chainDue(exchange);
+	}
+
+	private Chain chain(Exchange exchange) {
+		return exchange.head()
+			.turn()
+			.flatMap(Turn::previous)
+			.map(this.state.turns::chain)
+			.orElseGet(() -> new Chain.Whole(new byte[0]));
+	}
+
+	void asked(RelayEvent.TextsAsked asked) {
+		List<TurnText> found = new ArrayList<>();
+		for (String request : asked.requests()) {
+			this.state.turns.text(request).ifPresent((text) -> found.add(new TurnText(request, text)));
+		}
+		this.state.emit(new RelayEffect.TellTexts(asked.peer(), found));
+	}
+
+	void told(RelayEvent.TextsTold told) {
+		told.texts().forEach((found) -> this.state.turns.add(found.request(), found.text()));
+	}
+
+	void read(RelayEvent.TextRead read) {
+		this.state.reading.remove(read.request());
+		read.text().ifPresent((text) -> this.state.turns.add(read.request(), text));
+	}
+
+	/**
+	 * What the log has of a turn that this relay ran. Used by one thread.
+	 */
+	static final class Ending {
+
+		private final long exchange;
+
+		private boolean text;
+
+		private boolean entry;
+
+		Ending(long exchange) {
+			this.exchange = exchange;
+		}
+
+	}
+
+	/**
+	 * What the log has of a turn that this relay writes for another one. Used by one
+	 * thread.
+	 */
+	static final class Helping {
+
+		private final String peer;
+
+		private boolean text;
+
+		private boolean entry;
+
+		Helping(String peer) {
+			this.peer = peer;
+		}
+
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Stream;
 
 /**
@@ -52,39 +51,24 @@
 	}
 
 	/**
-	 * Returns the end of a turn that the log has not shown.
-	 * @param request the turn
-	 * @return the entry, or empty if it is not known or the log has it
-	 */
-	Optional<LedgerEntry> turn(String request) {
-		return Optional.ofNullable(this.waiting.get(new Key(request, LedgerEntry.Settled.class))).map(Waiting::entry);
-	}
-
-	/**
-	 * Returns the entries of one program that its tokens are counted by. Turns with text
-	 * are left out: to whoever is told, they stay reserved at their most until the log
-	 * shows them, while their text, told by all relays to one that starts, would fill its
-	 * link and its memory.
+	 * Returns the entries of one program.
 	 * @param program the program
 	 * @return the entries, the oldest first
 	 */
 	List<LedgerEntry> of(String program) {
-		return counted().filter((entry) -> program.equals(program(entry))).toList();
+		return entries().filter((entry) -> program.equals(program(entry))).toList();
 	}
 
 	/**
-	 * Returns the entries of all programs that their tokens are counted by.
+	 * Returns the entries of all programs.
 	 * @return the entries, the oldest first
 	 */
 	List<LedgerEntry> all() {
-		return counted().toList();
+		return entries().toList();
 	}
 
-	private Stream<LedgerEntry> counted() {
-		return this.waiting.values()
-			.stream()
-			.map(Waiting::entry)
-			.filter((entry) -> !(entry instanceof LedgerEntry.Settled settled && settled.kept().isPresent()));
+	private Stream<LedgerEntry> entries() {
+		return this.waiting.values().stream().map(Waiting::entry);
 	}
 
 	private static String program(LedgerEntry entry) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
@@ -68,7 +68,16 @@
 	}
 
 	static void send(Channel channel, PeerMessage message) {
-		channel.writeAndFlush(Unpooled.wrappedBuffer(RelayCodec.encode(message)), channel.voidPromise());
+		send(channel, RelayCodec.encode(message));
+	}
+
+	/**
+	 * Sends a message that is encoded already.
+	 * @param channel the connection
+	 * @param encoded the bytes of the message; shared, never written to
+	 */
+	static void send(Channel channel, byte[] encoded) {
+		channel.writeAndFlush(Unpooled.wrappedBuffer(encoded), channel.voidPromise());
 	}
 
 	@Override
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -8,6 +8,7 @@
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
+import io.lentilslip.wire.relay.RelayCodec;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -91,9 +92,19 @@
 		});
 	}
 
-	// A connection that was closed has no buffer any more, some steps before its end is
-	// told.
 	void send(PeerMessage message) {
+		if (up()) {
+			send(RelayCodec.encode(message));
+		}
+	}
+
+	/**
+	 * Sends a message that is encoded already, once for all links that it goes out on.
+	 * @param encoded the bytes of the message; shared, never written to
+	 */
+	void send(byte[] encoded) {
+		// A connection that was closed has no buffer any more, some steps before its end
+		// is told.
 		if (!up()) {
 			return;
 		}
@@ -101,7 +112,7 @@
 			this.channel.get().close();
 			return;
 		}
-		PeerChannel.send(this.channel.get(), message);
+		PeerChannel.send(this.channel.get(), encoded);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.PeerMessage;
 
 /**
@@ -13,16 +14,30 @@
 
 	/**
 	 * Entries of another relay.
+	 * @param peer its address
 	 * @param entries the entries
 	 */
-	void entries(List<LedgerEntry> entries);
+	void entries(String peer, List<LedgerEntry> entries);
 
 	/**
 	 * Another relay asks for help with the log.
 	 * @param peer its address
+	 * @param help the turn that it can't write
+	 */
+	void helpAsked(String peer, PeerMessage.Help help);
+
+	/**
+	 * Another relay asks for texts.
+	 * @param peer its address
 	 * @param requests the turns
 	 */
-	void helpAsked(String peer, Set<String> requests);
+	void textsAsked(String peer, Set<String> requests);
+
+	/**
+	 * Another relay has sent texts that this one asked for.
+	 * @param texts the texts
+	 */
+	void textsTold(List<TurnText> texts);
 
 	/**
 	 * The log has turns that this relay asked for help with.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -13,6 +13,7 @@
 import io.lentilslip.relay.store.KeyFollower;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
+import io.lentilslip.wire.relay.RelayCodec;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -112,13 +113,13 @@
 
 	/**
 	 * Asks two other relays to write a turn to the log, each time the next two.
-	 * @param request the turn
+	 * @param help the turn
 	 */
-	public void askForHelp(String request) {
+	public void askForHelp(PeerMessage.Help help) {
 		List<PeerLink> up = this.links.values().stream().filter(PeerLink::up).toList();
 		for (int i = 0; i < Math.min(HELPERS, up.size()); i++) {
 			this.nextHelper = (this.nextHelper + 1) % up.size();
-			up.get(this.nextHelper).send(new PeerMessage.Help(Set.of(request)));
+			up.get(this.nextHelper).send(help);
 		}
 	}
 
@@ -129,7 +130,7 @@
 	 */
 	public void ask(PeerMessage.Question question) {
 		tellAll();
-		this.links.values().forEach((link) -> link.send(question));
+		sendAll(question);
 	}
 
 	/**
@@ -217,8 +218,12 @@
 		}
 		List<LedgerEntry> batch = List.copyOf(this.untold);
 		this.untold.clear();
-		PeerMessage message = new PeerMessage.Batch(batch);
-		this.links.values().forEach((link) -> link.send(message));
+		sendAll(new PeerMessage.Batch(batch));
+	}
+
+	private void sendAll(PeerMessage message) {
+		byte[] encoded = RelayCodec.encode(message);
+		this.links.values().forEach((link) -> link.send(encoded));
 	}
 
 	private void add(String address) {
@@ -252,8 +257,10 @@
 					this.peer = greeting.address();
 					add(this.peer);
 				}
-				case PeerMessage.Batch batch -> Peers.this.listener.entries(batch.entries());
-				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help.requests());
+				case PeerMessage.Batch batch -> Peers.this.listener.entries(this.peer, batch.entries());
+				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help);
+				case PeerMessage.TextsWanted wanted -> Peers.this.listener.textsAsked(this.peer, wanted.requests());
+				case PeerMessage.Texts texts -> Peers.this.listener.textsTold(texts.turns());
 				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
 				case PeerMessage.Question question -> Peers.this.listener.takenAsked(this.peer, question);
 				case PeerMessage.Taken taken -> Peers.this.listener.takenTold(this.peer, taken);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -27,6 +27,7 @@
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent;
 import io.lentilslip.core.relay.RelaySettings;
+import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.CallerServer;
 import io.lentilslip.relay.http.Dialect;
@@ -37,6 +38,8 @@
 import io.lentilslip.relay.store.EntryWriter;
 import io.lentilslip.relay.store.KeyFollower;
 import io.lentilslip.relay.store.Store;
+import io.lentilslip.relay.store.TextReader;
+import io.lentilslip.relay.store.TextWriter;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.relay.store.Topic;
 import io.lentilslip.relay.upstream.UpstreamClient;
@@ -104,6 +107,10 @@
 
 	private final EntryReader reader;
 
+	private final TextWriter textWriter;
+
+	private final TextReader textReader;
+
 	private final Peers peers;
 
 	private final Reachability reachability;
@@ -141,6 +148,9 @@
 				this.reachability::storeAnswered);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
 				this.reachability::storeAnswered, this.reachability::alone);
+		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPart(),
+				this::textsStored, this.reachability::storeAnswered);
+		this.textReader = new TextReader(this.store, this.reachability::storeAnswered);
 	}
 
 	/**
@@ -190,6 +200,7 @@
 		follow(Topic.ROUTES, new Routes());
 		follow(Topic.UPSTREAMS, new UpstreamList());
 		this.reader.read();
+		this.textWriter.start();
 		announce(() -> follow(Topic.RELAYS, this.peers));
 		checkReach();
 	}
@@ -278,7 +289,13 @@
 				this.peers.tell(write.entry());
 				this.writer.write(write.entry());
 			}
-			case RelayEffect.AskForHelp help -> this.peers.askForHelp(help.request());
+			case RelayEffect.StoreText turn -> this.textWriter.write(new TurnText(turn.request(), turn.text()));
+			case RelayEffect.ReadText read -> this.textReader.read(read.request(), read.places(),
+					(text) -> on(new RelayEvent.TextRead(this.timers.now(), read.request(), text)));
+			case RelayEffect.AskTexts ask ->
+				this.peers.send(ask.peer(), new PeerMessage.TextsWanted(Set.copyOf(ask.requests())));
+			case RelayEffect.TellTexts tell -> this.peers.send(tell.peer(), new PeerMessage.Texts(tell.texts()));
+			case RelayEffect.AskForHelp help -> this.peers.askForHelp(new PeerMessage.Help(help.end(), help.text()));
 			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
 			case RelayEffect.AskTaken ask ->
 				this.peers.ask(new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), false));
@@ -316,8 +333,12 @@
 		on(new RelayEvent.Stored(this.timers.now(), requests));
 	}
 
+	private void textsStored(Set<String> requests, long end, Duration took) {
+		on(new RelayEvent.TextsStored(this.timers.now(), requests, end, took));
+	}
+
 	private void read(List<LedgerEntry> entries) {
-		on(new RelayEvent.EntriesRead(this.timers.now(), entries, true));
+		on(new RelayEvent.EntriesRead(this.timers.now(), entries, Optional.empty()));
 	}
 
 	private void contendersStored() {
@@ -344,7 +365,8 @@
 
 	private void endDrain(long began) {
 		boolean over = this.timers.now() - began > this.setup.drainLimit().toMillis();
-		boolean idle = this.exchanges.size() == 0 && this.writer.size() == 0 && this.callers.size() == 0;
+		boolean idle = this.exchanges.size() == 0 && this.writer.size() == 0 && this.textWriter.size() == 0
+				&& this.callers.size() == 0;
 		if (over || idle) {
 			this.notices.write(NoticeCode.DRAINING_ENDED.with(FieldName.ROLE, ROLE)
 				.with(FieldName.COUNT, this.exchanges.size())
@@ -458,13 +480,23 @@
 	private final class PeerEvents implements PeerListener {
 
 		@Override
-		public void entries(List<LedgerEntry> entries) {
-			on(new RelayEvent.EntriesRead(RelayProcess.this.timers.now(), entries, false));
+		public void entries(String peer, List<LedgerEntry> entries) {
+			on(new RelayEvent.EntriesRead(RelayProcess.this.timers.now(), entries, Optional.of(peer)));
+		}
+
+		@Override
+		public void helpAsked(String peer, PeerMessage.Help help) {
+			on(new RelayEvent.HelpAsked(RelayProcess.this.timers.now(), peer, help.end(), help.text()));
+		}
+
+		@Override
+		public void textsAsked(String peer, Set<String> requests) {
+			on(new RelayEvent.TextsAsked(RelayProcess.this.timers.now(), peer, requests));
 		}
 
 		@Override
-		public void helpAsked(String peer, Set<String> requests) {
-			on(new RelayEvent.HelpAsked(RelayProcess.this.timers.now(), peer, requests));
+		public void textsTold(List<TurnText> texts) {
+			on(new RelayEvent.TextsTold(RelayProcess.this.timers.now(), texts));
 		}
 
 		@Override
@@ -491,7 +523,7 @@
 
 		@Override
 		public void stored(Set<String> requests) {
-			RelayProcess.this.stored(requests);
+			on(new RelayEvent.Helped(RelayProcess.this.timers.now(), requests));
 		}
 
 		@Override
@@ -522,6 +554,7 @@
 		public void lost(String peer, String reason) {
 			RelayProcess.this.notices
 				.write(NoticeCode.PEER_LOST.with(FieldName.ADDRESS, peer).with(FieldName.REASON, reason));
+			on(new RelayEvent.PeerLost(RelayProcess.this.timers.now(), peer));
 		}
 
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -126,7 +126,7 @@
 	private static boolean awaited(LedgerEntry entry) {
 		return switch (entry) {
 			case LedgerEntry.Reserved reserved -> reserved.contending();
-			case LedgerEntry.Settled settled -> settled.kept().isPresent();
+			case LedgerEntry.Settled settled -> settled.text().isPresent();
 			case LedgerEntry.Blamed ignored -> false;
 		};
 	}
@@ -181,7 +181,7 @@
 		boolean contenders = false;
 		for (Waiting written : batch) {
 			switch (written.entry()) {
-				case LedgerEntry.Settled settled when settled.kept().isPresent() -> turns.add(settled.request());
+				case LedgerEntry.Settled settled when settled.text().isPresent() -> turns.add(settled.request());
 				case LedgerEntry.Reserved reserved when reserved.contending() -> contenders = true;
 				default -> {
 				}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
@@ -13,12 +13,29 @@
 
 	/**
 	 * Appends records, all or none.
-	 * @param topic the topic
+	 * @param topic a topic with one partition
 	 * @param records the records
 	 * @param then takes the outcome
 	 */
 	void append(Topic topic, List<byte[]> records, Consumer<Appended> then);
 
+	/**
+	 * Appends records to a partition of the texts, all or none.
+	 * @param part the partition
+	 * @param records the records
+	 * @param then takes the outcome
+	 */
+	void appendTexts(int part, List<byte[]> records, Consumer<Appended> then);
+
+	/**
+	 * Reads some records of a partition of the texts in order.
+	 * @param part the partition
+	 * @param from the offset of the first record
+	 * @param bytes about how many bytes to read at most
+	 * @param then takes the outcome
+	 */
+	void readTexts(int part, long from, int bytes, Consumer<Read> then);
+
 	/**
 	 * Sets or drops the newest record of a key.
 	 * @param topic a topic with keys
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -0,0 +1,125 @@
+package io.lentilslip.relay.store;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.lentilslip.core.relay.KeptTurn;
+import io.lentilslip.core.relay.TextPlace;
+import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.wire.relay.RelayCodec;
+
+/**
+ * Reads single texts of turns from the store, where their relays said that they are. Used
+ * by the event loop's thread.
+ */
+public final class TextReader {
+
+	/**
+	 * How many bytes one call reads besides the text: the records of other relays that
+	 * may stand before it.
+	 */
+	private static final int MORE_BYTES = 16 * 1024;
+
+	/**
+	 * How many calls look for one text at one place.
+	 */
+	private static final int CALLS = 8;
+
+	private final Store store;
+
+	private final Consumer<Boolean> health;
+
+	/**
+	 * Creates a reader.
+	 * @param store the store
+	 * @param health takes whether the store answered a call as it should
+	 */
+	public TextReader(Store store, Consumer<Boolean> health) {
+		this.store = store;
+		this.health = health;
+	}
+
+	/**
+	 * Reads a text.
+	 * @param request the turn
+	 * @param places where it may stand
+	 * @param then takes the text, or empty if it was not found
+	 */
+	public void read(String request, List<TextPlace> places, Consumer<Optional<KeptTurn>> then) {
+		new Search(request, new ArrayDeque<>(places), then).next();
+	}
+
+	/**
+	 * One search for a text. Used by the event loop's thread.
+	 */
+	private final class Search {
+
+		private final String request;
+
+		private final Deque<TextPlace> places;
+
+		private final Consumer<Optional<KeptTurn>> then;
+
+		private int calls;
+
+		Search(String request, Deque<TextPlace> places, Consumer<Optional<KeptTurn>> then) {
+			this.request = request;
+			this.places = places;
+			this.then = then;
+		}
+
+		void next() {
+			if (this.places.isEmpty()) {
+				this.then.accept(Optional.empty());
+				return;
+			}
+			this.calls = 0;
+			TextPlace place = this.places.pollFirst();
+			look(place, place.from());
+		}
+
+		private void look(TextPlace place, long from) {
+			if (this.calls == CALLS) {
+				next();
+				return;
+			}
+			this.calls++;
+			TextReader.this.store.readTexts(place.part(), from, place.bytes() + MORE_BYTES,
+					(outcome) -> take(place, outcome));
+		}
+
+		private void take(TextPlace place, Store.Read outcome) {
+			TextReader.this.health.accept(!(outcome instanceof Store.Read.Failed));
+			switch (outcome) {
+				case Store.Read.Failed ignored -> next();
+				case Store.Read.Deleted deleted -> look(place, deleted.first());
+				case Store.Read.Records records -> {
+					Optional<KeptTurn> found = find(records.records());
+					if (found.isPresent()) {
+						this.then.accept(found);
+						return;
+					}
+					if (records.next() < records.end()) {
+						look(place, records.next());
+						return;
+					}
+					next();
+				}
+			}
+		}
+
+		private Optional<KeptTurn> find(List<Store.StoredRecord> records) {
+			return records.stream()
+				.flatMap((stored) -> stored.value().stream())
+				.flatMap((value) -> RelayCodec.decodeText(value).toJavaStream())
+				.filter((turn) -> turn.request().equals(this.request))
+				.map(TurnText::text)
+				.findFirst();
+		}
+
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Topic.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Topic.java
@@ -11,6 +11,11 @@
 	 */
 	ENTRIES,
 
+	/**
+	 * The texts of turns, in many partitions, each written by few relays.
+	 */
+	TEXTS,
+
 	/**
 	 * The addresses of relays, the newest record of each kept.
 	 */
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
@@ -34,6 +34,16 @@
 		this.appendAnswers.add(then);
 	}
 
+	@Override
+	public void appendTexts(int part, List<byte[]> records, Consumer<Appended> then) {
+		append(Topic.TEXTS, records, then);
+	}
+
+	@Override
+	public void readTexts(int part, long from, int bytes, Consumer<Read> then) {
+		read(Topic.TEXTS, from, Duration.ZERO, then);
+	}
+
 	@Override
 	public void put(Topic topic, String key, Optional<byte[]> value, Consumer<Appended> then) {
 		this.appendAnswers.add(then);
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Set;
 
+import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.TurnText;
 
 /**
  * What relays say to each other over their links. Immutable and safe for use by several
@@ -38,22 +40,49 @@
 	}
 
 	/**
-	 * The relay can't write turns to the log and asks for help with it.
+	 * The relay can't write a turn to the log and asks for help with it.
+	 *
+	 * @param end what the turn has taken of its program's budget
+	 * @param text its text
+	 */
+	record Help(LedgerEntry.Settled end, KeptTurn text) implements PeerMessage {
+
+	}
+
+	/**
+	 * The relay asks for texts of turns that the other one ran.
 	 *
 	 * @param requests the turns
 	 */
-	record Help(Set<String> requests) implements PeerMessage {
+	record TextsWanted(Set<String> requests) implements PeerMessage {
 
 		/**
 		 * Creates a message.
 		 * @param requests the turns
 		 */
-		public Help {
+		public TextsWanted {
 			requests = Set.copyOf(requests);
 		}
 
 	}
 
+	/**
+	 * Texts that the other relay asked for, as far as they are in memory.
+	 *
+	 * @param turns the texts
+	 */
+	record Texts(List<TurnText> turns) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 * @param turns the texts
+		 */
+		public Texts {
+			turns = List.copyOf(turns);
+		}
+
+	}
+
 	/**
 	 * The log has turns that the other relay asked for help with.
 	 *
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -8,8 +8,11 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.TextPlace;
+import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.generated.RelayProtocol;
 import io.vavr.control.Either;
 
@@ -71,6 +74,30 @@
 		}
 	}
 
+	/**
+	 * Writes the text of a turn for the log.
+	 * @param turn the turn
+	 * @return its bytes
+	 */
+	public static byte[] encode(TurnText turn) {
+		return message(turn).toByteArray();
+	}
+
+	/**
+	 * Reads the text of a turn.
+	 * @param bytes its bytes
+	 * @return the reason why they are none on the left, or the turn on the right
+	 */
+	public static Either<String, TurnText> decodeText(byte[] bytes) {
+		try {
+			RelayProtocol.KeptText message = RelayProtocol.KeptText.parseFrom(bytes);
+			return message.getRequest().isEmpty() ? Either.left("a text without a turn") : Either.right(turn(message));
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return Either.left(ex.getMessage());
+		}
+	}
+
 	/**
 	 * Writes a message to another relay.
 	 * @param message the message
@@ -82,7 +109,11 @@
 			case PeerMessage.Greeting greeting -> builder.getGreetingBuilder().setAddress(greeting.address());
 			case PeerMessage.Batch batch ->
 				batch.entries().forEach((entry) -> builder.getBatchBuilder().addEntries(message(entry)));
-			case PeerMessage.Help help -> builder.getHelpBuilder().addAllRequest(help.requests());
+			case PeerMessage.Help help ->
+				builder.getHelpBuilder().setEnd(message(help.end())).setText(message(help.text()));
+			case PeerMessage.TextsWanted wanted -> builder.getTextsWantedBuilder().addAllRequest(wanted.requests());
+			case PeerMessage.Texts texts ->
+				texts.turns().forEach((turn) -> builder.getTextsBuilder().addTurns(message(turn)));
 			case PeerMessage.Stored stored -> builder.getStoredBuilder().addAllRequest(stored.requests());
 			case PeerMessage.Question question -> builder.getQuestionBuilder()
 				.setRequest(question.request())
@@ -113,7 +144,11 @@
 			return switch (message.getMessageCase()) {
 				case GREETING -> Either.right(new PeerMessage.Greeting(message.getGreeting().getAddress()));
 				case BATCH -> batch(message.getBatch());
-				case HELP -> Either.right(new PeerMessage.Help(Set.copyOf(message.getHelp().getRequestList())));
+				case HELP -> help(message.getHelp());
+				case TEXTS_WANTED ->
+					Either.right(new PeerMessage.TextsWanted(Set.copyOf(message.getTextsWanted().getRequestList())));
+				case TEXTS -> Either.right(new PeerMessage.Texts(
+						message.getTexts().getTurnsList().stream().map(RelayCodec::turn).toList()));
 				case STORED -> Either.right(new PeerMessage.Stored(Set.copyOf(message.getStored().getRequestList())));
 				case QUESTION -> Either.right(question(message.getQuestion()));
 				case TAKEN -> Either.right(new PeerMessage.Taken(message.getTaken().getRequest(),
@@ -137,6 +172,37 @@
 				: Either.right(new PeerMessage.Unknown());
 	}
 
+	private static Either<String, PeerMessage> help(RelayProtocol.Help help) {
+		return entry(help.getEnd()).flatMap((end) -> (end instanceof LedgerEntry.Settled settled)
+				? Either.right(new PeerMessage.Help(settled, text(help.getText())))
+				: Either.left("help with an entry that ends no turn"));
+	}
+
+	private static RelayProtocol.KeptText message(TurnText turn) {
+		return RelayProtocol.KeptText.newBuilder().setRequest(turn.request()).setText(message(turn.text())).build();
+	}
+
+	private static RelayProtocol.TurnText message(KeptTurn text) {
+		return RelayProtocol.TurnText.newBuilder()
+			.setPrevious(text.previous().orElse(""))
+			.setInput(ByteString.copyFrom(text.input()))
+			.setOutput(ByteString.copyFrom(text.output()))
+			.build();
+	}
+
+	private static TurnText turn(RelayProtocol.KeptText message) {
+		return new TurnText(message.getRequest(), text(message.getText()));
+	}
+
+	private static KeptTurn text(RelayProtocol.TurnText message) {
+		return new KeptTurn(named(message.getPrevious()), message.getInput().toByteArray(),
+				message.getOutput().toByteArray());
+	}
+
+	private static Optional<String> named(String turn) {
+		return Optional.of(turn).filter((name) -> !name.isEmpty());
+	}
+
 	private static PeerMessage question(RelayProtocol.Question question) {
 		return new PeerMessage.Question(question.getRequest(), question.getProgram(), question.getMost(),
 				question.getBudget(), question.getPlace());
@@ -181,11 +247,12 @@
 		RelayProtocol.Settlement.Builder builder = RelayProtocol.Settlement.newBuilder()
 			.setProgram(settled.program())
 			.setTokens(settled.tokens());
-		settled.kept()
-			.ifPresent((kept) -> builder.setText(RelayProtocol.TurnText.newBuilder()
-				.setPrevious(kept.previous().orElse(""))
-				.setInput(ByteString.copyFrom(kept.input()))
-				.setOutput(ByteString.copyFrom(kept.output()))));
+		settled.text()
+			.ifPresent((place) -> builder.getPlaceBuilder()
+				.setPrevious(place.previous().orElse(""))
+				.setBytes(place.bytes())
+				.setPart(place.part())
+				.setFrom(place.from()));
 		return builder.build();
 	}
 
@@ -212,14 +279,13 @@
 	}
 
 	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
-		Optional<LedgerEntry.KeptTurn> kept = Optional.empty();
-		if (message.hasText()) {
-			RelayProtocol.TurnText text = message.getText();
-			Optional<String> previous = Optional.of(text.getPrevious()).filter((name) -> !name.isEmpty());
-			kept = Optional
-				.of(new LedgerEntry.KeptTurn(previous, text.getInput().toByteArray(), text.getOutput().toByteArray()));
+		Optional<TextPlace> place = Optional.empty();
+		if (message.hasPlace()) {
+			RelayProtocol.TextPlace known = message.getPlace();
+			place = Optional
+				.of(new TextPlace(named(known.getPrevious()), known.getBytes(), known.getPart(), known.getFrom()));
 		}
-		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), kept);
+		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), place);
 	}
 
 }
