--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -32,6 +32,8 @@
 
 	static final int PART = 3;
 
+	private static final long SEED = 7;
+
 	final List<RelayEffect> all = new ArrayList<>();
 
 	private final Relay relay;
@@ -42,8 +44,8 @@
 
 	private boolean caughtUp;
 
-	private RelayFixture(boolean first) {
-		this.relay = new Relay(new RelaySettings("zone-a", 7, 1_000_000, 1000, 1000, PART, first));
+	private RelayFixture(boolean first, long seed) {
+		this.relay = new Relay(new RelaySettings("zone-a", seed, 1_000_000, 1000, 1000, PART, first));
 	}
 
 	/**
@@ -51,7 +53,16 @@
 	 * @return the relay
 	 */
 	static RelayFixture ready() {
-		RelayFixture fixture = listing(true);
+		return ready(SEED);
+	}
+
+	/**
+	 * Returns a relay that is ready, at a site that starts for the first time.
+	 * @param seed the seed of its random choices
+	 * @return the relay
+	 */
+	static RelayFixture ready(long seed) {
+		RelayFixture fixture = listing(true, seed);
 		fixture.on(caughtUp(fixture.now));
 		fixture.all.clear();
 		return fixture;
@@ -73,11 +84,11 @@
 	 * @return the relay
 	 */
 	static RelayFixture afterLoss() {
-		return listing(false);
+		return listing(false, SEED);
 	}
 
-	private static RelayFixture listing(boolean first) {
-		RelayFixture fixture = new RelayFixture(first);
+	private static RelayFixture listing(boolean first, long seed) {
+		RelayFixture fixture = new RelayFixture(first, seed);
 		fixture.on(new RelayEvent.TableRead(fixture.now, table()));
 		fixture.on(new RelayEvent.UpstreamsRead(fixture.now, List.of(upstream("e1", ENGINE), upstream("e2", ENGINE),
 				upstream("s1", SHOP), upstream("s2", SHOP), upstream("s3", SHOP))));
@@ -89,7 +100,7 @@
 	}
 
 	static RelayFixture fresh() {
-		return new RelayFixture(true);
+		return new RelayFixture(true, SEED);
 	}
 
 	static RouteTable table() {
