--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -0,0 +1,238 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lentilslip.core.relay.RelayEvent.Reach;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TextRulesTests {
+
+	@Test
+	void turnIsGivenItsWholeChain() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.TextsTold(relay.now(), List.of(RelayFixture.text("t1", null, "in1;", "out1;"),
+				RelayFixture.text("t2", "t1", "in2;", "out2;"))));
+		RelayEffect.Send send = sends(relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, "t2")))
+			.getFirst();
+		assertThat(new String(send.chain())).isEqualTo("in1;out1;in2;out2;");
+	}
+
+	// A caller sends a turn that no record of the log can hold. Run, its end would wait
+	// for ever, and every entry behind it.
+	@Test
+	void turnThatNoRecordHoldsIsRefused() {
+		RelayFixture relay = RelayFixture.ready();
+		RequestHead head = RelayFixture.head("t1", "chat", Optional.of(RelayFixture.turn("p", 1000, 100, null)));
+		assertThat(refusal(relay.ask(head, "x".repeat(1001)))).contains(Refusal.TOO_LONG);
+	}
+
+	// The turn before ended at another relay a moment ago, and word of it is on the way
+	// here: the request waits for it, and is neither refused nor run without its text.
+	@Test
+	void turnWaitsForTheTextBeforeIt() {
+		RelayFixture relay = RelayFixture.ready();
+		List<RelayEffect> first = relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(sends(first)).isEmpty();
+		assertThat(RelayFixture.of(first, RelayEffect.ReadLog.class)).hasSize(1);
+		List<RelayEffect> told = relay.told(RelayFixture.kept("t1", null));
+		assertThat(sends(told)).isEmpty();
+		assertThat(RelayFixture.of(told, RelayEffect.ReadText.class)).hasSize(1);
+		assertThat(sends(relay.on(new RelayEvent.TextRead(relay.now(), "t1",
+				Optional.of(RelayFixture.text("t1", null, "in;", "out;").text())))))
+			.hasSize(1);
+	}
+
+	// The turn before is not found in time. It may exist where this relay can't see it,
+	// so
+	// the caller is told to come back, never that there is none.
+	@Test
+	void turnWhoseChainIsNotFoundIsCalledUncertain() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(refusal(relay.remind(Reminder.CHAIN))).contains(Refusal.TURN_UNCERTAIN);
+	}
+
+	// A relay that dies right after a caller saw the end of a turn must not take the turn
+	// with it: the end is passed on when the log has the turn.
+	@Test
+	void endOfAKeptTurnWaitsForTheLog() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		assertThat(RelayFixture.of(relay.event(1, 1), RelayEffect.PassEvent.class)).hasSize(1);
+		List<RelayEffect> atEnd = relay.end(1);
+		assertThat(RelayFixture.of(atEnd, RelayEffect.EndStream.class)).isEmpty();
+		assertThat(RelayFixture.of(atEnd, RelayEffect.StoreText.class)).singleElement()
+			.satisfies((store) -> assertThat(new String(store.text().output())).isEqualTo("piece 1\n"));
+		assertThat(settled(atEnd).text().map(TextPlace::part)).contains(RelayFixture.PART);
+		assertThat(ends(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))).isEmpty();
+		assertThat(ends(relay.on(textsStored(relay, "t1")))).hasSize(1);
+	}
+
+	@Test
+	void endOfAKeptTurnWaitsForTheEntryThatTellsWhereItsTextIs() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		assertThat(ends(relay.on(textsStored(relay, "t1")))).isEmpty();
+		assertThat(ends(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))).hasSize(1);
+	}
+
+	// The store turns this relay away and serves others. The turn's end waits for the log
+	// all the same: on copies in memory alone, the loss of all relays would lose it. The
+	// others are asked to write it, and say when it is written.
+	@Test
+	void endOfAKeptTurnThatCannotBeWrittenHereWaitsForHelp() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		List<RelayEffect> due = relay.remind(Reminder.STORED);
+		assertThat(RelayFixture.of(due, RelayEffect.AskForHelp.class)).hasSize(1);
+		assertThat(ends(due)).isEmpty();
+		assertThat(ends(relay.on(new RelayEvent.Helped(relay.now(), Set.of("t1"))))).hasSize(1);
+	}
+
+	// Where the relay knows already that it does not reach the log, nothing is gained by
+	// trying alone first: the caller waits for the end all the while.
+	@Test
+	void relayWithoutTheLogAsksForHelpAtOnce() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		List<RelayEffect.Remind> reminds = RelayFixture.of(relay.end(1), RelayEffect.Remind.class);
+		assertThat(reminds).singleElement()
+			.satisfies((remind) -> assertThat(remind.delay()).isEqualTo(RelaySettings.TELLING));
+	}
+
+	@Test
+	void helpIsGivenOnceAndTold() {
+		RelayFixture relay = RelayFixture.ready();
+		RelayEvent.HelpAsked asked = helpAsked(relay, "t1");
+		List<RelayEffect> helping = relay.on(asked);
+		assertThat(settled(helping).tokens()).isEqualTo(10);
+		assertThat(settled(helping).text().map(TextPlace::part)).contains(RelayFixture.PART);
+		assertThat(RelayFixture.of(helping, RelayEffect.StoreText.class)).hasSize(1);
+		assertThat(relay.on(asked)).isEmpty();
+		assertThat(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1")))).isEmpty();
+		assertThat(relay.on(textsStored(relay, "t1"))).containsExactly(new RelayEffect.TellStored("peer", "t1"));
+	}
+
+	// The log is slow for all. Relays that are asked for help would write each turn twice
+	// more, and the log would be slower still.
+	@Test
+	void relayWhoseLogIsSlowGivesNoHelp() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, Duration.ofMillis(240)));
+		assertThat(relay.on(helpAsked(relay, "t1"))).isEmpty();
+		relay.on(new RelayEvent.TextsStored(relay.now(), Set.of(), 21, Duration.ofMillis(9)));
+		assertThat(relay.on(helpAsked(relay, "t1"))).isNotEmpty();
+	}
+
+	// A relay that helped has another place for the text than its own relay had told
+	// before. Either may be the only one that the log has in the end, so both are looked
+	// at.
+	@Test
+	void textIsLookedForAtAllPlacesThatWereTold() {
+		RelayFixture relay = RelayFixture.ready();
+		TextPlace own = new TextPlace(Optional.empty(), 9, 1, 10);
+		TextPlace helpers = new TextPlace(Optional.empty(), 9, 2, 20);
+		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(own)));
+		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(helpers)));
+		List<RelayEffect> effects = relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(RelayFixture.of(effects, RelayEffect.ReadText.class))
+			.containsExactly(new RelayEffect.ReadText("t1", List.of(helpers, own)));
+	}
+
+	// The relay that ran the turn before has its text in memory, and sends it in a part
+	// of
+	// the time that the log takes. Where it does not, the log is read.
+	@Test
+	void textIsAskedOfTheRelayThatRanItsTurnAndReadFromTheLogIfItDoesNotAnswer() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.PeerLinked(relay.now(), "teller"));
+		relay.told(RelayFixture.kept("t1", null), RelayFixture.kept("t2", "t1"));
+		List<RelayEffect> effects = relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, "t2"));
+		assertThat(RelayFixture.of(effects, RelayEffect.AskTexts.class))
+			.containsExactly(new RelayEffect.AskTexts("teller", List.of("t2", "t1")));
+		assertThat(RelayFixture.of(effects, RelayEffect.ReadText.class)).isEmpty();
+		relay.on(new RelayEvent.TextsTold(relay.now(), List.of(RelayFixture.text("t2", "t1", "in2;", "out2;"))));
+		List<RelayEffect> due = relay.remind(Reminder.TEXTS);
+		assertThat(RelayFixture.of(due, RelayEffect.ReadText.class)).singleElement()
+			.satisfies((read) -> assertThat(read.request()).isEqualTo("t1"));
+		List<RelayEffect> read = relay.on(new RelayEvent.TextRead(relay.now(), "t1",
+				Optional.of(RelayFixture.text("t1", null, "in1;", "out1;").text())));
+		assertThat(new String(sends(read).getFirst().chain())).isEqualTo("in1;out1;in2;out2;");
+	}
+
+	@Test
+	void relayThatRanATurnSendsItsTextToWhoAsks() {
+		RelayFixture relay = RelayFixture.ready();
+		TurnText text = RelayFixture.text("t1", null, "in;", "out;");
+		relay.on(new RelayEvent.TextsTold(relay.now(), List.of(text)));
+		assertThat(relay.on(new RelayEvent.TextsAsked(relay.now(), "peer", Set.of("t1", "t0"))))
+			.containsExactly(new RelayEffect.TellTexts("peer", List.of(text)));
+	}
+
+	// All relays were lost, and the texts of a chain are read from the log, which takes
+	// longer than a turn waits for one that may not exist. Refused, its caller would use
+	// up
+	// its tries while the texts are on their way.
+	@Test
+	void turnWhoseTextsAreOnTheWayIsWaitedForLonger() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog(RelayFixture.kept("t1", null));
+		relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(refusal(relay.remind(Reminder.CHAIN))).isEmpty();
+		assertThat(refusal(relay.remind(Reminder.CHAIN))).contains(Refusal.TURN_UNCERTAIN);
+	}
+
+	@Test
+	void turnThatIsNotStoredInTimeIsBrokenOff() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		assertThat(RelayFixture.of(relay.remind(Reminder.DUE), RelayEffect.BreakOff.class)).hasSize(1);
+	}
+
+	private static RelayEvent.HelpAsked helpAsked(RelayFixture relay, String request) {
+		return new RelayEvent.HelpAsked(relay.now(), "peer",
+				new LedgerEntry.Settled(request, "p", 10, Optional.empty()),
+				RelayFixture.text(request, null, "in;", "out;").text());
+	}
+
+	private static RelayEvent.TextsStored textsStored(RelayFixture relay, String request) {
+		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 20, Duration.ofMillis(8));
+	}
+
+	private static List<RelayEffect.Send> sends(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Send.class);
+	}
+
+	private static List<RelayEffect.EndStream> ends(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.EndStream.class);
+	}
+
+	private static Optional<Refusal> refusal(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Refuse.class).stream().map(RelayEffect.Refuse::refusal).findFirst();
+	}
+
+	private static LedgerEntry.Settled settled(List<RelayEffect> effects) {
+		return RelayFixture.written(effects)
+			.stream()
+			.filter(LedgerEntry.Settled.class::isInstance)
+			.map(LedgerEntry.Settled.class::cast)
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -0,0 +1,100 @@
+package io.lentilslip.relay.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.KeptTurn;
+import io.lentilslip.core.relay.TextPlace;
+import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.relay.store.Store.StoredRecord;
+import io.lentilslip.wire.relay.RelayCodec;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TextReaderTests {
+
+	private final FakeStore store = new FakeStore();
+
+	private final List<Optional<String>> found = new ArrayList<>();
+
+	private final TextReader reader = new TextReader(this.store, (well) -> {
+	});
+
+	@Test
+	void textIsFoundWhereItIsSaidToBe() {
+		read(place(5));
+		assertThat(this.store.reads).containsExactly(5L);
+		this.store.readAnswers.poll().accept(records(5, 6, "t"));
+		assertThat(this.found).containsExactly(Optional.of("text of t"));
+	}
+
+	// Two relays share a partition, and another one's texts came in between.
+	@Test
+	void textIsLookedForBehindWhatOthersWrote() {
+		read(place(5));
+		this.store.readAnswers.poll().accept(records(5, 9, "a", "b"));
+		assertThat(this.store.reads).containsExactly(5L, 7L);
+		this.store.readAnswers.poll().accept(records(7, 9, "t", "c"));
+		assertThat(this.found).containsExactly(Optional.of("text of t"));
+	}
+
+	// A relay told where its text would be and could not write it there, and another one
+	// wrote it for it.
+	@Test
+	void textIsLookedForAtTheNextPlaceWhereTheFirstHasIt() {
+		read(place(5), place(50));
+		this.store.readAnswers.poll().accept(records(5, 6, "a"));
+		this.store.readAnswers.poll().accept(records(50, 51, "t"));
+		assertThat(this.found).containsExactly(Optional.of("text of t"));
+	}
+
+	@Test
+	void textThatIsNowhereIsToldAsNotFoundAfterABoundedNumberOfCalls() {
+		read(place(0));
+		int calls = 0;
+		while (!this.store.readAnswers.isEmpty()) {
+			this.store.readAnswers.poll().accept(records(calls, 1000, "other"));
+			calls++;
+		}
+		assertThat(this.found).containsExactly(Optional.empty());
+		assertThat(calls).isLessThan(10);
+	}
+
+	@Test
+	void recordsThatAreNoTextsArePassedOver() {
+		read(place(5));
+		StoredRecord unreadable = new StoredRecord(5, Optional.empty(), Optional.of(new byte[] { 1 }));
+		StoredRecord empty = new StoredRecord(6, Optional.empty(), Optional.empty());
+		this.store.readAnswers.poll().accept(new Store.Read.Records(List.of(unreadable, empty), 7, 8));
+		this.store.readAnswers.poll().accept(records(7, 8, "t"));
+		assertThat(this.found).containsExactly(Optional.of("text of t"));
+	}
+
+	@Test
+	void failureOfTheStoreIsToldAsNotFound() {
+		read(place(5));
+		this.store.readAnswers.poll().accept(new Store.Read.Failed("status 503"));
+		assertThat(this.found).containsExactly(Optional.empty());
+	}
+
+	private void read(TextPlace... places) {
+		this.reader.read("t", List.of(places), (text) -> this.found.add(text.map((kept) -> new String(kept.output()))));
+	}
+
+	private static TextPlace place(long from) {
+		return new TextPlace(Optional.empty(), 9, 3, from);
+	}
+
+	private static Store.Read records(long from, long end, String... turns) {
+		List<StoredRecord> records = new ArrayList<>();
+		for (String turn : turns) {
+			KeptTurn text = new KeptTurn(Optional.empty(), new byte[0], ("text of " + turn).getBytes());
+			records.add(new StoredRecord(from + records.size(), Optional.empty(),
+					Optional.of(RelayCodec.encode(new TurnText(turn, text)))));
+		}
+		return new Store.Read.Records(records, from + turns.length, end);
+	}
+
+}
