--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -593,4 +593,22 @@
 
 	}
 
+	/**
+	 * A timer of a relay has run.
+	 *
+	 * @param late by how much it ran later than planned
+	 */
+	record TimerRan(Duration late) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param late by how much it ran later than planned
+		 * @throws IllegalArgumentException if the time is negative
+		 */
+		public TimerRan {
+			requireNotNegative(late, "late");
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -248,6 +248,14 @@
 	RELAY_COMPLETE(3016, Level.INFO, "A relay that started has heard of all turns that may stand in no log.",
 			"Nothing; where it takes the retention of a route, all relays were lost before.", FieldName.COUNT),
 
+	/**
+	 * Written at most once a second; {@code MILLISECONDS} is the largest lateness since
+	 * the one before.
+	 */
+	RELAY_LATE(3017, Level.WARN, "A relay's own timers run late, so what it takes for others' delay may be its own.",
+			"If it repeats, look for what starves its VM, or give the relay more of a processor.",
+			FieldName.MILLISECONDS),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/LateWatch.java
@@ -0,0 +1,72 @@
+package io.lentilslip.relay.process;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.telemetry.Notices;
+
+/**
+ * Tells how late a timer of this process runs: each run as a measurement, and as a notice
+ * what a caller would feel. Without it, a process that gets too little of its processor
+ * looks like peers and upstreams that are slow. Used by one thread.
+ */
+final class LateWatch {
+
+	/**
+	 * The least that is told: collector pauses of a process that is well stay below it.
+	 */
+	private static final long LATE_MS = 100;
+
+	private static final long NOTICE_INTERVAL_MS = 1000;
+
+	private final Consumer<Measurement> measurements;
+
+	private final Notices notices;
+
+	private OptionalLong planned = OptionalLong.empty();
+
+	private long largest;
+
+	private long untilNotice = Long.MIN_VALUE;
+
+	LateWatch(Consumer<Measurement> measurements, Notices notices) {
+		this.measurements = measurements;
+		this.notices = notices;
+	}
+
+	/**
+	 * Notes when the timer is to run next.
+	 * @param at milliseconds of the steady clock
+	 */
+	void plan(long at) {
+		this.planned = OptionalLong.of(at);
+	}
+
+	/**
+	 * Notes that the timer runs.
+	 * @param now milliseconds of the steady clock
+	 */
+	void ran(long now) {
+		if (this.planned.isEmpty()) {
+			return;
+		}
+		long late = Math.max(0, now - this.planned.getAsLong());
+		this.planned = OptionalLong.empty();
+		this.measurements.accept(new Measurement.TimerRan(Duration.ofMillis(late)));
+		this.largest = Math.max(this.largest, late);
+		if (this.largest >= LATE_MS && now >= this.untilNotice) {
+			tell(now);
+		}
+	}
+
+	private void tell(long now) {
+		this.notices.write(NoticeCode.RELAY_LATE.with(FieldName.MILLISECONDS, this.largest));
+		this.largest = 0;
+		this.untilNotice = now + NOTICE_INTERVAL_MS;
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -110,6 +110,8 @@
 
 	private final SleepWatch sleep = new SleepWatch(REACH_INTERVAL);
 
+	private final LateWatch late;
+
 	private final Deque<RelayEvent> pending = new ArrayDeque<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -129,6 +131,7 @@
 	public RelayProcess(Setup setup) {
 		this.setup = setup;
 		this.notices = setup.notices();
+		this.late = new LateWatch(setup.measurements(), this.notices);
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = setup.store().apply(this.loop);
@@ -229,10 +232,12 @@
 	}
 
 	private void checkReach() {
+		this.late.ran(this.timers.now());
 		lookForSleep();
 		this.reachability.check();
 		this.setup.measurements()
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(), this.peers.known()));
+		this.late.plan(this.timers.now() + REACH_INTERVAL.toMillis());
 		this.timers.after(REACH_INTERVAL, this::checkReach);
 	}
 
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -119,6 +119,9 @@
 	private final Histogram routeFirstEvent = histogram("lentilslip_route_first_event_seconds",
 			"Time from the reading of a request by a relay to the first event of its answer.", "route", CALL_BOUNDS);
 
+	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
+			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -184,6 +187,7 @@
 				this.linksKnown.labelValues(state.kind().label()).set(state.known());
 			}
 			case Measurement.RouteRequestEnded ended -> apply(ended);
+			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -49,7 +49,8 @@
 			new Measurement.LinkState(Measurement.LinkState.Kind.ENTRY, 1, 2),
 			new Measurement.Retries(Measurement.Retries.Operation.CALL, 1, 0),
 			new Measurement.RouteRequestEnded("chat", Measurement.RouteRequestEnded.Outcome.ANSWERED,
-					Duration.ofMillis(5), Optional.of(Duration.ofMillis(1))));
+					Duration.ofMillis(5), Optional.of(Duration.ofMillis(1))),
+			new Measurement.TimerRan(Duration.ofMillis(1)));
 
 	@Test
 	void eventsPageIsTheCatalogue() throws IOException {
@@ -105,6 +106,7 @@
 				labels.computeIfAbsent(name, (key) -> new TreeSet<>()).addAll(labelsOf(sample.group(2)));
 			}
 		}
+		labels.values().removeIf(Set::isEmpty);
 		return types.entrySet()
 			.stream()
 			.map((entry) -> "| `" + entry.getKey() + "` | " + entry.getValue() + " | "
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
@@ -83,6 +83,16 @@
 			.contains("lentilslip_notices_total{level=\"WARN\",name=\"QUEUE_FULL\",number=\"5004\"} 1.0");
 	}
 
+	@Test
+	void latenessOfATimerIsSpreadOverBuckets() {
+		this.metrics.apply(new Measurement.TimerRan(Duration.ZERO));
+		this.metrics.apply(new Measurement.TimerRan(Duration.ofMillis(150)));
+		assertThat(this.metrics.exposition().lines()).contains(
+				"lentilslip_relay_timer_lateness_seconds_bucket{le=\"0.1\"} 1",
+				"lentilslip_relay_timer_lateness_seconds_bucket{le=\"0.2\"} 2",
+				"lentilslip_relay_timer_lateness_seconds_sum 0.15");
+	}
+
 	private List<String> linesOf(String name) {
 		return this.metrics.exposition().lines().filter((line) -> line.startsWith(name + "{")).toList();
 	}
