--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -521,7 +521,15 @@
 	 */
 	LOG_RECORD_UNREADABLE(7005, Level.ERROR, "A record of the log can't be decoded and counts as empty.",
 			"Look for another writer of the stream, or for a process of a much newer version.", FieldName.STREAM,
-			FieldName.OFFSET, FieldName.REASON);
+			FieldName.OFFSET, FieldName.REASON),
+
+	/**
+	 * Written once for each read of the log that left entries of other relays to this
+	 * one.
+	 */
+	ENTRIES_ADOPTED(7006, Level.WARN,
+			"The log has not shown entries of other relays in time, so this relay writes them too.",
+			"If it persists, look for a relay that can't write, or for a store that is late.", FieldName.COUNT);
 
 	private final int number;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -97,8 +97,10 @@
 			this.state.unlogged.logBack(this.state.now);
 		}
 		this.state.logReadAt = this.state.now;
-		for (LedgerEntry entry : this.state.unlogged.overdue(this.state.now)) {
-			this.state.emit(new RelayEffect.Write(entry));
+		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.now);
+		overdue.forEach((entry) -> this.state.emit(new RelayEffect.Write(entry)));
+		if (!overdue.isEmpty()) {
+			this.state.tell(RelayNotices.adopted(overdue.size()));
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -76,6 +76,10 @@
 				field(FieldName.MILLISECONDS, event.took().toMillis()));
 	}
 
+	static Notice adopted(int entries) {
+		return notice(NoticeCode.ENTRIES_ADOPTED, field(FieldName.COUNT, entries));
+	}
+
 	static Notice woken(Duration slept) {
 		return notice(NoticeCode.RELAY_WOKEN, field(FieldName.MILLISECONDS, slept.toMillis()));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -525,6 +525,33 @@
 			.contains(new NoticeField(FieldName.REASON, "PLACE"), new NoticeField(FieldName.VERDICT, "HELD"));
 	}
 
+	// Another relay told two turns and has not brought them to the log in time. On call
+	// sees
+	// how many this relay writes for it, and nothing while the log shows all.
+	@Test
+	void entriesThatAreWrittenForAnotherRelayAreTold() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog();
+		LedgerEntry first = new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false);
+		LedgerEntry second = RelayFixture.kept("t1", null, "in;", "out;");
+		relay.told(first, second);
+		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
+		List<RelayEffect> adopted = readForFourSeconds(relay);
+		assertThat(RelayFixture.written(adopted)).containsExactly(first, second);
+		assertThat(notices(adopted, NoticeCode.ENTRIES_ADOPTED))
+			.containsExactly(NoticeCode.ENTRIES_ADOPTED.with(FieldName.COUNT, 2));
+		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
+	}
+
+	private static List<RelayEffect> readForFourSeconds(RelayFixture relay) {
+		List<RelayEffect> effects = new ArrayList<>();
+		for (int second = 0; second < 4; second++) {
+			relay.pass(1000);
+			effects.addAll(relay.readFromLog());
+		}
+		return effects;
+	}
+
 	private static List<Notice> notices(List<RelayEffect> effects, NoticeCode code) {
 		return RelayFixture.of(effects, RelayEffect.Tell.class)
 			.stream()
