--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -611,4 +611,22 @@
 
 	}
 
+	/**
+	 * A relay no longer keeps entries that waited for the store.
+	 *
+	 * @param entries the number of entries
+	 */
+	record EntriesGivenUp(long entries) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param entries the number of entries
+		 * @throws IllegalArgumentException if the number is negative
+		 */
+		public EntriesGivenUp {
+			requireNotNegative(entries, "entries");
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -529,7 +529,14 @@
 	 */
 	ENTRIES_ADOPTED(7006, Level.WARN,
 			"The log has not shown entries of other relays in time, so this relay writes them too.",
-			"If it persists, look for a relay that can't write, or for a store that is late.", FieldName.COUNT);
+			"If it persists, look for a relay that can't write, or for a store that is late.", FieldName.COUNT),
+
+	/**
+	 * Written at most once a second; {@code COUNT} is of entries since the one before.
+	 */
+	ENTRIES_GIVEN_UP(7007, Level.ERROR,
+			"More entries wait for the store than a relay keeps, so it gave up the oldest, which only others may hold.",
+			"Bring the store back; what no other relay writes is lost.", FieldName.COUNT);
 
 	private final int number;
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -35,6 +35,7 @@
 import io.lentilslip.relay.peer.Peers;
 import io.lentilslip.relay.store.EntryReader;
 import io.lentilslip.relay.store.EntryWriter;
+import io.lentilslip.relay.store.GivenUpEntries;
 import io.lentilslip.relay.store.KeyFollower;
 import io.lentilslip.relay.store.Store;
 import io.lentilslip.relay.store.Timers;
@@ -141,7 +142,8 @@
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers);
 		this.reachability = new Reachability(this.timers, this.peers, this::on);
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored, this::contendersStored,
-				this.reachability::storeAnswered);
+				this.reachability::storeAnswered,
+				new GivenUpEntries(this.timers, this.notices, setup.measurements())::add);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
 				this.reachability::storeAnswered, this.reachability::alone);
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -55,6 +56,8 @@
 
 	private final Consumer<Boolean> health;
 
+	private final IntConsumer givenUp;
+
 	private final Pauses pauses;
 
 	private final Deque<Waiting> waiting = new ArrayDeque<>();
@@ -75,14 +78,16 @@
 	 * @param turnsStored takes the kept turns whose ends are in the store
 	 * @param contendersStored runs when turns that contend have their places there
 	 * @param health takes whether the store answered a call as it should
+	 * @param givenUp takes how many entries wait no longer, at each write that drops any
 	 */
 	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
-			Runnable contendersStored, Consumer<Boolean> health) {
+			Runnable contendersStored, Consumer<Boolean> health, IntConsumer givenUp) {
 		this.store = store;
 		this.timers = timers;
 		this.turnsStored = turnsStored;
 		this.contendersStored = contendersStored;
 		this.health = health;
+		this.givenUp = givenUp;
 		this.pauses = new Pauses(random);
 	}
 
@@ -94,9 +99,7 @@
 		byte[] encoded = RelayCodec.encode(entry, this.timers.timeOfDay());
 		this.waiting.add(new Waiting(entry, encoded));
 		this.bytes += encoded.length;
-		while (this.bytes > WAITING_BYTES) {
-			this.bytes -= this.waiting.pollFirst().encoded().length;
-		}
+		dropOldest();
 		if (this.calling) {
 			return;
 		}
@@ -107,6 +110,17 @@
 		gather();
 	}
 
+	private void dropOldest() {
+		int dropped = 0;
+		while (this.bytes > WAITING_BYTES) {
+			this.bytes -= this.waiting.pollFirst().encoded().length;
+			dropped++;
+		}
+		if (dropped > 0) {
+			this.givenUp.accept(dropped);
+		}
+	}
+
 	/**
 	 * Returns how many entries wait.
 	 * @return the number
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/GivenUpEntries.java
@@ -0,0 +1,62 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.notice.FieldName;
+import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.telemetry.Notices;
+
+/**
+ * Tells of entries that a writer gave up: the first at once, and those of the second
+ * after a notice by one more. Used by the event loop's thread.
+ */
+public final class GivenUpEntries {
+
+	private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+	private final Timers timers;
+
+	private final Notices notices;
+
+	private final Consumer<Measurement> measurements;
+
+	private long untold;
+
+	private boolean pausing;
+
+	/**
+	 * Creates a teller.
+	 * @param timers runs steps later
+	 * @param notices takes notices
+	 * @param measurements takes measurements
+	 */
+	public GivenUpEntries(Timers timers, Notices notices, Consumer<Measurement> measurements) {
+		this.timers = timers;
+		this.notices = notices;
+		this.measurements = measurements;
+	}
+
+	/**
+	 * Takes that entries were given up.
+	 * @param entries how many
+	 */
+	public void add(int entries) {
+		this.measurements.accept(new Measurement.EntriesGivenUp(entries));
+		this.untold += entries;
+		if (!this.pausing) {
+			tell();
+		}
+	}
+
+	private void tell() {
+		this.pausing = this.untold > 0;
+		if (this.pausing) {
+			this.notices.write(NoticeCode.ENTRIES_GIVEN_UP.with(FieldName.COUNT, this.untold));
+			this.untold = 0;
+			this.timers.after(INTERVAL, this::tell);
+		}
+	}
+
+}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.store;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -18,11 +19,13 @@
 
 	private final Set<String> stored = new HashSet<>();
 
+	private final List<Integer> givenUp = new ArrayList<>();
+
 	private int contenders;
 
 	private final EntryWriter writer = new EntryWriter(this.store, this.store, new SplittableRandom(1),
 			this.stored::addAll, () -> this.contenders++, (well) -> {
-			});
+			}, this.givenUp::add);
 
 	@Test
 	void endOfAKeptTurnIsWrittenAtOnceWithWhatWaits() {
@@ -99,6 +102,27 @@
 		assertThat(this.writer.unconfirmed()).isEmpty();
 	}
 
+	// A store does not answer, and turns with long texts wait for it. Beyond 24 MiB the
+	// oldest wait no longer: whoever waits for them hears nothing more from this relay,
+	// so it has to be told how many there were.
+	@Test
+	void entriesBeyondTheBoundAreGivenUpAndTold() {
+		int mebibyte = 1024 * 1024;
+		this.writer.write(text("a", 1));
+		this.writer.write(text("b", 1));
+		this.writer.write(text("c", 1));
+		this.writer.write(text("d", 12 * mebibyte));
+		this.writer.write(text("e", 11 * mebibyte));
+		assertThat(this.givenUp).isEmpty();
+		this.writer.write(text("f", mebibyte));
+		assertThat(this.givenUp).containsExactly(3);
+		assertThat(this.writer.unconfirmed()).extracting(LedgerEntry::request).containsExactly("a", "e", "f");
+	}
+
+	private static LedgerEntry text(String request, int bytes) {
+		return settled(request, Optional.of(new KeptTurn(Optional.empty(), new byte[bytes], new byte[1])));
+	}
+
 	private static LedgerEntry settled(String request, Optional<KeptTurn> kept) {
 		return new LedgerEntry.Settled(request, "p", 1, kept);
 	}
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -122,6 +122,9 @@
 	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
 			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
 
+	private final Counter entriesGivenUp = counter("lentilslip_relay_entries_given_up_total",
+			"Entries that waited for the store until a relay no longer kept them.");
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -188,6 +191,7 @@
 			}
 			case Measurement.RouteRequestEnded ended -> apply(ended);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
+			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
@@ -93,6 +93,13 @@
 				"lentilslip_relay_timer_lateness_seconds_sum 0.15");
 	}
 
+	@Test
+	void entriesThatAreGivenUpAddUp() {
+		this.metrics.apply(new Measurement.EntriesGivenUp(2));
+		this.metrics.apply(new Measurement.EntriesGivenUp(3));
+		assertThat(this.metrics.exposition().lines()).contains("lentilslip_relay_entries_given_up_total 5.0");
+	}
+
 	private List<String> linesOf(String name) {
 		return this.metrics.exposition().lines().filter((line) -> line.startsWith(name + "{")).toList();
 	}
