--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -629,4 +629,55 @@
 
 	}
 
+	/**
+	 * What a relay has sent or taken since the measurement before.
+	 *
+	 * @param kind which way it went
+	 * @param bytes the number of bytes
+	 * @param messages the number of messages on links, or of records of the store
+	 */
+	record RelayTraffic(Kind kind, long bytes, long messages) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind which way it went
+		 * @param bytes the number of bytes
+		 * @param messages the number of messages on links, or of records of the store
+		 * @throws IllegalArgumentException if a number is negative
+		 */
+		public RelayTraffic {
+			Objects.requireNonNull(kind, "kind");
+			requireNotNegative(bytes, "bytes");
+			requireNotNegative(messages, "messages");
+		}
+
+		/**
+		 * Which way it went. Safe for use by several threads.
+		 */
+		public enum Kind implements Label {
+
+			/**
+			 * To other relays.
+			 */
+			LINKS_OUT,
+
+			/**
+			 * From other relays.
+			 */
+			LINKS_IN,
+
+			/**
+			 * To the store.
+			 */
+			STORE_APPENDED,
+
+			/**
+			 * From the store.
+			 */
+			STORE_READ
+
+		}
+
+	}
+
 }
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/FrameCounter.java
@@ -0,0 +1,34 @@
+package io.lentilslip.relay.peer;
+
+import io.lentilslip.core.measurement.Measurement.RelayTraffic.Kind;
+import io.lentilslip.relay.net.Traffic;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+
+/**
+ * Counts the frames of a link both ways, without their lengths. Used by the event loop's
+ * thread.
+ */
+final class FrameCounter extends ChannelDuplexHandler {
+
+	private final Traffic traffic;
+
+	FrameCounter(Traffic traffic) {
+		this.traffic = traffic;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object frame) {
+		this.traffic.add(Kind.LINKS_IN, ((ByteBuf) frame).readableBytes());
+		context.fireChannelRead(frame);
+	}
+
+	@Override
+	public void write(ChannelHandlerContext context, Object frame, ChannelPromise promise) {
+		this.traffic.add(Kind.LINKS_OUT, ((ByteBuf) frame).readableBytes());
+		context.write(frame, promise);
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.wire.relay.PeerMessage;
 import io.lentilslip.wire.relay.RelayCodec;
 import io.netty.buffer.ByteBuf;
@@ -44,12 +45,13 @@
 	/**
 	 * Puts this handler, and what it needs before it, into a connection's pipeline.
 	 * @param channel the connection
+	 * @param traffic adds up what goes over it
 	 */
-	void setUp(Channel channel) {
+	void setUp(Channel channel, Traffic traffic) {
 		channel.pipeline()
 			.addLast(new IdleStateHandler(SILENCE.toMillis(), PULSE.toMillis(), 0, TimeUnit.MILLISECONDS),
 					new LengthFieldBasedFrameDecoder(FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-					new LengthFieldPrepender(LENGTH_BYTES), this);
+					new LengthFieldPrepender(LENGTH_BYTES), new FrameCounter(traffic), this);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -6,6 +6,7 @@
 
 import io.lentilslip.core.retry.Backoff;
 import io.lentilslip.relay.net.Sockets;
+import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
 import io.netty.channel.Channel;
@@ -55,6 +56,8 @@
 
 	private final Timers timers;
 
+	private final Traffic traffic;
+
 	private Optional<Channel> channel = Optional.empty();
 
 	private int failures;
@@ -63,12 +66,13 @@
 
 	private long downSince;
 
-	PeerLink(EventLoop loop, String own, String address, PeerListener listener, Timers timers) {
+	PeerLink(EventLoop loop, String own, String address, PeerListener listener, Timers timers, Traffic traffic) {
 		this.loop = loop;
 		this.own = own;
 		this.address = address;
 		this.listener = listener;
 		this.timers = timers;
+		this.traffic = traffic;
 		this.downSince = timers.now();
 	}
 
@@ -83,7 +87,8 @@
 		int colon = this.address.lastIndexOf(':');
 		InetSocketAddress target = new InetSocketAddress(this.address.substring(0, colon),
 				Integer.parseInt(this.address.substring(colon + 1)));
-		ChannelFuture connecting = Sockets.connect(this.loop, target, CONNECT_TIMEOUT, new Receipts()::setUp);
+		ChannelFuture connecting = Sockets.connect(this.loop, target, CONNECT_TIMEOUT,
+				(opened) -> new Receipts().setUp(opened, this.traffic));
 		connecting.addListener((done) -> {
 			if (!done.isSuccess()) {
 				connectLater();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -10,6 +10,7 @@
 
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.relay.net.Sockets;
+import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.relay.store.KeyFollower;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
@@ -42,6 +43,8 @@
 
 	private final Timers timers;
 
+	private final Traffic traffic;
+
 	private final Map<String, PeerLink> links = new HashMap<>();
 
 	private final List<LedgerEntry> untold = new ArrayList<>();
@@ -55,11 +58,13 @@
 	 * @param loop the event loop
 	 * @param listener takes what the others say
 	 * @param timers runs steps later
+	 * @param traffic adds up what goes over links
 	 */
-	public Peers(EventLoop loop, PeerListener listener, Timers timers) {
+	public Peers(EventLoop loop, PeerListener listener, Timers timers, Traffic traffic) {
 		this.loop = loop;
 		this.listener = listener;
 		this.timers = timers;
+		this.traffic = traffic;
 	}
 
 	/**
@@ -69,7 +74,7 @@
 	 * @return the opening
 	 */
 	public ChannelFuture open(EventLoopGroup group, InetSocketAddress address) {
-		return Sockets.open(group, address, (channel) -> new Batches().setUp(channel));
+		return Sockets.open(group, address, (channel) -> new Batches().setUp(channel, this.traffic));
 	}
 
 	/**
@@ -225,7 +230,7 @@
 		if (address.equals(this.own) || this.links.containsKey(address)) {
 			return;
 		}
-		PeerLink link = new PeerLink(this.loop, this.own, address, this.listener, this.timers);
+		PeerLink link = new PeerLink(this.loop, this.own, address, this.listener, this.timers, this.traffic);
 		this.links.put(address, link);
 		link.connect();
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -31,8 +31,10 @@
 import io.lentilslip.relay.http.CallerServer;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.http.ReadyServer;
+import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.relay.peer.PeerListener;
 import io.lentilslip.relay.peer.Peers;
+import io.lentilslip.relay.store.CountedStore;
 import io.lentilslip.relay.store.EntryReader;
 import io.lentilslip.relay.store.EntryWriter;
 import io.lentilslip.relay.store.GivenUpEntries;
@@ -113,6 +115,8 @@
 
 	private final LateWatch late;
 
+	private final Traffic traffic = new Traffic();
+
 	private final Deque<RelayEvent> pending = new ArrayDeque<>();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -135,11 +139,11 @@
 		this.late = new LateWatch(setup.measurements(), this.notices);
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
-		this.store = setup.store().apply(this.loop);
+		this.store = new CountedStore(setup.store().apply(this.loop), this.traffic);
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges);
-		this.peers = new Peers(this.loop, new PeerEvents(), this.timers);
+		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.reachability = new Reachability(this.timers, this.peers, this::on);
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::stored, this::contendersStored,
 				this.reachability::storeAnswered,
@@ -239,6 +243,7 @@
 		this.reachability.check();
 		this.setup.measurements()
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(), this.peers.known()));
+		this.traffic.publish(this.setup.measurements());
 		this.late.plan(this.timers.now() + REACH_INTERVAL.toMillis());
 		this.timers.after(REACH_INTERVAL, this::checkReach);
 	}
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/CountedStore.java
@@ -0,0 +1,71 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.lentilslip.core.measurement.Measurement.RelayTraffic.Kind;
+import io.lentilslip.relay.net.Traffic;
+
+/**
+ * Counts the values of records that go to a store, whatever becomes of them, and those
+ * that come from it. Used by the event loop's thread.
+ */
+public final class CountedStore implements Store {
+
+	private final Store store;
+
+	private final Traffic traffic;
+
+	/**
+	 * Creates a store that counts.
+	 * @param store the store itself
+	 * @param traffic adds up what is counted
+	 */
+	public CountedStore(Store store, Traffic traffic) {
+		this.store = store;
+		this.traffic = traffic;
+	}
+
+	@Override
+	public void append(Topic topic, List<byte[]> records, Consumer<Appended> then) {
+		records.forEach((value) -> this.traffic.add(Kind.STORE_APPENDED, value.length));
+		this.store.append(topic, records, then);
+	}
+
+	@Override
+	public void put(Topic topic, String key, Optional<byte[]> value, Consumer<Appended> then) {
+		this.traffic.add(Kind.STORE_APPENDED, size(value));
+		this.store.put(topic, key, value, then);
+	}
+
+	@Override
+	public void read(Topic topic, long from, Duration wait, Consumer<Read> then) {
+		this.store.read(topic, from, wait, (outcome) -> {
+			if (outcome instanceof Read.Records read) {
+				count(read.records());
+			}
+			then.accept(outcome);
+		});
+	}
+
+	@Override
+	public void newest(Topic topic, Consumer<Newest> then) {
+		this.store.newest(topic, (outcome) -> {
+			if (outcome instanceof Newest.Records read) {
+				count(read.records());
+			}
+			then.accept(outcome);
+		});
+	}
+
+	private void count(List<StoredRecord> records) {
+		records.forEach((item) -> this.traffic.add(Kind.STORE_READ, size(item.value())));
+	}
+
+	private static int size(Optional<byte[]> value) {
+		return value.map((bytes) -> bytes.length).orElse(0);
+	}
+
+}
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/FrameCounterTests.java
@@ -0,0 +1,81 @@
+package io.lentilslip.relay.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.RelayTraffic;
+import io.lentilslip.core.measurement.Measurement.RelayTraffic.Kind;
+import io.lentilslip.relay.net.Traffic;
+import io.lentilslip.wire.relay.PeerMessage;
+import io.lentilslip.wire.relay.RelayCodec;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FrameCounterTests {
+
+	private static final PeerMessage GREETING = new PeerMessage.Greeting("10.0.0.1:1");
+
+	private static final int SIZE = RelayCodec.encode(GREETING).length;
+
+	private final Traffic traffic = new Traffic();
+
+	private final List<PeerMessage> taken = new ArrayList<>();
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	FrameCounterTests() {
+		new Taking().setUp(this.channel, this.traffic);
+	}
+
+	@Test
+	void messagesThatAreSentAreCountedByTheirFrames() {
+		PeerChannel.send(this.channel, GREETING);
+		PeerChannel.send(this.channel, GREETING);
+		assertThat(published()).contains(new RelayTraffic(Kind.LINKS_OUT, 2L * SIZE, 2),
+				new RelayTraffic(Kind.LINKS_IN, 0, 0));
+		ByteBuf length = this.channel.readOutbound();
+		assertThat(length.readInt()).isEqualTo(SIZE);
+	}
+
+	// Two messages arrive in three pieces. What counts is the frames that they are, not
+	// the
+	// pieces that the connection cut them into.
+	@Test
+	void messagesThatArriveAreCountedByTheirFrames() {
+		ByteBuf arriving = Unpooled.buffer();
+		for (int message = 0; message < 2; message++) {
+			arriving.writeInt(SIZE).writeBytes(RelayCodec.encode(GREETING));
+		}
+		this.channel.writeInbound(arriving.readRetainedSlice(3));
+		this.channel.writeInbound(arriving.readRetainedSlice(SIZE));
+		this.channel.writeInbound(arriving);
+		assertThat(this.taken).containsExactly(GREETING, GREETING);
+		assertThat(published()).contains(new RelayTraffic(Kind.LINKS_IN, 2L * SIZE, 2),
+				new RelayTraffic(Kind.LINKS_OUT, 0, 0));
+	}
+
+	private List<Measurement> published() {
+		List<Measurement> published = new ArrayList<>();
+		this.traffic.publish(published::add);
+		return published;
+	}
+
+	/**
+	 * Keeps what arrives. Used by one thread.
+	 */
+	private final class Taking extends PeerChannel {
+
+		@Override
+		void take(ChannelHandlerContext context, PeerMessage message) {
+			FrameCounterTests.this.taken.add(message);
+		}
+
+	}
+
+}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -14,7 +14,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.RelayTraffic;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.wire.relay.PeerMessage;
 import io.netty.channel.EventLoop;
@@ -38,7 +41,9 @@
 
 	private String own = OWN;
 
-	private final Peers peers = new Peers(this.loop, new Heard(), new FastTimers());
+	private final Traffic traffic = new Traffic();
+
+	private final Peers peers = new Peers(this.loop, new Heard(), new FastTimers(), this.traffic);
 
 	@AfterEach
 	void close() {
@@ -109,12 +114,24 @@
 		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("asked t of p");
 	}
 
+	@Test
+	void whatGoesOverALinkIsCounted() throws Exception {
+		open();
+		opened();
+		List<Measurement> counted = new ArrayList<>();
+		onLoop(() -> this.traffic.publish(counted::add));
+		assertThat(counted).map(RelayTraffic.class::cast)
+			.filteredOn((traffic) -> traffic.messages() > 0 && traffic.bytes() > 0)
+			.extracting(RelayTraffic::kind)
+			.containsExactly(RelayTraffic.Kind.LINKS_OUT, RelayTraffic.Kind.LINKS_IN);
+	}
+
 	private static LedgerEntry reserved(String request, boolean contending) {
 		return new LedgerEntry.Reserved(request, "p", 1, "", List.of(), contending);
 	}
 
 	private String opened() throws Exception {
-		Peers other = new Peers(this.loop, new Heard(), new FastTimers());
+		Peers other = new Peers(this.loop, new Heard(), new FastTimers(), new Traffic());
 		InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
 		InetSocketAddress bound = (InetSocketAddress) other.open(this.group, any).sync().channel().localAddress();
 		String address = "127.0.0.1:" + bound.getPort();
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/CountedStoreTests.java
@@ -0,0 +1,70 @@
+package io.lentilslip.relay.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.RelayTraffic;
+import io.lentilslip.core.measurement.Measurement.RelayTraffic.Kind;
+import io.lentilslip.relay.net.Traffic;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CountedStoreTests {
+
+	private final FakeStore store = new FakeStore();
+
+	private final Traffic traffic = new Traffic();
+
+	private final CountedStore counted = new CountedStore(this.store, this.traffic);
+
+	private final List<Object> answers = new ArrayList<>();
+
+	// The answer to an append is lost and the append made again: the link to the store
+	// carried the records twice, whatever the store made of them.
+	@Test
+	void appendIsCountedWhateverBecomesOfIt() {
+		List<byte[]> records = List.of(new byte[10], new byte[5]);
+		Store.Appended lost = new Store.Appended.Unknown("no answer");
+		this.counted.append(Topic.ENTRIES, records, this.answers::add);
+		this.store.appendAnswers.poll().accept(lost);
+		this.counted.append(Topic.ENTRIES, records, this.answers::add);
+		this.counted.put(Topic.RELAYS, "key", Optional.of(new byte[1]), this.answers::add);
+		this.counted.put(Topic.RELAYS, "key", Optional.empty(), this.answers::add);
+		assertThat(published()).contains(new RelayTraffic(Kind.STORE_APPENDED, 31, 6),
+				new RelayTraffic(Kind.STORE_READ, 0, 0));
+		assertThat(this.answers).containsExactly(lost);
+		assertThat(this.store.appends).containsExactly(records, records);
+	}
+
+	@Test
+	void recordsOfAnswersAreCountedAndPassedOn() {
+		Store.Read read = new Store.Read.Records(List.of(stored(3), stored(4)), 2, 2);
+		Store.Read failed = new Store.Read.Failed("away");
+		Store.Newest newest = new Store.Newest.Records(List.of(stored(5)), 3);
+		this.counted.read(Topic.ENTRIES, 0, Duration.ZERO, this.answers::add);
+		this.counted.read(Topic.ENTRIES, 2, Duration.ZERO, this.answers::add);
+		this.counted.newest(Topic.RELAYS, this.answers::add);
+		this.store.readAnswers.poll().accept(read);
+		this.store.readAnswers.poll().accept(failed);
+		this.store.newestAnswers.poll().accept(newest);
+		assertThat(published()).contains(new RelayTraffic(Kind.STORE_READ, 12, 3),
+				new RelayTraffic(Kind.STORE_APPENDED, 0, 0));
+		assertThat(this.answers).containsExactly(read, failed, newest);
+		assertThat(this.store.reads).containsExactly(0L, 2L);
+	}
+
+	private static Store.StoredRecord stored(int bytes) {
+		return new Store.StoredRecord(0, Optional.empty(), Optional.of(new byte[bytes]));
+	}
+
+	private List<Measurement> published() {
+		List<Measurement> published = new ArrayList<>();
+		this.traffic.publish(published::add);
+		return published;
+	}
+
+}
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -125,6 +125,12 @@
 	private final Counter entriesGivenUp = counter("lentilslip_relay_entries_given_up_total",
 			"Entries that waited for the store until a relay no longer kept them.");
 
+	private final Counter relayBytes = counter("lentilslip_relay_bytes_total", "Bytes that a relay sent or took.",
+			"kind");
+
+	private final Counter relayMessages = counter("lentilslip_relay_messages_total",
+			"Messages on links and records of the store that a relay sent or took.", "kind");
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -192,6 +198,10 @@
 			case Measurement.RouteRequestEnded ended -> apply(ended);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
+			case Measurement.RelayTraffic traffic -> {
+				this.relayBytes.labelValues(traffic.kind().label()).inc(traffic.bytes());
+				this.relayMessages.labelValues(traffic.kind().label()).inc(traffic.messages());
+			}
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
@@ -100,6 +100,16 @@
 		assertThat(this.metrics.exposition().lines()).contains("lentilslip_relay_entries_given_up_total 5.0");
 	}
 
+	@Test
+	void trafficOfARelayAddsUpByItsKind() {
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_OUT, 100, 2));
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_OUT, 50, 1));
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.STORE_READ, 7, 1));
+		assertThat(this.metrics.exposition().lines()).contains("lentilslip_relay_bytes_total{kind=\"links_out\"} 150.0",
+				"lentilslip_relay_bytes_total{kind=\"store_read\"} 7.0",
+				"lentilslip_relay_messages_total{kind=\"links_out\"} 3.0");
+	}
+
 	private List<String> linesOf(String name) {
 		return this.metrics.exposition().lines().filter((line) -> line.startsWith(name + "{")).toList();
 	}
