--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -680,4 +680,49 @@
 
 	}
 
+	/**
+	 * The log has shown entries whose request and kind it had shown before.
+	 *
+	 * @param kind the kind of the entries
+	 * @param entries the number of entries
+	 */
+	record LogCopies(Kind kind, long entries) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind the kind of the entries
+		 * @param entries the number of entries
+		 * @throws IllegalArgumentException if the number is negative
+		 */
+		public LogCopies {
+			Objects.requireNonNull(kind, "kind");
+			requireNotNegative(entries, "entries");
+		}
+
+		/**
+		 * The kind of an entry. Safe for use by several threads.
+		 */
+		public enum Kind implements Label {
+
+			/**
+			 * A turn's reservation, which also stands there twice if the turn contended
+			 * or was sent again.
+			 */
+			RESERVED,
+
+			/**
+			 * A turn's end, which is written once and copied otherwise.
+			 */
+			SETTLED,
+
+			/**
+			 * An upstream that broke off, which also stands there twice if a second one
+			 * did.
+			 */
+			BLAMED
+
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -25,6 +25,8 @@
 
 	private final ExchangeEnds ends;
 
+	private final LogCopies copies = new LogCopies();
+
 	LedgerRules(RelayState state, RequestRules requests, BudgetRules budgets, ExchangeEnds ends) {
 		this.state = state;
 		this.requests = requests;
@@ -35,7 +37,7 @@
 	void entriesRead(RelayEvent.EntriesRead read) {
 		for (LedgerEntry entry : read.entries()) {
 			if (read.fromLog()) {
-				this.state.unlogged.logged(entry);
+				logged(entry);
 			}
 			else {
 				this.state.unlogged.told(entry, read.now());
@@ -48,10 +50,17 @@
 		}
 		if (read.fromLog()) {
 			adopt();
+			this.copies.take().forEach((measured) -> this.state.emit(new RelayEffect.Measure(measured)));
 		}
 		dispatchWaiting();
 	}
 
+	private void logged(LedgerEntry entry) {
+		if (this.state.unlogged.logged(entry)) {
+			this.copies.add(entry);
+		}
+	}
+
 	private void dispatchIf(Exchange exchange, boolean held, Refusal otherwise) {
 		if (held) {
 			this.requests.dispatch(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -95,13 +95,19 @@
 		};
 	}
 
-	void logged(LedgerEntry entry) {
+	/**
+	 * Takes an entry that the log shows.
+	 * @param entry the entry
+	 * @return whether the log has shown it before, as far as that is remembered
+	 */
+	boolean logged(LedgerEntry entry) {
 		Key key = Key.of(entry);
 		this.waiting.remove(key);
-		this.logged.add(key);
+		boolean shownFirst = this.logged.add(key);
 		if (this.logged.size() > BOUND) {
 			this.logged.removeFirst();
 		}
+		return !shownFirst;
 	}
 
 	/**
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/LogCopiesTests.java
@@ -0,0 +1,28 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.LogCopies.Kind;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LogCopiesTests {
+
+	private final LogCopies copies = new LogCopies();
+
+	@Test
+	void copiesAreTakenOnceByTheirKind() {
+		LedgerEntry settled = RelayFixture.kept("t", null, "in", "out");
+		this.copies.add(settled);
+		this.copies.add(settled);
+		this.copies.add(new LedgerEntry.Reserved("t", "p", 7, "", List.of(), false));
+		assertThat(this.copies.take()).containsExactly(new Measurement.LogCopies(Kind.RESERVED, 1),
+				new Measurement.LogCopies(Kind.SETTLED, 2));
+		assertThat(this.copies.take()).isEmpty();
+		this.copies.add(new LedgerEntry.Blamed("t", 1, "u"));
+		assertThat(this.copies.take()).containsExactly(new Measurement.LogCopies(Kind.BLAMED, 1));
+	}
+
+}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
@@ -543,6 +544,29 @@
 		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
 	}
 
+	// The log is late, and three relays have written the end of one turn. Each relay that
+	// reads it counts two copies; what only links told and the log shows once is none.
+	@Test
+	void copiesInTheLogAreMeasured() {
+		RelayFixture relay = RelayFixture.ready();
+		LedgerEntry turn = RelayFixture.kept("t1", null, "in;", "out;");
+		relay.told(turn);
+		assertThat(copies(relay.told(turn))).isEmpty();
+		assertThat(copies(relay.readFromLog(turn))).isEmpty();
+		assertThat(copies(relay.told(turn))).isEmpty();
+		assertThat(copies(relay.readFromLog(turn, turn)))
+			.containsExactly(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 2));
+		assertThat(copies(relay.readFromLog())).isEmpty();
+	}
+
+	private static List<Measurement> copies(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Measure.class)
+			.stream()
+			.map(RelayEffect.Measure::measurement)
+			.filter(Measurement.LogCopies.class::isInstance)
+			.toList();
+	}
+
 	private static List<RelayEffect> readForFourSeconds(RelayFixture relay) {
 		List<RelayEffect> effects = new ArrayList<>();
 		for (int second = 0; second < 4; second++) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
@@ -30,6 +30,15 @@
 		assertThat(this.entries.size()).isZero();
 	}
 
+	@Test
+	void entryIsACopyOnceTheLogHasShownOneOfItsRequestAndKind() {
+		LedgerEntry reserved = new LedgerEntry.Reserved("t", "p", 7, "", List.of(), false);
+		assertThat(this.entries.logged(this.entry)).isFalse();
+		assertThat(this.entries.logged(reserved)).isFalse();
+		assertThat(this.entries.logged(this.entry)).isTrue();
+		assertThat(this.entries.logged(this.entry)).isTrue();
+	}
+
 	@Test
 	void timeBeginsAnewWhenTheLogIsBack() {
 		this.entries.told(this.entry, 0);
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -131,6 +131,9 @@
 	private final Counter relayMessages = counter("lentilslip_relay_messages_total",
 			"Messages on links and records of the store that a relay sent or took.", "kind");
 
+	private final Counter logCopies = counter("lentilslip_relay_log_copies_total",
+			"Entries whose request and kind the log had shown before.", "kind");
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -202,6 +205,8 @@
 				this.relayBytes.labelValues(traffic.kind().label()).inc(traffic.bytes());
 				this.relayMessages.labelValues(traffic.kind().label()).inc(traffic.messages());
 			}
+			case Measurement.LogCopies(Measurement.LogCopies.Kind kind, long entries) ->
+				this.logCopies.labelValues(kind.label()).inc(entries);
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
@@ -110,6 +110,16 @@
 				"lentilslip_relay_messages_total{kind=\"links_out\"} 3.0");
 	}
 
+	@Test
+	void copiesInTheLogAddUpByTheirKind() {
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 2));
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 3));
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.RESERVED, 1));
+		assertThat(linesOf("lentilslip_relay_log_copies_total")).containsExactlyInAnyOrder(
+				"lentilslip_relay_log_copies_total{kind=\"settled\"} 5.0",
+				"lentilslip_relay_log_copies_total{kind=\"reserved\"} 1.0");
+	}
+
 	private List<String> linesOf(String name) {
 		return this.metrics.exposition().lines().filter((line) -> line.startsWith(name + "{")).toList();
 	}
