--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -593,4 +593,136 @@
 
 	}
 
+	/**
+	 * A timer of a relay has run.
+	 *
+	 * @param late by how much it ran later than planned
+	 */
+	record TimerRan(Duration late) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param late by how much it ran later than planned
+		 * @throws IllegalArgumentException if the time is negative
+		 */
+		public TimerRan {
+			requireNotNegative(late, "late");
+		}
+
+	}
+
+	/**
+	 * A relay no longer keeps entries that waited for the store.
+	 *
+	 * @param entries the number of entries
+	 */
+	record EntriesGivenUp(long entries) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param entries the number of entries
+		 * @throws IllegalArgumentException if the number is negative
+		 */
+		public EntriesGivenUp {
+			requireNotNegative(entries, "entries");
+		}
+
+	}
+
+	/**
+	 * What a relay has sent or taken since the measurement before.
+	 *
+	 * @param kind which way it went
+	 * @param bytes the number of bytes
+	 * @param messages the number of messages on links, or of records of the store
+	 */
+	record RelayTraffic(Kind kind, long bytes, long messages) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind which way it went
+		 * @param bytes the number of bytes
+		 * @param messages the number of messages on links, or of records of the store
+		 * @throws IllegalArgumentException if a number is negative
+		 */
+		public RelayTraffic {
+			Objects.requireNonNull(kind, "kind");
+			requireNotNegative(bytes, "bytes");
+			requireNotNegative(messages, "messages");
+		}
+
+		/**
+		 * Which way it went. Safe for use by several threads.
+		 */
+		public enum Kind implements Label {
+
+			/**
+			 * To other relays.
+			 */
+			LINKS_OUT,
+
+			/**
+			 * From other relays.
+			 */
+			LINKS_IN,
+
+			/**
+			 * To the store.
+			 */
+			STORE_APPENDED,
+
+			/**
+			 * From the store.
+			 */
+			STORE_READ
+
+		}
+
+	}
+
+	/**
+	 * The log has shown entries whose request and kind it had shown before.
+	 *
+	 * @param kind the kind of the entries
+	 * @param entries the number of entries
+	 */
+	record LogCopies(Kind kind, long entries) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind the kind of the entries
+		 * @param entries the number of entries
+		 * @throws IllegalArgumentException if the number is negative
+		 */
+		public LogCopies {
+			Objects.requireNonNull(kind, "kind");
+			requireNotNegative(entries, "entries");
+		}
+
+		/**
+		 * The kind of an entry. Safe for use by several threads.
+		 */
+		public enum Kind implements Label {
+
+			/**
+			 * A turn's reservation, which also stands there twice if the turn contended
+			 * or was sent again.
+			 */
+			RESERVED,
+
+			/**
+			 * A turn's end, which is written once and copied otherwise.
+			 */
+			SETTLED,
+
+			/**
+			 * An upstream that broke off, which also stands there twice if a second one
+			 * did.
+			 */
+			BLAMED
+
+		}
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -248,6 +248,14 @@
 	RELAY_COMPLETE(3016, Level.INFO, "A relay that started has heard of all turns that may stand in no log.",
 			"Nothing; where it takes the retention of a route, all relays were lost before.", FieldName.COUNT),
 
+	/**
+	 * Written at most once a second; {@code MILLISECONDS} is the largest lateness since
+	 * the one before.
+	 */
+	RELAY_LATE(3017, Level.WARN, "A relay's own timers run late, so what it takes for others' delay may be its own.",
+			"If it repeats, look for what starves its VM, or give the relay more of a processor.",
+			FieldName.MILLISECONDS),
+
 	/**
 	 * Written when the claim is read back from the log as the valid one.
 	 */
@@ -513,7 +521,22 @@
 	 */
 	LOG_RECORD_UNREADABLE(7005, Level.ERROR, "A record of the log can't be decoded and counts as empty.",
 			"Look for another writer of the stream, or for a process of a much newer version.", FieldName.STREAM,
-			FieldName.OFFSET, FieldName.REASON);
+			FieldName.OFFSET, FieldName.REASON),
+
+	/**
+	 * Written once for each read of the log that left entries of other relays to this
+	 * one.
+	 */
+	ENTRIES_ADOPTED(7006, Level.WARN,
+			"The log has not shown entries of other relays in time, so this relay writes them too.",
+			"If it persists, look for a relay that can't write, or for a store that is late.", FieldName.COUNT),
+
+	/**
+	 * Written at most once a second; {@code COUNT} is of entries since the one before.
+	 */
+	ENTRIES_GIVEN_UP(7007, Level.ERROR,
+			"More entries wait for the store than a relay keeps, so it gave up the oldest, which only others may hold.",
+			"Bring the store back; what no other relay writes is lost.", FieldName.COUNT);
 
 	private final int number;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -16,6 +17,8 @@
 
 	private final ExchangeEnds ends;
 
+	private final LogCopies copies = new LogCopies();
+
 	LedgerRules(RelayState state, RequestRules requests, BudgetRules budgets, ExchangeEnds ends) {
 		this.state = state;
 		this.requests = requests;
@@ -26,8 +29,7 @@
 	void entriesRead(RelayEvent.EntriesRead read) {
 		for (LedgerEntry entry : read.entries()) {
 			read.teller()
-				.ifPresentOrElse((teller) -> this.state.unlogged.told(entry, teller, read.now()),
-						() -> this.state.unlogged.logged(entry));
+				.ifPresentOrElse((teller) -> this.state.unlogged.told(entry, teller, read.now()), () -> logged(entry));
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> reserved(reserved, read.fromLog());
 				case LedgerEntry.Settled settled -> settledElsewhere(settled, read.teller());
@@ -36,10 +38,17 @@
 		}
 		if (read.fromLog()) {
 			adopt();
+			this.copies.take().forEach((measured) -> this.state.emit(new RelayEffect.Measure(measured)));
 		}
 		this.requests.dispatchWaiting();
 	}
 
+	private void logged(LedgerEntry entry) {
+		if (this.state.unlogged.logged(entry)) {
+			this.copies.add(entry);
+		}
+	}
+
 	private void dispatchIf(Exchange exchange, boolean held, Refusal otherwise) {
 		if (held) {
 			this.requests.dispatch(exchange);
@@ -74,8 +83,10 @@
 			this.state.unlogged.logBack(this.state.now);
 		}
 		this.state.logReadAt = this.state.now;
-		for (LedgerEntry entry : this.state.unlogged.overdue(this.state.linked, this.state.now)) {
-			this.state.emit(new RelayEffect.Write(entry));
+		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.linked, this.state.now);
+		overdue.forEach((entry) -> this.state.emit(new RelayEffect.Write(entry)));
+		if (!overdue.isEmpty()) {
+			this.state.tell(RelayNotices.adopted(overdue.size()));
 		}
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
@@ -420,6 +420,56 @@
 			.contains(new NoticeField(FieldName.REASON, "PLACE"), new NoticeField(FieldName.VERDICT, "HELD"));
 	}
 
+	// Another relay told two turns and has not brought them to the log in time. On call
+	// sees
+	// how many this relay writes for it, and nothing while the log shows all.
+	@Test
+	void entriesThatAreWrittenForAnotherRelayAreTold() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog();
+		LedgerEntry first = new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false);
+		LedgerEntry second = RelayFixture.kept("t1", null);
+		relay.told(first, second);
+		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
+		List<RelayEffect> adopted = readForFourSeconds(relay);
+		assertThat(RelayFixture.written(adopted)).containsExactly(first, second);
+		assertThat(notices(adopted, NoticeCode.ENTRIES_ADOPTED))
+			.containsExactly(NoticeCode.ENTRIES_ADOPTED.with(FieldName.COUNT, 2));
+		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
+	}
+
+	// The log is late, and three relays have written the end of one turn. Each relay that
+	// reads it counts two copies; what only links told and the log shows once is none.
+	@Test
+	void copiesInTheLogAreMeasured() {
+		RelayFixture relay = RelayFixture.ready();
+		LedgerEntry turn = RelayFixture.kept("t1", null);
+		relay.told(turn);
+		assertThat(copies(relay.told(turn))).isEmpty();
+		assertThat(copies(relay.readFromLog(turn))).isEmpty();
+		assertThat(copies(relay.told(turn))).isEmpty();
+		assertThat(copies(relay.readFromLog(turn, turn)))
+			.containsExactly(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 2));
+		assertThat(copies(relay.readFromLog())).isEmpty();
+	}
+
+	private static List<Measurement> copies(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Measure.class)
+			.stream()
+			.map(RelayEffect.Measure::measurement)
+			.filter(Measurement.LogCopies.class::isInstance)
+			.toList();
+	}
+
+	private static List<RelayEffect> readForFourSeconds(RelayFixture relay) {
+		List<RelayEffect> effects = new ArrayList<>();
+		for (int second = 0; second < 4; second++) {
+			relay.pass(1000);
+			effects.addAll(relay.readFromLog());
+		}
+		return effects;
+	}
+
 	private static List<Notice> notices(List<RelayEffect> effects, NoticeCode code) {
 		return RelayFixture.of(effects, RelayEffect.Tell.class)
 			.stream()
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 
 import io.lentilslip.core.relay.TurnText;
@@ -43,6 +44,8 @@
 
 	private final Consumer<Boolean> health;
 
+	private final IntConsumer givenUp;
+
 	private final Pauses pauses;
 
 	private final Deque<Waiting> waiting = new ArrayDeque<>();
@@ -59,14 +62,16 @@
 	 * @param part the partition to which texts are written
 	 * @param listener takes what the store has
 	 * @param health takes whether the store answered a call as it should
+	 * @param givenUp takes how many texts wait no longer, at each write that drops any
 	 */
 	public TextWriter(Store store, Timers timers, RandomGenerator random, int part, Listener listener,
-			Consumer<Boolean> health) {
+			Consumer<Boolean> health, IntConsumer givenUp) {
 		this.store = store;
 		this.timers = timers;
 		this.part = part;
 		this.listener = listener;
 		this.health = health;
+		this.givenUp = givenUp;
 		this.pauses = new Pauses(random);
 	}
 
@@ -92,10 +97,19 @@
 		byte[] encoded = RelayCodec.encode(turn);
 		this.waiting.add(new Waiting(turn.request(), encoded));
 		this.bytes += encoded.length;
+		dropOldest();
+		call();
+	}
+
+	private void dropOldest() {
+		int dropped = 0;
 		while (this.bytes > WAITING_BYTES) {
 			this.bytes -= this.waiting.pollFirst().encoded().length;
+			dropped++;
+		}
+		if (dropped > 0) {
+			this.givenUp.accept(dropped);
 		}
-		call();
 	}
 
 	/**
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.store;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -14,21 +15,25 @@
 
 class EntryWriterTests {
 
+	private static final TextPlace PLACE = new TextPlace(Optional.empty(), 1, 2, 3);
+
 	private final FakeStore store = new FakeStore();
 
 	private final Set<String> stored = new HashSet<>();
 
+	private final List<Integer> givenUp = new ArrayList<>();
+
 	private int contenders;
 
 	private final EntryWriter writer = new EntryWriter(this.store, this.store, new SplittableRandom(1),
 			this.stored::addAll, () -> this.contenders++, (well) -> {
-			});
+			}, this.givenUp::add);
 
 	@Test
 	void endOfAKeptTurnIsWrittenAtOnceWithWhatWaits() {
 		this.writer.write(settled("a", Optional.empty()));
 		assertThat(this.store.appends).isEmpty();
-		this.writer.write(settled("b", Optional.of(new TextPlace(Optional.empty(), 1, 2, 3))));
+		this.writer.write(settled("b", Optional.of(PLACE)));
 		assertThat(this.store.appends).hasSize(1);
 		assertThat(this.store.appends.getFirst()).hasSize(2);
 	}
@@ -50,7 +55,7 @@
 	void reservationInTheLogDoesNotStandForTheEndOfItsTurn() {
 		this.writer.write(new LedgerEntry.Reserved("a", "p", 9, "u", List.of(), false));
 		this.store.pass(100);
-		this.writer.write(settled("a", Optional.of(new TextPlace(Optional.empty(), 1, 2, 3))));
+		this.writer.write(settled("a", Optional.of(PLACE)));
 		this.store.appendAnswers.poll().accept(new Store.Appended.Done(0));
 		assertThat(this.stored).isEmpty();
 		this.store.appendAnswers.poll().accept(new Store.Appended.Done(1));
@@ -99,6 +104,27 @@
 		assertThat(this.writer.unconfirmed()).isEmpty();
 	}
 
+	// A store does not answer, and entries wait for it. Beyond 24 MiB the
+	// oldest wait no longer: whoever waits for them hears nothing more from this relay,
+	// so it has to be told how many there were.
+	@Test
+	void entriesBeyondTheBoundAreGivenUpAndTold() {
+		int mebibyte = 1024 * 1024;
+		this.writer.write(large("a", 1));
+		this.writer.write(large("b", 1));
+		this.writer.write(large("c", 1));
+		this.writer.write(large("d", 12 * mebibyte));
+		this.writer.write(large("e", 11 * mebibyte));
+		assertThat(this.givenUp).isEmpty();
+		this.writer.write(large("f", mebibyte));
+		assertThat(this.givenUp).containsExactly(3);
+		assertThat(this.writer.unconfirmed()).extracting(LedgerEntry::request).containsExactly("a", "e", "f");
+	}
+
+	private static LedgerEntry large(String request, int bytes) {
+		return new LedgerEntry.Settled(request, "p".repeat(bytes), 1, Optional.of(PLACE));
+	}
+
 	private static LedgerEntry settled(String request, Optional<TextPlace> text) {
 		return new LedgerEntry.Settled(request, "p", 1, text);
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
@@ -23,9 +23,11 @@
 
 	private Duration took = Duration.ZERO;
 
+	private int givenUp;
+
 	private final TextWriter writer = new TextWriter(this.store, this.store, new SplittableRandom(1), 3, this::stored,
 			(well) -> {
-			});
+			}, (dropped) -> this.givenUp += dropped);
 
 	@Test
 	void textIsWrittenAtOnceAndToldWithTheEndOfItsPartition() {
@@ -70,6 +72,7 @@
 			this.writer.write(text("t" + i, 1024 * 1024));
 		}
 		assertThat(this.writer.size()).isBetween(10, 16);
+		assertThat(this.givenUp).isEqualTo(megabytes - this.writer.size());
 	}
 
 	// Whoever reads a text looks from the end that its writer knew. A writer that did not
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -119,6 +119,21 @@
 	private final Histogram routeFirstEvent = histogram("lentilslip_route_first_event_seconds",
 			"Time from the reading of a request by a relay to the first event of its answer.", "route", CALL_BOUNDS);
 
+	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
+			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
+
+	private final Counter entriesGivenUp = counter("lentilslip_relay_entries_given_up_total",
+			"Entries that waited for the store until a relay no longer kept them.");
+
+	private final Counter relayBytes = counter("lentilslip_relay_bytes_total", "Bytes that a relay sent or took.",
+			"kind");
+
+	private final Counter relayMessages = counter("lentilslip_relay_messages_total",
+			"Messages on links and records of the store that a relay sent or took.", "kind");
+
+	private final Counter logCopies = counter("lentilslip_relay_log_copies_total",
+			"Entries whose request and kind the log had shown before.", "kind");
+
 	private final Gauge linksUp = gauge("lentilslip_links_up", "Links to peers that are up.", "peer");
 
 	private final Gauge linksKnown = gauge("lentilslip_links_known", "Peers that should be linked.", "peer");
@@ -184,6 +199,14 @@
 				this.linksKnown.labelValues(state.kind().label()).set(state.known());
 			}
 			case Measurement.RouteRequestEnded ended -> apply(ended);
+			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
+			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
+			case Measurement.RelayTraffic traffic -> {
+				this.relayBytes.labelValues(traffic.kind().label()).inc(traffic.bytes());
+				this.relayMessages.labelValues(traffic.kind().label()).inc(traffic.messages());
+			}
+			case Measurement.LogCopies(Measurement.LogCopies.Kind kind, long entries) ->
+				this.logCopies.labelValues(kind.label()).inc(entries);
 			case Measurement.Retries tried -> {
 				this.retries.labelValues(tried.operation().label()).inc(tried.attempts());
 				this.retriesDenied.labelValues(tried.operation().label()).inc(tried.denied());
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/MetricsTests.java
@@ -83,6 +83,43 @@
 			.contains("lentilslip_notices_total{level=\"WARN\",name=\"QUEUE_FULL\",number=\"5004\"} 1.0");
 	}
 
+	@Test
+	void latenessOfATimerIsSpreadOverBuckets() {
+		this.metrics.apply(new Measurement.TimerRan(Duration.ZERO));
+		this.metrics.apply(new Measurement.TimerRan(Duration.ofMillis(150)));
+		assertThat(this.metrics.exposition().lines()).contains(
+				"lentilslip_relay_timer_lateness_seconds_bucket{le=\"0.1\"} 1",
+				"lentilslip_relay_timer_lateness_seconds_bucket{le=\"0.2\"} 2",
+				"lentilslip_relay_timer_lateness_seconds_sum 0.15");
+	}
+
+	@Test
+	void entriesThatAreGivenUpAddUp() {
+		this.metrics.apply(new Measurement.EntriesGivenUp(2));
+		this.metrics.apply(new Measurement.EntriesGivenUp(3));
+		assertThat(this.metrics.exposition().lines()).contains("lentilslip_relay_entries_given_up_total 5.0");
+	}
+
+	@Test
+	void trafficOfARelayAddsUpByItsKind() {
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_OUT, 100, 2));
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_OUT, 50, 1));
+		this.metrics.apply(new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.STORE_READ, 7, 1));
+		assertThat(this.metrics.exposition().lines()).contains("lentilslip_relay_bytes_total{kind=\"links_out\"} 150.0",
+				"lentilslip_relay_bytes_total{kind=\"store_read\"} 7.0",
+				"lentilslip_relay_messages_total{kind=\"links_out\"} 3.0");
+	}
+
+	@Test
+	void copiesInTheLogAddUpByTheirKind() {
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 2));
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.SETTLED, 3));
+		this.metrics.apply(new Measurement.LogCopies(Measurement.LogCopies.Kind.RESERVED, 1));
+		assertThat(linesOf("lentilslip_relay_log_copies_total")).containsExactlyInAnyOrder(
+				"lentilslip_relay_log_copies_total{kind=\"settled\"} 5.0",
+				"lentilslip_relay_log_copies_total{kind=\"reserved\"} 1.0");
+	}
+
 	private List<String> linesOf(String name) {
 		return this.metrics.exposition().lines().filter((line) -> line.startsWith(name + "{")).toList();
 	}
