--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -1,11 +1,6 @@
 package io.lentilslip.relay.store;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
@@ -15,19 +10,12 @@
 import io.lentilslip.wire.relay.RelayCodec;
 
 /**
- * Writes the texts of turns to this relay's partition of the store, in order and one call
- * at a time. An append whose outcome is not known is made again: a text may stand there
- * twice, and either copy will do. Texts that can't be written yet wait; the callers of
- * their turns wait for their ends, so that what waits is bounded by what callers wait
- * for, and beyond the bound the oldest wait no longer. Used by the event loop's thread.
+ * Writes the texts of turns to this relay's partition of the store, each at once. The
+ * callers of their turns wait for their ends, so that what waits is bounded by what
+ * callers wait for. Used by the event loop's thread.
  */
 public final class TextWriter {
 
-	/**
-	 * The most bytes of one call, below the store's bound.
-	 */
-	private static final int CALL_BYTES = 1024 * 1024;
-
 	/**
 	 * The most bytes that wait: some times what a relay is given in the seconds that
 	 * callers wait for an end.
@@ -42,17 +30,9 @@
 
 	private final Listener listener;
 
-	private final Consumer<Boolean> health;
-
-	private final IntConsumer givenUp;
-
 	private final Pauses pauses;
 
-	private final Deque<Waiting> waiting = new ArrayDeque<>();
-
-	private long bytes;
-
-	private boolean calling;
+	private final AppendQueue<String> queue;
 
 	/**
 	 * Creates a writer.
@@ -70,9 +50,10 @@
 		this.timers = timers;
 		this.part = part;
 		this.listener = listener;
-		this.health = health;
-		this.givenUp = givenUp;
 		this.pauses = new Pauses(random);
+		this.queue = new AppendQueue<>((records, then) -> store.appendTexts(part, records, then), timers, random,
+				WAITING_BYTES, (turns, offset, took) -> listener.stored(Set.copyOf(turns), offset + turns.size(), took),
+				health, givenUp);
 	}
 
 	/**
@@ -94,22 +75,8 @@
 	 * @param turn the turn
 	 */
 	public void write(TurnText turn) {
-		byte[] encoded = RelayCodec.encode(turn);
-		this.waiting.add(new Waiting(turn.request(), encoded));
-		this.bytes += encoded.length;
-		dropOldest();
-		call();
-	}
-
-	private void dropOldest() {
-		int dropped = 0;
-		while (this.bytes > WAITING_BYTES) {
-			this.bytes -= this.waiting.pollFirst().encoded().length;
-			dropped++;
-		}
-		if (dropped > 0) {
-			this.givenUp.accept(dropped);
-		}
+		this.queue.add(turn.request(), RelayCodec.encode(turn));
+		this.queue.call();
 	}
 
 	/**
@@ -117,47 +84,7 @@
 	 * @return the number
 	 */
 	public int size() {
-		return this.waiting.size();
-	}
-
-	private void call() {
-		if (this.calling || this.waiting.isEmpty()) {
-			return;
-		}
-		this.calling = true;
-		List<Waiting> batch = new ArrayList<>();
-		int size = 0;
-		while (!this.waiting.isEmpty() && (batch.isEmpty() || size + next() <= CALL_BYTES)) {
-			size += next();
-			batch.add(this.waiting.pollFirst());
-		}
-		this.bytes -= size;
-		append(batch);
-	}
-
-	private int next() {
-		return this.waiting.peekFirst().encoded().length;
-	}
-
-	private void append(List<Waiting> batch) {
-		long began = this.timers.now();
-		this.store.appendTexts(this.part, batch.stream().map(Waiting::encoded).toList(), (outcome) -> {
-			this.health.accept(outcome instanceof Store.Appended.Done);
-			if (outcome instanceof Store.Appended.Done done) {
-				done(batch, done.offset() + batch.size(), Duration.ofMillis(this.timers.now() - began));
-				return;
-			}
-			this.timers.after(this.pauses.next(), () -> append(batch));
-		});
-	}
-
-	private void done(List<Waiting> batch, long end, Duration took) {
-		this.pauses.reset();
-		this.calling = false;
-		Set<String> requests = new HashSet<>();
-		batch.forEach((written) -> requests.add(written.request()));
-		this.listener.stored(requests, end, took);
-		call();
+		return this.queue.size();
 	}
 
 	/**
@@ -176,14 +103,4 @@
 
 	}
 
-	/**
-	 * A text that is not in the store yet. Immutable.
-	 *
-	 * @param request the turn
-	 * @param encoded its bytes
-	 */
-	private record Waiting(String request, byte[] encoded) {
-
-	}
-
 }
