--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -98,9 +98,9 @@
 	final int textPart;
 
 	/**
-	 * Where that partition ended when it was last heard of.
+	 * Where that partition ended when it was last heard of; negative before that.
 	 */
-	long textEnd;
+	long textEnd = -1;
 
 	/**
 	 * How long the log took to store the last texts.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -144,7 +144,8 @@
 	void helpAsked(RelayEvent.HelpAsked asked) {
 		String request = asked.end().request();
 		boolean slow = this.state.logTook.compareTo(RelaySettings.ALONE) > 0;
-		if (this.state.reach != Reach.LOG || slow || this.state.helping.containsKey(request)) {
+		boolean able = this.state.reach == Reach.LOG && this.state.textEnd >= 0 && !slow;
+		if (!able || this.state.helping.containsKey(request)) {
 			return;
 		}
 		TextPlace place = place(asked.text());
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -64,10 +64,21 @@
 	static RelayFixture ready(long seed) {
 		RelayFixture fixture = listing(true, seed);
 		fixture.on(caughtUp(fixture.now));
+		fixture.on(textsEnd(fixture.now));
 		fixture.all.clear();
 		return fixture;
 	}
 
+	/**
+	 * Returns a relay that is ready but for the end of its partition of the texts.
+	 * @return the relay
+	 */
+	static RelayFixture beforeTexts() {
+		RelayFixture fixture = listing(true, SEED);
+		fixture.on(caughtUp(fixture.now));
+		return fixture;
+	}
+
 	/**
 	 * Returns a relay that is ready, after the loss of all relays.
 	 * @return the relay
@@ -75,6 +86,7 @@
 	static RelayFixture readyAfterLoss() {
 		RelayFixture fixture = afterLoss();
 		fixture.on(caughtUp(fixture.now));
+		fixture.on(textsEnd(fixture.now));
 		fixture.all.clear();
 		return fixture;
 	}
@@ -99,6 +111,10 @@
 		return new RelayEvent.CaughtUp(now, 7, Duration.ofMillis(30), Optional.empty());
 	}
 
+	static RelayEvent textsEnd(long now) {
+		return new RelayEvent.TextsStored(now, Set.of(), 0, Duration.ZERO);
+	}
+
 	static RelayFixture fresh() {
 		return new RelayFixture(true, SEED);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -29,12 +29,14 @@
 	}
 
 	@Test
-	void readinessFollowsTableUpstreamsAndLog() {
+	void readinessFollowsTableUpstreamsLogAndTexts() {
 		RelayFixture relay = RelayFixture.fresh();
 		relay.on(new RelayEvent.TableRead(1, RelayFixture.table()));
 		relay.on(new RelayEvent.UpstreamsRead(1, List.of()));
 		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).isEmpty();
 		relay.on(RelayFixture.caughtUp(1));
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).isEmpty();
+		relay.on(RelayFixture.textsEnd(1));
 		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(true));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -173,6 +173,22 @@
 		assertThat(new String(sends(read).getFirst().chain())).isEqualTo("in1;out1;in2;out2;");
 	}
 
+	// A relay has started and has not heard yet where its partition of the texts ends. It
+	// could not say where the text of a turn is, and nobody would find it: so it is not
+	// ready, and refuses turns whose texts are kept, as not run.
+	@Test
+	void relayThatDoesNotKnowWhereItsTextsGoTakesNoTurnsWhoseTextsAreKept() {
+		RelayFixture relay = RelayFixture.beforeTexts();
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).isEmpty();
+		assertThat(refusal(relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null))))
+			.contains(Refusal.NOT_READY);
+		assertThat(sends(relay.askTurn("t2", "draft", RelayFixture.turn("p", 10_000, 100, null)))).hasSize(1);
+		assertThat(relay.on(helpAsked(relay, "t0"))).isEmpty();
+		relay.on(new RelayEvent.TextsStored(relay.now(), Set.of(), 0, Duration.ZERO));
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(true));
+		assertThat(sends(relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, null)))).hasSize(1);
+	}
+
 	@Test
 	void relayThatRanATurnSendsItsTextToWhoAsks() {
 		RelayFixture relay = RelayFixture.ready();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -18,13 +18,15 @@
 public final class TextReader {
 
 	/**
-	 * How many bytes one call reads besides the text: the records of other relays that
-	 * may stand before it.
+	 * How many bytes the first call reads besides the text, twice as many each further
+	 * one: records that may stand before it. These are few, but for texts that waited for
+	 * a store that was away.
 	 */
 	private static final int MORE_BYTES = 16 * 1024;
 
 	/**
-	 * How many calls look for one text at one place.
+	 * How many calls look for one text at one place: behind four megabytes at last,
+	 * several times what two relays keep waiting while callers wait for their ends.
 	 */
 	private static final int CALLS = 8;
 
@@ -86,8 +88,9 @@
 				next();
 				return;
 			}
+			int more = MORE_BYTES << this.calls;
 			this.calls++;
-			TextReader.this.store.readTexts(place.part(), from, place.bytes() + MORE_BYTES,
+			TextReader.this.store.readTexts(place.part(), from, place.bytes() + more,
 					(outcome) -> take(place, outcome));
 		}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -50,6 +50,18 @@
 		assertThat(this.found).containsExactly(Optional.of("text of t"));
 	}
 
+	// The store was away for seconds. All texts that waited for it were told to stand
+	// where
+	// their partition had ended before, so the last one stands far behind that.
+	@Test
+	void textIsLookedForBehindAllThatWaitedForTheStore() {
+		read(place(5));
+		while (!this.store.readAnswers.isEmpty()) {
+			this.store.readAnswers.poll().accept(records(5, 1000, "other"));
+		}
+		assertThat(this.store.bytesRead.stream().mapToInt(Integer::intValue).sum()).isGreaterThan(4_000_000);
+	}
+
 	@Test
 	void textThatIsNowhereIsToldAsNotFoundAfterABoundedNumberOfCalls() {
 		read(place(0));
