--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AnswerRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AnswerRulesTests.java
@@ -70,6 +70,24 @@
 		assertThat(RelayFixture.of(relay.remind(Reminder.SILENCE), RelayEffect.Send.class)).hasSize(1);
 	}
 
+	// All timers of a relay run 30 ms late, as on a machine with a quarter of a core. An
+	// upstream that never answers is left all the same, within four times the patience of
+	// its route and what the relay was late.
+	@Test
+	void upstreamThatIsSilentIsLeftByARelayThatIsAlwaysLate() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.ask("r1", "look");
+		long asked = relay.now();
+		relay.pass(230);
+		List<RelayEffect> effects = relay.remind(Reminder.SILENCE);
+		while (RelayFixture.of(effects, RelayEffect.Send.class).isEmpty() && relay.now() - asked < 2_000) {
+			relay.pass(RelayFixture.of(effects, RelayEffect.Remind.class).getFirst().delay().toMillis() + 30);
+			effects = relay.remind(Reminder.SILENCE);
+		}
+		assertThat(RelayFixture.of(effects, RelayEffect.Send.class)).hasSize(1);
+		assertThat(relay.now() - asked).isLessThan(4 * 230);
+	}
+
 	private static void answerAfter(RelayFixture relay, String id, long milliseconds) {
 		relay.ask(id, "look");
 		relay.pass(milliseconds);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -204,6 +204,62 @@
 		assertThat(RelayFixture.of(relay.remind(Reminder.DUE), RelayEffect.BreakOff.class)).hasSize(1);
 	}
 
+	// The log was slow for this relay once, and it has kept no turn since. Minutes later
+	// the store turns another relay away, which asks for help. Refused by all that had a
+	// slow moment, the end of its turn would never be passed on.
+	@Test
+	void relayWhoseLogWasSlowLongAgoGivesHelp() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, Duration.ofMillis(240)));
+		relay.pass(Duration.ofMinutes(5).toMillis());
+		assertThat(relay.on(helpAsked(relay, "t1"))).isNotEmpty();
+	}
+
+	// Memory is full and the text of a turn that waits for the log leaves it. The store
+	// still turns this relay away: help is asked for all the same, since the caller waits
+	// for the end.
+	@Test
+	void helpIsAskedForATurnWhoseTextLeftMemory() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.askTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		relay.on(new RelayEvent.TextsTold(relay.now(),
+				List.of(RelayFixture.text("other", null, "x".repeat(1_000_000), ""))));
+		assertThat(RelayFixture.of(relay.remind(Reminder.STORED), RelayEffect.AskForHelp.class)).hasSize(1);
+	}
+
+	// One relay wrote the turn for the one that ran it, and the log shows both entries.
+	// Two that were asked as well tell their places, and die before the log has a text
+	// there. The caller saw the end, so the place that has the text must not be
+	// forgotten.
+	@Test
+	void placeThatTheLogShowsIsNotForgottenForPlacesThatWereOnlyTold() {
+		RelayFixture relay = RelayFixture.ready();
+		TextPlace helpers = new TextPlace(Optional.empty(), 9, 2, 20);
+		relay.readFromLog(RelayFixture.kept("t1", null));
+		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(helpers)));
+		relay.told(new LedgerEntry.Settled("t1", "p", 10, Optional.of(new TextPlace(Optional.empty(), 9, 6, 30))));
+		relay.told(new LedgerEntry.Settled("t1", "p", 10, Optional.of(new TextPlace(Optional.empty(), 9, 7, 40))));
+		List<RelayEffect> effects = relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(RelayFixture.of(effects, RelayEffect.ReadText.class)).singleElement()
+			.satisfies((read) -> assertThat(read.places()).contains(helpers));
+	}
+
+	// A link is made anew, and its relay tells all that the log has not shown, turns of
+	// others among it. Who ran a turn stays known: the other one has no text of it.
+	@Test
+	void textIsAskedOfTheRelayThatRanItsTurnAfterAnotherToldOfItToo() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.PeerLinked(relay.now(), "teller"));
+		relay.on(new RelayEvent.PeerLinked(relay.now(), "other"));
+		relay.told(RelayFixture.kept("t1", null));
+		relay.on(new RelayEvent.EntriesRead(relay.now(), List.of(RelayFixture.kept("t1", null)), Optional.of("other")));
+		List<RelayEffect> effects = relay.askTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(RelayFixture.of(effects, RelayEffect.AskTexts.class))
+			.containsExactly(new RelayEffect.AskTexts("teller", List.of("t1")));
+	}
+
 	private static RelayEvent.HelpAsked helpAsked(RelayFixture relay, String request) {
 		return new RelayEvent.HelpAsked(relay.now(), "peer",
 				new LedgerEntry.Settled(request, "p", 10, Optional.empty()),
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
@@ -1,9 +1,12 @@
 package io.lentilslip.core.relay;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -60,4 +63,26 @@
 		assertThat(this.entries.all()).containsExactly(reserved, kept, settled, other);
 	}
 
+	// A relay lives and does not reach the log. Thirty others were told what it gave, and
+	// when the longest of their patience is over, at least one of them has tried to write
+	// each entry: what none has written is given again after the loss of all relays.
+	@Test
+	void entryOfARelayThatLivesIsWrittenByAnotherWithinThePatienceOfAll() {
+		int relays = 30;
+		int entriesTold = 1000;
+		SplittableRandom random = new SplittableRandom(5);
+		Set<String> linked = IntStream.range(0, relays).mapToObj((peer) -> "p" + peer).collect(Collectors.toSet());
+		Set<String> written = new HashSet<>();
+		for (int relay = 0; relay < relays; relay++) {
+			UnloggedEntries others = new UnloggedEntries(random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()),
+					random.split());
+			IntStream.range(0, entriesTold)
+				.forEach((turn) -> others.told(RelayFixture.kept("t" + turn, null), "p0", 0));
+			for (long now = 0; now <= 4_000; now += 80) {
+				others.overdue(linked, now).forEach((own) -> written.add(((LedgerEntry.Settled) own).request()));
+			}
+		}
+		assertThat(written).hasSize(entriesTold);
+	}
+
 }
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
@@ -20,6 +20,8 @@
 
 	final List<Long> reads = new ArrayList<>();
 
+	final List<Integer> textBytes = new ArrayList<>();
+
 	final Deque<Consumer<Read>> readAnswers = new ArrayDeque<>();
 
 	final Deque<Consumer<Newest>> newestAnswers = new ArrayDeque<>();
@@ -41,6 +43,7 @@
 
 	@Override
 	public void readTexts(int part, long from, int bytes, Consumer<Read> then) {
+		this.textBytes.add(bytes);
 		read(Topic.TEXTS, from, Duration.ZERO, then);
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.TextPlace;
@@ -62,6 +63,25 @@
 		assertThat(calls).isLessThan(10);
 	}
 
+	// A relay has kept no turn for some seconds, and one that shares its partition has
+	// kept sixty. Its next text stands behind them all, and its caller has seen the end:
+	// the text must be found, with as many bytes a call as the reader asks for.
+	@Test
+	void textIsFoundBehindWhatAnotherRelayWroteInSeconds() {
+		int size = 4096;
+		int others = 60;
+		read(new TextPlace(Optional.empty(), size, 3, 5));
+		while (!this.store.readAnswers.isEmpty()) {
+			int next = this.store.reads.getLast().intValue() - 5;
+			int most = Math.max(1, this.store.textBytes.getLast() / size);
+			String[] turns = IntStream.range(next, Math.min(next + most, others + 1))
+				.mapToObj((turn) -> (turn < others) ? "other" : "t")
+				.toArray(String[]::new);
+			this.store.readAnswers.poll().accept(records(5 + next, 5 + others + 1, turns));
+		}
+		assertThat(this.found).containsExactly(Optional.of("text of t"));
+	}
+
 	@Test
 	void recordsThatAreNoTextsArePassedOver() {
 		read(place(5));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
@@ -86,6 +86,18 @@
 		assertThat(this.end).isEqualTo(77);
 	}
 
+	// The log has dropped the beginning of the partition, and a relay starts. Where the
+	// rest begins is not where it ends: a text that is said to stand from there on is
+	// not found behind all that stands between.
+	@Test
+	void writerThatStartsAfterTheBeginningIsGoneAsksWhereItsPartitionEnds() {
+		this.writer.start();
+		this.store.readAnswers.poll().accept(new Store.Read.Deleted(500));
+		assertThat(this.store.reads).containsExactly(0L, 500L);
+		this.store.readAnswers.poll().accept(new Store.Read.Records(List.of(), 500, 900));
+		assertThat(this.end).isEqualTo(900);
+	}
+
 	private void stored(Set<String> requests, long newEnd, Duration time) {
 		this.stored.addAll(requests);
 		this.end = newEnd;
