--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -51,6 +51,8 @@
 
 	private boolean watched;
 
+	private boolean graced;
+
 	private boolean bringing;
 
 	private boolean extended;
@@ -130,6 +132,7 @@
 
 	void sentTo(Upstream next, long now) {
 		this.heardAt = now;
+		this.graced = false;
 		this.attempt++;
 		this.sends++;
 		this.tried.add(next.id());
@@ -210,6 +213,17 @@
 		this.lookAt = next;
 	}
 
+	/**
+	 * Notes that the upstream of this attempt is looked at once more, since this relay
+	 * was late itself.
+	 * @return whether it was not before
+	 */
+	boolean grace() {
+		boolean first = !this.graced;
+		this.graced = true;
+		return first;
+	}
+
 	boolean expects(long number) {
 		return this.lastEvent.isEmpty() || number == this.lastEvent.getAsLong() + 1;
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
@@ -4,10 +4,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The turns that later turns may continue from: of all of them where their texts are, and
@@ -25,10 +28,12 @@
 	private static final int PLACES = 50_000;
 
 	/**
-	 * How many places of one text are remembered: its own relay's, and that of one that
-	 * helped.
+	 * How many places of one text are remembered of those that the log shows, and of
+	 * those that were only told: its own relay's, and some of relays that helped. A place
+	 * that was only told may never be written to, so it never pushes out one that the log
+	 * shows.
 	 */
-	private static final int COPIES = 2;
+	private static final int COPIES = 4;
 
 	private final long bound;
 
@@ -58,19 +63,25 @@
 	}
 
 	/**
-	 * Notes where the text of a turn is. Told again, the turn may have another place,
-	 * since a relay that helped wrote it too; who ran it stays known.
+	 * Notes where the text of a turn is. The turn may have several places, since relays
+	 * that helped wrote it too. Whoever told of it first ran it: others tell only what
+	 * they heard or adopted.
 	 * @param request the turn
 	 * @param place its place in the log
-	 * @param holder the relay that ran it, if it told so itself
+	 * @param teller the relay that told the place; empty if the log shows it
 	 */
-	void note(String request, TextPlace place, Optional<String> holder) {
-		Known before = this.places.getOrDefault(request, new Known(List.of(), Optional.empty()));
-		List<TextPlace> known = new ArrayList<>(before.places());
+	void note(String request, TextPlace place, Optional<String> teller) {
+		Known before = this.places.getOrDefault(request, Known.NOTHING);
+		Optional<String> holder = before.holder().or(() -> teller);
+		this.places.put(request, teller.isPresent() ? new Known(before.logged(), with(before.told(), place), holder)
+				: new Known(with(before.logged(), place), before.told(), holder));
+	}
+
+	private static List<TextPlace> with(List<TextPlace> places, TextPlace place) {
+		List<TextPlace> known = new ArrayList<>(places);
 		known.remove(place);
 		known.addFirst(place);
-		this.places.put(request,
-				new Known(known.subList(0, Math.min(known.size(), COPIES)), holder.or(before::holder)));
+		return known.subList(0, Math.min(known.size(), COPIES));
 	}
 
 	Optional<KeptTurn> text(String request) {
@@ -81,7 +92,7 @@
 	 * Returns where the log may have the text of a turn. A place that was told may not be
 	 * written to yet, so all that are known count.
 	 * @param request the turn
-	 * @return the places, the last told one first
+	 * @return the places, those that were only told first, of each the newest first
 	 */
 	List<TextPlace> places(String request) {
 		return Optional.ofNullable(this.places.get(request)).map(Known::places).orElse(List.of());
@@ -104,8 +115,15 @@
 	Chain chain(String previous) {
 		Deque<KeptTurn> found = new ArrayDeque<>();
 		List<String> elsewhere = new ArrayList<>();
+		Set<String> seen = new HashSet<>();
 		Optional<String> next = Optional.of(previous);
 		while (next.isPresent()) {
+			// Callers name their turns. One that used a name twice may have made a turn
+			// lead
+			// back to itself, and a walk along it would never end.
+			if (!seen.add(next.get())) {
+				return new Chain.Unknown();
+			}
 			KeptTurn text = this.texts.get(next.get());
 			Known known = this.places.get(next.get());
 			if (text == null && known == null) {
@@ -182,13 +200,21 @@
 	/**
 	 * Where the text of a turn is. Immutable.
 	 *
-	 * @param places its places in the log, the last told one first
+	 * @param logged its places that the log shows, the newest first
+	 * @param told its places that other relays told, the newest first
 	 * @param holder the relay that ran the turn
 	 */
-	private record Known(List<TextPlace> places, Optional<String> holder) {
+	private record Known(List<TextPlace> logged, List<TextPlace> told, Optional<String> holder) {
+
+		private static final Known NOTHING = new Known(List.of(), List.of(), Optional.empty());
 
 		private Known {
-			places = List.copyOf(places);
+			logged = List.copyOf(logged);
+			told = List.copyOf(told);
+		}
+
+		List<TextPlace> places() {
+			return Stream.concat(this.told.stream(), this.logged.stream()).distinct().toList();
 		}
 
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -83,7 +83,7 @@
 			this.state.unlogged.logBack(this.state.now);
 		}
 		this.state.logReadAt = this.state.now;
-		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.linked, this.state.now);
+		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.name, this.state.linked, this.state.now);
 		overdue.forEach((entry) -> this.state.emit(new RelayEffect.Write(entry)));
 		if (!overdue.isEmpty()) {
 			this.state.tell(RelayNotices.adopted(overdue.size()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -76,6 +76,7 @@
 			case RelayEvent.PlaceTold told -> this.ledger.placeTold(told);
 			case RelayEvent.PeerLinked linked -> this.site.linked(linked.peer());
 			case RelayEvent.PeerTold told -> this.site.told(told.peer(), told.others());
+			case RelayEvent.Opened opened -> this.state.name = opened.name();
 			case RelayEvent.PeerLost lost -> this.site.lost(lost.peer());
 			case RelayEvent.HelpAsked asked -> this.texts.helpAsked(asked);
 			case RelayEvent.ReachChanged changed -> this.site.reachChanged(changed.reach());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -356,6 +356,16 @@
 
 	}
 
+	/**
+	 * The relay has a port for the links of others.
+	 *
+	 * @param now when
+	 * @param name the name by which they know it
+	 */
+	record Opened(long now, String name) implements RelayEvent {
+
+	}
+
 	/**
 	 * A link to another relay is up, made by this one.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -22,6 +22,11 @@
  */
 final class RelayState {
 
+	/**
+	 * A time before all others of a steady clock.
+	 */
+	static final long NEVER = Long.MIN_VALUE / 2;
+
 	final int inputBytes;
 
 	final ProgramTokens tokens;
@@ -103,9 +108,14 @@
 	long textEnd = -1;
 
 	/**
-	 * How long the log took to store the last texts.
+	 * When the log was last slow to store texts of this relay.
+	 */
+	long logSlowAt = NEVER;
+
+	/**
+	 * The name by which other relays know this one; empty until it has a port for them.
 	 */
-	Duration logTook = Duration.ZERO;
+	String name = "";
 
 	Optional<RouteTable> table = Optional.empty();
 
@@ -142,8 +152,7 @@
 		this.turns = new KeptTurns(settings.turnBytes());
 		this.complete = settings.first();
 		this.random = new SplittableRandom(settings.seed());
-		this.unlogged = new UnloggedEntries(this.random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()),
-				this.random);
+		this.unlogged = new UnloggedEntries(this.random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()));
 		this.choice = new UpstreamChoice(settings.zone(), this.random);
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Silence.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Silence.java
@@ -64,7 +64,7 @@
 			lookAgain(exchange, left);
 			return false;
 		}
-		if (late > ON_TIME_MS) {
+		if (late > ON_TIME_MS && exchange.grace()) {
 			lookAgain(exchange, Math.min(late, patience));
 			return false;
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -31,6 +31,24 @@
 	 */
 	private static final Duration HOLDER_WAIT = Duration.ofMillis(30);
 
+	/**
+	 * The bytes of texts that a link carries in a millisecond, of those that a site's
+	 * smallest machines have: what it takes beyond that is waited for as well.
+	 */
+	private static final int LINK_BYTES_PER_MS = 1024;
+
+	/**
+	 * For how long it counts that the log was slow here: some turns are kept in that time
+	 * wherever callers keep any.
+	 */
+	private static final long SLOW_MS = 2000;
+
+	/**
+	 * About how many bytes of texts go out in one message, a small part of what may wait
+	 * on a link.
+	 */
+	private static final int MESSAGE_BYTES = 1024 * 1024;
+
 	/**
 	 * After what time texts that could not be read from the log are tried for again.
 	 */
@@ -63,7 +81,7 @@
 		exchange.become(Phase.ENDING);
 		this.state.turns.add(exchange.head().id(), text);
 		this.state.turns.note(exchange.head().id(), place, Optional.empty());
-		this.state.ending.put(exchange.head().id(), new Ending(exchange.number()));
+		this.state.ending.put(exchange.head().id(), new Ending(exchange.number(), text));
 		this.state.emit(new RelayEffect.StoreText(exchange.head().id(), text));
 		this.ends.settle(exchange, Optional.of(place));
 		Duration pause = (this.state.reach == Reach.LOG) ? RelaySettings.ALONE : RelaySettings.TELLING;
@@ -80,7 +98,8 @@
 	 */
 	void textsStored(RelayEvent.TextsStored stored) {
 		this.state.textEnd = Math.max(this.state.textEnd, stored.end());
-		this.state.logTook = stored.took();
+		boolean slow = stored.took().compareTo(RelaySettings.ALONE) > 0;
+		this.state.logSlowAt = slow ? stored.now() : RelayState.NEVER;
 		for (String request : stored.requests()) {
 			Optional.ofNullable(this.state.ending.get(request)).ifPresent((ending) -> ending.text = true);
 			Optional.ofNullable(this.state.helping.get(request)).ifPresent((helping) -> helping.text = true);
@@ -128,11 +147,11 @@
 	 * @param exchange the exchange
 	 */
 	void storeDue(Exchange exchange) {
-		Optional<KeptTurn> text = this.state.turns.text(exchange.head().id());
-		if (exchange.phase() != Phase.ENDING || text.isEmpty()) {
+		Ending ending = this.state.ending.get(exchange.head().id());
+		if (exchange.phase() != Phase.ENDING || ending == null) {
 			return;
 		}
-		this.state.emit(new RelayEffect.AskForHelp(this.ends.settlement(exchange, Optional.empty()), text.get()));
+		this.state.emit(new RelayEffect.AskForHelp(this.ends.settlement(exchange, Optional.empty()), ending.kept));
 		this.state.remind(exchange, RelaySettings.ALONE.multipliedBy(HELP_PAUSES), Reminder.STORED);
 	}
 
@@ -143,7 +162,7 @@
 	 */
 	void helpAsked(RelayEvent.HelpAsked asked) {
 		String request = asked.end().request();
-		boolean slow = this.state.logTook.compareTo(RelaySettings.ALONE) > 0;
+		boolean slow = this.state.now - this.state.logSlowAt < SLOW_MS;
 		boolean able = this.state.reach == Reach.LOG && this.state.textEnd >= 0 && !slow;
 		if (!able || this.state.helping.containsKey(request)) {
 			return;
@@ -192,7 +211,11 @@
 			return;
 		}
 		this.state.emit(new RelayEffect.AskTexts(holder.get(), elsewhere.turns()));
-		this.state.remind(exchange, HOLDER_WAIT, Reminder.TEXTS);
+		this.state.remind(exchange, HOLDER_WAIT.plusMillis(bytes(elsewhere) / LINK_BYTES_PER_MS), Reminder.TEXTS);
+	}
+
+	private long bytes(Chain.Elsewhere elsewhere) {
+		return elsewhere.turns().stream().mapToLong((turn) -> this.state.turns.places(turn).getFirst().bytes()).sum();
 	}
 
 	private void read(Exchange exchange, Chain.Elsewhere elsewhere) {
@@ -239,10 +262,20 @@
 
 	void asked(RelayEvent.TextsAsked asked) {
 		List<TurnText> found = new ArrayList<>();
+		int bytes = 0;
 		for (String request : asked.requests()) {
-			this.state.turns.text(request).ifPresent((text) -> found.add(new TurnText(request, text)));
+			Optional<KeptTurn> text = this.state.turns.text(request);
+			text.ifPresent((known) -> found.add(new TurnText(request, known)));
+			bytes += text.map(KeptTurn::size).orElse(0);
+			if (bytes > MESSAGE_BYTES) {
+				this.state.emit(new RelayEffect.TellTexts(asked.peer(), found));
+				found.clear();
+				bytes = 0;
+			}
+		}
+		if (!found.isEmpty()) {
+			this.state.emit(new RelayEffect.TellTexts(asked.peer(), found));
 		}
-		this.state.emit(new RelayEffect.TellTexts(asked.peer(), found));
 	}
 
 	void told(RelayEvent.TextsTold told) {
@@ -261,12 +294,15 @@
 
 		private final long exchange;
 
+		private final KeptTurn kept;
+
 		private boolean text;
 
 		private boolean entry;
 
-		Ending(long exchange) {
+		Ending(long exchange, KeptTurn kept) {
 			this.exchange = exchange;
+			this.kept = kept;
 		}
 
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.random.RandomGenerator;
+import java.util.SplittableRandom;
 import java.util.stream.Stream;
 
 /**
@@ -19,10 +19,10 @@
 final class UnloggedEntries {
 
 	/**
-	 * How many relays are to write an entry whose own relay lives, in the middle. Such a
-	 * relay tries to write it by itself, and the log may just be late: written by all who
-	 * were told, it would be later still. One that lives and does not reach the log needs
-	 * one other that does.
+	 * How many relays write an entry first whose own relay lives, and twice as many each
+	 * further time. Such a relay tries to write it by itself, and the log may just be
+	 * late: written by all who were told, it would be later still. One that lives and
+	 * does not reach the log needs one other that does.
 	 */
 	private static final int HELPERS = 2;
 
@@ -35,8 +35,6 @@
 
 	private final long patience;
 
-	private final RandomGenerator random;
-
 	private final Map<Key, Waiting> waiting = new LinkedHashMap<>();
 
 	private final LinkedHashSet<Key> logged = new LinkedHashSet<>();
@@ -45,11 +43,9 @@
 	 * Creates an empty collection.
 	 * @param spread what this relay waits longer than the first one, so that not all
 	 * write at once
-	 * @param random chooses the relays that write what a living one could not
 	 */
-	UnloggedEntries(long spread, RandomGenerator random) {
+	UnloggedEntries(long spread) {
 		this.patience = PATIENCE_MS + spread;
-		this.random = random;
 	}
 
 	void told(LedgerEntry entry, String teller, long now) {
@@ -57,7 +53,7 @@
 		if (this.logged.contains(key)) {
 			return;
 		}
-		this.waiting.putIfAbsent(key, new Waiting(entry, teller, now));
+		this.waiting.putIfAbsent(key, new Waiting(entry, teller, now, HELPERS));
 		if (this.waiting.size() > BOUND) {
 			this.waiting.remove(this.waiting.keySet().iterator().next());
 		}
@@ -110,33 +106,53 @@
 	/**
 	 * Returns the entries that the log should have shown by now and that this relay is to
 	 * write, and forgets them. Entries that others are to write wait once more.
+	 * @param own the name of this relay
 	 * @param linked the relays that this one is linked to
 	 * @param now when the log was read
 	 * @return the entries
 	 */
-	List<LedgerEntry> overdue(Set<String> linked, long now) {
-		List<LedgerEntry> overdue = new ArrayList<>();
-		for (Waiting next : List.copyOf(this.waiting.values())) {
+	List<LedgerEntry> overdue(String own, Set<String> linked, long now) {
+		List<Waiting> due = new ArrayList<>();
+		for (Waiting next : this.waiting.values()) {
 			if (now - next.since() < this.patience) {
 				break;
 			}
+			due.add(next);
+		}
+		List<LedgerEntry> overdue = new ArrayList<>();
+		for (Waiting next : due) {
 			this.waiting.remove(Key.of(next.entry()));
-			if (!linked.contains(next.teller()) || this.random.nextInt(linked.size()) < HELPERS) {
+			if (!linked.contains(next.teller()) || rank(next, own, linked) < next.helpers()) {
 				overdue.add(next.entry());
 				continue;
 			}
-			this.waiting.put(Key.of(next.entry()), new Waiting(next.entry(), next.teller(), now));
+			this.waiting.put(Key.of(next.entry()), next.again(now));
 		}
 		return overdue;
 	}
 
+	// All relays come to the same order without telling each other.
+	private static int rank(Waiting waiting, String own, Set<String> linked) {
+		int ownScore = score(waiting.entry(), own);
+		int before = 0;
+		for (String peer : linked) {
+			before += (!peer.equals(waiting.teller()) && score(waiting.entry(), peer) < ownScore) ? 1 : 0;
+		}
+		return before;
+	}
+
+	private static int score(LedgerEntry entry, String relay) {
+		long seed = ((long) entry.request().hashCode() << Integer.SIZE) ^ relay.hashCode();
+		return new SplittableRandom(seed).nextInt();
+	}
+
 	/**
 	 * Starts the time anew for all entries: the log could not be read until now, so none
 	 * had its time to show.
 	 * @param now when the log was read again
 	 */
 	void logBack(long now) {
-		this.waiting.replaceAll((key, entry) -> new Waiting(entry.entry(), entry.teller(), now));
+		this.waiting.replaceAll((key, entry) -> new Waiting(entry.entry(), entry.teller(), now, entry.helpers()));
 	}
 
 	int size() {
@@ -149,8 +165,13 @@
 	 * @param entry the entry
 	 * @param teller the relay that told it
 	 * @param since when its time began
+	 * @param helpers how many relays write it next while that one lives
 	 */
-	private record Waiting(LedgerEntry entry, String teller, long since) {
+	private record Waiting(LedgerEntry entry, String teller, long since, int helpers) {
+
+		Waiting again(long now) {
+			return new Waiting(this.entry, this.teller, now, 2 * this.helpers);
+		}
 
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeptTurnsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeptTurnsTests.java
@@ -54,6 +54,17 @@
 		assertThat(turns.chain("c")).isEqualTo(new Chain.Elsewhere(List.of("c", "a")));
 	}
 
+	// A caller gave two turns one name, and the second one continued the first. Walked
+	// along
+	// without end, the chain would stop the relay, and all others that were told of it.
+	@Test
+	void turnThatLeadsBackToItselfIsUnknown() {
+		KeptTurns turns = new KeptTurns(1000);
+		turns.note("a", RelayFixture.place("b"), Optional.empty());
+		turns.add("b", turn("a", "1", "2"));
+		assertThat(turns.chain("a")).isEqualTo(new Chain.Unknown());
+	}
+
 	@Test
 	void turnThatComesTwiceIsKeptOnce() {
 		KeptTurns turns = new KeptTurns(1000);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/LedgerRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/LedgerRulesTests.java
@@ -19,7 +19,7 @@
 	@Test
 	void entryOfARelayThatLivesIsWrittenByFewOthers() {
 		List<RelayFixture> relays = told();
-		assertThat(written(relays, 4_500)).isLessThan(RELAYS / 3);
+		assertThat(written(relays, 4_500)).isBetween(1, RELAYS / 3);
 		assertThat(written(relays, 20_000)).isPositive();
 	}
 
@@ -34,9 +34,12 @@
 		List<RelayFixture> relays = new ArrayList<>();
 		for (int seed = 0; seed < RELAYS; seed++) {
 			RelayFixture relay = RelayFixture.ready(seed);
+			relay.on(new RelayEvent.Opened(relay.now(), "relay" + seed));
 			relay.on(new RelayEvent.PeerLinked(relay.now(), "teller"));
-			for (int peer = 2; peer < RELAYS; peer++) {
-				relay.on(new RelayEvent.PeerLinked(relay.now(), "peer" + peer));
+			for (int peer = 0; peer < RELAYS; peer++) {
+				if (peer != seed) {
+					relay.on(new RelayEvent.PeerLinked(relay.now(), "relay" + peer));
+				}
 			}
 			relay.readFromLog();
 			relay.told(RelayFixture.kept("t1", null));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
@@ -1,9 +1,12 @@
 package io.lentilslip.core.relay;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -11,16 +14,16 @@
 
 class UnloggedEntriesTests {
 
-	private final UnloggedEntries entries = new UnloggedEntries(0, new SplittableRandom(1));
+	private final UnloggedEntries entries = new UnloggedEntries(0);
 
 	private final LedgerEntry entry = RelayFixture.kept("t", null);
 
 	@Test
 	void entryIsOverdueOnceTheLogHadItsTime() {
 		this.entries.told(this.entry, "x", 0);
-		assertThat(this.entries.overdue(Set.of(), 1_499)).isEmpty();
-		assertThat(this.entries.overdue(Set.of(), 1_500)).containsExactly(this.entry);
-		assertThat(this.entries.overdue(Set.of(), 9_000)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), 1_499)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), 1_500)).containsExactly(this.entry);
+		assertThat(this.entries.overdue("own", Set.of(), 9_000)).isEmpty();
 	}
 
 	// The log shows an entry before the link brings it. Kept then, it would be written a
@@ -45,8 +48,8 @@
 	void timeBeginsAnewWhenTheLogIsBack() {
 		this.entries.told(this.entry, "x", 0);
 		this.entries.logBack(5_000);
-		assertThat(this.entries.overdue(Set.of(), 6_000)).isEmpty();
-		assertThat(this.entries.overdue(Set.of(), 6_500)).hasSize(1);
+		assertThat(this.entries.overdue("own", Set.of(), 6_000)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), 6_500)).hasSize(1);
 	}
 
 	@Test
@@ -60,4 +63,28 @@
 		assertThat(this.entries.all()).containsExactly(reserved, kept, settled, other);
 	}
 
+	// A relay lives and does not reach the log. Thirty others were told what it gave, and
+	// when the longest of their patience is over, at least one of them has tried to write
+	// each entry: what none has written is given again after the loss of all relays.
+	@Test
+	void entryOfARelayThatLivesIsWrittenByAnotherWithinThePatienceOfAll() {
+		int relays = 30;
+		int entriesTold = 1000;
+		SplittableRandom random = new SplittableRandom(5);
+		Set<String> all = IntStream.range(0, relays).mapToObj((peer) -> "p" + peer).collect(Collectors.toSet());
+		Set<String> written = new HashSet<>();
+		for (int relay = 1; relay < relays; relay++) {
+			String own = "p" + relay;
+			Set<String> linked = new HashSet<>(all);
+			linked.remove(own);
+			UnloggedEntries others = new UnloggedEntries(random.nextLong(RelaySettings.ADOPTION_SPREAD.toMillis()));
+			IntStream.range(0, entriesTold)
+				.forEach((turn) -> others.told(RelayFixture.kept("t" + turn, null), "p0", 0));
+			for (long now = 0; now <= 4_000; now += 80) {
+				others.overdue(own, linked, now).forEach((entry) -> written.add(entry.request()));
+			}
+		}
+		assertThat(written).hasSize(entriesTold);
+	}
+
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -158,8 +158,8 @@
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::read, this::caughtUp,
 				this.reachability::storeAnswered, this.reachability::alone);
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPart(),
-				this::textsStored, this.reachability::storeAnswered, givenUp::add);
-		this.textReader = new TextReader(this.store, this.reachability::storeAnswered);
+				this::textsStored, givenUp::add);
+		this.textReader = new TextReader(this.store);
 	}
 
 	/**
@@ -175,6 +175,7 @@
 		this.loop.execute(() -> {
 			this.name = open.name();
 			this.peers.name(this.name);
+			on(new RelayEvent.Opened(this.timers.now(), this.name));
 			follow();
 		});
 		return open;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -32,16 +32,12 @@
 
 	private final Store store;
 
-	private final Consumer<Boolean> health;
-
 	/**
 	 * Creates a reader.
 	 * @param store the store
-	 * @param health takes whether the store answered a call as it should
 	 */
-	public TextReader(Store store, Consumer<Boolean> health) {
+	public TextReader(Store store) {
 		this.store = store;
-		this.health = health;
 	}
 
 	/**
@@ -95,7 +91,6 @@
 		}
 
 		private void take(TextPlace place, Store.Read outcome) {
-			TextReader.this.health.accept(!(outcome instanceof Store.Read.Failed));
 			switch (outcome) {
 				case Store.Read.Failed ignored -> next();
 				case Store.Read.Deleted deleted -> look(place, deleted.first());
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 
@@ -41,11 +40,10 @@
 	 * @param random spreads out tries
 	 * @param part the partition to which texts are written
 	 * @param listener takes what the store has
-	 * @param health takes whether the store answered a call as it should
 	 * @param givenUp takes how many texts wait no longer, at each write that drops any
 	 */
 	public TextWriter(Store store, Timers timers, RandomGenerator random, int part, Listener listener,
-			Consumer<Boolean> health, IntConsumer givenUp) {
+			IntConsumer givenUp) {
 		this.store = store;
 		this.timers = timers;
 		this.part = part;
@@ -53,7 +51,11 @@
 		this.pauses = new Pauses(random);
 		this.queue = new AppendQueue<>((records, then) -> store.appendTexts(part, records, then), timers, random,
 				WAITING_BYTES, (turns, offset, took) -> listener.stored(Set.copyOf(turns), offset + turns.size(), took),
-				health, givenUp);
+				(well) -> {
+					// A partition of the texts says nothing of the one that the order of
+					// turns is read
+					// from: only that decides what this relay reaches.
+				}, givenUp);
 	}
 
 	/**
@@ -61,11 +63,15 @@
 	 * told to look from there on.
 	 */
 	public void start() {
-		this.store.readTexts(this.part, 0, 0, (outcome) -> {
+		askEnd(0);
+	}
+
+	private void askEnd(long from) {
+		this.store.readTexts(this.part, from, 0, (outcome) -> {
 			switch (outcome) {
 				case Store.Read.Records records -> this.listener.stored(Set.of(), records.end(), Duration.ZERO);
-				case Store.Read.Deleted deleted -> this.listener.stored(Set.of(), deleted.first(), Duration.ZERO);
-				case Store.Read.Failed ignored -> this.timers.after(this.pauses.next(), this::start);
+				case Store.Read.Deleted deleted -> askEnd(deleted.first());
+				case Store.Read.Failed ignored -> this.timers.after(this.pauses.next(), () -> askEnd(from));
 			}
 		});
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
@@ -20,7 +20,7 @@
 
 	final List<Long> reads = new ArrayList<>();
 
-	final List<Integer> bytesRead = new ArrayList<>();
+	final List<Integer> textBytes = new ArrayList<>();
 
 	final Deque<Consumer<Read>> readAnswers = new ArrayDeque<>();
 
@@ -43,7 +43,7 @@
 
 	@Override
 	public void readTexts(int part, long from, int bytes, Consumer<Read> then) {
-		this.bytesRead.add(bytes);
+		this.textBytes.add(bytes);
 		read(Topic.TEXTS, from, Duration.ZERO, then);
 	}
 
