--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/HttpPort.java
@@ -22,10 +22,14 @@
 import io.lentilslip.core.configuration.Endpoint;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -34,6 +38,7 @@
 import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
 import io.netty.handler.codec.http.multipart.HttpDataFactory;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.ImmediateEventExecutor;
 
 /**
  * A port whose requests a Jooby application answers. Routes run on the event loop of
@@ -58,6 +63,8 @@
 
 	private final Map<String, Connection> connections = new ConcurrentHashMap<>();
 
+	private final ChannelGroup accepted = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+
 	private final AtomicBoolean closed = new AtomicBoolean();
 
 	private final CompletableFuture<Void> finished = new CompletableFuture<>();
@@ -179,17 +186,11 @@
 		this.binding.listener.close().addListener((done) -> {
 			this.binding.finishing = true;
 			drain();
-			completeIfEmpty();
+			this.accepted.newCloseFuture().addListener((ended) -> this.finished.complete(null));
 		});
 		return this.finished.copy();
 	}
 
-	private void completeIfEmpty() {
-		if (this.binding.finishing && this.connections.isEmpty()) {
-			this.finished.complete(null);
-		}
-	}
-
 	/**
 	 * Stops listening, closes all connections and waits until no route runs any more. A
 	 * second call does nothing.
@@ -271,6 +272,7 @@
 			this.listener = new ServerBootstrap().group(HttpPort.this.loops)
 				.channel(NioServerSocketChannel.class)
 				.option(ChannelOption.SO_REUSEADDR, true)
+				.handler(new Acceptance())
 				.childOption(ChannelOption.TCP_NODELAY, true)
 				.childHandler(new Pipeline(application, this))
 				.bind(this.endpoint.ip(), this.endpoint.port())
@@ -290,6 +292,23 @@
 
 	}
 
+	/**
+	 * Notes connections as they are accepted. Each is set up later, on its own thread;
+	 * counted only then, one that is accepted just before the port stops listening would
+	 * be missed, and the process would end under it. This runs on the thread that also
+	 * stops the listening, so once that is done no connection is missing here. Used by
+	 * the event loop of the listener.
+	 */
+	private final class Acceptance extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			HttpPort.this.accepted.add((Channel) message);
+			context.fireChannelRead(message);
+		}
+
+	}
+
 	/**
 	 * The pipeline of a connection, from bytes to the application's routes. Runs on the
 	 * event loop of the connection.
@@ -334,11 +353,14 @@
 
 		private void register(SocketChannel channel, Connection connection) {
 			HttpPort.this.connections.put(connection.name(), connection);
-			channel.closeFuture().addListener((end) -> {
-				HttpPort.this.connections.remove(connection.name());
-				completeIfEmpty();
-			});
-			if (this.binding.draining) {
+			channel.closeFuture().addListener((end) -> HttpPort.this.connections.remove(connection.name()));
+			if (this.binding.finishing) {
+				// Accepted before the port stopped listening and set up after it ended
+				// its connections: nothing else would end this one before its idle time.
+				// It is put into the map first, so either that or this sees it.
+				connection.drain();
+			}
+			else if (this.binding.draining) {
 				connection.endAfterNextAnswer();
 			}
 		}
