--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ConnectionTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ConnectionTests.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.lentilslip.core.call.CallFailure;
+import io.lentilslip.core.call.FailureCause;
 import io.lentilslip.core.entry.EntryEffect;
 import io.lentilslip.core.entry.EntryEvent;
 import io.lentilslip.core.entry.Ticket;
@@ -152,6 +154,8 @@
 
 	// A process drains while a caller waits for its answer and another connection is
 	// idle. The idle one ends, the answer comes whole, and its connection ends after it.
+	// A caller is connected before the port has its connection, so the drain waits here:
+	// one that the port takes only after a drain is kept, as the next test holds.
 	@Test
 	void drainingEndsConnectionsAfterTheirAnswers() throws Exception {
 		try (ScriptedEntry entry = ScriptedEntry.following((event) -> List.of());
@@ -159,6 +163,9 @@
 				Socket idle = entry.connect()) {
 			send(busy, post(BODY));
 			Ticket ticket = entry.next(EntryEvent.CallArrived.class).ticket();
+			while (entry.port().connections() < 2) {
+				Thread.onSpinWait();
+			}
 			entry.port().drain();
 			assertThat(receive(idle)).isEmpty();
 			entry.port()
@@ -167,6 +174,29 @@
 		}
 	}
 
+	// A caller is connected, and the process drains before the port has set that up. The
+	// port can't tell the connection from one that came after the drain, so it stays open
+	// for one request: cut off, the caller would not know whether that ran.
+	@Test
+	void connectionSetUpAfterADrainEndsAfterItsAnswer() throws Exception {
+		HeldSetUp setUp = new HeldSetUp();
+		try (ScriptedEntry entry = ScriptedEntry.within(setUp,
+				(event) -> List.of(ScriptedEntry.failed(ScriptedEntry.ticketOf(event),
+						CallFailure.notRun(FailureCause.STOPPING, "this entry is stopping"))));
+				setUp) {
+			setUp.holdNext();
+			try (Socket late = entry.connect()) {
+				setUp.awaitHeld();
+				entry.port().drain();
+				setUp.release();
+				send(late, post(BODY));
+				String response = receive(late);
+				assertRefusal(response, 503);
+				assertThat(response).containsIgnoringCase("connection: close");
+			}
+		}
+	}
+
 	private static String head(String header) {
 		return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n" + header
 				+ "\r\n\r\n";
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ScriptedEntry.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.lentilslip.core.call.Answer;
 import io.lentilslip.core.call.CallFailure;
@@ -51,23 +52,27 @@
 
 	private volatile boolean refusing;
 
-	private ScriptedEntry(HttpLimits limits, Optional<Configuration> configuration, Script script) {
+	private ScriptedEntry(Supplier<HttpLimits> limits, Optional<Configuration> configuration, Script script) {
 		this.script = script;
 		CallerDesk desk = new CallerDesk(new Incarnation(7), this, () -> configuration, InstantSource.system(),
 				() -> 1L);
-		this.port = CallerPort.open(new Endpoint("127.0.0.1", 0), () -> limits, 2, desk);
+		this.port = CallerPort.open(new Endpoint("127.0.0.1", 0), limits, 2, desk);
 	}
 
 	static ScriptedEntry following(Script script) {
-		return new ScriptedEntry(HttpLimits.DEFAULT, Optional.empty(), script);
+		return new ScriptedEntry(() -> HttpLimits.DEFAULT, Optional.empty(), script);
 	}
 
 	static ScriptedEntry within(HttpLimits limits, Script script) {
+		return within(() -> limits, script);
+	}
+
+	static ScriptedEntry within(Supplier<HttpLimits> limits, Script script) {
 		return new ScriptedEntry(limits, Optional.empty(), script);
 	}
 
 	static ScriptedEntry configured(Configuration configuration) {
-		return new ScriptedEntry(HttpLimits.DEFAULT, Optional.of(configuration), (event) -> List.of());
+		return new ScriptedEntry(() -> HttpLimits.DEFAULT, Optional.of(configuration), (event) -> List.of());
 	}
 
 	static EntryEffect failed(Ticket ticket, CallFailure failure) {
