--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ConnectionTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/http/ConnectionTests.java
@@ -174,6 +174,40 @@
 		}
 	}
 
+	// A process drains while a stream is under way. Its head has left and promised that
+	// the connection is kept, so nothing but the end of the connection after the stream
+	// drains it; else it stays open for as long as a caller may be silent.
+	@Test
+	void drainingEndsTheConnectionOfAStreamThatBeganBefore() throws Exception {
+		try (ScriptedEntry entry = ScriptedEntry
+			.following((event) -> List.of(new EntryEffect.Deliver(ScriptedEntry.ticketOf(event), "go")));
+				Socket socket = entry.connect()) {
+			send(socket, post(STREAM));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			Ticket ticket = entry.next(EntryEvent.CallArrived.class).ticket();
+			entry.port().drain();
+			entry.port()
+				.run((EntryEffect.Complete) ScriptedEntry.answered(ticket, "{\"content\":\"good day\"}", "stop"));
+			assertThat(receive(socket)).contains("[DONE]");
+		}
+	}
+
+	// A process drains after an answer that its caller has not read whole. The connection
+	// carries no call any more and can't be closed yet, so its end must follow the last
+	// byte; else the process waits for it for as long as a caller may be silent.
+	@Test
+	void drainingEndsAConnectionWhoseAnswerIsStillBeingRead() throws Exception {
+		String text = "x".repeat(16 << 20);
+		try (ScriptedEntry entry = ScriptedEntry.following((event) -> List
+			.of(ScriptedEntry.answered(ScriptedEntry.ticketOf(event), "{\"content\":\"" + text + "\"}", "stop")));
+				Socket socket = entry.connect()) {
+			send(socket, post(BODY));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			entry.port().drain();
+			assertThat(receive(socket)).hasSizeGreaterThan(text.length());
+		}
+	}
+
 	// A caller is connected, and the process drains before the port has set that up. The
 	// port can't tell the connection from one that came after the drain, so it stays open
 	// for one request: cut off, the caller would not know whether that ran.
