--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Connection.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/http/Connection.java
@@ -309,6 +309,17 @@
 		if (message instanceof LastHttpContent) {
 			this.exchange = Optional.empty();
 			this.budget.free();
+			written.addListener((sent) -> closeIfDrained());
+		}
+	}
+
+	// A drain that comes after the head of an answer finds no header to end the
+	// connection by, nor may it close it before the last byte has left. Without this the
+	// connection would stay open until its idle time and hold up the end of the process.
+	// Each answer ends here, so none is missed; a request that follows is answered first.
+	private void closeIfDrained() {
+		if (this.draining) {
+			closeIfUnused();
 		}
 	}
 
