--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -61,7 +61,7 @@
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.texts::entryStored);
 			case RelayEvent.TextsStored stored -> this.texts.textsStored(stored);
-			case RelayEvent.Helped helped -> helped.requests().forEach(this.texts::helped);
+			case RelayEvent.Helped helped -> helped.requests().forEach(this.texts::end);
 			case RelayEvent.TextsAsked asked -> this.texts.asked(asked);
 			case RelayEvent.TextsTold told -> {
 				this.texts.told(told);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -59,6 +59,11 @@
 	 */
 	static final int PLACING = 1024;
 
+	/**
+	 * How many turns of other relays are written for them at once.
+	 */
+	static final int HELPING = 1024;
+
 	/**
 	 * How long a turn then waits on for the log, where it or another relay reaches it.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -83,9 +83,15 @@
 	final Map<Long, Exchange> waiting = new LinkedHashMap<>();
 
 	/**
-	 * The turns that are written for other relays, by request.
+	 * The turns that are written for other relays, by request. Bounded: the oldest are
+	 * given up, and their relays ask again.
 	 */
-	final Map<String, TextRules.Helping> helping = new LinkedHashMap<>();
+	final Map<String, TextRules.Helping> helping = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, TextRules.Helping> eldest) {
+			return size() > RelaySettings.HELPING;
+		}
+	};
 
 	/**
 	 * The turns whose texts are being read from the log. Each reading ends, found or not.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -125,15 +125,15 @@
 		}
 		Ending ending = this.state.ending.get(request);
 		if (ending != null && ending.text && ending.entry) {
-			helped(request);
+			end(request);
 		}
 	}
 
 	/**
-	 * Takes that the log has a turn of this relay, by whoever wrote it.
+	 * Passes on the end of a turn of this relay, which the log has now, whoever wrote it.
 	 * @param request the turn
 	 */
-	void helped(String request) {
+	void end(String request) {
 		Ending ending = this.state.ending.get(request);
 		if (ending != null) {
 			this.ends.endStream(this.state.exchanges.get(ending.exchange));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -17,8 +17,8 @@
 
 /**
  * The link over which this relay tells another one what it writes. It is made anew while
- * the other relay is known; what was sent on a lost link comes to the other relay by the
- * log. Used by the event loop's thread.
+ * the other relay is known; entries that were sent on a lost link come to the other relay
+ * by the log, and texts are asked for again. Used by the event loop's thread.
  */
 final class PeerLink {
 
