--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -247,4 +247,12 @@
 		return of(effects, RelayEffect.Write.class).stream().map(RelayEffect.Write::entry).toList();
 	}
 
+	static LedgerEntry.Settled settled(List<RelayEffect> effects) {
+		return written(effects).stream()
+			.filter(LedgerEntry.Settled.class::isInstance)
+			.map(LedgerEntry.Settled.class::cast)
+			.findFirst()
+			.orElseThrow();
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -314,7 +314,7 @@
 		LedgerEntry other = new LedgerEntry.Reserved("t2", "p", 100, "", List.of(), true);
 		List<RelayEffect> effects = relay.readFromLog(other, own);
 		assertThat(refusal(effects)).contains(Refusal.BUDGET_SPENT);
-		assertThat(settled(effects).tokens()).isZero();
+		assertThat(RelayFixture.settled(effects).tokens()).isZero();
 	}
 
 	// All relays are lost, and the log was written to until then: no outage came before,
@@ -361,7 +361,7 @@
 		assertThat(refusal(relay.remind(Reminder.ORDER))).isEmpty();
 		List<RelayEffect> effects = relay.remind(Reminder.ORDER);
 		assertThat(refusal(effects)).contains(Refusal.LOG_LOST);
-		assertThat(settled(effects).tokens()).isZero();
+		assertThat(RelayFixture.settled(effects).tokens()).isZero();
 	}
 
 	// The store turns this relay away. Of a turn near the end of its budget the other
@@ -379,7 +379,7 @@
 		assertThat(sends(asked)).isEmpty();
 		List<RelayEffect> due = relay.remind(Reminder.ORDER);
 		assertThat(refusal(due)).contains(Refusal.LOG_LOST);
-		assertThat(settled(due).tokens()).isZero();
+		assertThat(RelayFixture.settled(due).tokens()).isZero();
 		assertThat(sends(relay.askTurn("t3", "draft", RelayFixture.turn("r", 1000, 100, null)))).hasSize(1);
 	}
 
@@ -403,7 +403,7 @@
 		relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 100, false, 4));
 		List<RelayEffect> told = relay.on(new RelayEvent.TakenTold(relay.now(), "a", "t1", 300, false, 4));
 		assertThat(refusal(told)).contains(Refusal.LOG_LOST);
-		assertThat(settled(told).tokens()).isZero();
+		assertThat(RelayFixture.settled(told).tokens()).isZero();
 	}
 
 	// The store turns this relay away and serves another, which asks the log in its
@@ -583,8 +583,8 @@
 		relay.event(1, 1);
 		relay.event(1, 2);
 		List<RelayEffect> effects = relay.fail(1, FailureCause.BROKEN);
-		assertThat(settled(effects).tokens()).isEqualTo(2 * RelayFixture.TOKENS_PER_EVENT);
-		assertThat(settled(effects).text()).isEmpty();
+		assertThat(RelayFixture.settled(effects).tokens()).isEqualTo(2 * RelayFixture.TOKENS_PER_EVENT);
+		assertThat(RelayFixture.settled(effects).text()).isEmpty();
 		assertThat(RelayFixture.of(effects, RelayEffect.BreakOff.class)).hasSize(1);
 	}
 
@@ -686,13 +686,4 @@
 		return RelayFixture.of(effects, RelayEffect.Refuse.class).stream().map(RelayEffect.Refuse::refusal).findFirst();
 	}
 
-	private static LedgerEntry.Settled settled(List<RelayEffect> effects) {
-		return RelayFixture.written(effects)
-			.stream()
-			.filter(LedgerEntry.Settled.class::isInstance)
-			.map(LedgerEntry.Settled.class::cast)
-			.findFirst()
-			.orElseThrow();
-	}
-
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -70,7 +70,7 @@
 		assertThat(RelayFixture.of(atEnd, RelayEffect.EndStream.class)).isEmpty();
 		assertThat(RelayFixture.of(atEnd, RelayEffect.StoreText.class)).singleElement()
 			.satisfies((store) -> assertThat(new String(store.text().output())).isEqualTo("piece 1\n"));
-		assertThat(settled(atEnd).text().map(TextPlace::part)).contains(RelayFixture.PART);
+		assertThat(RelayFixture.settled(atEnd).text().map(TextPlace::part)).contains(RelayFixture.PART);
 		assertThat(ends(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1"))))).isEmpty();
 		assertThat(ends(relay.on(textsStored(relay, "t1")))).hasSize(1);
 	}
@@ -118,8 +118,8 @@
 		RelayFixture relay = RelayFixture.ready();
 		RelayEvent.HelpAsked asked = helpAsked(relay, "t1");
 		List<RelayEffect> helping = relay.on(asked);
-		assertThat(settled(helping).tokens()).isEqualTo(10);
-		assertThat(settled(helping).text().map(TextPlace::part)).contains(RelayFixture.PART);
+		assertThat(RelayFixture.settled(helping).tokens()).isEqualTo(10);
+		assertThat(RelayFixture.settled(helping).text().map(TextPlace::part)).contains(RelayFixture.PART);
 		assertThat(RelayFixture.of(helping, RelayEffect.StoreText.class)).hasSize(1);
 		assertThat(relay.on(asked)).isEmpty();
 		assertThat(relay.on(new RelayEvent.Stored(relay.now(), Set.of("t1")))).isEmpty();
@@ -298,13 +298,4 @@
 		return RelayFixture.of(effects, RelayEffect.Refuse.class).stream().map(RelayEffect.Refuse::refusal).findFirst();
 	}
 
-	private static LedgerEntry.Settled settled(List<RelayEffect> effects) {
-		return RelayFixture.written(effects)
-			.stream()
-			.filter(LedgerEntry.Settled.class::isInstance)
-			.map(LedgerEntry.Settled.class::cast)
-			.findFirst()
-			.orElseThrow();
-	}
-
 }
