--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Silence.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Silence.java
@@ -17,7 +17,8 @@
 	 * By how much a look may be late. A timer that is later shows that this relay did not
 	 * run: the answer may lie unread in its socket, and sent again the request would add
 	 * to the load that made the relay late. The next look comes after the relay has had
-	 * as long to read as it was late.
+	 * as long to read as it was late; once for each attempt, since a relay may always be
+	 * late.
 	 */
 	private static final long ON_TIME_MS = 20;
 
