--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
@@ -118,9 +118,8 @@
 		Set<String> seen = new HashSet<>();
 		Optional<String> next = Optional.of(previous);
 		while (next.isPresent()) {
-			// Callers name their turns. One that used a name twice may have made a turn
-			// lead
-			// back to itself, and a walk along it would never end.
+			// Callers name their turns. One that used a name twice may have made a
+			// turn lead back to itself, and a walk along it would never end.
 			if (!seen.add(next.get())) {
 				return new Chain.Unknown();
 			}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -63,10 +63,9 @@
 			this.ends.refuse(exchange, Refusal.TOO_LONG, Optional.empty());
 			return;
 		}
-		// Where a text stands is told before it is written: told by a relay that does not
-		// know the end of its partition, others would look for it from the first record
-		// on,
-		// and give up before they find it.
+		// Where a text stands is told before it is written. Told by a relay that does
+		// not know the end of its partition, others would look for it from the first
+		// record on, and give up before they find it.
 		boolean placeUnknown = exchange.route().keepsTurns() && this.state.textEnd < 0;
 		if (!this.state.caughtUp || placeUnknown) {
 			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.KeptTurns.Chain;
@@ -101,8 +102,7 @@
 		boolean slow = stored.took().compareTo(RelaySettings.ALONE) > 0;
 		this.state.logSlowAt = slow ? stored.now() : RelayState.NEVER;
 		for (String request : stored.requests()) {
-			Optional.ofNullable(this.state.ending.get(request)).ifPresent((ending) -> ending.text = true);
-			Optional.ofNullable(this.state.helping.get(request)).ifPresent((helping) -> helping.text = true);
+			storing(request).forEach((turn) -> turn.text = true);
 			endIfStored(request);
 		}
 	}
@@ -112,19 +112,25 @@
 	 * @param request the turn
 	 */
 	void entryStored(String request) {
-		Optional.ofNullable(this.state.ending.get(request)).ifPresent((ending) -> ending.entry = true);
-		Optional.ofNullable(this.state.helping.get(request)).ifPresent((helping) -> helping.entry = true);
+		storing(request).forEach((turn) -> turn.entry = true);
 		endIfStored(request);
 	}
 
+	private Stream<Storing> storing(String request) {
+		return Stream
+			.of(Optional.ofNullable(this.state.ending.get(request)),
+					Optional.ofNullable(this.state.helping.get(request)))
+			.flatMap(Optional::stream);
+	}
+
 	private void endIfStored(String request) {
 		Helping helping = this.state.helping.get(request);
-		if (helping != null && helping.text && helping.entry) {
+		if (helping != null && helping.whole()) {
 			this.state.helping.remove(request);
 			this.state.emit(new RelayEffect.TellStored(helping.peer, request));
 		}
 		Ending ending = this.state.ending.get(request);
-		if (ending != null && ending.text && ending.entry) {
+		if (ending != null && ending.whole()) {
 			end(request);
 		}
 	}
@@ -288,18 +294,29 @@
 	}
 
 	/**
-	 * What the log has of a turn that this relay ran. Used by one thread.
+	 * What the log has of a turn. Used by one thread.
 	 */
-	static final class Ending {
-
-		private final long exchange;
-
-		private final KeptTurn kept;
+	private abstract static sealed class Storing {
 
 		private boolean text;
 
 		private boolean entry;
 
+		boolean whole() {
+			return this.text && this.entry;
+		}
+
+	}
+
+	/**
+	 * A turn that this relay ran. Used by one thread.
+	 */
+	static final class Ending extends Storing {
+
+		private final long exchange;
+
+		private final KeptTurn kept;
+
 		Ending(long exchange, KeptTurn kept) {
 			this.exchange = exchange;
 			this.kept = kept;
@@ -308,17 +325,12 @@
 	}
 
 	/**
-	 * What the log has of a turn that this relay writes for another one. Used by one
-	 * thread.
+	 * A turn that this relay writes for another one. Used by one thread.
 	 */
-	static final class Helping {
+	static final class Helping extends Storing {
 
 		private final String peer;
 
-		private boolean text;
-
-		private boolean entry;
-
 		Helping(String peer) {
 			this.peer = peer;
 		}
