--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -419,10 +419,11 @@
 	 * Written for each turn that a relay did not decide alone; {@code REASON} says who
 	 * did, {@code COUNT} how many other relays had answered.
 	 */
-	TURN_DECIDED(4023, Level.INFO, "The log or other relays decided whether a program's budget holds a turn.",
-			"Nothing; the reason MAJORITY tells that the log was out of reach.", FieldName.REQUEST, FieldName.PROGRAM,
-			FieldName.REASON, FieldName.COUNT, FieldName.VERDICT, FieldName.TOKENS, FieldName.LIMIT,
-			FieldName.MILLISECONDS),
+	TURN_DECIDED(4023, Level.INFO,
+			"The log or other relays decided whether a program's budget holds a turn; that its keepers found room is told by E4022.",
+			"Nothing; the reason MAJORITY tells that the log was out of reach, LOG that two keepers did not answer.",
+			FieldName.REQUEST, FieldName.PROGRAM, FieldName.REASON, FieldName.COUNT, FieldName.VERDICT,
+			FieldName.TOKENS, FieldName.LIMIT, FieldName.MILLISECONDS),
 
 	/**
 	 * Written once for each group and period.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerHead.java
@@ -60,6 +60,14 @@
 	 */
 	public record Load(int running, int waiting) {
 
+		/**
+		 * Returns how many requests the upstream has.
+		 * @return those that run and those that wait
+		 */
+		int requests() {
+			return this.running + this.waiting;
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
@@ -47,7 +48,8 @@
 		AnswerHead head = answered.head();
 		Optional<Known> known = this.state.known(exchange);
 		this.state.upstreams.ended(exchange.head().id());
-		known.ifPresent((upstream) -> head.load().ifPresent((load) -> upstream.reported(load, this.state.now)));
+		known.ifPresent((upstream) -> head.load()
+			.ifPresent((load) -> this.state.upstreams.reported(upstream, load.requests(), this.state.now)));
 		if (head.notRun()) {
 			if (head.misdirected()) {
 				misdirected(exchange);
@@ -87,6 +89,10 @@
 
 	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
 		exchange.mayRun();
+		this.state.known(exchange)
+			.ifPresent((known) -> opened.head()
+				.load()
+				.ifPresent((load) -> this.state.upstreams.reported(known, load.requests(), this.state.now)));
 		if (!opened.head().signed()) {
 			failed(exchange, FailureCause.UNREADABLE);
 			return;
@@ -158,8 +164,9 @@
 		}
 		String upstream = exchange.upstream().get().life();
 		this.state.blames.add(exchange.asked().digest(), upstream);
-		this.state.emit(new RelayEffect.Write(
-				new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream)));
+		this.state.emit(
+				new RelayEffect.Write(new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream),
+						List.copyOf(this.state.linked)));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -12,12 +12,14 @@
 import io.lentilslip.core.relay.RequestHead.Turn;
 
 /**
- * Whether a program's budget holds a turn. Far from the end of the budget a relay decides
- * alone; near it the log's order decides; and without the log a majority of the relays,
- * within half of the budget. That half is what a program may have been given without a
- * trace if all relays are lost before the log is back, so a relay that may have missed
- * such turns counts it as spent, but for the one turn by which a budget may be passed.
- * Used by one thread.
+ * Whether a program's budget holds a turn. A majority of the relays that keep the program
+ * decides: each of them holds the turn back before it answers, so of two turns that are
+ * asked for at once at least one is seen by the other. Without that majority the log's
+ * order decides, and without the log a majority of all relays, within half of the budget.
+ * A relay that knows of no others decides alone far from the end of the budget. That half
+ * is what a program may have been given without a trace if all relays are lost before the
+ * log is back, so a relay that may have missed such turns counts it as spent, but for the
+ * one turn by which a budget may be passed. Used by one thread.
  */
 final class BudgetRules {
 
@@ -51,6 +53,10 @@
 			return Admission.ADMITTED;
 		}
 		Turn turn = exchange.head().turn().orElseThrow();
+		if (this.state.keepers.known()) {
+			boolean spent = this.state.tokens.spent(turn.program()) + turn.most() > budget.getAsLong();
+			return spent ? Admission.REFUSED : Admission.CONTENDING;
+		}
 		long taken = this.state.tokens.taken(turn.program()) + missed(turn.most(), budget.getAsLong());
 		if (taken + turn.most() > budget.getAsLong()) {
 			return Admission.REFUSED;
@@ -76,50 +82,123 @@
 	}
 
 	/**
-	 * Has the log's order decide on a turn, or the other relays.
+	 * Has the keepers of its program decide on a turn, or the log's order, or the other
+	 * relays.
 	 * @param exchange the exchange
+	 * @return whether the budget holds the turn, or empty if that is not decided yet
 	 */
-	void contend(Exchange exchange) {
+	Optional<Boolean> contend(Exchange exchange) {
 		exchange.become(Phase.WAITING_FOR_ORDER);
+		if (this.state.reach == Reach.NOTHING) {
+			// Refused at once, the caller has time for a relay that can know.
+			this.ends.giveUp(exchange, Refusal.LOG_LOST);
+			return Optional.empty();
+		}
+		if (this.state.keepers.known()) {
+			return askKeepers(exchange);
+		}
+		if (this.state.reach == Reach.LOG) {
+			contendInLog(exchange);
+		}
+		else {
+			askRelays(exchange);
+		}
+		return Optional.empty();
+	}
+
+	private Optional<Boolean> askKeepers(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		List<String> keepers = this.state.keepers.of(turn.program());
+		Poll poll = new Poll(exchange.number(), exchange.head().id(), keepers);
+		hold(exchange, turn, poll);
+		if (keepers.contains(this.state.name)) {
+			if (this.state.sure()) {
+				poll.answered(this.state.name, this.state.tokens.taken(turn.program()));
+			}
+			else {
+				poll.unsure++;
+			}
+		}
+		List<String> others = this.state.otherKeepers(turn.program());
+		if (!others.isEmpty()) {
+			this.state.emit(new RelayEffect.AskTaken(others, exchange.head().id(), turn.program(), turn.most(),
+					turn.budget().orElseThrow()));
+			this.state.remind(exchange, RelaySettings.KEEPERS_WAIT, Reminder.ORDER);
+		}
+		return byKeepers(exchange, poll);
+	}
+
+	private void hold(Exchange exchange, Turn turn, Poll poll) {
+		exchange.reserve();
+		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		this.state.polls.put(exchange.head().id(), poll);
+	}
+
+	private Optional<Boolean> byKeepers(Exchange exchange, Poll poll) {
+		if (!poll.majority()) {
+			if (poll.hopeless()) {
+				widen(exchange, poll);
+			}
+			return Optional.empty();
+		}
+		Turn turn = exchange.head().turn().orElseThrow();
+		long budget = turn.budget().orElseThrow();
+		boolean log = this.state.reach == Reach.LOG;
+		boolean held = poll.most <= (log ? budget : withoutLog(turn.most(), budget));
+		if (held || log) {
+			decided(exchange, Decider.KEEPERS, held);
+			return Optional.of(held);
+		}
+		widen(exchange, poll);
+		return Optional.empty();
+	}
+
+	// What the keepers can't decide, the log does, and without it the other relays: one
+	// of them may reach it.
+	private void widen(Exchange exchange, Poll poll) {
 		switch (this.state.reach) {
-			case LOG -> contendInLog(exchange);
+			case LOG -> {
+				poll.stage = Poll.Stage.LOG;
+				contendInLog(exchange);
+			}
 			case RELAYS -> askRelays(exchange);
-			// Refused at once, the caller has time for a relay that can know.
-			case NOTHING -> this.ends.giveUp(exchange, Refusal.LOG_LOST);
+			case NOTHING -> this.ends.orderLost(exchange);
 		}
 	}
 
 	private void contendInLog(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		this.state.contending.put(exchange.head().id(), exchange.number());
-		this.state.emit(new RelayEffect.Write(
-				new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), true)));
+		this.state.write(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), true));
 		this.state.remind(exchange, RelaySettings.ORDER_PATIENCE, Reminder.ORDER);
 	}
 
 	/**
-	 * Asks the other relays what is taken of the budget, after the turn is held back here
-	 * and they were told so. Of two relays that do this at once, at least one hears of
-	 * the other's turn: each is answered by a majority, a relay that is in both counts
-	 * what it is told before it answers, and both hold their turns back before they ask.
+	 * Asks all other relays what is taken of a program's budget, after the turn is held
+	 * back here. Of two relays that do this at once, at least one hears of the other's
+	 * turn: each is answered by a majority, a relay that is in both counts what it is
+	 * told before it answers, and both hold their turns back before they ask. One of
+	 * those that answer keeps the program, so that what its keepers decided before is
+	 * seen too.
 	 * @param exchange the exchange
 	 */
 	private void askRelays(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		exchange.reserve();
-		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.state.polls.put(exchange.head().id(), new Poll(exchange.number()));
-		this.state.emit(new RelayEffect.Write(
-				new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false)));
-		this.state.emit(new RelayEffect.AskTaken(exchange.head().id(), turn.program(), turn.most(),
+		Poll poll = Optional.ofNullable(this.state.polls.get(exchange.head().id()))
+			.orElseGet(() -> new Poll(exchange.number(), exchange.head().id(), List.of()));
+		poll.askAll(this.state.name);
+		exchange.askAll();
+		hold(exchange, turn, poll);
+		this.state.write(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false));
+		this.state.emit(new RelayEffect.AskTaken(List.of(), exchange.head().id(), turn.program(), turn.most(),
 				turn.budget().orElseThrow()));
 		this.state.remind(exchange, RelaySettings.RELAYS_WAIT, Reminder.ORDER);
 	}
 
 	/**
-	 * Looks at a turn that has waited for its place in the log, or for other relays. A
-	 * log that is slow or just gone is found out here first, so the others are asked
-	 * before the turn is given up.
+	 * Looks at a turn that has waited for its keepers, its place in the log, or other
+	 * relays. A log that is slow or just gone is found out here first, so the others are
+	 * asked before the turn is given up.
 	 * @param exchange the exchange
 	 */
 	void orderDue(Exchange exchange) {
@@ -127,7 +206,11 @@
 			return;
 		}
 		Poll poll = this.state.polls.get(exchange.head().id());
-		if (poll == null && this.state.reach != Reach.NOTHING) {
+		if (poll != null && poll.stage == Poll.Stage.KEEPERS) {
+			widen(exchange, poll);
+			return;
+		}
+		if ((poll == null || poll.stage == Poll.Stage.LOG) && this.state.reach != Reach.NOTHING) {
 			askRelays(exchange);
 			return;
 		}
@@ -148,13 +231,28 @@
 	 */
 	boolean ordered(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), turn.budget().orElseThrow());
+		long budget = turn.budget().orElseThrow();
+		Optional<Poll> poll = Optional.ofNullable(this.state.polls.get(exchange.head().id()));
+		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), budget)
+				&& poll.filter((known) -> !holds(known, turn)).isEmpty();
 		exchange.reserve();
 		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
 		decided(exchange, Decider.LOG, held);
 		return held;
 	}
 
+	// Keepers of the program decide on other turns meanwhile, which come into the log a
+	// moment later. One keeper that answered knows of them; where none has, as many may
+	// be missing as begin at once.
+	private boolean holds(Poll poll, Turn turn) {
+		long budget = turn.budget().orElseThrow();
+		if (poll.heard()) {
+			return poll.most <= budget;
+		}
+		long atOnce = (long) RelaySettings.TURNS_AT_ONCE * turn.most();
+		return this.state.tokens.takenWithout(turn.program(), poll.request) + atOnce <= budget + turn.most();
+	}
+
 	private boolean holds(String request, String program, int most, long budget) {
 		return this.state.tokens.takenWithout(program, request) + missed(most, budget) + most <= budget;
 	}
@@ -166,12 +264,27 @@
 	 */
 	Optional<Boolean> told(RelayEvent.TakenTold told) {
 		Poll poll = this.state.polls.get(told.request());
-		if (poll == null) {
+		if (poll == null || poll.stage == Poll.Stage.LOG) {
 			return Optional.empty();
 		}
-		poll.answers++;
-		poll.most = Math.max(poll.most, told.tokens());
 		Exchange exchange = this.state.exchanges.get(poll.exchange);
+		poll.answered(told.peer(), told.tokens());
+		return (poll.stage == Poll.Stage.KEEPERS) ? byKeepers(exchange, poll) : byRelays(exchange, poll, told);
+	}
+
+	/**
+	 * Takes that another relay can't answer a question of this one.
+	 * @param unsure what it said
+	 */
+	void unsure(RelayEvent.TakenUnsure unsure) {
+		Poll poll = this.state.polls.get(unsure.request());
+		if (poll != null && poll.stage == Poll.Stage.KEEPERS) {
+			poll.unsure++;
+			byKeepers(this.state.exchanges.get(poll.exchange), poll);
+		}
+	}
+
+	private Optional<Boolean> byRelays(Exchange exchange, Poll poll, RelayEvent.TakenTold told) {
 		// Where one reaches the log, others may give turns there that no majority knows
 		// of, so the log decides for all. One relay is asked for a place, since each call
 		// of the log is priced; if it does not answer, the next one is.
@@ -181,7 +294,7 @@
 				askPlace(exchange, poll);
 			}
 		}
-		if (poll.log() || poll.answers < (told.others() + 1) / 2) {
+		if (poll.log() || !poll.byKeeper || poll.answers < (told.others() + 1) / 2) {
 			return Optional.empty();
 		}
 		Turn turn = exchange.head().turn().orElseThrow();
@@ -207,6 +320,22 @@
 		return Optional.of(exchange);
 	}
 
+	/**
+	 * Returns whether the keepers of a program leave room for a turn that has a place in
+	 * the log. The relay that got it the place need not be one of them, and what relays
+	 * without the log have given is not there.
+	 * @param told what the other relay read
+	 * @return whether they do, as far as they answered
+	 */
+	boolean leavesRoom(RelayEvent.PlaceTold told) {
+		Poll poll = this.state.polls.get(told.request());
+		if (poll == null || poll.keepers.isEmpty()) {
+			return true;
+		}
+		Turn turn = this.state.exchanges.get(poll.exchange).head().turn().orElseThrow();
+		return poll.most <= turn.budget().orElseThrow();
+	}
+
 	private void askPlace(Exchange exchange, Poll poll) {
 		if (poll.placed < poll.placers.size()) {
 			Turn turn = exchange.head().turn().orElseThrow();
@@ -219,28 +348,39 @@
 	private void decided(Exchange exchange, Decider by, boolean held) {
 		Poll poll = this.state.polls.remove(exchange.head().id());
 		this.state.contending.remove(exchange.head().id());
+		if (by == Decider.KEEPERS && held) {
+			// The ordinary case, which the placing of the turn tells.
+			return;
+		}
 		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers : 0, held, this.state));
 	}
 
 	/**
-	 * Answers another relay that can't ask the log. One that may miss turns itself does
-	 * not answer: it would tell less than is taken. One that reaches the log gets the
-	 * turn a place there if it is asked to.
+	 * Answers another relay's question: holds its turn back, and says what is taken. One
+	 * that may miss turns itself says so: it would tell less than is taken. One that
+	 * reaches the log gets the turn a place there if it is asked to.
 	 * @param asked the question
 	 */
 	void asked(RelayEvent.TakenAsked asked) {
-		if (!this.state.caughtUp || this.state.stale || !this.state.complete) {
+		if (asked.place()) {
+			if (this.state.sure()) {
+				this.state.placing.put(asked.request(), asked);
+				this.state.write(new Reserved(asked.request(), asked.program(), asked.most(), "", List.of(), true));
+			}
 			return;
 		}
-		if (asked.place()) {
-			this.state.placing.put(asked.request(), asked);
-			this.state.emit(new RelayEffect.Write(
-					new Reserved(asked.request(), asked.program(), asked.most(), "", List.of(), true)));
+		this.state.tokens.reserve(asked.program(), asked.request(), asked.most());
+		this.state.unlogged.told(new Reserved(asked.request(), asked.program(), asked.most(), "", List.of(), false),
+				asked.peer(), asked.now());
+		if (!this.state.sure()) {
+			this.state.emit(new RelayEffect.TellUnsure(asked.peer(), asked.request()));
 			return;
 		}
+		boolean log = this.state.reach == Reach.LOG;
 		this.state
 			.emit(new RelayEffect.TellTaken(asked.peer(), asked.request(), this.state.tokens.taken(asked.program()),
-					this.state.reach == Reach.LOG, this.state.unlogged.of(asked.program())));
+					log, log ? List.of() : this.state.unlogged.of(asked.program()),
+					this.state.upstreams.newestLoads(asked.now())));
 	}
 
 	/**
@@ -282,6 +422,11 @@
 	 */
 	enum Decider {
 
+		/**
+		 * A majority of the relays that keep the program.
+		 */
+		KEEPERS,
+
 		/**
 		 * The log, read by this relay.
 		 */
@@ -306,8 +451,18 @@
 
 		private final long exchange;
 
+		private final String request;
+
+		private final List<String> keepers;
+
+		private Stage stage = Stage.KEEPERS;
+
 		private int answers;
 
+		private int unsure;
+
+		private boolean byKeeper;
+
 		private long most;
 
 		private final List<String> placers = new ArrayList<>();
@@ -316,18 +471,80 @@
 
 		private boolean extended;
 
-		Poll(long exchange) {
+		Poll(long exchange, String request, List<String> keepers) {
 			this.exchange = exchange;
+			this.request = request;
+			this.keepers = keepers;
+			this.byKeeper = keepers.isEmpty();
 		}
 
 		long exchange() {
 			return this.exchange;
 		}
 
+		/**
+		 * Returns why the turn is refused if its budget is told not to hold it.
+		 * @return the refusal: without the log only a part of the budget is given
+		 */
+		Refusal otherwise() {
+			return (this.stage == Stage.KEEPERS) ? Refusal.BUDGET_SPENT : Refusal.LOG_LOST;
+		}
+
+		private void answered(String relay, long tokens) {
+			this.answers++;
+			this.byKeeper = this.byKeeper || this.keepers.contains(relay);
+			this.most = Math.max(this.most, tokens);
+		}
+
+		// Those that can't say what is taken have noted the turn all the same.
+		private boolean heard() {
+			return this.answers > 0 || hopeless();
+		}
+
+		private int needed() {
+			return this.keepers.size() / 2 + 1;
+		}
+
+		private void askAll(String own) {
+			this.stage = Stage.RELAYS;
+			this.answers = 0;
+			this.byKeeper = this.keepers.isEmpty() || this.keepers.contains(own);
+		}
+
+		private boolean majority() {
+			return this.answers >= needed();
+		}
+
+		private boolean hopeless() {
+			return this.keepers.size() - this.unsure < needed();
+		}
+
 		boolean log() {
 			return !this.placers.isEmpty();
 		}
 
+		/**
+		 * Whose answer is waited for. Safe for use by several threads.
+		 */
+		private enum Stage {
+
+			/**
+			 * That of the relays that keep the program.
+			 */
+			KEEPERS,
+
+			/**
+			 * That of the log's order.
+			 */
+			LOG,
+
+			/**
+			 * That of all other relays.
+			 */
+			RELAYS
+
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -57,6 +57,8 @@
 
 	private boolean extended;
 
+	private boolean askedAll;
+
 	Exchange(RelayEvent.Asked asked, Route route) {
 		this.asked = asked;
 		this.route = route;
@@ -162,6 +164,18 @@
 		return first;
 	}
 
+	/**
+	 * Returns whether all relays hold the turn back, and not its keepers alone.
+	 * @return whether they do
+	 */
+	boolean askedAll() {
+		return this.askedAll;
+	}
+
+	void askAll() {
+		this.askedAll = true;
+	}
+
 	OptionalLong lastEvent() {
 		return this.lastEvent;
 	}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Keepers.java
@@ -0,0 +1,103 @@
+package io.lentilslip.core.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Which relays keep the state of a program: each turn is told to them alone, so that what
+ * a relay sends and is sent grows with its own turns and not with the number of relays.
+ * All relays that know the same members come to the same keepers without telling each
+ * other (rendezvous hashing), and a member that comes or goes moves only the programs
+ * that it keeps. Relays with more processor keep more. Used by one thread.
+ */
+final class Keepers {
+
+	/**
+	 * How many relays keep a program: with three, any two majorities share one, and one
+	 * may be lost or late.
+	 */
+	static final int COUNT = 3;
+
+	private List<Member> members = List.of();
+
+	private Set<String> addresses = Set.of();
+
+	void list(List<Member> listed) {
+		this.members = List.copyOf(listed);
+		Set<String> known = new HashSet<>();
+		listed.forEach((member) -> known.add(member.address()));
+		this.addresses = Set.copyOf(known);
+	}
+
+	/**
+	 * Returns whether any members are known.
+	 * @return whether they are
+	 */
+	boolean known() {
+		return !this.members.isEmpty();
+	}
+
+	Set<String> all() {
+		return this.addresses;
+	}
+
+	/**
+	 * Returns whether a relay is a member.
+	 * @param address its address
+	 * @return whether it is
+	 */
+	boolean knows(String address) {
+		return this.addresses.contains(address);
+	}
+
+	/**
+	 * Returns the relays that keep a program, in the order in which they step in for each
+	 * other. Keepers of one program are in different availability zones as far as there
+	 * are enough: a zone that fails takes one of them.
+	 * @param program the program
+	 * @return the addresses; empty while no members are known
+	 */
+	List<String> of(String program) {
+		List<Scored> ranked = new ArrayList<>(this.members.size());
+		for (Member member : this.members) {
+			ranked.add(new Scored(member, score(program, member)));
+		}
+		ranked.sort(Comparator.comparingDouble(Scored::score).thenComparing((scored) -> scored.member().address()));
+		List<String> chosen = new ArrayList<>(COUNT);
+		Set<String> zones = new HashSet<>();
+		for (Scored next : ranked) {
+			if (chosen.size() < COUNT && zones.add(next.member().zone())) {
+				chosen.add(next.member().address());
+			}
+		}
+		for (Scored next : ranked) {
+			if (chosen.size() < COUNT && !chosen.contains(next.member().address())) {
+				chosen.add(next.member().address());
+			}
+		}
+		return chosen;
+	}
+
+	// Exponentially distributed with the weight as its rate: the smallest of several is a
+	// member's as often as its part of all weights.
+	private static double score(String program, Member member) {
+		long seed = ((long) program.hashCode() << Integer.SIZE) ^ member.address().hashCode();
+		double uniform = 1 - new SplittableRandom(seed).nextDouble();
+		return -Math.log(uniform) / member.weight();
+	}
+
+	/**
+	 * A member with its score for one program. Immutable.
+	 *
+	 * @param member the member
+	 * @param score the score; the smallest comes first
+	 */
+	private record Scored(Member member, double score) {
+
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/KeptTurns.java
@@ -64,15 +64,15 @@
 
 	/**
 	 * Notes where the text of a turn is. The turn may have several places, since relays
-	 * that helped wrote it too. Whoever told of it first ran it: others tell only what
-	 * they heard or adopted.
+	 * that helped wrote it too. Where the place does not say who ran the turn, whoever
+	 * told of it first did: others tell only what they heard or adopted.
 	 * @param request the turn
 	 * @param place its place in the log
 	 * @param teller the relay that told the place; empty if the log shows it
 	 */
 	void note(String request, TextPlace place, Optional<String> teller) {
 		Known before = this.places.getOrDefault(request, Known.NOTHING);
-		Optional<String> holder = before.holder().or(() -> teller);
+		Optional<String> holder = before.holder().or(place::holder).or(() -> teller);
 		this.places.put(request, teller.isPresent() ? new Known(before.logged(), with(before.told(), place), holder)
 				: new Known(with(before.logged(), place), before.told(), holder));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -4,9 +4,10 @@
 import java.util.Optional;
 
 /**
- * What relays write down for each other: once in the platform's log, and at once over
- * their links. Taking an entry twice, or in another order, leads to the same state, since
- * both ways bring the same entries. Immutable and safe for use by several threads.
+ * What relays write down for each other: once in the platform's log, and at once over the
+ * links to those that keep the program. Taking an entry twice, or in another order, leads
+ * to the same state, since both ways bring the same entries. Immutable and safe for use
+ * by several threads.
  */
 public sealed interface LedgerEntry {
 
@@ -16,6 +17,18 @@
 	 */
 	String request();
 
+	/**
+	 * Returns the program that the entry is about.
+	 * @return the program, or empty if it is about none
+	 */
+	default Optional<String> ofProgram() {
+		return switch (this) {
+			case Reserved reserved -> Optional.of(reserved.program());
+			case Settled settled -> Optional.of(settled.program());
+			case Blamed ignored -> Optional.empty();
+		};
+	}
+
 	/**
 	 * A turn is about to run, and its most tokens are held back from its program's
 	 * budget.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -60,11 +60,17 @@
 	void takenTold(RelayEvent.TakenTold told) {
 		BudgetRules.Poll poll = this.state.polls.get(told.request());
 		this.budgets.told(told)
-			.ifPresent((held) -> dispatchIf(this.state.exchanges.get(poll.exchange()), held, Refusal.LOG_LOST));
+			.ifPresent((held) -> dispatchIf(this.state.exchanges.get(poll.exchange()), held, poll.otherwise()));
+	}
+
+	void takenUnsure(RelayEvent.TakenUnsure unsure) {
+		this.budgets.unsure(unsure);
 	}
 
 	void placeTold(RelayEvent.PlaceTold told) {
-		this.budgets.placeTold(told).ifPresent((exchange) -> dispatchIf(exchange, told.held(), Refusal.BUDGET_SPENT));
+		boolean held = told.held() && this.budgets.leavesRoom(told);
+		this.budgets.placeTold(told)
+			.ifPresent((exchange) -> dispatchIf(exchange, held, told.held() ? Refusal.LOG_LOST : Refusal.BUDGET_SPENT));
 	}
 
 	void caughtUp(RelayEvent.CaughtUp event) {
@@ -75,6 +81,9 @@
 		this.state.caughtUpAt = event.now();
 		this.state.caughtUp = true;
 		this.state.stale = false;
+		if (!this.state.complete && !this.state.logWasRecent) {
+			this.state.emit(new RelayEffect.AskUnlogged());
+		}
 		this.requests.dispatchWaiting();
 	}
 
@@ -83,13 +92,18 @@
 			this.state.unlogged.logBack(this.state.now);
 		}
 		this.state.logReadAt = this.state.now;
-		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.name, this.state.linked, this.state.now);
-		overdue.forEach((entry) -> this.state.emit(new RelayEffect.Write(entry)));
+		List<LedgerEntry> overdue = this.state.unlogged.overdue(this.state.name, this.state.linked, this::holders,
+				this.state.now);
+		overdue.forEach(this.state::write);
 		if (!overdue.isEmpty()) {
 			this.state.tell(RelayNotices.adopted(overdue.size()));
 		}
 	}
 
+	private List<String> holders(LedgerEntry entry) {
+		return entry.ofProgram().map(this.state.keepers::of).orElse(List.of());
+	}
+
 	private void reserved(LedgerEntry.Reserved reserved, boolean fromLog) {
 		if (fromLog) {
 			this.budgets.placed(reserved);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
@@ -32,6 +32,17 @@
 		return (account != null) ? account.spent + account.held : 0;
 	}
 
+	/**
+	 * Returns what a program has been given for sure: turns that may still run or end
+	 * don't count, so it only ever grows.
+	 * @param program the program
+	 * @return the tokens
+	 */
+	long spent(String program) {
+		Account account = this.accounts.get(program);
+		return (account != null) ? account.spent : 0;
+	}
+
 	/**
 	 * Returns what is spent or held back of a program's budget, but for one turn.
 	 * @param program the program
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -73,6 +73,10 @@
 			}
 			case RelayEvent.TakenAsked asked -> this.budgets.asked(asked);
 			case RelayEvent.TakenTold told -> this.ledger.takenTold(told);
+			case RelayEvent.TakenUnsure unsure -> this.ledger.takenUnsure(unsure);
+			case RelayEvent.LoadsTold told -> this.state.upstreams.told(told.loads(), event.now());
+			case RelayEvent.RelaysListed read -> this.state.keepers.list(read.members());
+			case RelayEvent.UnloggedAsked asked -> this.site.tellUnlogged(asked.peer());
 			case RelayEvent.PlaceTold told -> this.ledger.placeTold(told);
 			case RelayEvent.PeerLinked linked -> this.site.linked(linked.peer());
 			case RelayEvent.PeerTold told -> this.site.told(told.peer(), told.others());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -100,11 +100,22 @@
 	}
 
 	/**
-	 * Write an entry to the log and tell the other relays.
+	 * Write an entry to the log, and tell it to relays that can't wait for it to be
+	 * there.
 	 *
 	 * @param entry the entry
+	 * @param tell the relays that are told
 	 */
-	record Write(LedgerEntry entry) implements RelayEffect {
+	record Write(LedgerEntry entry, List<String> tell) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param entry the entry
+		 * @param tell the relays that are told
+		 */
+		public Write {
+			tell = List.copyOf(tell);
+		}
 
 	}
 
@@ -196,15 +207,28 @@
 	}
 
 	/**
-	 * Ask all other relays what is taken of a program's budget, after they have been told
-	 * all that was written so far.
+	 * Ask other relays what is taken of a program's budget, and have them hold a turn
+	 * back from it.
 	 *
+	 * @param peers the relays; empty for all
 	 * @param request the turn that is to run
 	 * @param program the program
 	 * @param most the most tokens of the turn
 	 * @param budget the program's budget
 	 */
-	record AskTaken(String request, String program, int most, long budget) implements RelayEffect {
+	record AskTaken(List<String> peers, String request, String program, int most, long budget) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peers the relays; empty for all
+		 * @param request the turn that is to run
+		 * @param program the program
+		 * @param most the most tokens of the turn
+		 * @param budget the program's budget
+		 */
+		public AskTaken {
+			peers = List.copyOf(peers);
+		}
 
 	}
 
@@ -230,9 +254,10 @@
 	 * @param tokens the tokens that are spent or held back
 	 * @param log whether this relay reaches the log, and can get the turn a place there
 	 * @param entries entries of the program that the log has not shown
+	 * @param loads what upstreams said of their load last
 	 */
-	record TellTaken(String peer, String request, long tokens, boolean log,
-			List<LedgerEntry> entries) implements RelayEffect {
+	record TellTaken(String peer, String request, long tokens, boolean log, List<LedgerEntry> entries,
+			List<UpstreamLoad> loads) implements RelayEffect {
 
 		/**
 		 * Creates an effect.
@@ -242,11 +267,44 @@
 		 * @param log whether this relay reaches the log, and can get the turn a place
 		 * there
 		 * @param entries entries of the program that the log has not shown
+		 * @param loads what upstreams said of their load last
 		 */
 		public TellTaken {
 			entries = List.copyOf(entries);
+			loads = List.copyOf(loads);
 		}
 
+		/**
+		 * Creates an effect that tells nothing of upstreams.
+		 * @param peer the other relay
+		 * @param request the turn for which it asked
+		 * @param tokens the tokens that are spent or held back
+		 * @param log whether this relay reaches the log, and can get the turn a place
+		 * there
+		 * @param entries entries of the program that the log has not shown
+		 */
+		public TellTaken(String peer, String request, long tokens, boolean log, List<LedgerEntry> entries) {
+			this(peer, request, tokens, log, entries, List.of());
+		}
+
+	}
+
+	/**
+	 * Tell another relay that its turn is held back here, and that this relay may miss
+	 * turns and can't say what is taken.
+	 *
+	 * @param peer the other relay
+	 * @param request the turn for which it asked
+	 */
+	record TellUnsure(String peer, String request) implements RelayEffect {
+
+	}
+
+	/**
+	 * Ask all other relays for what they know beyond the log.
+	 */
+	record AskUnlogged() implements RelayEffect {
+
 	}
 
 	/**
@@ -261,7 +319,8 @@
 	}
 
 	/**
-	 * Tell another relay all that this one knows beyond the log.
+	 * Tell another relay what this one knows beyond the log of programs that the other
+	 * one keeps.
 	 *
 	 * @param peer the other relay
 	 * @param entries entries of others that the log has not shown
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -345,6 +345,65 @@
 
 	}
 
+	/**
+	 * Another relay can't tell what is taken of a program's budget: it may miss turns.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param request the turn for which it was asked
+	 */
+	record TakenUnsure(long now, String peer, String request) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay has passed on what upstreams said of their load.
+	 *
+	 * @param now when
+	 * @param loads what they said
+	 */
+	record LoadsTold(long now, List<UpstreamLoad> loads) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param loads what they said
+		 */
+		public LoadsTold {
+			loads = List.copyOf(loads);
+		}
+
+	}
+
+	/**
+	 * The relays of the site were listed anew.
+	 *
+	 * @param now when
+	 * @param members all of them, this one included
+	 */
+	record RelaysListed(long now, List<Member> members) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param members all of them, this one included
+		 */
+		public RelaysListed {
+			members = List.copyOf(members);
+		}
+
+	}
+
+	/**
+	 * Another relay, which may miss turns, asks for what the log has not shown.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 */
+	record UnloggedAsked(long now, String peer) implements RelayEvent {
+
+	}
+
 	/**
 	 * Another relay has read from the log whether a program's budget holds a turn.
 	 *
@@ -367,7 +426,7 @@
 	}
 
 	/**
-	 * A link to another relay is up, made by this one.
+	 * A link to another relay is up, whichever made it.
 	 *
 	 * @param now when
 	 * @param peer the other relay
@@ -377,7 +436,7 @@
 	}
 
 	/**
-	 * A link that this relay had made to another one is lost.
+	 * The link to another relay is over.
 	 *
 	 * @param now when
 	 * @param peer the other relay
@@ -510,7 +569,8 @@
 		TEXTS,
 
 		/**
-		 * The log should have told whether the budget holds the turn.
+		 * The keepers of the program, the log or other relays should have told whether
+		 * the budget holds the turn.
 		 */
 		ORDER,
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -6,6 +6,7 @@
  * What one relay is set to. Immutable and safe for use by several threads.
  *
  * @param zone its availability zone
+ * @param weight its part of the processors of the site, relative to the weights of others
  * @param seed the seed of its random choices
  * @param turnBytes the most bytes of turns' text that it has in memory
  * @param inputBytes the most bytes of the input of a turn that is kept, so that it and
@@ -15,8 +16,8 @@
  * @param first whether the whole site starts for the first time, so that nothing was
  * given before
  */
-public record RelaySettings(String zone, long seed, long turnBytes, int inputBytes, int programs, int textPart,
-		boolean first) {
+public record RelaySettings(String zone, int weight, long seed, long turnBytes, int inputBytes, int programs,
+		int textPart, boolean first) {
 
 	/**
 	 * The part of a route's target within which a turn whose chain is not found is
@@ -25,6 +26,12 @@
 	 */
 	static final int CHAIN_WAIT_PART = 5;
 
+	/**
+	 * How long a turn waits for the relays that keep its program before the log is asked:
+	 * several times what a message to another zone and back takes.
+	 */
+	static final Duration KEEPERS_WAIT = Duration.ofMillis(30);
+
 	/**
 	 * How long a turn waits for its place in the log before the other relays are asked
 	 * too: several times what the log takes on a good day, a part of what a target
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -39,6 +40,11 @@
 
 	final UnloggedEntries unlogged;
 
+	/**
+	 * Which relays keep which program.
+	 */
+	final Keepers keepers = new Keepers();
+
 	final Silence silence = new Silence(this);
 
 	final SplittableRandom random;
@@ -166,6 +172,45 @@
 		this.effects.add(effect);
 	}
 
+	/**
+	 * Writes an entry that nobody has to know before the log shows it.
+	 * @param entry the entry
+	 */
+	void write(LedgerEntry entry) {
+		emit(new RelayEffect.Write(entry, List.of()));
+	}
+
+	/**
+	 * Writes an entry of a program, and tells it to the other relays that keep the
+	 * program.
+	 * @param entry the entry
+	 * @param program the program
+	 */
+	void writeAndTell(LedgerEntry entry, String program) {
+		emit(new RelayEffect.Write(entry, otherKeepers(program)));
+	}
+
+	List<String> otherKeepers(String program) {
+		return withoutOwn(this.keepers.of(program));
+	}
+
+	List<String> others() {
+		return withoutOwn(this.keepers.all());
+	}
+
+	private List<String> withoutOwn(Collection<String> relays) {
+		return relays.stream().filter((relay) -> !relay.equals(this.name)).toList();
+	}
+
+	/**
+	 * Returns whether this relay knows all that other relays gave to programs, as far as
+	 * it was told.
+	 * @return whether it does
+	 */
+	boolean sure() {
+		return this.caughtUp && !this.stale && this.complete;
+	}
+
 	void tell(Notice notice) {
 		emit(new RelayEffect.Tell(notice));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -113,8 +113,14 @@
 					return;
 				}
 				case CONTENDING -> {
-					this.budgets.contend(exchange);
-					return;
+					Optional<Boolean> held = this.budgets.contend(exchange);
+					if (held.isEmpty()) {
+						return;
+					}
+					if (!held.get()) {
+						this.ends.giveUp(exchange, Refusal.BUDGET_SPENT);
+						return;
+					}
 				}
 				case ADMITTED -> {
 				}
@@ -182,7 +188,7 @@
 		Upstream upstream = known.upstream();
 		exchange.sentTo(upstream, this.state.now);
 		this.state.tell(RelayNotices.placed(exchange, weighed, this.state));
-		this.state.upstreams.began(exchange.head().id(), known, this.state.now);
+		this.state.upstreams.sent(exchange.head().id(), known, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		known.read(prompt, this.state.memory(upstream));
 		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
@@ -197,8 +203,8 @@
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
 		exchange.reserve();
 		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.state.emit(new RelayEffect.Write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(),
-				turn.most(), upstream.life(), prompt, false)));
+		this.state.write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), upstream.life(),
+				prompt, false));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -119,12 +119,29 @@
 	}
 
 	/**
-	 * Tells another relay what is known here beyond the log.
+	 * Takes that another relay is linked, and tells it what it may not have heard while
+	 * it was not.
 	 * @param peer the other relay
 	 */
 	void linked(String peer) {
 		this.state.linked.add(peer);
-		this.state.emit(new RelayEffect.TellUnlogged(peer, this.state.unlogged.all(), this.state.complete));
+		tellUnlogged(peer);
+	}
+
+	/**
+	 * Tells another relay what is known here beyond the log of programs that it keeps.
+	 * @param peer the other relay
+	 */
+	void tellUnlogged(String peer) {
+		List<LedgerEntry> entries = this.state.unlogged.all();
+		if (this.state.keepers.knows(peer)) {
+			entries = entries.stream()
+				.filter((entry) -> entry.ofProgram()
+					.filter((program) -> this.state.keepers.of(program).contains(peer))
+					.isPresent())
+				.toList();
+		}
+		this.state.emit(new RelayEffect.TellUnlogged(peer, entries, this.state.complete));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -78,7 +78,7 @@
 	void ended(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		KeptTurn text = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
-		TextPlace place = place(text);
+		TextPlace place = place(text, this.state.name);
 		exchange.become(Phase.ENDING);
 		this.state.turns.add(exchange.head().id(), text);
 		this.state.turns.note(exchange.head().id(), place, Optional.empty());
@@ -89,8 +89,9 @@
 		this.state.remind(exchange, pause, Reminder.STORED);
 	}
 
-	private TextPlace place(KeptTurn text) {
-		return new TextPlace(text.previous(), text.size(), this.state.textPart, this.state.textEnd);
+	private TextPlace place(KeptTurn text, String holder) {
+		return new TextPlace(text.previous(), text.size(), this.state.textPart, this.state.textEnd,
+				Optional.of(holder).filter((name) -> !name.isEmpty()));
 	}
 
 	/**
@@ -173,12 +174,13 @@
 		if (!able || this.state.helping.containsKey(request)) {
 			return;
 		}
-		TextPlace place = place(asked.text());
+		TextPlace place = place(asked.text(), asked.peer());
 		this.state.turns.note(request, place, Optional.of(asked.peer()));
 		this.state.helping.put(request, new Helping(asked.peer()));
 		this.state.emit(new RelayEffect.StoreText(request, asked.text()));
-		this.state.emit(new RelayEffect.Write(
-				new LedgerEntry.Settled(request, asked.end().program(), asked.end().tokens(), Optional.of(place))));
+		this.state.writeAndTell(
+				new LedgerEntry.Settled(request, asked.end().program(), asked.end().tokens(), Optional.of(place)),
+				asked.end().program());
 	}
 
 	/**
@@ -211,7 +213,7 @@
 		}
 		exchange.bring();
 		Optional<String> holder = this.state.turns.holder(elsewhere.turns().getFirst())
-			.filter(this.state.linked::contains);
+			.filter((relay) -> this.state.linked.contains(relay) || this.state.keepers.knows(relay));
 		if (holder.isEmpty()) {
 			read(exchange, elsewhere);
 			return;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import java.util.stream.Stream;
 
 /**
@@ -65,7 +66,7 @@
 	 * @return the entries, the oldest first
 	 */
 	List<LedgerEntry> of(String program) {
-		return entries().filter((entry) -> program.equals(program(entry))).toList();
+		return entries().filter((entry) -> entry.ofProgram().filter(program::equals).isPresent()).toList();
 	}
 
 	/**
@@ -80,14 +81,6 @@
 		return this.waiting.values().stream().map(Waiting::entry);
 	}
 
-	private static String program(LedgerEntry entry) {
-		return switch (entry) {
-			case LedgerEntry.Reserved reserved -> reserved.program();
-			case LedgerEntry.Settled settled -> settled.program();
-			case LedgerEntry.Blamed ignored -> "";
-		};
-	}
-
 	/**
 	 * Takes an entry that the log shows.
 	 * @param entry the entry
@@ -96,6 +89,11 @@
 	boolean logged(LedgerEntry entry) {
 		Key key = Key.of(entry);
 		this.waiting.remove(key);
+		// A turn that was held back by its keepers and never ran is settled without
+		// having been reserved in the log: written then, it would be held back for ever.
+		if (entry instanceof LedgerEntry.Settled settled) {
+			this.waiting.remove(new Key(settled.request(), LedgerEntry.Reserved.class));
+		}
 		boolean shownFirst = this.logged.add(key);
 		if (this.logged.size() > BOUND) {
 			this.logged.removeFirst();
@@ -112,6 +110,19 @@
 	 * @return the entries
 	 */
 	List<LedgerEntry> overdue(String own, Set<String> linked, long now) {
+		return overdue(own, linked, (entry) -> List.of(), now);
+	}
+
+	/**
+	 * Returns the entries that the log should have shown by now and that this relay is to
+	 * write, and forgets them. Entries that others are to write wait once more.
+	 * @param own the name of this relay
+	 * @param linked the relays that this one is linked to
+	 * @param holders tells which relays were told of an entry; none if all were
+	 * @param now when the log was read
+	 * @return the entries
+	 */
+	List<LedgerEntry> overdue(String own, Set<String> linked, Function<LedgerEntry, List<String>> holders, long now) {
 		List<Waiting> due = new ArrayList<>();
 		for (Waiting next : this.waiting.values()) {
 			if (now - next.since() < this.patience) {
@@ -122,7 +133,9 @@
 		List<LedgerEntry> overdue = new ArrayList<>();
 		for (Waiting next : due) {
 			this.waiting.remove(Key.of(next.entry()));
-			if (!linked.contains(next.teller()) || rank(next, own, linked) < next.helpers()) {
+			List<String> told = holders.apply(next.entry());
+			int rank = told.isEmpty() ? rank(next, own, linked) : told.indexOf(own);
+			if (!linked.contains(next.teller()) || rank < next.helpers()) {
 				overdue.add(next.entry());
 				continue;
 			}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UpstreamChoice.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -60,6 +62,13 @@
 	 */
 	private static final int KEPT = 3;
 
+	/**
+	 * How many upstreams one request chooses from, drawn at random (the power of a few
+	 * choices). Beliefs about load are some hundred milliseconds old: relays that all
+	 * chose the best of many would all choose the same one until word of it comes round.
+	 */
+	private static final int DRAWN = 5;
+
 	/**
 	 * Weighs upstreams.
 	 * @param candidates the upstreams
@@ -88,15 +97,38 @@
 			Optional<String> object, long now) {
 		Optional<Known> home = object.flatMap((name) -> home(candidates, name));
 		List<Weighed> best = new ArrayList<>(KEPT + 1);
-		for (Known candidate : candidates) {
-			if (excluded.contains(candidate.upstream().id())) {
-				continue;
-			}
+		for (Known candidate : draw(candidates, excluded, prompt, home, now)) {
 			insert(best, weigh(candidate, prompt, engine, home.isPresent() && home.get() == candidate, now));
 		}
 		return best;
 	}
 
+	private Set<Known> draw(List<Known> candidates, Set<String> excluded, List<PromptPart> prompt, Optional<Known> home,
+			long now) {
+		List<Known> allowed = new ArrayList<>(candidates.size());
+		for (Known candidate : candidates) {
+			if (!excluded.contains(candidate.upstream().id())) {
+				allowed.add(candidate);
+			}
+		}
+		List<Known> well = allowed.stream().filter((candidate) -> !candidate.avoided(now)).toList();
+		List<Known> from = well.isEmpty() ? allowed : well;
+		if (from.size() <= DRAWN) {
+			return new LinkedHashSet<>(allowed);
+		}
+		Set<Known> drawn = new LinkedHashSet<>();
+		while (drawn.size() < DRAWN) {
+			drawn.add(from.get(this.random.nextInt(from.size())));
+		}
+		// The upstreams that know most of the prompt may be worth a queue.
+		from.stream()
+			.min(Comparator.<Known>comparingLong((candidate) -> candidate.uncached(prompt))
+				.thenComparingInt((candidate) -> candidate.load(now)))
+			.ifPresent(drawn::add);
+		home.filter(from::contains).ifPresent(drawn::add);
+		return drawn;
+	}
+
 	// All relays come to the same upstream without telling each other. An upstream that
 	// comes or goes moves only the objects that lead to it.
 	private static Optional<Known> home(List<Known> candidates, String object) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -29,6 +29,17 @@
 	 */
 	private static final long REPORT_LIFE_MS = 300;
 
+	/**
+	 * How many counts are passed on at once: enough for news of each upstream to reach
+	 * all relays within a few messages, few enough for a message to stay in one packet.
+	 */
+	private static final int PASSED_ON = 16;
+
+	/**
+	 * How many lives are remembered by the order of their counts.
+	 */
+	private static final int COUNTED = 4096;
+
 	private static final long FIRST_AVOIDANCE_MS = 500;
 
 	private static final long LONGEST_AVOIDANCE_MS = 4_000;
@@ -45,6 +56,18 @@
 
 	private final Map<String, Known> running = new LinkedHashMap<>();
 
+	private final Map<Integer, Known> byHash = new HashMap<>();
+
+	/**
+	 * The upstreams that told their load, the one that did so last at the end.
+	 */
+	private final LinkedHashMap<Integer, Known> counted = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Integer, Known> eldest) {
+			return size() > COUNTED;
+		}
+	};
+
 	private boolean listed;
 
 	void replace(List<Upstream> upstreams) {
@@ -74,6 +97,7 @@
 		now.upstream = upstream;
 		this.known.put(upstream.id(), now);
 		this.lives.put(upstream.life(), now);
+		this.byHash.put(upstream.life().hashCode(), now);
 		return true;
 	}
 
@@ -81,18 +105,38 @@
 		Known gone = this.known.remove(id);
 		if (gone != null) {
 			this.lives.remove(gone.upstream.life());
+			this.byHash.remove(gone.upstream.life().hashCode());
+			this.counted.remove(gone.upstream.life().hashCode());
 		}
 	}
 
 	/**
-	 * Notes that an upstream runs a request.
+	 * Notes that an upstream runs a request of another relay.
 	 * @param request the request
 	 * @param upstream the upstream
 	 * @param now when it began
 	 */
 	void began(String request, Known upstream, long now) {
-		ended(request);
+		if (this.running.get(request) == upstream) {
+			return;
+		}
+		runs(request, upstream);
 		upstream.began(request, now);
+	}
+
+	/**
+	 * Notes that an upstream was sent a request by this relay.
+	 * @param request the request
+	 * @param upstream the upstream
+	 * @param now when
+	 */
+	void sent(String request, Known upstream, long now) {
+		runs(request, upstream);
+		upstream.sent(request, now);
+	}
+
+	private void runs(String request, Known upstream) {
+		ended(request);
 		this.running.put(request, upstream);
 		if (this.running.size() > RUNNING_BOUND) {
 			ended(this.running.keySet().iterator().next());
@@ -110,6 +154,54 @@
 		}
 	}
 
+	/**
+	 * Takes an upstream's own count of its load.
+	 * @param upstream the upstream
+	 * @param requests the requests that run or wait there
+	 * @param at when it counted
+	 */
+	void reported(Known upstream, int requests, long at) {
+		if (upstream.reported(requests, at)) {
+			int life = upstream.upstream.life().hashCode();
+			this.counted.remove(life);
+			this.counted.put(life, upstream);
+		}
+	}
+
+	/**
+	 * Takes counts that another relay passes on. Older ones than are known change
+	 * nothing.
+	 * @param loads the counts
+	 * @param now when
+	 */
+	void told(List<UpstreamLoad> loads, long now) {
+		for (UpstreamLoad load : loads) {
+			Known upstream = this.byHash.get(load.life());
+			if (upstream != null) {
+				reported(upstream, load.requests(), now - load.age());
+			}
+		}
+	}
+
+	/**
+	 * Returns the counts of load that were heard last, to be passed on.
+	 * @param now when
+	 * @return the counts that are still believed, a bounded number
+	 */
+	List<UpstreamLoad> newestLoads(long now) {
+		List<UpstreamLoad> newest = new ArrayList<>();
+		for (Known next : this.counted.sequencedValues().reversed()) {
+			long age = now - next.reportedAt;
+			if (newest.size() == PASSED_ON) {
+				break;
+			}
+			if (age < REPORT_LIFE_MS) {
+				newest.add(new UpstreamLoad(next.upstream.life().hashCode(), next.reported, (int) age));
+			}
+		}
+		return newest;
+	}
+
 	boolean listed() {
 		return this.listed;
 	}
@@ -149,7 +241,7 @@
 
 		private Upstream upstream;
 
-		private final Map<String, Long> runs = new LinkedHashMap<>();
+		private final Map<String, Run> runs = new LinkedHashMap<>();
 
 		private final LinkedHashMap<Long, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
 
@@ -172,16 +264,24 @@
 		}
 
 		void began(String request, long now) {
-			this.runs.put(request, now);
+			this.runs.put(request, new Run(now, false));
+		}
+
+		void sent(String request, long now) {
+			this.runs.put(request, new Run(now, true));
 		}
 
 		void ended(String request) {
 			this.runs.remove(request);
 		}
 
-		void reported(AnswerHead.Load load, long now) {
-			this.reported = load.running() + load.waiting();
-			this.reportedAt = now;
+		private boolean reported(int requests, long at) {
+			if (at < this.reportedAt) {
+				return false;
+			}
+			this.reported = requests;
+			this.reportedAt = at;
+			return true;
 		}
 
 		/**
@@ -207,10 +307,25 @@
 			return now < this.avoidedUntil;
 		}
 
+		/**
+		 * Returns how many requests are believed to run or wait there: what the upstream
+		 * counted last, with what this relay has sent since, and for want of a fresh
+		 * count what this relay and the log know of.
+		 * @param now when
+		 * @return the number
+		 */
 		int load(long now) {
-			this.runs.values().removeIf((since) -> now - since > RUN_LIFE_MS);
-			boolean fresh = now - this.reportedAt < REPORT_LIFE_MS;
-			return Math.max(this.runs.size(), fresh ? this.reported : 0);
+			this.runs.values().removeIf((run) -> now - run.since() > RUN_LIFE_MS);
+			if (now - this.reportedAt >= REPORT_LIFE_MS) {
+				return this.runs.size();
+			}
+			int own = 0;
+			int since = 0;
+			for (Run run : this.runs.values()) {
+				own += run.own() ? 1 : 0;
+				since += (run.own() && run.since() > this.reportedAt) ? 1 : 0;
+			}
+			return Math.max(own, this.reported + since);
 		}
 
 		/**
@@ -244,6 +359,16 @@
 			return tokens;
 		}
 
+		/**
+		 * A request that runs. Immutable.
+		 *
+		 * @param since when it began
+		 * @param own whether this relay sent it
+		 */
+		private record Run(long since, boolean own) {
+
+		}
+
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerChannel.java
@@ -14,27 +14,25 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.vavr.control.Either;
 
 /**
- * One connection between two relays: frames with a length, a pulse when nothing else is
- * sent, and an end when nothing arrives. Used by the event loop's thread.
+ * One connection between two relays: frames with a length, and an end when nothing goes
+ * over it for long. Used by the event loop's thread.
  */
 abstract class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
 
 	/**
-	 * How often something is sent. A link that has gone silent has to be found out well
-	 * within a second, since its relay decides on budgets by what the links bring.
+	 * The reason of an end that tells nothing of the other relay.
 	 */
-	private static final Duration PULSE = Duration.ofMillis(300);
+	static final String IDLE = "idle";
 
 	/**
-	 * How long nothing may arrive: three pulses and a slow moment of the other relay.
+	 * How long a connection is kept that nothing goes over.
 	 */
-	private static final Duration SILENCE = Duration.ofMillis(1200);
+	private static final Duration IDLE_TIME = Duration.ofSeconds(60);
 
 	private static final int FRAME_BYTES = 16 * 1024 * 1024;
 
@@ -49,7 +47,7 @@
 	 */
 	void setUp(Channel channel, Traffic traffic) {
 		channel.pipeline()
-			.addLast(new IdleStateHandler(SILENCE.toMillis(), PULSE.toMillis(), 0, TimeUnit.MILLISECONDS),
+			.addLast(new IdleStateHandler(0, 0, IDLE_TIME.toMillis(), TimeUnit.MILLISECONDS),
 					new LengthFieldBasedFrameDecoder(FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
 					new LengthFieldPrepender(LENGTH_BYTES), new FrameCounter(traffic), this);
 	}
@@ -94,12 +92,8 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof IdleStateEvent idle) {
-			if (idle.state() == IdleState.READER_IDLE) {
-				end(context, "silent");
-				return;
-			}
-			send(context.channel(), new PeerMessage.Pulse());
+		if (event instanceof IdleStateEvent) {
+			end(context, IDLE);
 		}
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.PeerMessage;
 
@@ -59,6 +60,25 @@
 	 */
 	void takenTold(String peer, PeerMessage.Taken taken);
 
+	/**
+	 * Another relay can't answer a question, since it may miss turns.
+	 * @param peer its address
+	 * @param request the turn of the question
+	 */
+	void takenUnsure(String peer, String request);
+
+	/**
+	 * Another relay, which may miss turns, asks for what the log has not shown.
+	 * @param peer its address
+	 */
+	void unloggedAsked(String peer);
+
+	/**
+	 * The relays of the site were listed anew.
+	 * @param members all of them, this one included
+	 */
+	void listed(List<Member> members);
+
 	/**
 	 * Another relay has read from the log whether a budget holds a turn of this one.
 	 * @param place what it read
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -1,14 +1,14 @@
 package io.lentilslip.relay.peer;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.TreeMap;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.net.Traffic;
 import io.lentilslip.relay.store.KeyFollower;
@@ -19,16 +19,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Try;
 
 /**
  * The other relays, as far as they have written their addresses to the store, with a link
- * to each. What this relay writes goes out on all of them; nothing waits for them. Used
- * by the event loop's thread.
+ * to each that this one has something to say to. Nothing waits for a link. Used by the
+ * event loop's thread.
  */
 public final class Peers implements KeyFollower.Listener {
 
 	/**
-	 * How many others are asked at once: the store may turn one of them away too.
+	 * How many others are asked for help at once: the store may turn one of them away
+	 * too.
 	 */
 	private static final int HELPERS = 2;
 
@@ -48,7 +50,7 @@
 
 	private final Map<String, PeerLink> links = new HashMap<>();
 
-	private final List<LedgerEntry> untold = new ArrayList<>();
+	private final Map<String, Member> members = new TreeMap<>();
 
 	private int nextHelper;
 
@@ -75,7 +77,8 @@
 	 * @return the opening
 	 */
 	public ChannelFuture open(EventLoopGroup group, InetSocketAddress address) {
-		return Sockets.open(group, address, (channel) -> new Batches().setUp(channel, this.traffic));
+		return Sockets.open(group, address,
+				(channel) -> new Conversation(Optional.empty()).setUp(channel, this.traffic));
 	}
 
 	/**
@@ -87,19 +90,14 @@
 	}
 
 	/**
-	 * Tells the others of an entry, together with others of the same moment. A turn that
-	 * contends is not told: it counts from its place in the log on, and at 31 relays each
-	 * message wakes 30 others.
+	 * Tells some of the others of an entry.
+	 * @param peers their addresses
 	 * @param entry the entry
 	 */
-	public void tell(LedgerEntry entry) {
-		if (entry instanceof LedgerEntry.Reserved reserved && reserved.contending()) {
-			return;
-		}
-		if (this.untold.isEmpty()) {
-			this.loop.execute(this::tellAll);
+	public void tell(List<String> peers, LedgerEntry entry) {
+		if (!peers.isEmpty()) {
+			sendAll(peers, new PeerMessage.Batch(List.of(entry)));
 		}
-		this.untold.add(entry);
 	}
 
 	/**
@@ -112,63 +110,78 @@
 		PeerLink link = this.links.get(peer);
 		for (int from = 0; link != null && from < entries.size() && link.hasRoom(); from += BATCH) {
 			List<LedgerEntry> part = entries.subList(from, Math.min(entries.size(), from + BATCH));
-			link.send(new PeerMessage.Batch(part));
+			send(link, new PeerMessage.Batch(part));
 		}
 	}
 
 	/**
-	 * Asks two other relays to write a turn to the log, each time the next two.
+	 * Asks two other relays to write a turn to the log, each time the next two, and those
+	 * that are linked first.
 	 * @param help the turn
 	 */
 	public void askForHelp(PeerMessage.Help help) {
-		List<PeerLink> up = this.links.values().stream().filter(PeerLink::up).toList();
-		for (int i = 0; i < Math.min(HELPERS, up.size()); i++) {
-			this.nextHelper = (this.nextHelper + 1) % up.size();
-			up.get(this.nextHelper).send(help);
+		List<PeerLink> able = this.links.values().stream().filter(PeerLink::up).toList();
+		if (able.size() < HELPERS) {
+			able = List.copyOf(this.links.values());
+		}
+		for (int i = 0; i < Math.min(HELPERS, able.size()); i++) {
+			this.nextHelper = (this.nextHelper + 1) % able.size();
+			send(able.get(this.nextHelper), help);
 		}
 	}
 
 	/**
-	 * Asks the other relays what is taken of a program's budget, after all that they are
-	 * to be told so far.
+	 * Asks other relays something.
+	 * @param peers their addresses; empty for all
 	 * @param question the question
 	 */
-	public void ask(PeerMessage.Question question) {
-		tellAll();
-		sendAll(question);
-	}
-
-	/**
-	 * Answers another relay's question, after all that it is to be told so far.
-	 * @param peer its address
-	 * @param entries entries that it may not have heard of
-	 * @param taken the answer
-	 */
-	public void answer(String peer, List<LedgerEntry> entries, PeerMessage.Taken taken) {
-		tellAll();
-		tell(peer, entries);
-		send(peer, taken);
+	public void ask(List<String> peers, PeerMessage question) {
+		sendAll(peers.isEmpty() ? List.copyOf(this.links.keySet()) : peers, question);
 	}
 
 	/**
-	 * Sends another relay a message, if it is linked.
+	 * Sends another relay a message, if it is known.
 	 * @param peer its address
 	 * @param message the message
 	 */
 	public void send(String peer, PeerMessage message) {
 		PeerLink link = this.links.get(peer);
 		if (link != null) {
-			link.send(message);
+			send(link, message);
+		}
+	}
+
+	private void send(PeerLink link, PeerMessage message) {
+		link.send(RelayCodec.encode(message), answered(message));
+	}
+
+	private void sendAll(List<String> peers, PeerMessage message) {
+		byte[] encoded = RelayCodec.encode(message);
+		for (String peer : peers) {
+			PeerLink link = this.links.get(peer);
+			if (link != null) {
+				link.send(encoded, answered(message));
+			}
 		}
 	}
 
+	// Whoever is answered looks after the link itself.
+	private static boolean answered(PeerMessage message) {
+		return switch (message) {
+			case PeerMessage.Batch ignored -> true;
+			case PeerMessage.Question ignored -> true;
+			case PeerMessage.TextsWanted ignored -> true;
+			case PeerMessage.Help ignored -> true;
+			case PeerMessage.Sync ignored -> true;
+			default -> false;
+		};
+	}
+
 	/**
-	 * Tells another relay that the log has a turn that it asked for help with.
-	 * @param peer its address
-	 * @param request the turn
+	 * Looks for links that have gone silent.
 	 */
-	public void tellStored(String peer, String request) {
-		send(peer, new PeerMessage.Stored(Set.of(request)));
+	public void look() {
+		this.links.values().forEach(PeerLink::look);
 	}
 
 	/**
@@ -176,11 +189,23 @@
 	 * @return the number
 	 */
 	public int up() {
-		int up = 0;
+		return count(true);
+	}
+
+	/**
+	 * Returns how many other relays were needed and could not be reached.
+	 * @return the number
+	 */
+	public int down() {
+		return count(false);
+	}
+
+	private int count(boolean up) {
+		int count = 0;
 		for (PeerLink link : this.links.values()) {
-			up += link.up() ? 1 : 0;
+			count += (up ? link.up() : link.down()) ? 1 : 0;
 		}
-		return up;
+		return count;
 	}
 
 	/**
@@ -193,12 +218,13 @@
 
 	@Override
 	public void all(Map<String, byte[]> values) {
-		for (String gone : Set.copyOf(this.links.keySet())) {
+		for (String gone : List.copyOf(this.members.keySet())) {
 			if (!values.containsKey(gone)) {
 				remove(gone);
 			}
 		}
-		values.keySet().forEach(this::add);
+		values.forEach(this::add);
+		listed();
 		if (!values.containsKey(this.own)) {
 			this.listener.forgotten();
 		}
@@ -207,7 +233,8 @@
 	@Override
 	public void changed(String key, Optional<byte[]> value) {
 		if (value.isPresent()) {
-			add(key);
+			add(key, value.get());
+			listed();
 			return;
 		}
 		if (key.equals(this.own)) {
@@ -215,32 +242,41 @@
 			return;
 		}
 		remove(key);
+		listed();
 	}
 
-	private void tellAll() {
-		if (this.untold.isEmpty()) {
-			return;
-		}
-		List<LedgerEntry> batch = List.copyOf(this.untold);
-		this.untold.clear();
-		sendAll(new PeerMessage.Batch(batch));
+	private void listed() {
+		this.listener.listed(List.copyOf(this.members.values()));
 	}
 
-	private void sendAll(PeerMessage message) {
-		byte[] encoded = RelayCodec.encode(message);
-		this.links.values().forEach((link) -> link.send(encoded));
+	private void add(String address, byte[] value) {
+		if (address.equals(this.own) || link(address).isPresent()) {
+			this.members.put(address, RelayCodec.decodeMember(address, value));
+		}
 	}
 
-	private void add(String address) {
-		if (address.equals(this.own) || this.links.containsKey(address)) {
-			return;
+	// A relay may speak before its address is read from the store.
+	private Optional<PeerLink> link(String address) {
+		PeerLink known = this.links.get(address);
+		if (known != null || address.equals(this.own)) {
+			return Optional.ofNullable(known);
 		}
-		PeerLink link = new PeerLink(this.loop, this.own, address, this.listener, this.timers, this.traffic);
-		this.links.put(address, link);
-		link.connect();
+		Optional<PeerLink> added = target(address).map((target) -> new PeerLink(this.loop, address, target,
+				this.listener, this.timers, this.traffic, () -> new Conversation(Optional.of(address))));
+		added.ifPresent((link) -> this.links.put(address, link));
+		return added;
+	}
+
+	private static Optional<InetSocketAddress> target(String address) {
+		int colon = address.lastIndexOf(':');
+		return Try
+			.of(() -> new InetSocketAddress(address.substring(0, colon),
+					Integer.parseInt(address.substring(colon + 1))))
+			.toJavaOptional();
 	}
 
 	private void remove(String address) {
+		this.members.remove(address);
 		PeerLink link = this.links.remove(address);
 		if (link != null) {
 			link.close();
@@ -248,20 +284,44 @@
 	}
 
 	/**
-	 * Takes what another relay tells on its link. Used by the event loop's thread.
+	 * One connection to another relay, whichever of the two made it. Used by the event
+	 * loop's thread.
 	 */
-	private final class Batches extends PeerChannel {
+	private final class Conversation extends PeerChannel {
+
+		private final boolean ours;
+
+		private String peer;
+
+		Conversation(Optional<String> peer) {
+			this.ours = peer.isPresent();
+			this.peer = peer.orElse("");
+		}
 
-		private String peer = "";
+		@Override
+		public void channelActive(ChannelHandlerContext context) {
+			if (this.ours) {
+				send(context.channel(), new PeerMessage.Greeting(Peers.this.own));
+				link(this.peer).ifPresent((link) -> link.opened(context.channel(), true));
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			PeerLink link = Peers.this.links.get(this.peer);
+			if (link != null) {
+				link.closed(context.channel(), reason());
+			}
+		}
 
 		@Override
 		void take(ChannelHandlerContext context, PeerMessage message) {
+			PeerLink link = Peers.this.links.get(this.peer);
+			if (link != null) {
+				link.heard();
+			}
 			switch (message) {
-				case PeerMessage.Greeting greeting -> {
-					send(context.channel(), new PeerMessage.Greeting(Peers.this.own));
-					this.peer = greeting.address();
-					add(this.peer);
-				}
+				case PeerMessage.Greeting greeting -> greeted(context, greeting);
 				case PeerMessage.Batch batch -> Peers.this.listener.entries(this.peer, batch.entries());
 				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help);
 				case PeerMessage.TextsWanted wanted -> Peers.this.listener.textsAsked(this.peer, wanted.requests());
@@ -269,15 +329,29 @@
 				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
 				case PeerMessage.Question question -> Peers.this.listener.takenAsked(this.peer, question);
 				case PeerMessage.Taken taken -> Peers.this.listener.takenTold(this.peer, taken);
+				case PeerMessage.Unsure unsure -> Peers.this.listener.takenUnsure(this.peer, unsure.request());
 				case PeerMessage.Place place -> Peers.this.listener.placeTold(place);
+				case PeerMessage.Sync ignored -> Peers.this.listener.unloggedAsked(this.peer);
 				case PeerMessage.Told ignored -> Peers.this.listener.allTold(this.peer);
 				case PeerMessage.Pulse ignored -> {
+					if (link != null) {
+						link.pulsed();
+					}
 				}
 				case PeerMessage.Unknown ignored -> {
 				}
 			}
 		}
 
+		private void greeted(ChannelHandlerContext context, PeerMessage.Greeting greeting) {
+			if (this.ours) {
+				return;
+			}
+			this.peer = greeting.address();
+			send(context.channel(), new PeerMessage.Greeting(Peers.this.own));
+			link(this.peer).ifPresent((link) -> link.opened(context.channel(), false));
+		}
+
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Reachability.java
@@ -87,12 +87,12 @@
 	}
 
 	/**
-	 * Returns whether this relay is linked to fewer than half of the relays that it knows
-	 * of.
-	 * @return whether it is
+	 * Returns whether this relay reaches fewer than half of the other relays that it has
+	 * something to say to.
+	 * @return whether it does
 	 */
 	boolean alone() {
-		return 2 * this.peers.up() < Math.max(1, this.peers.known());
+		return this.peers.known() == 0 || this.peers.up() < this.peers.down();
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -23,6 +23,7 @@
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.Relay;
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent;
@@ -48,6 +49,7 @@
 import io.lentilslip.relay.upstream.UpstreamClient;
 import io.lentilslip.telemetry.Notices;
 import io.lentilslip.wire.relay.PeerMessage;
+import io.lentilslip.wire.relay.RelayCodec;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -225,7 +227,8 @@
 	 * @param then runs when it is there
 	 */
 	private void announce(Runnable then) {
-		this.store.put(Topic.RELAYS, this.name, Optional.of(new byte[] { 1 }), (outcome) -> {
+		Member self = new Member(this.name, this.setup.settings().zone(), this.setup.settings().weight());
+		this.store.put(Topic.RELAYS, this.name, Optional.of(RelayCodec.encode(self)), (outcome) -> {
 			if (outcome instanceof Store.Appended.Done) {
 				then.run();
 				return;
@@ -252,9 +255,11 @@
 	private void checkReach() {
 		this.late.ran(this.timers.now());
 		lookForSleep();
+		this.peers.look();
 		this.reachability.check();
 		this.setup.measurements()
-			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(), this.peers.known()));
+			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.up(),
+					this.peers.up() + this.peers.down()));
 		this.traffic.publish(this.setup.measurements());
 		this.late.plan(this.timers.now() + REACH_INTERVAL.toMillis());
 		this.timers.after(REACH_INTERVAL, this::checkReach);
@@ -299,7 +304,7 @@
 		}
 		switch (effect) {
 			case RelayEffect.Write write -> {
-				this.peers.tell(write.entry());
+				this.peers.tell(write.tell(), write.entry());
 				this.writer.write(write.entry());
 			}
 			case RelayEffect.StoreText turn -> this.textWriter.write(new TurnText(turn.request(), turn.text()));
@@ -309,13 +314,19 @@
 				this.peers.send(ask.peer(), new PeerMessage.TextsWanted(Set.copyOf(ask.requests())));
 			case RelayEffect.TellTexts tell -> this.peers.send(tell.peer(), new PeerMessage.Texts(tell.texts()));
 			case RelayEffect.AskForHelp help -> this.peers.askForHelp(new PeerMessage.Help(help.end(), help.text()));
-			case RelayEffect.TellStored tell -> this.peers.tellStored(tell.peer(), tell.request());
-			case RelayEffect.AskTaken ask ->
-				this.peers.ask(new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), false));
+			case RelayEffect.TellStored tell ->
+				this.peers.send(tell.peer(), new PeerMessage.Stored(Set.of(tell.request())));
+			case RelayEffect.AskTaken ask -> this.peers.ask(ask.peers(),
+					new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), false));
+			case RelayEffect.AskUnlogged ignored -> this.peers.ask(List.of(), new PeerMessage.Sync());
 			case RelayEffect.AskPlace ask -> this.peers.send(ask.peer(),
 					new PeerMessage.Question(ask.request(), ask.program(), ask.most(), ask.budget(), true));
-			case RelayEffect.TellTaken tell -> this.peers.answer(tell.peer(), tell.entries(),
-					new PeerMessage.Taken(tell.request(), tell.tokens(), tell.log()));
+			case RelayEffect.TellTaken tell -> {
+				this.peers.tell(tell.peer(), tell.entries());
+				this.peers.send(tell.peer(),
+						new PeerMessage.Taken(tell.request(), tell.tokens(), tell.log(), tell.loads()));
+			}
+			case RelayEffect.TellUnsure tell -> this.peers.send(tell.peer(), new PeerMessage.Unsure(tell.request()));
 			case RelayEffect.TellPlace tell ->
 				this.peers.send(tell.peer(), new PeerMessage.Place(tell.request(), tell.held()));
 			case RelayEffect.TellUnlogged tell -> tellUnlogged(tell);
@@ -520,10 +531,26 @@
 
 		@Override
 		public void takenTold(String peer, PeerMessage.Taken taken) {
+			on(new RelayEvent.LoadsTold(RelayProcess.this.timers.now(), taken.loads()));
 			on(new RelayEvent.TakenTold(RelayProcess.this.timers.now(), peer, taken.request(), taken.tokens(),
 					taken.log(), RelayProcess.this.peers.known()));
 		}
 
+		@Override
+		public void takenUnsure(String peer, String request) {
+			on(new RelayEvent.TakenUnsure(RelayProcess.this.timers.now(), peer, request));
+		}
+
+		@Override
+		public void unloggedAsked(String peer) {
+			on(new RelayEvent.UnloggedAsked(RelayProcess.this.timers.now(), peer));
+		}
+
+		@Override
+		public void listed(List<Member> members) {
+			on(new RelayEvent.RelaysListed(RelayProcess.this.timers.now(), members));
+		}
+
 		@Override
 		public void placeTold(PeerMessage.Place place) {
 			on(new RelayEvent.PlaceTold(RelayProcess.this.timers.now(), place.request(), place.held()));
@@ -560,7 +587,6 @@
 		public void linked(String peer) {
 			RelayProcess.this.notices.write(NoticeCode.PEER_LINKED.with(FieldName.ADDRESS, peer));
 			on(new RelayEvent.PeerLinked(RelayProcess.this.timers.now(), peer));
-			RelayProcess.this.reader.read();
 		}
 
 		@Override
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -6,6 +6,7 @@
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.core.relay.UpstreamLoad;
 
 /**
  * What relays say to each other over their links. Immutable and safe for use by several
@@ -101,8 +102,9 @@
 	}
 
 	/**
-	 * The relay asks what is taken of a program's budget before a turn runs. All that it
-	 * told before on the same link is part of the answer.
+	 * The relay asks what is taken of a program's budget before a turn runs, and has the
+	 * turn held back from it. All that it told before on the same link is part of the
+	 * answer.
 	 *
 	 * @param request the turn
 	 * @param program the program
@@ -120,8 +122,38 @@
 	 * @param request the turn
 	 * @param tokens the tokens that are spent or held back
 	 * @param log whether the relay reaches the log, and can get the turn a place there
+	 * @param loads what upstreams said of their load last
 	 */
-	record Taken(String request, long tokens, boolean log) implements PeerMessage {
+	record Taken(String request, long tokens, boolean log, List<UpstreamLoad> loads) implements PeerMessage {
+
+		/**
+		 * Creates an answer.
+		 * @param request the turn
+		 * @param tokens the tokens that are spent or held back
+		 * @param log whether the relay reaches the log, and can get the turn a place
+		 * there
+		 * @param loads what upstreams said of their load last
+		 */
+		public Taken {
+			loads = List.copyOf(loads);
+		}
+
+	}
+
+	/**
+	 * The turn of a question is held back, and the relay can't say what is taken: it may
+	 * miss turns.
+	 *
+	 * @param request the turn
+	 */
+	record Unsure(String request) implements PeerMessage {
+
+	}
+
+	/**
+	 * The relay may miss turns, and asks for what the log has not shown.
+	 */
+	record Sync() implements PeerMessage {
 
 	}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -10,9 +10,11 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
 import io.lentilslip.core.relay.TextPlace;
 import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.core.relay.UpstreamLoad;
 import io.lentilslip.wire.generated.RelayProtocol;
 import io.vavr.control.Either;
 
@@ -121,8 +123,15 @@
 				.setMost(question.most())
 				.setBudget(question.budget())
 				.setPlace(question.place());
-			case PeerMessage.Taken taken ->
-				builder.getTakenBuilder().setRequest(taken.request()).setTokens(taken.tokens()).setLog(taken.log());
+			case PeerMessage.Taken taken -> {
+				RelayProtocol.Taken.Builder answer = builder.getTakenBuilder()
+					.setRequest(taken.request())
+					.setTokens(taken.tokens())
+					.setLog(taken.log());
+				taken.loads().forEach((load) -> answer.addLoads(message(load)));
+			}
+			case PeerMessage.Unsure unsure -> builder.getUnsureBuilder().setRequest(unsure.request());
+			case PeerMessage.Sync ignored -> builder.getSyncBuilder();
 			case PeerMessage.Place place -> builder.getPlaceBuilder().setRequest(place.request()).setHeld(place.held());
 			case PeerMessage.Told ignored -> builder.getToldBuilder();
 			case PeerMessage.Unknown ignored -> {
@@ -152,7 +161,10 @@
 				case STORED -> Either.right(new PeerMessage.Stored(Set.copyOf(message.getStored().getRequestList())));
 				case QUESTION -> Either.right(question(message.getQuestion()));
 				case TAKEN -> Either.right(new PeerMessage.Taken(message.getTaken().getRequest(),
-						message.getTaken().getTokens(), message.getTaken().getLog()));
+						message.getTaken().getTokens(), message.getTaken().getLog(),
+						message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
+				case UNSURE -> Either.right(new PeerMessage.Unsure(message.getUnsure().getRequest()));
+				case SYNC -> Either.right(new PeerMessage.Sync());
 				case PLACE ->
 					Either.right(new PeerMessage.Place(message.getPlace().getRequest(), message.getPlace().getHeld()));
 				case TOLD -> Either.right(new PeerMessage.Told());
@@ -165,6 +177,49 @@
 		}
 	}
 
+	/**
+	 * Writes what a relay says of itself beside its address.
+	 * @param member the relay
+	 * @return the bytes
+	 */
+	public static byte[] encode(Member member) {
+		return RelayProtocol.Member.newBuilder()
+			.setZone(member.zone())
+			.setWeight(member.weight())
+			.build()
+			.toByteArray();
+	}
+
+	/**
+	 * Reads what a relay says of itself beside its address. One of an earlier version
+	 * says nothing, and counts like the others.
+	 * @param address its address
+	 * @param bytes what stands there
+	 * @return the relay
+	 */
+	public static Member decodeMember(String address, byte[] bytes) {
+		try {
+			RelayProtocol.Member message = RelayProtocol.Member.parseFrom(bytes);
+			return (message.getWeight() > 0) ? new Member(address, message.getZone(), message.getWeight())
+					: Member.of(address);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return Member.of(address);
+		}
+	}
+
+	private static RelayProtocol.UpstreamLoad message(UpstreamLoad load) {
+		return RelayProtocol.UpstreamLoad.newBuilder()
+			.setLife(load.life())
+			.setRequests(load.requests())
+			.setAge(load.age())
+			.build();
+	}
+
+	private static UpstreamLoad load(RelayProtocol.UpstreamLoad message) {
+		return new UpstreamLoad(message.getLife(), Math.max(0, message.getRequests()), Math.max(0, message.getAge()));
+	}
+
 	// While relays are replaced by a newer version, their links must hold: a message that
 	// is new there is passed over.
 	private static Either<String, PeerMessage> unknown(RelayProtocol.PeerMessage message) {
@@ -199,8 +254,8 @@
 				message.getOutput().toByteArray());
 	}
 
-	private static Optional<String> named(String turn) {
-		return Optional.of(turn).filter((name) -> !name.isEmpty());
+	private static Optional<String> named(String text) {
+		return Optional.of(text).filter((name) -> !name.isEmpty());
 	}
 
 	private static PeerMessage question(RelayProtocol.Question question) {
@@ -252,7 +307,8 @@
 				.setPrevious(place.previous().orElse(""))
 				.setBytes(place.bytes())
 				.setPart(place.part())
-				.setFrom(place.from()));
+				.setFrom(place.from())
+				.setHolder(place.holder().orElse("")));
 		return builder.build();
 	}
 
@@ -282,8 +338,8 @@
 		Optional<TextPlace> place = Optional.empty();
 		if (message.hasPlace()) {
 			RelayProtocol.TextPlace known = message.getPlace();
-			place = Optional
-				.of(new TextPlace(named(known.getPrevious()), known.getBytes(), known.getPart(), known.getFrom()));
+			place = Optional.of(new TextPlace(named(known.getPrevious()), known.getBytes(), known.getPart(),
+					known.getFrom(), named(known.getHolder())));
 		}
 		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), place);
 	}
