Have a relay without the log ask keepers where the texts of a chain are

Cause: turns are told to their keepers alone, so a relay that the store turns away hears of others' kept turns from nobody, and refuses those that continue them as uncertain.

Change: such a relay asks the program's keepers, and then the relay that ran the turn for its text.

Tests: relayWithoutTheLogAsksTheKeepersWhereATextIs, keeperTellsWhereTheTextsOfAChainAre.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -62,6 +62,11 @@
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.texts::entryStored);
 			case RelayEvent.TextsStored stored -> this.texts.textsStored(stored);
 			case RelayEvent.Helped helped -> helped.requests().forEach(this.texts::end);
+			case RelayEvent.PlacesAsked asked -> this.texts.placesAsked(asked);
+			case RelayEvent.PlacesTold told -> {
+				this.texts.placesTold(told);
+				this.requests.dispatchWaiting();
+			}
 			case RelayEvent.TextsAsked asked -> this.texts.asked(asked);
 			case RelayEvent.TextsTold told -> {
 				this.texts.told(told);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -148,6 +148,44 @@
 
 	}
 
+	/**
+	 * Ask other relays where the texts of a chain are.
+	 *
+	 * @param peers the other relays
+	 * @param request the last turn of the chain
+	 */
+	record AskPlaces(List<String> peers, String request) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peers the other relays
+		 * @param request the last turn of the chain
+		 */
+		public AskPlaces {
+			peers = List.copyOf(peers);
+		}
+
+	}
+
+	/**
+	 * Tell another relay where the texts of a chain are.
+	 *
+	 * @param peer the other relay
+	 * @param turns the turns of the chain that are known here
+	 */
+	record TellPlaces(String peer, List<PlacedTurn> turns) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peer the other relay
+		 * @param turns the turns of the chain that are known here
+		 */
+		public TellPlaces {
+			turns = List.copyOf(turns);
+		}
+
+	}
+
 	/**
 	 * Ask the relay that ran a turn for texts of its chain.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -263,6 +263,38 @@
 
 	}
 
+	/**
+	 * Another relay, which can't read the log, asks where the texts of a chain are.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param request the last turn of the chain
+	 */
+	record PlacesAsked(long now, String peer, String request) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay has told where the texts of a chain are.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param turns the turns that it knows
+	 */
+	record PlacesTold(long now, String peer, List<PlacedTurn> turns) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now when
+		 * @param peer the other relay
+		 * @param turns the turns that it knows
+		 */
+		public PlacesTold {
+			turns = List.copyOf(turns);
+		}
+
+	}
+
 	/**
 	 * Another relay asks for texts that this one may have in memory.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -81,7 +81,7 @@
 		if (this.state.stale || !this.texts.find(exchange)) {
 			this.state.waiting.put(exchange.number(), exchange);
 			if (!exchange.bringing()) {
-				this.state.emit(new RelayEffect.ReadLog());
+				this.texts.lookForChain(exchange);
 			}
 			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
 					Reminder.CHAIN);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -55,6 +55,12 @@
 	 */
 	private static final Duration READ_WAIT = Duration.ofMillis(250);
 
+	/**
+	 * The most turns of a chain that another relay is told of at once. Older ones were in
+	 * the log long before.
+	 */
+	private static final int LONGEST_CHAIN = 64;
+
 	/**
 	 * The part of its time that a turn waits at most for texts that are known to exist.
 	 */
@@ -207,6 +213,42 @@
 		};
 	}
 
+	/**
+	 * Has it looked where the texts of a chain are that is not known here: the log has
+	 * them, and where it is out of reach, the relays that keep the program have heard of
+	 * them.
+	 * @param exchange the exchange of the turn that continues the chain
+	 */
+	void lookForChain(Exchange exchange) {
+		Turn turn = exchange.head().turn().orElseThrow();
+		List<String> keepers = this.state.otherKeepers(turn.program());
+		if (this.state.reach == Reach.LOG || turn.previous().isEmpty() || keepers.isEmpty()) {
+			this.state.emit(new RelayEffect.ReadLog());
+			return;
+		}
+		this.state.emit(new RelayEffect.AskPlaces(keepers, turn.previous().get()));
+	}
+
+	void placesAsked(RelayEvent.PlacesAsked asked) {
+		List<PlacedTurn> known = new ArrayList<>();
+		Optional<String> next = Optional.of(asked.request());
+		while (next.isPresent() && known.size() < LONGEST_CHAIN) {
+			List<TextPlace> places = this.state.turns.places(next.get());
+			if (places.isEmpty()) {
+				break;
+			}
+			known.add(new PlacedTurn(next.get(), places.getFirst()));
+			next = places.getFirst().previous();
+		}
+		if (!known.isEmpty()) {
+			this.state.emit(new RelayEffect.TellPlaces(asked.peer(), known));
+		}
+	}
+
+	void placesTold(RelayEvent.PlacesTold told) {
+		told.turns().forEach((turn) -> this.state.turns.note(turn.request(), turn.place(), Optional.of(told.peer())));
+	}
+
 	private void bring(Exchange exchange, Chain.Elsewhere elsewhere) {
 		if (exchange.bringing()) {
 			return;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -48,6 +48,40 @@
 			.hasSize(1);
 	}
 
+	// The store turns this relay away, and the turn before ended at another relay a
+	// moment
+	// ago. Nobody tells this one of turns that it does not keep, so it asks those who do:
+	// refused as uncertain over and over, the conversation would end here.
+	@Test
+	void relayWithoutTheLogAsksTheKeepersWhereATextIs() {
+		RelayFixture relay = RelayFixture.ready();
+		List<Member> members = List.of(Member.of("a"), Member.of("b"), Member.of("c"));
+		relay.on(new RelayEvent.Opened(relay.now(), "own"));
+		relay.on(new RelayEvent.RelaysListed(relay.now(), members));
+		relay.on(new RelayEvent.ReachChanged(relay.now(), Reach.RELAYS));
+		List<RelayEffect> asked = relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, "t2"));
+		assertThat(RelayFixture.of(asked, RelayEffect.AskPlaces.class)).singleElement().satisfies((ask) -> {
+			assertThat(ask.peers()).containsExactlyInAnyOrder("a", "b", "c");
+			assertThat(ask.request()).isEqualTo("t2");
+		});
+		assertThat(RelayFixture.of(asked, RelayEffect.ReadLog.class)).isEmpty();
+		TextPlace place = new TextPlace(Optional.empty(), 9, 5, 17, Optional.of("b"));
+		List<RelayEffect> told = relay
+			.on(new RelayEvent.PlacesTold(relay.now(), "a", List.of(new PlacedTurn("t2", place))));
+		assertThat(RelayFixture.of(told, RelayEffect.AskTexts.class))
+			.containsExactly(new RelayEffect.AskTexts("b", List.of("t2")));
+	}
+
+	@Test
+	void keeperTellsWhereTheTextsOfAChainAre() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.told(RelayFixture.kept("t1", null), RelayFixture.kept("t2", "t1"));
+		assertThat(relay.on(new RelayEvent.PlacesAsked(relay.now(), "peer", "t2")))
+			.containsExactly(new RelayEffect.TellPlaces("peer", List.of(new PlacedTurn("t2", RelayFixture.place("t1")),
+					new PlacedTurn("t1", RelayFixture.place(null)))));
+		assertThat(relay.on(new RelayEvent.PlacesAsked(relay.now(), "peer", "t9"))).isEmpty();
+	}
+
 	// The turn before is not found in time. It may exist where this relay can't see it,
 	// so
 	// the caller is told to come back, never that there is none.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -5,6 +5,7 @@
 
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.PeerMessage;
 
@@ -27,6 +28,20 @@
 	 */
 	void helpAsked(String peer, PeerMessage.Help help);
 
+	/**
+	 * Another relay asks where the texts of a chain are.
+	 * @param peer its address
+	 * @param request the last turn of the chain
+	 */
+	void placesAsked(String peer, String request);
+
+	/**
+	 * Another relay has told where the texts of a chain are.
+	 * @param peer its address
+	 * @param turns the turns that it knows
+	 */
+	void placesTold(String peer, List<PlacedTurn> turns);
+
 	/**
 	 * Another relay asks for texts.
 	 * @param peer its address
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -170,6 +170,7 @@
 		return switch (message) {
 			case PeerMessage.Batch ignored -> true;
 			case PeerMessage.Question ignored -> true;
+			case PeerMessage.PlacesWanted ignored -> true;
 			case PeerMessage.TextsWanted ignored -> true;
 			case PeerMessage.Help ignored -> true;
 			case PeerMessage.Sync ignored -> true;
@@ -324,6 +325,8 @@
 				case PeerMessage.Greeting greeting -> greeted(context, greeting);
 				case PeerMessage.Batch batch -> Peers.this.listener.entries(this.peer, batch.entries());
 				case PeerMessage.Help help -> Peers.this.listener.helpAsked(this.peer, help);
+				case PeerMessage.PlacesWanted wanted -> Peers.this.listener.placesAsked(this.peer, wanted.request());
+				case PeerMessage.Places places -> Peers.this.listener.placesTold(this.peer, places.turns());
 				case PeerMessage.TextsWanted wanted -> Peers.this.listener.textsAsked(this.peer, wanted.requests());
 				case PeerMessage.Texts texts -> Peers.this.listener.textsTold(texts.turns());
 				case PeerMessage.Stored stored -> Peers.this.listener.stored(stored.requests());
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -24,6 +24,7 @@
 import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.Relay;
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent;
@@ -310,6 +311,8 @@
 			case RelayEffect.StoreText turn -> this.textWriter.write(new TurnText(turn.request(), turn.text()));
 			case RelayEffect.ReadText read -> this.textReader.read(read.request(), read.places(),
 					(text) -> on(new RelayEvent.TextRead(this.timers.now(), read.request(), text)));
+			case RelayEffect.AskPlaces ask -> this.peers.ask(ask.peers(), new PeerMessage.PlacesWanted(ask.request()));
+			case RelayEffect.TellPlaces tell -> this.peers.send(tell.peer(), new PeerMessage.Places(tell.turns()));
 			case RelayEffect.AskTexts ask ->
 				this.peers.send(ask.peer(), new PeerMessage.TextsWanted(Set.copyOf(ask.requests())));
 			case RelayEffect.TellTexts tell -> this.peers.send(tell.peer(), new PeerMessage.Texts(tell.texts()));
@@ -513,6 +516,16 @@
 			on(new RelayEvent.HelpAsked(RelayProcess.this.timers.now(), peer, help.end(), help.text()));
 		}
 
+		@Override
+		public void placesAsked(String peer, String request) {
+			on(new RelayEvent.PlacesAsked(RelayProcess.this.timers.now(), peer, request));
+		}
+
+		@Override
+		public void placesTold(String peer, List<PlacedTurn> turns) {
+			on(new RelayEvent.PlacesTold(RelayProcess.this.timers.now(), peer, turns));
+		}
+
 		@Override
 		public void textsAsked(String peer, Set<String> requests) {
 			on(new RelayEvent.TextsAsked(RelayProcess.this.timers.now(), peer, requests));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -18,6 +18,7 @@
 import io.lentilslip.core.measurement.Measurement.RelayTraffic;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.UpstreamLoad;
 import io.lentilslip.relay.net.Traffic;
@@ -272,6 +273,14 @@
 		public void helpAsked(String peer, PeerMessage.Help help) {
 		}
 
+		@Override
+		public void placesAsked(String peer, String request) {
+		}
+
+		@Override
+		public void placesTold(String peer, List<PlacedTurn> turns) {
+		}
+
 		@Override
 		public void textsAsked(String peer, Set<String> requests) {
 			PeersTests.this.heard.add("texts of " + requests);
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -5,6 +5,7 @@
 
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.UpstreamLoad;
 
@@ -50,6 +51,32 @@
 
 	}
 
+	/**
+	 * The relay can't read the log, and asks where the texts of a chain are.
+	 *
+	 * @param request the last turn of the chain
+	 */
+	record PlacesWanted(String request) implements PeerMessage {
+
+	}
+
+	/**
+	 * Where the texts of a chain are.
+	 *
+	 * @param turns the turns of the chain that the relay knows
+	 */
+	record Places(List<PlacedTurn> turns) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 * @param turns the turns of the chain that the relay knows
+		 */
+		public Places {
+			turns = List.copyOf(turns);
+		}
+
+	}
+
 	/**
 	 * The relay asks for texts of turns that the other one ran.
 	 *
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -11,6 +11,7 @@
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.PromptPart;
 import io.lentilslip.core.relay.TextPlace;
 import io.lentilslip.core.relay.TurnText;
@@ -130,6 +131,9 @@
 					.setLog(taken.log());
 				taken.loads().forEach((load) -> answer.addLoads(message(load)));
 			}
+			case PeerMessage.PlacesWanted wanted -> builder.getPlacesWantedBuilder().addRequest(wanted.request());
+			case PeerMessage.Places places ->
+				places.turns().forEach((turn) -> builder.getPlacesBuilder().addTurns(message(turn)));
 			case PeerMessage.Unsure unsure -> builder.getUnsureBuilder().setRequest(unsure.request());
 			case PeerMessage.Sync ignored -> builder.getSyncBuilder();
 			case PeerMessage.Place place -> builder.getPlaceBuilder().setRequest(place.request()).setHeld(place.held());
@@ -163,6 +167,11 @@
 				case TAKEN -> Either.right(new PeerMessage.Taken(message.getTaken().getRequest(),
 						message.getTaken().getTokens(), message.getTaken().getLog(),
 						message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
+				case PLACES_WANTED -> (message.getPlacesWanted().getRequestCount() == 1)
+						? Either.right(new PeerMessage.PlacesWanted(message.getPlacesWanted().getRequest(0)))
+						: Either.left("a question for the places of no chain");
+				case PLACES -> Either.right(new PeerMessage.Places(
+						message.getPlaces().getTurnsList().stream().map(RelayCodec::placed).toList()));
 				case UNSURE -> Either.right(new PeerMessage.Unsure(message.getUnsure().getRequest()));
 				case SYNC -> Either.right(new PeerMessage.Sync());
 				case PLACE ->
@@ -208,6 +217,14 @@
 		}
 	}
 
+	private static RelayProtocol.PlacedTurn message(PlacedTurn turn) {
+		return RelayProtocol.PlacedTurn.newBuilder().setRequest(turn.request()).setPlace(message(turn.place())).build();
+	}
+
+	private static PlacedTurn placed(RelayProtocol.PlacedTurn message) {
+		return new PlacedTurn(message.getRequest(), place(message.getPlace()));
+	}
+
 	private static RelayProtocol.UpstreamLoad message(UpstreamLoad load) {
 		return RelayProtocol.UpstreamLoad.newBuilder()
 			.setLife(load.life())
@@ -302,13 +319,7 @@
 		RelayProtocol.Settlement.Builder builder = RelayProtocol.Settlement.newBuilder()
 			.setProgram(settled.program())
 			.setTokens(settled.tokens());
-		settled.text()
-			.ifPresent((place) -> builder.getPlaceBuilder()
-				.setPrevious(place.previous().orElse(""))
-				.setBytes(place.bytes())
-				.setPart(place.part())
-				.setFrom(place.from())
-				.setHolder(place.holder().orElse("")));
+		settled.text().ifPresent((place) -> builder.setPlace(message(place)));
 		return builder.build();
 	}
 
@@ -335,13 +346,25 @@
 	}
 
 	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
-		Optional<TextPlace> place = Optional.empty();
-		if (message.hasPlace()) {
-			RelayProtocol.TextPlace known = message.getPlace();
-			place = Optional.of(new TextPlace(named(known.getPrevious()), known.getBytes(), known.getPart(),
-					known.getFrom(), named(known.getHolder())));
-		}
+		Optional<TextPlace> place = Optional.of(message)
+			.filter(RelayProtocol.Settlement::hasPlace)
+			.map((settlement) -> place(settlement.getPlace()));
 		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), place);
 	}
 
+	private static RelayProtocol.TextPlace message(TextPlace place) {
+		return RelayProtocol.TextPlace.newBuilder()
+			.setPrevious(place.previous().orElse(""))
+			.setBytes(place.bytes())
+			.setPart(place.part())
+			.setFrom(place.from())
+			.setHolder(place.holder().orElse(""))
+			.build();
+	}
+
+	private static TextPlace place(RelayProtocol.TextPlace message) {
+		return new TextPlace(named(message.getPrevious()), message.getBytes(), message.getPart(), message.getFrom(),
+				named(message.getHolder()));
+	}
+
 }
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -6,6 +6,7 @@
 
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.PromptPart;
 import io.lentilslip.core.relay.TextPlace;
 import io.lentilslip.core.relay.TurnText;
@@ -82,8 +83,10 @@
 				new PeerMessage.TextsWanted(Set.of("a", "b")), new PeerMessage.Stored(Set.of("a")),
 				new PeerMessage.Pulse(), new PeerMessage.Question("r", "p", 588, 1L << 41, true),
 				new PeerMessage.Taken("r", 1L << 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
-				new PeerMessage.Unsure("r"), new PeerMessage.Sync(), new PeerMessage.Place("r", true),
-				new PeerMessage.Told());
+				new PeerMessage.Unsure("r"), new PeerMessage.Sync(), new PeerMessage.PlacesWanted("t"),
+				new PeerMessage.Places(List.of(new PlacedTurn("t",
+						new TextPlace(Optional.of("s"), 9, 5, 1L << 40, Optional.of("10.0.0.1:7"))))),
+				new PeerMessage.Place("r", true), new PeerMessage.Told());
 		for (PeerMessage message : messages) {
 			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
 		}
