--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -227,24 +227,27 @@
 	 * Takes the place in the log of a turn of this relay: everything before it there is
 	 * known now, and no relay takes anything after it into account first.
 	 * @param exchange the exchange
-	 * @return whether the budget holds the turn
+	 * @return why the turn is refused, or empty if its budget holds it
 	 */
-	boolean ordered(Exchange exchange) {
+	Optional<Refusal> ordered(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		long budget = turn.budget().orElseThrow();
 		Optional<Poll> poll = Optional.ofNullable(this.state.polls.get(exchange.head().id()));
-		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), budget)
-				&& poll.filter((known) -> !holds(known, turn)).isEmpty();
+		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), turn.budget().orElseThrow());
+		boolean sure = poll.isEmpty() || sure(poll.get(), turn);
 		exchange.reserve();
 		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		decided(exchange, Decider.LOG, held);
-		return held;
+		decided(exchange, Decider.LOG, held && sure);
+		if (held && sure) {
+			return Optional.empty();
+		}
+		return Optional.of(held ? Refusal.LOG_LOST : Refusal.BUDGET_SPENT);
 	}
 
 	// Keepers of the program decide on other turns meanwhile, which come into the log a
 	// moment later. One keeper that answered knows of them; where none has, as many may
-	// be missing as begin at once.
-	private boolean holds(Poll poll, Turn turn) {
+	// be missing as begin at once. The caller is told to come back then, not that the
+	// budget is spent.
+	private boolean sure(Poll poll, Turn turn) {
 		long budget = turn.budget().orElseThrow();
 		if (poll.heard()) {
 			return poll.most <= budget;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -111,7 +111,9 @@
 		Long own = this.state.contending.remove((fromLog && reserved.contending()) ? reserved.request() : "");
 		if (own != null) {
 			Exchange exchange = this.state.exchanges.get(own);
-			dispatchIf(exchange, this.budgets.ordered(exchange), Refusal.BUDGET_SPENT);
+			this.budgets.ordered(exchange)
+				.ifPresentOrElse((refusal) -> this.ends.giveUp(exchange, refusal),
+						() -> this.requests.dispatch(exchange));
 			return;
 		}
 		if (!reserved.contending() || fromLog) {
