See in the log an outage that ended just before all relays were lost

The store was away from second 31 to 36.0, all relays lost power at 36.05. In those 50 ms some relays wrote what had waited, so the newest entry was 1.5 s old when they started again, and all believed that nothing had been given without the log. (Seen: E3014 of all at one offset, E3016 two seconds later with none told.) By reading, not seen: a relay that starts later took what others wrote since for the whole.

Change: an entry that waited for the log says for how long. A relay that starts counts the longest time without entries, and what waited within the last two seconds of the log, as an outage.

Tests: outageThatEndedJustBeforeTheLossOfAllShows, outageBeforeTheLossOfAllShowsThoughOthersHaveWrittenSince, entryThatWaitedForTheLogSaysForHowLong. appendOfUnknownOutcomeIsMadeAgainBeforeWhatFollows compares the entries of both appends, since the second may say how long it waited.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -190,8 +190,8 @@
 	 * @param now when
 	 * @param offset the offset after the last entry
 	 * @param took how long the reading took
-	 * @param age how long ago the newest entry was written, by clocks that may be off;
-	 * empty if there is none
+	 * @param age the longest time for which nothing was written to it, up to now, by
+	 * clocks that may be off; empty if there is no entry
 	 */
 	record CaughtUp(long now, long offset, Duration took, Optional<Duration> age) implements RelayEvent {
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/AppendQueue.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/AppendQueue.java
@@ -33,6 +33,8 @@
 
 	private final Appending appending;
 
+	private final Stamp stamp;
+
 	private final Timers timers;
 
 	private final Pauses pauses;
@@ -54,6 +56,7 @@
 	/**
 	 * Creates an empty queue.
 	 * @param appending appends records to the partition
+	 * @param stamp puts into a record how long it waited
 	 * @param timers runs steps later
 	 * @param random spreads out tries
 	 * @param bound the most bytes that wait
@@ -61,9 +64,10 @@
 	 * @param health takes whether the store answered a call as it should
 	 * @param givenUp takes how many records wait no longer, each time that any do
 	 */
-	AppendQueue(Appending appending, Timers timers, RandomGenerator random, long bound, Stored<T> stored,
+	AppendQueue(Appending appending, Stamp stamp, Timers timers, RandomGenerator random, long bound, Stored<T> stored,
 			Consumer<Boolean> health, IntConsumer givenUp) {
 		this.appending = appending;
+		this.stamp = stamp;
 		this.timers = timers;
 		this.pauses = new Pauses(random);
 		this.bound = bound;
@@ -78,7 +82,7 @@
 	 * @param encoded its bytes
 	 */
 	void add(T item, byte[] encoded) {
-		this.waiting.add(new Waiting<>(item, encoded));
+		this.waiting.add(new Waiting<>(item, encoded, this.timers.now()));
 		this.bytes += encoded.length;
 		dropOldest();
 	}
@@ -134,7 +138,11 @@
 
 	private void append() {
 		long began = this.timers.now();
-		this.appending.append(this.underWay.stream().map(Waiting::encoded).toList(), (outcome) -> {
+		List<byte[]> records = new ArrayList<>();
+		for (Waiting<T> next : this.underWay) {
+			records.add(this.stamp.stamp(next.encoded(), Duration.ofMillis(began - next.since())));
+		}
+		this.appending.append(records, (outcome) -> {
 			this.health.accept(outcome instanceof Store.Appended.Done);
 			if (outcome instanceof Store.Appended.Done done) {
 				done(done, Duration.ofMillis(this.timers.now() - began));
@@ -167,6 +175,22 @@
 
 	}
 
+	/**
+	 * Puts into a record how long it waited. Used by the event loop's thread.
+	 */
+	@FunctionalInterface
+	interface Stamp {
+
+		/**
+		 * Makes the record that is appended.
+		 * @param encoded the bytes of the record
+		 * @param waited how long it waited until now
+		 * @return the bytes to append
+		 */
+		byte[] stamp(byte[] encoded, Duration waited);
+
+	}
+
 	/**
 	 * Takes what the store has. Used by the event loop's thread.
 	 *
@@ -191,8 +215,9 @@
 	 * @param <T> what a record stands for
 	 * @param item what it stands for
 	 * @param encoded its bytes
+	 * @param since since when it waits
 	 */
-	private record Waiting<T>(T item, byte[] encoded) {
+	private record Waiting<T>(T item, byte[] encoded, long since) {
 
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -11,6 +11,7 @@
 
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.wire.relay.RelayCodec;
+import io.lentilslip.wire.relay.WrittenTime;
 import io.vavr.control.Either;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +37,12 @@
 	 */
 	private static final Duration PAUSE_ALONE = Duration.ofMillis(80);
 
+	/**
+	 * How long after an outage all relays have written what had waited: some times the
+	 * longest pause between their tries.
+	 */
+	private static final Duration ALL_WRITTEN = Duration.ofSeconds(2);
+
 	private static final Logger logger = LoggerFactory.getLogger(EntryReader.class);
 
 	private final Store store;
@@ -62,6 +69,14 @@
 
 	private OptionalLong newest = OptionalLong.empty();
 
+	private long longestPause;
+
+	private long longestLate;
+
+	private long lateUntil;
+
+	private long lastAppended;
+
 	private long since;
 
 	private long scheduled;
@@ -150,14 +165,34 @@
 		if (records.isEmpty()) {
 			return;
 		}
-		OptionalLong written = RelayCodec.written(records.getLast().value().orElse(new byte[0]));
-		written.ifPresent((time) -> this.newest = OptionalLong.of(Math.max(this.newest.orElse(0), time)));
+		records.forEach((stored) -> RelayCodec.written(stored.value().orElse(new byte[0])).ifPresent(this::note));
+	}
+
+	// Of relays that are all lost in an outage some start sooner, and what they write is
+	// new when the others read it. The pause before it tells of the outage all the same.
+	private void note(WrittenTime time) {
+		long before = this.newest.orElse(time.written());
+		this.longestPause = Math.max(this.longestPause, time.written() - before);
+		this.newest = OptionalLong.of(Math.max(before, time.written()));
+		this.lastAppended = Math.max(this.lastAppended, time.appended());
+		if (!time.late().isZero()) {
+			boolean other = time.appended() - this.lateUntil > ALL_WRITTEN.toMillis();
+			this.longestLate = Math.max(other ? 0 : this.longestLate, time.late().toMillis());
+			this.lateUntil = Math.max(this.lateUntil, time.appended());
+		}
 	}
 
 	private Optional<Duration> age() {
-		return this.newest.stream()
-			.mapToObj((time) -> Duration.ofMillis(Math.abs(this.timers.timeOfDay() - time)))
-			.findFirst();
+		return this.newest.stream().mapToObj((time) -> {
+			long pause = Math.max(this.longestPause, Math.abs(this.timers.timeOfDay() - time));
+			return Duration.ofMillis(Math.max(pause, lateAtTheEnd()));
+		}).findFirst();
+	}
+
+	// An outage that ended just before all relays were lost: some could still write what
+	// had waited, and what others held is gone.
+	private long lateAtTheEnd() {
+		return (this.lastAppended - this.lateUntil < ALL_WRITTEN.toMillis()) ? this.longestLate : 0;
 	}
 
 	private void readAfter(Duration pause) {
@@ -193,8 +228,9 @@
 		 * The end was reached.
 		 * @param offset the offset after the last entry
 		 * @param took how long it took
-		 * @param age how long ago the newest entry was written, by the clocks of its
-		 * writer and this process; empty if there is none
+		 * @param age the longest time for which nothing was written or entries waited
+		 * that may not all be there, up to now, by the clocks of writers and this
+		 * process; empty if there is no entry
 		 */
 		void at(long offset, Duration took, Optional<Duration> age);
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -31,6 +31,12 @@
 	 */
 	private static final Duration GATHER = Duration.ofMillis(100);
 
+	/**
+	 * How long an entry may wait without saying so: several times what it waits while the
+	 * log answers. Those that wait longer show whoever reads them that it was away.
+	 */
+	private static final Duration SOON = Duration.ofMillis(500);
+
 	private final Timers timers;
 
 	private final Consumer<Set<String>> turnsStored;
@@ -56,8 +62,13 @@
 		this.timers = timers;
 		this.turnsStored = turnsStored;
 		this.contendersStored = contendersStored;
-		this.queue = new AppendQueue<>((records, then) -> store.append(Topic.ENTRIES, records, then), timers, random,
-				WAITING_BYTES, (entries, offset, took) -> stored(entries), health, givenUp);
+		this.queue = new AppendQueue<>((records, then) -> store.append(Topic.ENTRIES, records, then),
+				EntryWriter::stamp, timers, random, WAITING_BYTES, (entries, offset, took) -> stored(entries), health,
+				givenUp);
+	}
+
+	private static byte[] stamp(byte[] encoded, Duration waited) {
+		return (waited.compareTo(SOON) < 0) ? encoded : RelayCodec.late(encoded, waited);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -49,9 +49,9 @@
 		this.part = part;
 		this.listener = listener;
 		this.pauses = new Pauses(random);
-		this.queue = new AppendQueue<>((records, then) -> store.appendTexts(part, records, then), timers, random,
-				WAITING_BYTES, (turns, offset, took) -> listener.stored(Set.copyOf(turns), offset + turns.size(), took),
-				(well) -> {
+		this.queue = new AppendQueue<>((records, then) -> store.appendTexts(part, records, then),
+				(encoded, waited) -> encoded, timers, random, WAITING_BYTES,
+				(turns, offset, took) -> listener.stored(Set.copyOf(turns), offset + turns.size(), took), (well) -> {
 					// A partition of the texts says nothing of the one that the order of
 					// turns is read
 					// from: only that decides what this relay reaches.
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/FakeStore.java
@@ -14,6 +14,8 @@
  */
 final class FakeStore implements Store, Timers {
 
+	private static final long FIRST_TIME_OF_DAY = 1_790_000_000_000L;
+
 	final List<List<byte[]>> appends = new ArrayList<>();
 
 	final Deque<Consumer<Appended>> appendAnswers = new ArrayDeque<>();
@@ -68,6 +70,11 @@
 		this.steps.add(new Step(this.now + delay.toMillis(), step));
 	}
 
+	@Override
+	public long timeOfDay() {
+		return FIRST_TIME_OF_DAY + now();
+	}
+
 	@Override
 	public long now() {
 		return this.now;
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -1,9 +1,10 @@
 package io.lentilslip.wire.relay;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import com.google.protobuf.ByteString;
@@ -61,19 +62,34 @@
 		return message(entry).toBuilder().setWritten(written).build().toByteArray();
 	}
 
+	/**
+	 * Adds to an entry for the log how long it waited until it was appended.
+	 * @param encoded the bytes of the entry
+	 * @param waited how long
+	 * @return the bytes of both
+	 */
+	public static byte[] late(byte[] encoded, Duration waited) {
+		// Bytes of two messages of one kind in a row are those of both.
+		byte[] more = RelayProtocol.RelayEntry.newBuilder().setLate((int) waited.toMillis()).build().toByteArray();
+		byte[] both = Arrays.copyOf(encoded, encoded.length + more.length);
+		System.arraycopy(more, 0, both, encoded.length, more.length);
+		return both;
+	}
+
 	/**
 	 * Reads when an entry of the log was written.
 	 * @param bytes the bytes of the entry
-	 * @return milliseconds of its writer's clock of the day, or empty if it does not say
+	 * @return when, or empty if it does not say
 	 */
-	public static OptionalLong written(byte[] bytes) {
+	public static Optional<WrittenTime> written(byte[] bytes) {
 		try {
-			long written = RelayProtocol.RelayEntry.parseFrom(bytes).getWritten();
-			return (written > 0) ? OptionalLong.of(written) : OptionalLong.empty();
+			RelayProtocol.RelayEntry entry = RelayProtocol.RelayEntry.parseFrom(bytes);
+			return Optional.of(new WrittenTime(entry.getWritten(), Duration.ofMillis(Math.max(0, entry.getLate()))))
+				.filter((time) -> time.written() > 0);
 		}
 		catch (InvalidProtocolBufferException ex) {
 			// Told by whoever decodes the entry itself.
-			return OptionalLong.empty();
+			return Optional.empty();
 		}
 	}
 
--- /dev/null
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/WrittenTime.java
@@ -0,0 +1,22 @@
+package io.lentilslip.wire.relay;
+
+import java.time.Duration;
+
+/**
+ * When an entry of the log was written. Immutable and safe for use by several threads.
+ *
+ * @param written when its relay wrote it, in milliseconds of that relay's clock of the
+ * day
+ * @param late how long it waited then until it was appended; zero if it went out soon
+ */
+public record WrittenTime(long written, Duration late) {
+
+	/**
+	 * Returns when the entry was appended.
+	 * @return milliseconds of its writer's clock of the day
+	 */
+	public long appended() {
+		return this.written + this.late.toMillis();
+	}
+
+}
