Take no turns before the other relays are known, and keep links to those that leave

A relay that had not read the list of relays decided alone on turns far from the end of their budgets, while others let keepers decide. And one that drains leaves the list first: its links were cut, and the turns that it had taken fell back on the log.

Change: ready, and turns taken, when the list is known; a link holds until its connection ends, and what is not listed any more is forgotten then.

Tests: relayThatDoesNotKnowTheOthersYetTakesNoTurns, linkToARelayThatLeavesTheListHoldsUntilItEnds.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -202,6 +202,16 @@
 		return relays.stream().filter((relay) -> !relay.equals(this.name)).toList();
 	}
 
+	/**
+	 * Returns whether it is known which relays keep programs. One that has a port for
+	 * others and has not read yet who they are would decide alone on what they decide
+	 * together.
+	 * @return whether it is
+	 */
+	boolean knowsRelays() {
+		return this.keepers.known() || this.name.isEmpty();
+	}
+
 	/**
 	 * Returns whether this relay knows all that other relays gave to programs, as far as
 	 * it was told.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -67,7 +67,7 @@
 		// not know the end of its partition, others would look for it from the first
 		// record on, and give up before they find it.
 		boolean placeUnknown = exchange.route().keepsTurns() && this.state.textEnd < 0;
-		if (!this.state.caughtUp || placeUnknown) {
+		if (!this.state.caughtUp || !this.state.knowsRelays() || placeUnknown) {
 			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
 			return;
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -33,7 +33,7 @@
 			lookWhetherComplete();
 		}
 		boolean now = this.state.table.isPresent() && this.state.upstreams.listed() && this.state.caughtUp
-				&& this.state.reach != Reach.NOTHING && this.state.textEnd >= 0;
+				&& this.state.knowsRelays() && this.state.reach != Reach.NOTHING && this.state.textEnd >= 0;
 		if (now != this.state.ready) {
 			this.state.ready = now;
 			this.state.emit(new RelayEffect.Ready(now));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -40,6 +40,21 @@
 		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(true));
 	}
 
+	// A relay has started and has not read yet who the others are, of whom three keep
+	// each
+	// program. Deciding alone, it would give what they give as well.
+	@Test
+	void relayThatDoesNotKnowTheOthersYetTakesNoTurns() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.Opened(relay.now(), "own"));
+		RelayEffect.Refuse refused = refuse(relay.askTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)));
+		assertThat(refused.refusal()).isEqualTo(Refusal.NOT_READY);
+		relay.on(new RelayEvent.RelaysListed(relay.now(), List.of(Member.of("own"))));
+		assertThat(sends(relay.askTurn("t2", "draft", RelayFixture.turn("p", 1000, 100, null)))).hasSize(1);
+		assertThat(RelayFixture.of(relay.all, RelayEffect.Ready.class)).containsExactly(new RelayEffect.Ready(false),
+				new RelayEffect.Ready(true));
+	}
+
 	// All relays were lost and read the log from its first record. The caller of a turn
 	// has
 	// a few tries: told to come back when the log may be read, it does not waste them.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -215,9 +215,11 @@
 		}
 	}
 
-	void close() {
+	/**
+	 * Makes the link no more after its connection is over.
+	 */
+	void retire() {
 		this.wanted = false;
-		this.channel.ifPresent(Channel::close);
 	}
 
 	private void connect() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -214,7 +214,7 @@
 	 * @return the number
 	 */
 	public int known() {
-		return this.links.size();
+		return this.members.size() - (this.members.containsKey(this.own) ? 1 : 0);
 	}
 
 	@Override
@@ -276,11 +276,20 @@
 			.toJavaOptional();
 	}
 
+	// A relay that drains leaves the list and goes on asking for the turns that it took.
 	private void remove(String address) {
 		this.members.remove(address);
-		PeerLink link = this.links.remove(address);
+		PeerLink link = this.links.get(address);
 		if (link != null) {
-			link.close();
+			link.retire();
+			forgetUnused(address);
+		}
+	}
+
+	private void forgetUnused(String address) {
+		PeerLink link = this.links.get(address);
+		if (link != null && !link.up() && !this.members.containsKey(address)) {
+			this.links.remove(address);
 		}
 	}
 
@@ -312,6 +321,7 @@
 			PeerLink link = Peers.this.links.get(this.peer);
 			if (link != null) {
 				link.closed(context.channel(), reason());
+				forgetUnused(this.peer);
 			}
 		}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -56,6 +56,8 @@
 
 	private List<Member> members = List.of();
 
+	private String peer = "";
+
 	@AfterEach
 	void close() {
 		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -142,6 +144,22 @@
 		assertThat(onLoop(this.others.getFirst()::up)).isOne();
 	}
 
+	// A relay drains: it leaves the list, and goes on asking keepers for the turns that
+	// it
+	// took. Cut off then, they would wait for the log instead.
+	@Test
+	void linkToARelayThatLeavesTheListHoldsUntilItEnds() throws Exception {
+		open();
+		answered();
+		String leaving = this.peer;
+		onLoop(() -> this.peers.changed(leaving, Optional.empty()));
+		assertThat(onLoop(this.peers::known)).isZero();
+		onLoop(() -> this.others.getFirst().send(this.own, new PeerMessage.Question("last", "p", 1, 2, false)));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("asked last of p");
+		onLoop(() -> this.peers.send(leaving, new PeerMessage.Question("back", "p", 1, 2, false)));
+		assertThat(this.heard.poll(20, TimeUnit.SECONDS)).isEqualTo("asked back of p");
+	}
+
 	// A connection goes silent for good without a reset: nothing comes back for what is
 	// sent. It is given up, though no error ever shows.
 	@Test
@@ -221,6 +239,7 @@
 		String address = "127.0.0.1:" + bound.getPort();
 		other.name(address);
 		onLoop(() -> this.peers.changed(address, Optional.of(PRESENT)));
+		this.peer = address;
 		return address;
 	}
 
