--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -24,9 +24,8 @@
 final class BudgetRules {
 
 	/**
-	 * The part of a budget that may be given without the log. Half: programs that end by
-	 * themselves take a fifth of theirs in the middle and half in 19 of 20 cases, so both
-	 * sides of an outage have room for them.
+	 * The part of a budget that may be given without the log: both sides of an outage
+	 * have room for programs that end by themselves.
 	 */
 	private static final int PART_WITHOUT_LOG = 2;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -46,10 +46,10 @@
 	static final Duration RELAYS_WAIT = Duration.ofMillis(60);
 
 	/**
-	 * How old the newest entry of the log may be when a relay first reads it, so that no
-	 * outage counts as having come before: the loss of all relays and a start take two to
-	 * three seconds. An outage that fits in besides is taken for none; it is too short
-	 * for more than one or two turns of a program without the log, and one turn is what a
+	 * How long nothing may have been written to the log when a relay first reads it, so
+	 * that no outage counts as having come before: longer than the loss of all relays and
+	 * a start take. An outage that fits in besides is taken for none; it is too short for
+	 * more than one or two turns of a program without the log, and one turn is what a
 	 * budget may be passed by.
 	 */
 	static final Duration RECENT = Duration.ofSeconds(3);
@@ -94,15 +94,15 @@
 	static final Duration COME_BACK_LATER = Duration.ofMillis(300);
 
 	/**
-	 * When the caller of a turn is asked to come back if the log has to be read first.
-	 * After the loss of all relays that takes one to three seconds, and callers have two
-	 * or three tries: told to come back sooner, they would have used them up by then.
+	 * When the caller of a turn is asked to come back if the log has to be read first:
+	 * callers have two or three tries, and told to come back sooner they would have used
+	 * them up by then.
 	 */
 	static final Duration COME_BACK_WHEN_READ = Duration.ofMillis(1000);
 
 	/**
 	 * How long a relay tries alone to write a kept turn before it asks others, and again
-	 * after that. A log that answers takes some ten milliseconds.
+	 * after that: several times what a log takes that answers.
 	 */
 	static final Duration ALONE = Duration.ofMillis(80);
 
