Give the log its whole time after keepers were unsure, and count each relay's answer once

Cause: found on reading. A reminder that was meant for the keepers came while the turn waited for the log already, and all relays were asked after 27 ms in place of 100: after the loss of all, when all keepers are unsure, for nearly each turn. And an answer that came late counted in the next round of questions beside the same relay's second one, so fewer relays than a majority could make one.

Change: only the last reminder acts, and answers are kept by relay. Keepers of a program are remembered, since ranking all relays at each turn grows with their number.

Figures: none measured.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -1,9 +1,12 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.LedgerEntry.Reserved;
@@ -122,7 +125,7 @@
 		if (!others.isEmpty()) {
 			this.state.emit(new RelayEffect.AskTaken(others, exchange.head().id(), turn.program(), turn.most(),
 					turn.budget().orElseThrow()));
-			this.state.remind(exchange, RelaySettings.KEEPERS_WAIT, Reminder.ORDER);
+			remind(exchange, poll, RelaySettings.KEEPERS_WAIT);
 		}
 		return byKeepers(exchange, poll);
 	}
@@ -158,6 +161,7 @@
 		switch (this.state.reach) {
 			case LOG -> {
 				poll.stage = Poll.Stage.LOG;
+				poll.reminders++;
 				contendInLog(exchange);
 			}
 			case RELAYS -> askRelays(exchange);
@@ -191,7 +195,12 @@
 		this.state.write(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false));
 		this.state.emit(new RelayEffect.AskTaken(List.of(), exchange.head().id(), turn.program(), turn.most(),
 				turn.budget().orElseThrow()));
-		this.state.remind(exchange, RelaySettings.RELAYS_WAIT, Reminder.ORDER);
+		remind(exchange, poll, RelaySettings.RELAYS_WAIT);
+	}
+
+	private void remind(Exchange exchange, Poll poll, Duration delay) {
+		poll.reminders++;
+		this.state.remind(exchange, delay, Reminder.ORDER);
 	}
 
 	/**
@@ -205,6 +214,11 @@
 			return;
 		}
 		Poll poll = this.state.polls.get(exchange.head().id());
+		// An answer may have ended the waiting that a reminder is of: taken for the next
+		// one's, the log would hardly have its time, and all relays would be asked.
+		if (poll != null && --poll.reminders > 0) {
+			return;
+		}
 		if (poll != null && poll.stage == Poll.Stage.KEEPERS) {
 			widen(exchange, poll);
 			return;
@@ -216,7 +230,7 @@
 		if (poll != null && !poll.extended && (poll.log() || this.state.reach == Reach.LOG)) {
 			poll.extended = true;
 			askPlace(exchange, poll);
-			this.state.remind(exchange, RelaySettings.ORDER_WAIT, Reminder.ORDER);
+			remind(exchange, poll, RelaySettings.ORDER_WAIT);
 			return;
 		}
 		this.ends.orderLost(exchange);
@@ -296,7 +310,7 @@
 				askPlace(exchange, poll);
 			}
 		}
-		if (poll.log() || !poll.byKeeper || poll.answers < (told.others() + 1) / 2) {
+		if (poll.log() || !poll.byKeeper || poll.answers.size() < (told.others() + 1) / 2) {
 			return Optional.empty();
 		}
 		Turn turn = exchange.head().turn().orElseThrow();
@@ -354,7 +368,7 @@
 			// The ordinary case, which the placing of the turn tells.
 			return;
 		}
-		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers : 0, held, this.state));
+		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers.size() : 0, held, this.state));
 	}
 
 	/**
@@ -459,7 +473,9 @@
 
 		private Stage stage = Stage.KEEPERS;
 
-		private int answers;
+		private int reminders;
+
+		private final Set<String> answers = new HashSet<>();
 
 		private int unsure;
 
@@ -493,14 +509,14 @@
 		}
 
 		private void answered(String relay, long tokens) {
-			this.answers++;
+			this.answers.add(relay);
 			this.byKeeper = this.byKeeper || this.keepers.contains(relay);
 			this.most = Math.max(this.most, tokens);
 		}
 
 		// Those that can't say what is taken have noted the turn all the same.
 		private boolean heard() {
-			return this.answers > 0 || hopeless();
+			return !this.answers.isEmpty() || hopeless();
 		}
 
 		private int needed() {
@@ -509,12 +525,12 @@
 
 		private void askAll(String own) {
 			this.stage = Stage.RELAYS;
-			this.answers = 0;
+			this.answers.clear();
 			this.byKeeper = this.keepers.isEmpty() || this.keepers.contains(own);
 		}
 
 		private boolean majority() {
-			return this.answers >= needed();
+			return this.answers.size() >= needed();
 		}
 
 		private boolean hopeless() {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Keepers.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Keepers.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -22,12 +24,26 @@
 	 */
 	static final int COUNT = 3;
 
+	/**
+	 * How many programs' keepers are remembered: those whose turns come now, at a large
+	 * site.
+	 */
+	private static final int REMEMBERED = 4096;
+
+	private final Map<String, List<String>> remembered = new LinkedHashMap<>(64, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, List<String>> eldest) {
+			return size() > REMEMBERED;
+		}
+	};
+
 	private List<Member> members = List.of();
 
 	private Set<String> addresses = Set.of();
 
 	void list(List<Member> listed) {
 		this.members = List.copyOf(listed);
+		this.remembered.clear();
 		Set<String> known = new HashSet<>();
 		listed.forEach((member) -> known.add(member.address()));
 		this.addresses = Set.copyOf(known);
@@ -62,6 +78,10 @@
 	 * @return the addresses; empty while no members are known
 	 */
 	List<String> of(String program) {
+		return this.remembered.computeIfAbsent(program, this::choose);
+	}
+
+	private List<String> choose(String program) {
 		List<Scored> ranked = new ArrayList<>(this.members.size());
 		for (Member member : this.members) {
 			ranked.add(new Scored(member, score(program, member)));
