Put the answers to a budget's question into a class of their own

Poll tells whose answer is waited for and whether enough have come; what only tests called (two shorter forms) is gone. No change of behaviour; none measured. keepersStepInOneAfterTheOther shows who of the keepers writes an overdue entry first.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -1,12 +1,9 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.LedgerEntry.Reserved;
@@ -118,7 +115,7 @@
 				poll.answered(this.state.name, this.state.tokens.taken(turn.program()));
 			}
 			else {
-				poll.unsure++;
+				poll.unsure();
 			}
 		}
 		List<String> others = this.state.otherKeepers(turn.program());
@@ -137,8 +134,8 @@
 	}
 
 	private Optional<Boolean> byKeepers(Exchange exchange, Poll poll) {
-		if (!poll.majority()) {
-			if (poll.hopeless()) {
+		if (!poll.keepersDecide()) {
+			if (poll.keepersCannotDecide()) {
 				widen(exchange, poll);
 			}
 			return Optional.empty();
@@ -146,7 +143,7 @@
 		Turn turn = exchange.head().turn().orElseThrow();
 		long budget = turn.budget().orElseThrow();
 		boolean log = this.state.reach == Reach.LOG;
-		boolean held = poll.most <= (log ? budget : withoutLog(turn.most(), budget));
+		boolean held = poll.taken() <= (log ? budget : withoutLog(turn.most(), budget));
 		if (held || log) {
 			decided(exchange, Decider.KEEPERS, held);
 			return Optional.of(held);
@@ -160,8 +157,8 @@
 	private void widen(Exchange exchange, Poll poll) {
 		switch (this.state.reach) {
 			case LOG -> {
-				poll.stage = Poll.Stage.LOG;
-				poll.reminders++;
+				poll.askLog();
+				poll.remind();
 				contendInLog(exchange);
 			}
 			case RELAYS -> askRelays(exchange);
@@ -199,7 +196,7 @@
 	}
 
 	private void remind(Exchange exchange, Poll poll, Duration delay) {
-		poll.reminders++;
+		poll.remind();
 		this.state.remind(exchange, delay, Reminder.ORDER);
 	}
 
@@ -216,19 +213,18 @@
 		Poll poll = this.state.polls.get(exchange.head().id());
 		// An answer may have ended the waiting that a reminder is of: taken for the next
 		// one's, the log would hardly have its time, and all relays would be asked.
-		if (poll != null && --poll.reminders > 0) {
+		if (poll != null && !poll.lastReminder()) {
 			return;
 		}
-		if (poll != null && poll.stage == Poll.Stage.KEEPERS) {
+		if (poll != null && poll.stage() == Poll.Stage.KEEPERS) {
 			widen(exchange, poll);
 			return;
 		}
-		if ((poll == null || poll.stage == Poll.Stage.LOG) && this.state.reach != Reach.NOTHING) {
+		if ((poll == null || poll.stage() == Poll.Stage.LOG) && this.state.reach != Reach.NOTHING) {
 			askRelays(exchange);
 			return;
 		}
-		if (poll != null && !poll.extended && (poll.log() || this.state.reach == Reach.LOG)) {
-			poll.extended = true;
+		if (poll != null && (poll.log() || this.state.reach == Reach.LOG) && poll.extend()) {
 			askPlace(exchange, poll);
 			remind(exchange, poll, RelaySettings.ORDER_WAIT);
 			return;
@@ -262,11 +258,11 @@
 	// budget is spent.
 	private boolean sure(Poll poll, Turn turn) {
 		long budget = turn.budget().orElseThrow();
-		if (poll.heard()) {
-			return poll.most <= budget;
+		if (poll.seesKeepers()) {
+			return poll.taken() <= budget;
 		}
 		long atOnce = (long) RelaySettings.TURNS_AT_ONCE * turn.most();
-		return this.state.tokens.takenWithout(turn.program(), poll.request) + atOnce <= budget + turn.most();
+		return this.state.tokens.takenWithout(turn.program(), poll.request()) + atOnce <= budget + turn.most();
 	}
 
 	private boolean holds(String request, String program, int most, long budget) {
@@ -280,12 +276,12 @@
 	 */
 	Optional<Boolean> told(RelayEvent.TakenTold told) {
 		Poll poll = this.state.polls.get(told.request());
-		if (poll == null || poll.stage == Poll.Stage.LOG) {
+		if (poll == null || poll.stage() == Poll.Stage.LOG) {
 			return Optional.empty();
 		}
-		Exchange exchange = this.state.exchanges.get(poll.exchange);
+		Exchange exchange = this.state.exchanges.get(poll.exchange());
 		poll.answered(told.peer(), told.tokens());
-		return (poll.stage == Poll.Stage.KEEPERS) ? byKeepers(exchange, poll) : byRelays(exchange, poll, told);
+		return (poll.stage() == Poll.Stage.KEEPERS) ? byKeepers(exchange, poll) : byRelays(exchange, poll, told);
 	}
 
 	/**
@@ -294,9 +290,9 @@
 	 */
 	void unsure(RelayEvent.TakenUnsure unsure) {
 		Poll poll = this.state.polls.get(unsure.request());
-		if (poll != null && poll.stage == Poll.Stage.KEEPERS) {
-			poll.unsure++;
-			byKeepers(this.state.exchanges.get(poll.exchange), poll);
+		if (poll != null && poll.stage() == Poll.Stage.KEEPERS) {
+			poll.unsure();
+			byKeepers(this.state.exchanges.get(poll.exchange()), poll);
 		}
 	}
 
@@ -305,17 +301,18 @@
 		// of, so the log decides for all. One relay is asked for a place, since each call
 		// of the log is priced; if it does not answer, the next one is.
 		if (told.log()) {
-			poll.placers.add(told.peer());
-			if (poll.placed == 0) {
+			boolean first = !poll.log();
+			poll.reachesLog(told.peer());
+			if (first) {
 				askPlace(exchange, poll);
 			}
 		}
-		if (poll.log() || !poll.byKeeper || poll.answers.size() < (told.others() + 1) / 2) {
+		if (poll.log() || !poll.allDecide(told.others())) {
 			return Optional.empty();
 		}
 		Turn turn = exchange.head().turn().orElseThrow();
 		long budget = turn.budget().orElseThrow();
-		long taken = Math.max(poll.most, this.state.tokens.taken(turn.program())) + missed(turn.most(), budget);
+		long taken = Math.max(poll.taken(), this.state.tokens.taken(turn.program())) + missed(turn.most(), budget);
 		boolean held = taken <= withoutLog(turn.most(), budget);
 		decided(exchange, Decider.MAJORITY, held);
 		return Optional.of(held);
@@ -331,7 +328,7 @@
 		if (poll == null) {
 			return Optional.empty();
 		}
-		Exchange exchange = this.state.exchanges.get(poll.exchange);
+		Exchange exchange = this.state.exchanges.get(poll.exchange());
 		decided(exchange, Decider.PLACE, told.held());
 		return Optional.of(exchange);
 	}
@@ -345,20 +342,18 @@
 	 */
 	boolean leavesRoom(RelayEvent.PlaceTold told) {
 		Poll poll = this.state.polls.get(told.request());
-		if (poll == null || poll.keepers.isEmpty()) {
+		if (poll == null || !poll.keepersKnown()) {
 			return true;
 		}
-		Turn turn = this.state.exchanges.get(poll.exchange).head().turn().orElseThrow();
-		return poll.most <= turn.budget().orElseThrow();
+		Turn turn = this.state.exchanges.get(poll.exchange()).head().turn().orElseThrow();
+		return poll.taken() <= turn.budget().orElseThrow();
 	}
 
 	private void askPlace(Exchange exchange, Poll poll) {
-		if (poll.placed < poll.placers.size()) {
-			Turn turn = exchange.head().turn().orElseThrow();
-			this.state.emit(new RelayEffect.AskPlace(poll.placers.get(poll.placed), exchange.head().id(),
-					turn.program(), turn.most(), turn.budget().orElseThrow()));
-			poll.placed++;
-		}
+		Turn turn = exchange.head().turn().orElseThrow();
+		poll.nextPlacer()
+			.ifPresent((relay) -> this.state.emit(new RelayEffect.AskPlace(relay, exchange.head().id(), turn.program(),
+					turn.most(), turn.budget().orElseThrow())));
 	}
 
 	private void decided(Exchange exchange, Decider by, boolean held) {
@@ -368,7 +363,7 @@
 			// The ordinary case, which the placing of the turn tells.
 			return;
 		}
-		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers.size() : 0, held, this.state));
+		this.state.tell(RelayNotices.decided(exchange, by, (poll != null) ? poll.answers() : 0, held, this.state));
 	}
 
 	/**
@@ -460,109 +455,4 @@
 
 	}
 
-	/**
-	 * The answers to a question of this relay. Used by one thread.
-	 */
-	static final class Poll {
-
-		private final long exchange;
-
-		private final String request;
-
-		private final List<String> keepers;
-
-		private Stage stage = Stage.KEEPERS;
-
-		private int reminders;
-
-		private final Set<String> answers = new HashSet<>();
-
-		private int unsure;
-
-		private boolean byKeeper;
-
-		private long most;
-
-		private final List<String> placers = new ArrayList<>();
-
-		private int placed;
-
-		private boolean extended;
-
-		Poll(long exchange, String request, List<String> keepers) {
-			this.exchange = exchange;
-			this.request = request;
-			this.keepers = keepers;
-			this.byKeeper = keepers.isEmpty();
-		}
-
-		long exchange() {
-			return this.exchange;
-		}
-
-		/**
-		 * Returns why the turn is refused if its budget is told not to hold it.
-		 * @return the refusal: without the log only a part of the budget is given
-		 */
-		Refusal otherwise() {
-			return (this.stage == Stage.KEEPERS) ? Refusal.BUDGET_SPENT : Refusal.LOG_LOST;
-		}
-
-		private void answered(String relay, long tokens) {
-			this.answers.add(relay);
-			this.byKeeper = this.byKeeper || this.keepers.contains(relay);
-			this.most = Math.max(this.most, tokens);
-		}
-
-		// Those that can't say what is taken have noted the turn all the same.
-		private boolean heard() {
-			return !this.answers.isEmpty() || hopeless();
-		}
-
-		private int needed() {
-			return this.keepers.size() / 2 + 1;
-		}
-
-		private void askAll(String own) {
-			this.stage = Stage.RELAYS;
-			this.answers.clear();
-			this.byKeeper = this.keepers.isEmpty() || this.keepers.contains(own);
-		}
-
-		private boolean majority() {
-			return this.answers.size() >= needed();
-		}
-
-		private boolean hopeless() {
-			return this.keepers.size() - this.unsure < needed();
-		}
-
-		boolean log() {
-			return !this.placers.isEmpty();
-		}
-
-		/**
-		 * Whose answer is waited for. Safe for use by several threads.
-		 */
-		private enum Stage {
-
-			/**
-			 * That of the relays that keep the program.
-			 */
-			KEEPERS,
-
-			/**
-			 * That of the log's order.
-			 */
-			LOG,
-
-			/**
-			 * That of all other relays.
-			 */
-			RELAYS
-
-		}
-
-	}
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -58,7 +58,7 @@
 	}
 
 	void takenTold(RelayEvent.TakenTold told) {
-		BudgetRules.Poll poll = this.state.polls.get(told.request());
+		Poll poll = this.state.polls.get(told.request());
 		this.budgets.told(told)
 			.ifPresent((held) -> dispatchIf(this.state.exchanges.get(poll.exchange()), held, poll.otherwise()));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -312,19 +312,6 @@
 			loads = List.copyOf(loads);
 		}
 
-		/**
-		 * Creates an effect that tells nothing of upstreams.
-		 * @param peer the other relay
-		 * @param request the turn for which it asked
-		 * @param tokens the tokens that are spent or held back
-		 * @param log whether this relay reaches the log, and can get the turn a place
-		 * there
-		 * @param entries entries of the program that the log has not shown
-		 */
-		public TellTaken(String peer, String request, long tokens, boolean log, List<LedgerEntry> entries) {
-			this(peer, request, tokens, log, entries, List.of());
-		}
-
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -69,7 +69,7 @@
 	/**
 	 * The questions of this relay that are not decided yet, by request.
 	 */
-	final Map<String, BudgetRules.Poll> polls = new LinkedHashMap<>();
+	final Map<String, Poll> polls = new LinkedHashMap<>();
 
 	/**
 	 * The questions of other relays whose turns get a place in the log here, by request.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnloggedEntries.java
@@ -101,18 +101,6 @@
 		return !shownFirst;
 	}
 
-	/**
-	 * Returns the entries that the log should have shown by now and that this relay is to
-	 * write, and forgets them. Entries that others are to write wait once more.
-	 * @param own the name of this relay
-	 * @param linked the relays that this one is linked to
-	 * @param now when the log was read
-	 * @return the entries
-	 */
-	List<LedgerEntry> overdue(String own, Set<String> linked, long now) {
-		return overdue(own, linked, (entry) -> List.of(), now);
-	}
-
 	/**
 	 * Returns the entries that the log should have shown by now and that this relay is to
 	 * write, and forgets them. Entries that others are to write wait once more.
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -562,7 +562,8 @@
 		relay.told(settled);
 		relay.told(reserved);
 		assertThat(relay.on(new RelayEvent.TakenAsked(relay.now(), "peer", "t1", "p", 100, 400, false)))
-			.containsExactly(new RelayEffect.TellTaken("peer", "t1", 130, false, List.of(settled, reserved)));
+			.containsExactly(
+					new RelayEffect.TellTaken("peer", "t1", 130, false, List.of(settled, reserved), List.of()));
 	}
 
 	@Test
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UnloggedEntriesTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -14,6 +15,8 @@
 
 class UnloggedEntriesTests {
 
+	private static final Function<LedgerEntry, List<String>> ALL = (entry) -> List.of();
+
 	private final UnloggedEntries entries = new UnloggedEntries(0);
 
 	private final LedgerEntry entry = RelayFixture.kept("t", null);
@@ -21,9 +24,9 @@
 	@Test
 	void entryIsOverdueOnceTheLogHadItsTime() {
 		this.entries.told(this.entry, "x", 0);
-		assertThat(this.entries.overdue("own", Set.of(), 1_499)).isEmpty();
-		assertThat(this.entries.overdue("own", Set.of(), 1_500)).containsExactly(this.entry);
-		assertThat(this.entries.overdue("own", Set.of(), 9_000)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), ALL, 1_499)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), ALL, 1_500)).containsExactly(this.entry);
+		assertThat(this.entries.overdue("own", Set.of(), ALL, 9_000)).isEmpty();
 	}
 
 	// The log shows an entry before the link brings it. Kept then, it would be written a
@@ -48,8 +51,8 @@
 	void timeBeginsAnewWhenTheLogIsBack() {
 		this.entries.told(this.entry, "x", 0);
 		this.entries.logBack(5_000);
-		assertThat(this.entries.overdue("own", Set.of(), 6_000)).isEmpty();
-		assertThat(this.entries.overdue("own", Set.of(), 6_500)).hasSize(1);
+		assertThat(this.entries.overdue("own", Set.of(), ALL, 6_000)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of(), ALL, 6_500)).hasSize(1);
 	}
 
 	@Test
@@ -63,6 +66,17 @@
 		assertThat(this.entries.all()).containsExactly(reserved, kept, settled, other);
 	}
 
+	// Three relays keep a program, and the log has not shown an entry of it. The first
+	// two
+	// write it, and the third only if they have not either.
+	@Test
+	void keepersStepInOneAfterTheOther() {
+		List<String> keepers = List.of("a", "b", "own");
+		this.entries.told(this.entry, "x", 0);
+		assertThat(this.entries.overdue("own", Set.of("x"), (entry) -> keepers, 1_500)).isEmpty();
+		assertThat(this.entries.overdue("own", Set.of("x"), (entry) -> keepers, 3_000)).containsExactly(this.entry);
+	}
+
 	// A relay lives and does not reach the log. Thirty others were told what it gave, and
 	// when the longest of their patience is over, at least one of them has tried to write
 	// each entry: what none has written is given again after the loss of all relays.
@@ -81,7 +95,7 @@
 			IntStream.range(0, entriesTold)
 				.forEach((turn) -> others.told(RelayFixture.kept("t" + turn, null), "p0", 0));
 			for (long now = 0; now <= 4_000; now += 80) {
-				others.overdue(own, linked, now).forEach((entry) -> written.add(entry.request()));
+				others.overdue(own, linked, ALL, now).forEach((entry) -> written.add(entry.request()));
 			}
 		}
 		assertThat(written).hasSize(entriesTold);
