--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeptTurnsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeptTurnsTests.java
@@ -10,6 +10,19 @@
 
 class KeptTurnsTests {
 
+	// A keeper tells of a turn that another relay ran. The text is with the one that ran
+	// it,
+	// which the place names.
+	@Test
+	void relayThatAPlaceNamesHasTheText() {
+		KeptTurns turns = new KeptTurns(1000);
+		TextPlace place = new TextPlace(Optional.empty(), 9, 5, 17, Optional.of("ran it"));
+		turns.note("t1", place, Optional.of("told it"));
+		assertThat(turns.holder("t1")).contains("ran it");
+		turns.note("t2", RelayFixture.place(null), Optional.of("told it"));
+		assertThat(turns.holder("t2")).contains("told it");
+	}
+
 	@Test
 	void chainIsInputsAndOutputsFromTheOldestOn() {
 		KeptTurns turns = new KeptTurns(1000);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -49,6 +49,63 @@
 		assertThat(this.upstreams.find("a").orElseThrow().upstream().service()).isEqualTo("s");
 	}
 
+	// An engine counted its requests, and this relay has sent it two since. Others have
+	// sent
+	// it some too, of which the log tells late; the count that includes them goes first.
+	@Test
+	void loadIsWhatTheUpstreamCountedWithWhatWasSentSince() {
+		Upstreams.Known engine = listed("a");
+		this.upstreams.began("other", engine, 0);
+		this.upstreams.sent("before", engine, 5);
+		this.upstreams.reported(engine, 7, 10);
+		this.upstreams.sent("r1", engine, 20);
+		this.upstreams.sent("r2", engine, 30);
+		assertThat(engine.load(40)).isEqualTo(9);
+		assertThat(engine.load(400)).isEqualTo(4);
+		this.upstreams.ended("r1");
+		assertThat(engine.load(40)).isEqualTo(8);
+	}
+
+	@Test
+	void countsOfLoadArePassedOnWithTheirAgeUntilTheyAreOld() {
+		this.upstreams.reported(listed("a"), 7, 100);
+		this.upstreams.reported(listed("b"), 3, 250);
+		List<UpstreamLoad> passed = this.upstreams.newestLoads(300);
+		assertThat(passed).containsExactly(new UpstreamLoad("b".hashCode(), 3, 50),
+				new UpstreamLoad("a".hashCode(), 7, 200));
+		assertThat(this.upstreams.newestLoads(450)).containsExactly(new UpstreamLoad("b".hashCode(), 3, 200));
+		Upstreams other = new Upstreams();
+		other.put(RelayFixture.upstream("b", "s"));
+		other.told(passed, 1_000);
+		assertThat(other.find("b").orElseThrow().load(1_000)).isEqualTo(3);
+		assertThat(other.newestLoads(1_010)).containsExactly(new UpstreamLoad("b".hashCode(), 3, 60));
+	}
+
+	// What two relays say of an engine arrives in another order than the engine said it.
+	@Test
+	void olderCountChangesNothing() {
+		Upstreams.Known engine = listed("a");
+		this.upstreams.reported(engine, 7, 100);
+		this.upstreams.told(List.of(new UpstreamLoad("a".hashCode(), 1, 30)), 120);
+		assertThat(engine.load(120)).isEqualTo(7);
+	}
+
+	@Test
+	void boundedNumberOfCountsIsPassedOn() {
+		for (int i = 0; i < 100; i++) {
+			this.upstreams.reported(listed("engine-" + i), i, 100 + i);
+		}
+		assertThat(this.upstreams.newestLoads(200)).hasSize(16)
+			.first()
+			.extracting(UpstreamLoad::requests)
+			.isEqualTo(99);
+	}
+
+	private Upstreams.Known listed(String id) {
+		this.upstreams.put(RelayFixture.upstream(id, "s"));
+		return this.upstreams.find(id).orElseThrow();
+	}
+
 	@Test
 	void earlierLifeIsNotFoundByItsName() {
 		this.upstreams.put(RelayFixture.born("a", "s", 10));
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -7,6 +7,7 @@
 
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PlacedTurn;
 import io.lentilslip.core.relay.PromptPart;
 import io.lentilslip.core.relay.TextPlace;
@@ -67,6 +68,21 @@
 		assertThat(RelayCodec.written(new byte[] { 1 })).isEmpty();
 	}
 
+	@Test
+	void memberIsReadAsWritten() {
+		Member member = new Member("10.0.0.1:7", "zone-b", 27);
+		assertThat(RelayCodec.decodeMember(member.address(), RelayCodec.encode(member))).isEqualTo(member);
+	}
+
+	// A relay of an earlier version wrote one byte, and another writer something else.
+	// Each
+	// counts as a relay that says nothing of itself.
+	@Property(tries = 200)
+	void memberThatSaysNothingReadableCountsLikeTheOthers(@ForAll byte[] bytes) {
+		assertThat(RelayCodec.decodeMember("10.0.0.1:7", new byte[] { 1 })).isEqualTo(Member.of("10.0.0.1:7"));
+		assertThat(RelayCodec.decodeMember("10.0.0.1:7", bytes).weight()).isPositive();
+	}
+
 	@Test
 	void entryWithoutContentIsRefused() {
 		assertThat(RelayCodec.decode(new byte[0]).isLeft()).isTrue();
