--- /dev/null
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
@@ -0,0 +1,99 @@
+package io.lentilslip.wire.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import io.lentilslip.core.relay.KeptTurn;
+import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.PlacedTurn;
+import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.TextPlace;
+import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.core.relay.UpstreamLoad;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Spoilt messages of relays and records of the log. {@code bin/fuzz} runs it for longer,
+ * with seeds of its own.
+ */
+class RelayFuzzTests {
+
+	private static final int INPUTS = Integer.getInteger("lentilslip.fuzz.inputs", 20_000);
+
+	private static final long SEED = Long.getLong("lentilslip.fuzz.seed", 20273);
+
+	private static final TextPlace PLACE = new TextPlace(Optional.of("t0"), 900, 7, 1L << 33,
+			Optional.of("10.0.0.1:7380"));
+
+	private static final LedgerEntry RESERVED = new LedgerEntry.Reserved("t1", "p", 588, "e1@17",
+			List.of(new PromptPart(0x5c1e07a2L, 800), new PromptPart(-3, 400)), true);
+
+	private static final LedgerEntry.Settled SETTLED = new LedgerEntry.Settled("t1", "p", 90, Optional.of(PLACE));
+
+	private static final KeptTurn TEXT = new KeptTurn(Optional.of("t0"), "in;".getBytes(), "out;".getBytes());
+
+	// A relay of another version, a spoilt record or a stranger sends bytes that are
+	// nearly a
+	// message. An exception would end the follower of the log, or the link, for all that
+	// comes
+	// after; and what is read all the same has to be a message that can be written again.
+	@Test
+	void spoiltBytesAreAMessageOrAReason() {
+		List<byte[]> valid = valid();
+		Random random = new Random(SEED);
+		for (int input = 0; input < INPUTS; input++) {
+			byte[] spoilt = spoil(valid.get(random.nextInt(valid.size())), random);
+			RelayCodec.decodePeer(spoilt).peek((message) -> assertThat(RelayCodec.encode(message)).isNotNull());
+			RelayCodec.decode(spoilt).peek((entry) -> assertThat(RelayCodec.encode(entry)).isNotNull());
+			RelayCodec.decodeText(spoilt).peek((text) -> assertThat(RelayCodec.encode(text)).isNotNull());
+			RelayCodec.written(spoilt).ifPresent((time) -> assertThat(time.late().isNegative()).isFalse());
+			assertThat(RelayCodec.decodeMember("10.0.0.1:7380", spoilt).weight()).isPositive();
+		}
+	}
+
+	private static List<byte[]> valid() {
+		List<byte[]> valid = new ArrayList<>();
+		List.of(new PeerMessage.Greeting("10.0.0.1:7380"), new PeerMessage.Batch(List.of(RESERVED, SETTLED)),
+				new PeerMessage.Help(SETTLED, TEXT), new PeerMessage.TextsWanted(Set.of("t0", "t1")),
+				new PeerMessage.Texts(List.of(new TurnText("t1", TEXT))), new PeerMessage.Stored(Set.of("t1")),
+				new PeerMessage.Question("t1", "p", 588, 1L << 40, false),
+				new PeerMessage.Taken("t1", 1200, true, List.of(new UpstreamLoad(-7, 3, 250))),
+				new PeerMessage.Unsure("t1"), new PeerMessage.Sync(), new PeerMessage.PlacesWanted("t1"),
+				new PeerMessage.Places(List.of(new PlacedTurn("t1", PLACE))), new PeerMessage.Place("t1", true),
+				new PeerMessage.Told(), new PeerMessage.Pulse())
+			.forEach((message) -> valid.add(RelayCodec.encode(message)));
+		List.of(RESERVED, SETTLED, new LedgerEntry.Blamed("t1", -3, "e1@17"))
+			.forEach((entry) -> valid.add(RelayCodec.encode(entry, 1_790_000_000_000L)));
+		valid.add(RelayCodec.late(RelayCodec.encode(SETTLED, 1_790_000_000_000L), Duration.ofSeconds(4)));
+		valid.add(RelayCodec.encode(new TurnText("t1", TEXT)));
+		valid.add(RelayCodec.encode(new Member("10.0.0.1:7380", "zone-a", 27)));
+		return valid;
+	}
+
+	private static byte[] spoil(byte[] valid, Random random) {
+		byte[] value = valid.clone();
+		for (int change = random.nextInt(4); change >= 0 && value.length > 0; change--) {
+			int at = random.nextInt(value.length);
+			switch (random.nextInt(4)) {
+				case 0 -> value[at] = (byte) random.nextInt(256);
+				case 1 -> value[at] ^= (byte) (1 << random.nextInt(8));
+				case 2 -> value = Arrays.copyOf(value, at);
+				default -> {
+					byte[] doubled = Arrays.copyOf(value, value.length + at);
+					System.arraycopy(value, 0, doubled, value.length, at);
+					value = doubled;
+				}
+			}
+		}
+		return value;
+	}
+
+}
