Ask keepers where the texts of a chain are while the log is read

Cause: found on reading. Turns are told to keepers alone, so the end of a turn that ran elsewhere a moment ago comes from the log; while the store takes a quarter of a second for an answer, a turn whose chain moved is refused as uncertain before it is there.

Change: the keepers are asked beside the log, and the first that knows counts. Three messages more for a kept turn whose chain has moved.

Figures: none measured. Test: keepersAreAskedWhereATextIsWhileTheLogIsRead, which failed before.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -215,18 +215,19 @@
 
 	/**
 	 * Has it looked where the texts of a chain are that is not known here: the log has
-	 * them, and where it is out of reach, the relays that keep the program have heard of
-	 * them.
+	 * them, and the relays that keep the program have heard of them. The log alone may be
+	 * out of reach, or slower than a turn can wait.
 	 * @param exchange the exchange of the turn that continues the chain
 	 */
 	void lookForChain(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		List<String> keepers = this.state.otherKeepers(turn.program());
-		if (this.state.reach == Reach.LOG || turn.previous().isEmpty() || keepers.isEmpty()) {
+		if (turn.previous().isPresent() && !keepers.isEmpty()) {
+			this.state.emit(new RelayEffect.AskPlaces(keepers, turn.previous().get()));
+		}
+		if (this.state.reach == Reach.LOG || keepers.isEmpty()) {
 			this.state.emit(new RelayEffect.ReadLog());
-			return;
 		}
-		this.state.emit(new RelayEffect.AskPlaces(keepers, turn.previous().get()));
 	}
 
 	void placesAsked(RelayEvent.PlacesAsked asked) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -72,6 +72,21 @@
 			.containsExactly(new RelayEffect.AskTexts("b", List.of("t2")));
 	}
 
+	// The store takes a quarter of a second for an answer. The turn before ended at
+	// another
+	// relay a moment ago, and a turn waits for its chain a fifth of its target: read from
+	// the log alone, each conversation that moves would be refused while the store is
+	// slow.
+	@Test
+	void keepersAreAskedWhereATextIsWhileTheLogIsRead() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.on(new RelayEvent.Opened(relay.now(), "own"));
+		relay.on(new RelayEvent.RelaysListed(relay.now(), List.of(Member.of("a"), Member.of("b"))));
+		List<RelayEffect> asked = relay.askTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, "t2"));
+		assertThat(RelayFixture.of(asked, RelayEffect.AskPlaces.class)).hasSize(1);
+		assertThat(RelayFixture.of(asked, RelayEffect.ReadLog.class)).hasSize(1);
+	}
+
 	@Test
 	void keeperTellsWhereTheTextsOfAChainAre() {
 		RelayFixture relay = RelayFixture.ready();
