--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeeperProperties.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeeperProperties.java
@@ -49,11 +49,7 @@
 			site.wave(1);
 		}
 		assertThat(site.given()).isGreaterThanOrEqualTo(MOST);
-		site.loseAll();
-		site.logComes();
-		for (int wave = 0; wave < 15; wave++) {
-			site.wave(1);
-		}
+		site.loseAllBeforeTheLogIsBack();
 		assertThat(site.given()).isLessThanOrEqualTo((long) turnsOfBudget * MOST + MOST);
 	}
 
@@ -88,11 +84,7 @@
 		for (int wave = 0; wave < 15; wave++) {
 			site.wave(1 + random.nextInt(atOnce));
 		}
-		site.loseAll();
-		site.logComes();
-		for (int wave = 0; wave < 15; wave++) {
-			site.wave(1);
-		}
+		site.loseAllBeforeTheLogIsBack();
 		assertThat(site.given()).isLessThanOrEqualTo((long) turnsOfBudget * MOST + MOST);
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
@@ -200,7 +200,18 @@
 		}
 	}
 
-	void loseAll() {
+	/**
+	 * Loses all relays while the log is away, and has the program go on when it is back.
+	 */
+	void loseAllBeforeTheLogIsBack() {
+		loseAll();
+		logComes();
+		for (int wave = 0; wave < 15; wave++) {
+			wave(1);
+		}
+	}
+
+	private void loseAll() {
 		this.running.clear();
 		for (int i = 0; i < this.members.size(); i++) {
 			lose(i);
