--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeeperProperties.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/KeeperProperties.java
@@ -22,20 +22,9 @@
 	@Property(tries = 1500, seed = "4721")
 	void budgetHoldsOverOutagesAndLosses(@ForAll @IntRange(min = 1, max = 9) int relays,
 			@ForAll @IntRange(min = 1, max = 12) int turnsOfBudget, @ForAll long seed) {
-		Random random = new Random(seed);
-		RelaySite site = RelaySite.listed(relays, (long) turnsOfBudget * MOST, random);
+		RelaySite site = RelaySite.listed(relays, (long) turnsOfBudget * MOST, new Random(seed));
 		site.program("p" + seed);
-		for (int wave = 0; wave < 12; wave++) {
-			site.wave(1 + random.nextInt(3));
-			switch (random.nextInt(8)) {
-				case 0 -> site.logGoes();
-				case 1 -> site.logComes();
-				case 2 -> site.restart(random.nextInt(relays));
-				default -> {
-				}
-			}
-		}
-		site.wave(2);
+		site.goThroughOutagesAndRestarts();
 		assertThat(site.given()).isLessThanOrEqualTo((long) turnsOfBudget * MOST + MOST);
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/OutageProperties.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/OutageProperties.java
@@ -21,19 +21,8 @@
 	@Property(tries = 1500, seed = "4711")
 	void budgetHoldsOverOutagesAndLosses(@ForAll @IntRange(min = 3, max = 7) int relays,
 			@ForAll @IntRange(min = 1, max = 12) int turnsOfBudget, @ForAll long seed) {
-		Random random = new Random(seed);
-		RelaySite site = RelaySite.linked(relays, (long) turnsOfBudget * MOST, random);
-		for (int wave = 0; wave < 12; wave++) {
-			site.wave(1 + random.nextInt(3));
-			switch (random.nextInt(8)) {
-				case 0 -> site.logGoes();
-				case 1 -> site.logComes();
-				case 2 -> site.restart(random.nextInt(relays));
-				default -> {
-				}
-			}
-		}
-		site.wave(2);
+		RelaySite site = RelaySite.linked(relays, (long) turnsOfBudget * MOST, new Random(seed));
+		site.goThroughOutagesAndRestarts();
 		assertThat(site.given()).isLessThanOrEqualTo((long) turnsOfBudget * MOST + MOST);
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
@@ -200,6 +200,23 @@
 		}
 	}
 
+	/**
+	 * Has waves of turns, between which the log goes and comes and relays start again.
+	 */
+	void goThroughOutagesAndRestarts() {
+		for (int wave = 0; wave < 12; wave++) {
+			wave(1 + this.random.nextInt(3));
+			switch (this.random.nextInt(8)) {
+				case 0 -> logGoes();
+				case 1 -> logComes();
+				case 2 -> restart(this.random.nextInt(this.members.size()));
+				default -> {
+				}
+			}
+		}
+		wave(2);
+	}
+
 	/**
 	 * Loses all relays while the log is away, and has the program go on when it is back.
 	 */
