Count what two replicas can grant unseen before they decide on a budget

Cause: with three replicas, two of which decide, three turns of one moment can each be seen by two replicas in an order in which every turn counts one of the other two.

Change: a poll adds half of what its answers say not to be in the log, unless all replicas have answered or two saw the turn alone, and waits for the third replica before it widens to the log. A replica set of three can grant at most one and a half times what each answer counts, so the sum stays within the part.

Before: KeeperProperties#budgetHoldsOverSuchAnOutageWithThreeTurnsAtOnce failed at try 380.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -145,23 +145,27 @@
 		Turn turn = exchange.head().turn().orElseThrow();
 		long budget = turn.budget().orElseThrow();
 		boolean log = this.state.reach == Reach.LOG;
-		boolean spent = log && poll.taken() > budget;
-		if (spent || within(poll, log, withoutLog(turn.most(), budget))) {
-			decided(exchange, Decider.KEEPERS, !spent);
-			return Optional.of(!spent);
+		if (log && poll.taken() > budget) {
+			decided(exchange, Decider.KEEPERS, false);
+			return Optional.of(false);
+		}
+		long part = withoutLog(turn.most(), budget);
+		// What the log has not shown is lost with all relays. The log may have been out
+		// of reach for a while before that is found out, so the part that is granted
+		// without it is counted here, wherever it seems to be in reach.
+		long counted = log ? poll.unlogged() : poll.taken();
+		long unseen = poll.unseen(turn.most());
+		boolean whole = !log || unseen == 0 || poll.taken() + unseen <= budget + turn.most();
+		if (whole && counted + unseen <= part) {
+			decided(exchange, Decider.KEEPERS, true);
+			return Optional.of(true);
+		}
+		if (counted > part || !poll.waitsForMoreReplicas()) {
+			widen(exchange, poll);
 		}
-		widen(exchange, poll);
 		return Optional.empty();
 	}
 
-	// What the log has not shown is lost with all relays. It may have been out of reach
-	// for
-	// a while before that is found out, so the part that is given without it is counted
-	// here, wherever it seems to be in reach.
-	private static boolean within(Poll poll, boolean log, long part) {
-		return (log ? poll.unlogged() : poll.taken()) <= part;
-	}
-
 	// What the keepers can't decide, the log does, and without it the other relays: one
 	// of them may reach it.
 	private void widen(Exchange exchange, Poll poll) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Poll.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Poll.java
@@ -125,6 +125,27 @@
 		return this.unlogged;
 	}
 
+	/**
+	 * Returns what turns that were asked for in the same moment may have been granted
+	 * beyond what this poll shows. Two replicas of three that answer in different orders
+	 * grant up to half more than each of them counts; all replicas together show every
+	 * turn, and a turn that is seen alone by two is the only one that is.
+	 * @param most the most tokens of the turn itself
+	 * @return the tokens
+	 */
+	long unseen(int most) {
+		boolean all = this.answers.size() >= this.keepers.size();
+		return (all || this.unlogged <= most) ? 0 : this.unlogged / 2;
+	}
+
+	/**
+	 * Returns whether a replica has neither answered nor said that it is unsure.
+	 * @return whether one has not
+	 */
+	boolean waitsForMoreReplicas() {
+		return this.answers.size() + this.unsure < this.keepers.size();
+	}
+
 	int answers() {
 		return this.answers.size();
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PollTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PollTests.java
@@ -40,6 +40,26 @@
 		assertThat(this.poll.seesKeepers()).isTrue();
 	}
 
+	// Three turns of one moment are each seen by two replicas in another order, so that
+	// each counts one of the others.
+	@Test
+	void twoReplicasLeaveHalfOfWhatTheyCountUnseen() {
+		this.poll.answered("a", 200, 200);
+		this.poll.answered("c", 100, 100);
+		assertThat(this.poll.unseen(100)).isEqualTo(100);
+		assertThat(this.poll.waitsForMoreReplicas()).isTrue();
+		this.poll.answered("b", 300, 300);
+		assertThat(this.poll.unseen(100)).isZero();
+		assertThat(this.poll.waitsForMoreReplicas()).isFalse();
+	}
+
+	@Test
+	void turnThatTwoReplicasSeeAloneLeavesNothingUnseen() {
+		this.poll.answered("a", 100, 100);
+		this.poll.answered("b", 100, 100);
+		assertThat(this.poll.unseen(100)).isZero();
+	}
+
 	// Half of the relays answer and none of them keeps the program. What its keepers
 	// decided
 	// before is known to none of these.
