--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -142,6 +142,13 @@
 	ROUTES_ACCEPTED(2007, Level.INFO, "A table of routes is in force in this relay.", "Nothing.", FieldName.VERSION,
 			FieldName.COUNT),
 
+	/**
+	 * Written each time such a table is read.
+	 */
+	ROUTES_REFUSED(2008, Level.ERROR,
+			"A relay can't put the newest table of routes in force; the one before stays in force as a whole.",
+			"Correct what the reason names and publish the table again.", FieldName.REASON),
+
 	/**
 	 * Written by the entry when the handshake ends.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AnswerRules.java
@@ -47,7 +47,7 @@
 	private void answered(Exchange exchange, RelayEvent.Answered answered) {
 		AnswerHead head = answered.head();
 		Optional<Known> known = this.state.known(exchange);
-		this.state.upstreams.ended(exchange.head().id());
+		this.state.upstreams.ended(exchange.id());
 		takeLoad(exchange, head);
 		if (head.notRun()) {
 			if (head.misdirected()) {
@@ -121,7 +121,7 @@
 	}
 
 	private void streamEnded(Exchange exchange) {
-		this.state.upstreams.ended(exchange.head().id());
+		this.state.upstreams.ended(exchange.id());
 		this.state.known(exchange).ifPresent(Known::worked);
 		if (!exchange.route().keepsTurns() || exchange.head().turn().isEmpty()) {
 			this.ends.settle(exchange, Optional.empty());
@@ -146,7 +146,7 @@
 	}
 
 	private void failed(Exchange exchange, FailureCause cause) {
-		this.state.upstreams.ended(exchange.head().id());
+		this.state.upstreams.ended(exchange.id());
 		this.state.known(exchange).ifPresent((upstream) -> upstream.failed(this.state.now));
 		this.state.tell(RelayNotices.attemptFailed(exchange, cause, this.state.now));
 		if (!cause.mayHaveRun()) {
@@ -165,10 +165,9 @@
 			return;
 		}
 		String upstream = exchange.upstream().get().life();
-		this.state.blames.add(exchange.asked().digest(), upstream);
-		this.state.emit(
-				new RelayEffect.Write(new LedgerEntry.Blamed(exchange.head().id(), exchange.asked().digest(), upstream),
-						List.copyOf(this.state.linked)));
+		this.state.blames.add(exchange.digest(), upstream);
+		this.state.emit(new RelayEffect.Write(new LedgerEntry.Blamed(exchange.id(), exchange.digest(), upstream),
+				List.copyOf(this.state.linked)));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -108,7 +108,7 @@
 	private Optional<Boolean> askKeepers(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		List<String> keepers = this.state.keepers.of(turn.program());
-		Poll poll = new Poll(exchange.number(), exchange.head().id(), keepers);
+		Poll poll = new Poll(exchange.number(), exchange.id(), keepers);
 		hold(exchange, turn, poll);
 		if (keepers.contains(this.state.name)) {
 			if (this.state.sure()) {
@@ -121,7 +121,7 @@
 		}
 		List<String> others = this.state.otherKeepers(turn.program());
 		if (!others.isEmpty()) {
-			this.state.emit(new RelayEffect.AskTaken(others, exchange.head().id(), turn.program(), turn.most(),
+			this.state.emit(new RelayEffect.AskTaken(others, exchange.id(), turn.program(), turn.most(),
 					turn.budget().orElseThrow()));
 			remind(exchange, poll, RelaySettings.KEEPERS_WAIT);
 		}
@@ -130,9 +130,9 @@
 
 	private void hold(Exchange exchange, Turn turn, Poll poll) {
 		exchange.reserve();
-		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.state.note(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false));
-		this.state.polls.put(exchange.head().id(), poll);
+		this.state.tokens.reserve(turn.program(), exchange.id(), turn.most());
+		this.state.note(new Reserved(exchange.id(), turn.program(), turn.most(), "", List.of(), false));
+		this.state.polls.put(exchange.id(), poll);
 	}
 
 	private Optional<Boolean> byKeepers(Exchange exchange, Poll poll) {
@@ -182,8 +182,8 @@
 
 	private void contendInLog(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		this.state.contending.put(exchange.head().id(), exchange.number());
-		this.state.write(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), true));
+		this.state.contending.put(exchange.id(), exchange.number());
+		this.state.write(new Reserved(exchange.id(), turn.program(), turn.most(), "", List.of(), true));
 		this.state.remind(exchange, RelaySettings.ORDER_PATIENCE, Reminder.ORDER);
 	}
 
@@ -198,13 +198,13 @@
 	 */
 	private void askRelays(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		Poll poll = Optional.ofNullable(this.state.polls.get(exchange.head().id()))
-			.orElseGet(() -> new Poll(exchange.number(), exchange.head().id(), List.of()));
+		Poll poll = Optional.ofNullable(this.state.polls.get(exchange.id()))
+			.orElseGet(() -> new Poll(exchange.number(), exchange.id(), List.of()));
 		poll.askAll(this.state.name);
 		exchange.askAll();
 		hold(exchange, turn, poll);
-		this.state.write(new Reserved(exchange.head().id(), turn.program(), turn.most(), "", List.of(), false));
-		this.state.emit(new RelayEffect.AskTaken(List.of(), exchange.head().id(), turn.program(), turn.most(),
+		this.state.write(new Reserved(exchange.id(), turn.program(), turn.most(), "", List.of(), false));
+		this.state.emit(new RelayEffect.AskTaken(List.of(), exchange.id(), turn.program(), turn.most(),
 				turn.budget().orElseThrow()));
 		remind(exchange, poll, RelaySettings.RELAYS_WAIT);
 	}
@@ -224,7 +224,7 @@
 		if (exchange.phase() != Phase.WAITING_FOR_ORDER) {
 			return;
 		}
-		Poll poll = this.state.polls.get(exchange.head().id());
+		Poll poll = this.state.polls.get(exchange.id());
 		// An answer may have ended the waiting that a reminder is of: taken for the next
 		// one's, the log would hardly have its time, and all relays would be asked.
 		if (poll != null && !poll.lastReminder()) {
@@ -254,11 +254,11 @@
 	 */
 	Optional<Refusal> ordered(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		Optional<Poll> poll = Optional.ofNullable(this.state.polls.get(exchange.head().id()));
-		boolean held = holds(exchange.head().id(), turn.program(), turn.most(), turn.budget().orElseThrow());
+		Optional<Poll> poll = Optional.ofNullable(this.state.polls.get(exchange.id()));
+		boolean held = holds(exchange.id(), turn.program(), turn.most(), turn.budget().orElseThrow());
 		boolean sure = poll.isEmpty() || sure(poll.get(), turn);
 		exchange.reserve();
-		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
+		this.state.tokens.reserve(turn.program(), exchange.id(), turn.most());
 		decided(exchange, Decider.LOG, held && sure);
 		if (held && sure) {
 			return Optional.empty();
@@ -366,13 +366,13 @@
 	private void askPlace(Exchange exchange, Poll poll) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		poll.nextPlacer()
-			.ifPresent((relay) -> this.state.emit(new RelayEffect.AskPlace(relay, exchange.head().id(), turn.program(),
+			.ifPresent((relay) -> this.state.emit(new RelayEffect.AskPlace(relay, exchange.id(), turn.program(),
 					turn.most(), turn.budget().orElseThrow())));
 	}
 
 	private void decided(Exchange exchange, Decider by, boolean held) {
-		Poll poll = this.state.polls.remove(exchange.head().id());
-		this.state.contending.remove(exchange.head().id());
+		Poll poll = this.state.polls.remove(exchange.id());
+		this.state.contending.remove(exchange.id());
 		if (by == Decider.KEEPERS && held) {
 			// The ordinary case, which the placing of the turn tells.
 			return;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -17,6 +17,12 @@
 
 	private final Route route;
 
+	private final CallerIdentity caller;
+
+	private final RequestHead head;
+
+	private final String id;
+
 	private final long due;
 
 	private final Set<String> tried = new HashSet<>();
@@ -59,9 +65,14 @@
 
 	private boolean askedAll;
 
-	Exchange(RelayEvent.Asked asked, Route route) {
+	private boolean permitted;
+
+	Exchange(RelayEvent.Asked asked, Route route, CallerIdentity caller) {
 		this.asked = asked;
 		this.route = route;
+		this.caller = caller;
+		this.head = team().map(asked.head()::of).orElse(asked.head());
+		this.id = team().map((team) -> team.scoped(asked.head().id())).orElse(asked.head().id());
 		this.lastEvent = route.resumable() ? asked.head().lastEvent() : OptionalLong.empty();
 		Duration patience = asked.head().patience().orElse(route.timeout());
 		Duration longest = (patience.compareTo(route.timeout()) < 0) ? patience : route.timeout();
@@ -77,7 +88,47 @@
 	}
 
 	RequestHead head() {
-		return this.asked.head();
+		return this.head;
+	}
+
+	/**
+	 * Returns the name of this attempt among those of all teams.
+	 * @return the name
+	 */
+	String id() {
+		return this.id;
+	}
+
+	/**
+	 * Returns the digest of path, caller and body, which differs from that of another
+	 * team's request.
+	 * @return the digest
+	 */
+	long digest() {
+		return this.asked.digest() ^ team().map((team) -> (long) team.name().hashCode() << Integer.SIZE).orElse(0L);
+	}
+
+	CallerIdentity caller() {
+		return this.caller;
+	}
+
+	/**
+	 * Returns the team whose quota and names the request counts among.
+	 * @return the team, or empty if it is no team's
+	 */
+	Optional<Team> team() {
+		return (this.caller instanceof CallerIdentity.OfTeam of) ? Optional.of(of.team()) : Optional.empty();
+	}
+
+	/**
+	 * Notes that the quota of the team holds the request.
+	 */
+	void permit() {
+		this.permitted = true;
+	}
+
+	boolean permitted() {
+		return this.permitted;
 	}
 
 	Route route() {
@@ -284,6 +335,11 @@
 	 */
 	enum Phase {
 
+		/**
+		 * For a permit of its team.
+		 */
+		WAITING_FOR_PERMIT,
+
 		/**
 		 * For the text of the turns before.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeEnds.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
@@ -17,6 +18,9 @@
 
 	private final RelayState state;
 
+	private Consumer<Exchange> whenForgotten = (exchange) -> {
+	};
+
 	ExchangeEnds(RelayState state) {
 		this.state = state;
 	}
@@ -55,12 +59,21 @@
 		forget(exchange);
 	}
 
+	/**
+	 * Sets what takes each exchange that has ended.
+	 * @param taker takes it
+	 */
+	void whenForgotten(Consumer<Exchange> taker) {
+		this.whenForgotten = taker;
+	}
+
 	private void forget(Exchange exchange) {
+		this.whenForgotten.accept(exchange);
 		this.state.exchanges.remove(exchange.number());
 		this.state.waiting.remove(exchange.number());
-		this.state.ending.remove(exchange.head().id());
-		this.state.contending.remove(exchange.head().id());
-		this.state.polls.remove(exchange.head().id());
+		this.state.ending.remove(exchange.id());
+		this.state.contending.remove(exchange.id());
+		this.state.polls.remove(exchange.id());
 	}
 
 	void giveUp(Exchange exchange, Refusal refusal) {
@@ -94,7 +107,7 @@
 		int perEvent = this.state.engine(exchange.upstream().map(Upstream::service).orElse(""))
 			.map(RouteTable.Engine::tokensPerEvent)
 			.orElse(1);
-		return new LedgerEntry.Settled(exchange.head().id(), turn.program(), exchange.events() * perEvent, text);
+		return new LedgerEntry.Settled(exchange.id(), turn.program(), exchange.events() * perEvent, text);
 	}
 
 	void callerLeft(Exchange exchange) {
@@ -113,6 +126,7 @@
 
 	void due(Exchange exchange) {
 		switch (exchange.phase()) {
+			case WAITING_FOR_PERMIT -> refuse(exchange, Refusal.QUOTA_UNKNOWN, Optional.of(RelaySettings.COME_BACK));
 			case WAITING_FOR_CHAIN -> chainDue(exchange);
 			case WAITING_FOR_ORDER -> orderLost(exchange);
 			case RUNNING -> {
@@ -125,7 +139,7 @@
 
 	void stopAttempt(Exchange exchange) {
 		this.state.emit(new RelayEffect.Cancel(exchange.number(), exchange.attempt()));
-		this.state.upstreams.ended(exchange.head().id());
+		this.state.upstreams.ended(exchange.id());
 	}
 
 	void orderLost(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Keepers.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Keepers.java
@@ -41,12 +41,21 @@
 
 	private Set<String> addresses = Set.of();
 
-	void list(List<Member> listed) {
+	/**
+	 * Takes the members.
+	 * @param listed the members
+	 * @return whether they are others than before
+	 */
+	boolean list(List<Member> listed) {
+		if (this.members.equals(listed)) {
+			return false;
+		}
 		this.members = List.copyOf(listed);
 		this.remembered.clear();
 		Set<String> known = new HashSet<>();
 		listed.forEach((member) -> known.add(member.address()));
 		this.addresses = Set.copyOf(known);
+		return true;
 	}
 
 	/**
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -0,0 +1,416 @@
+package io.lentilslip.core.relay;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.Permits;
+import io.lentilslip.core.quota.Quota;
+import io.lentilslip.core.quota.TeamBuckets;
+import io.lentilslip.core.quota.TeamBuckets.Standing;
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.RelayEvent.Reminder;
+
+/**
+ * Whether a team's quota holds a request. One relay counts for each team, the first of
+ * three that rendezvous hashing gives it; the others ask it for permits, many at once
+ * where many wait, and the next of the three where it does not answer. A request that
+ * finds a permit at hand waits for nothing. A program that is under way is not sent away
+ * at once when the quota is spent: it waits for the next permits as long as its caller
+ * loses nothing by that. Used by one thread.
+ */
+final class QuotaRules {
+
+	/**
+	 * How long a relay that counts for a team may take to answer before the next one is
+	 * asked.
+	 */
+	private static final Duration ANSWER_WAIT = Duration.ofMillis(60);
+
+	/**
+	 * The part of a route's target for which a request of a program under way waits for
+	 * permits before its caller is asked to come back.
+	 */
+	private static final int HOLD_PART = 4;
+
+	/**
+	 * How long a relay that did not answer counts as gone.
+	 */
+	private static final Duration SUSPECTED = Duration.ofSeconds(2);
+
+	/**
+	 * The most teams whose permits are remembered.
+	 */
+	private static final int TEAMS = 4096;
+
+	private final RelayState state;
+
+	private final ExchangeEnds ends;
+
+	private final Consumer<Exchange> admitted;
+
+	private final TeamBuckets buckets;
+
+	private final Map<String, Desk> desks = new LinkedHashMap<>(64, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Desk> eldest) {
+			return size() > TEAMS && eldest.getValue().waiting.isEmpty();
+		}
+	};
+
+	private final Map<String, Long> suspects = new HashMap<>();
+
+	private final Map<String, Long> probes = new HashMap<>();
+
+	private long lastNumber;
+
+	/**
+	 * Creates rules that count nothing yet.
+	 * @param state what the relay knows
+	 * @param ends how exchanges end
+	 * @param admitted takes each exchange that had to wait and is admitted
+	 */
+	QuotaRules(RelayState state, ExchangeEnds ends, Consumer<Exchange> admitted) {
+		this.state = state;
+		this.ends = ends;
+		this.admitted = admitted;
+		this.buckets = new TeamBuckets(state.tolerance);
+	}
+
+	/**
+	 * Admits a request if a permit of its team is at hand, and asks for one otherwise.
+	 * @param exchange the exchange
+	 * @return whether it is admitted now; otherwise it is later, or refused
+	 */
+	boolean admit(Exchange exchange) {
+		Optional<Team> team = exchange.team().filter((known) -> known.quota().isPresent());
+		if (team.isEmpty()) {
+			return true;
+		}
+		if (!this.state.knowsRelays()) {
+			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
+			return false;
+		}
+		Desk desk = this.desks.computeIfAbsent(team.get().name(), Desk::new);
+		if (underWay(desk, exchange) && desk.permits.spend(this.state.now)) {
+			exchange.permit();
+			return true;
+		}
+		exchange.become(Phase.WAITING_FOR_PERMIT);
+		desk.waiting.put(exchange.number(), exchange);
+		this.state.remind(exchange, ANSWER_WAIT, Reminder.PERMIT);
+		askIfFree(desk);
+		return false;
+	}
+
+	private static boolean underWay(Desk desk, Exchange exchange) {
+		Optional<String> program = exchange.head().program();
+		return program.isEmpty() || desk.permits.underWay(program.get().hashCode());
+	}
+
+	private void askIfFree(Desk desk) {
+		if (desk.pending.isEmpty() && !desk.waiting.isEmpty()) {
+			ask(desk, 0);
+		}
+	}
+
+	private void ask(Desk desk, int rank) {
+		List<String> counting = counting(desk.team);
+		if (rank >= counting.size()) {
+			desk.pending = Optional.empty();
+			for (Exchange exchange : List.copyOf(desk.waiting.values())) {
+				refuse(desk, exchange, Refusal.QUOTA_UNKNOWN, RelaySettings.COME_BACK);
+			}
+			return;
+		}
+		String target = counting.get(rank);
+		if (rank + 1 < counting.size() && suspected(target)) {
+			ask(desk, rank + 1);
+			return;
+		}
+		List<Exchange> asked = List.copyOf(desk.waiting.values());
+		List<Integer> going = new ArrayList<>();
+		List<Integer> beginning = new ArrayList<>();
+		int wanted = 0;
+		for (Exchange exchange : asked) {
+			if (underWay(desk, exchange)) {
+				wanted++;
+				exchange.head().program().ifPresent((program) -> going.add(program.hashCode()));
+			}
+			else {
+				beginning.add(exchange.head().program().orElseThrow().hashCode());
+			}
+		}
+		Optional<Quota> quota = quota(desk.team);
+		if (quota.isEmpty()) {
+			unlimited(desk);
+			return;
+		}
+		this.lastNumber++;
+		PermitAsk ask = new PermitAsk(desk.team, this.lastNumber, quota.get(), wanted,
+				desk.permits.ahead(this.state.now), desk.permits.returned(target, this.state.now), going, beginning);
+		desk.pending = Optional.of(new Pending(this.lastNumber, target, rank, this.state.now, asked));
+		if (target.equals(this.state.name)) {
+			probe(counting);
+			replied(target, this.buckets.grant(quota.get(), ask, standing(counting), this.state.now));
+			return;
+		}
+		this.state.emit(new RelayEffect.AskPermits(target, ask));
+	}
+
+	// The quota was lifted, or the team removed, while its requests waited.
+	private void unlimited(Desk desk) {
+		desk.pending = Optional.empty();
+		List<Exchange> all = List.copyOf(desk.waiting.values());
+		desk.waiting.clear();
+		all.forEach(this::admitted);
+	}
+
+	private void admitted(Exchange exchange) {
+		exchange.permit();
+		exchange.become(Phase.WAITING_FOR_CHAIN);
+		this.admitted.accept(exchange);
+	}
+
+	private List<String> counting(String team) {
+		return this.state.keepers.known() ? this.state.keepers.of(team) : List.of(this.state.name);
+	}
+
+	private Optional<Quota> quota(String team) {
+		return this.state.table.flatMap(RouteTable::teams).flatMap((teams) -> teams.named(team)).flatMap(Team::quota);
+	}
+
+	private boolean suspected(String relay) {
+		return this.state.now - this.suspects.getOrDefault(relay, RelayState.NEVER) < SUSPECTED.toMillis();
+	}
+
+	private Standing standing(List<String> counting) {
+		for (String relay : counting) {
+			if (relay.equals(this.state.name)) {
+				break;
+			}
+			if (!suspected(relay)) {
+				return Standing.DOUBTFUL;
+			}
+		}
+		return counting.getFirst().equals(this.state.name) ? Standing.FIRST : Standing.STAND_IN;
+	}
+
+	/**
+	 * Takes another relay's request for permits.
+	 * @param asked the request
+	 */
+	void asked(RelayEvent.PermitsAsked asked) {
+		PermitAsk ask = asked.ask();
+		if (ask.isProbe()) {
+			this.state.emit(new RelayEffect.GrantPermits(asked.peer(),
+					new PermitReply(ask.team(), ask.number(), 0, List.of(), Duration.ZERO)));
+			return;
+		}
+		List<String> counting = counting(ask.team());
+		if (!counting.contains(this.state.name)) {
+			return;
+		}
+		probe(counting);
+		Quota quota = quota(ask.team()).orElse(ask.quota());
+		PermitReply reply = this.buckets.grant(quota, ask, standing(counting), this.state.now);
+		this.state.emit(new RelayEffect.GrantPermits(asked.peer(), reply));
+	}
+
+	// A relay that is asked in place of another one looks for itself whether that one
+	// answers.
+	private void probe(List<String> counting) {
+		for (String relay : counting) {
+			if (relay.equals(this.state.name)) {
+				return;
+			}
+			Long since = this.probes.get(relay);
+			if (since == null) {
+				this.probes.put(relay, this.state.now);
+				this.lastNumber++;
+				this.state.emit(new RelayEffect.AskPermits(relay, PermitAsk.probe(this.lastNumber)));
+			}
+			else if (this.state.now - since > ANSWER_WAIT.toMillis()) {
+				this.probes.remove(relay);
+				this.suspects.put(relay, this.state.now);
+			}
+		}
+	}
+
+	/**
+	 * Takes the answer of the relay that counts for a team.
+	 * @param granted the answer
+	 */
+	void granted(RelayEvent.PermitsGranted granted) {
+		this.suspects.remove(granted.peer());
+		this.probes.remove(granted.peer());
+		replied(granted.peer(), granted.reply());
+	}
+
+	private void replied(String peer, PermitReply reply) {
+		Desk desk = this.desks.get(reply.team());
+		if (desk == null) {
+			return;
+		}
+		if (desk.pending.isEmpty() || desk.pending.get().number() != reply.number()) {
+			desk.permits.add(peer, reply.total(), this.state.now);
+			return;
+		}
+		List<Exchange> asked = desk.pending.get().asked();
+		desk.pending = Optional.empty();
+		desk.permits.add(peer, reply.permits(), this.state.now);
+		int next = 0;
+		for (Exchange exchange : asked) {
+			boolean waits = desk.waiting.containsKey(exchange.number());
+			boolean began = !underWay(desk, exchange);
+			if (began && next < reply.admitted().size()) {
+				boolean held = reply.admitted().get(next);
+				next++;
+				began(desk, exchange, peer, held, waits, reply.retryAfter());
+			}
+			else if (waits) {
+				wentOn(desk, exchange, reply.retryAfter());
+			}
+		}
+		askIfWaitingAnew(desk, asked);
+	}
+
+	private void began(Desk desk, Exchange exchange, String peer, boolean held, boolean waits, Duration wait) {
+		if (held) {
+			desk.permits.admit(exchange.head().program().orElseThrow().hashCode());
+		}
+		if (!waits) {
+			desk.permits.add(peer, held ? 1 : 0, this.state.now);
+			return;
+		}
+		if (!held) {
+			refuse(desk, exchange, Refusal.QUOTA_SPENT, wait);
+			return;
+		}
+		desk.waiting.remove(exchange.number());
+		admitted(exchange);
+	}
+
+	private void wentOn(Desk desk, Exchange exchange, Duration wait) {
+		if (desk.permits.spend(this.state.now)) {
+			desk.waiting.remove(exchange.number());
+			admitted(exchange);
+			return;
+		}
+		long held = this.state.now - exchange.asked().now();
+		long most = exchange.route().target().toMillis() / HOLD_PART;
+		if (held + ANSWER_WAIT.toMillis() / 2 > most) {
+			refuse(desk, exchange, Refusal.QUOTA_SPENT, wait);
+		}
+	}
+
+	// Requests that the answer was too short for ask again at their reminders; those that
+	// came meanwhile have not asked yet.
+	private void askIfWaitingAnew(Desk desk, List<Exchange> asked) {
+		for (Exchange exchange : desk.waiting.values()) {
+			if (!asked.contains(exchange)) {
+				askIfFree(desk);
+				return;
+			}
+		}
+	}
+
+	private void refuse(Desk desk, Exchange exchange, Refusal refusal, Duration wait) {
+		desk.waiting.remove(exchange.number());
+		this.ends.refuse(exchange, refusal, Optional.of(wait));
+	}
+
+	/**
+	 * Looks at a request that has waited for a permit.
+	 * @param exchange the exchange
+	 */
+	void due(Exchange exchange) {
+		if (exchange.phase() != Phase.WAITING_FOR_PERMIT) {
+			return;
+		}
+		Desk desk = this.desks.get(exchange.team().orElseThrow().name());
+		this.state.remind(exchange, ANSWER_WAIT, Reminder.PERMIT);
+		if (desk.pending.isEmpty()) {
+			askIfFree(desk);
+			return;
+		}
+		Pending pending = desk.pending.get();
+		if (this.state.now - pending.sentAt() >= ANSWER_WAIT.toMillis()) {
+			this.suspects.put(pending.peer(), this.state.now);
+			ask(desk, pending.rank() + 1);
+		}
+	}
+
+	/**
+	 * Takes that an exchange has ended: its permit is free again if nothing was run with
+	 * it.
+	 * @param exchange the exchange
+	 */
+	void ended(Exchange exchange) {
+		Desk desk = exchange.team().map((team) -> this.desks.get(team.name())).orElse(null);
+		if (desk == null) {
+			return;
+		}
+		desk.waiting.remove(exchange.number());
+		boolean sent = exchange.phase() == Phase.RUNNING || exchange.phase() == Phase.ENDING;
+		if (exchange.permitted() && !sent) {
+			desk.permits.putBack(this.state.now);
+		}
+	}
+
+	/**
+	 * Takes that the relays have changed, and with them who counts for which team.
+	 */
+	void relaysChanged() {
+		this.buckets.relaysChanged(this.state.now);
+	}
+
+	/**
+	 * Takes that this relay did not run for a while: others have counted for its teams,
+	 * and its permits have ended.
+	 */
+	void woken() {
+		this.buckets.forget(this.state.now);
+		this.desks.values().forEach((desk) -> desk.permits.clear());
+	}
+
+	/**
+	 * What this relay has and waits for of one team. Used by one thread.
+	 */
+	private static final class Desk {
+
+		private final String team;
+
+		private final Permits permits = new Permits();
+
+		private final Map<Long, Exchange> waiting = new LinkedHashMap<>();
+
+		private Optional<Pending> pending = Optional.empty();
+
+		Desk(String team) {
+			this.team = team;
+		}
+
+	}
+
+	/**
+	 * A request for permits that is not answered yet. Immutable.
+	 *
+	 * @param number its number
+	 * @param peer the relay that is asked
+	 * @param rank its rank among those that may count for the team
+	 * @param sentAt when it was sent, in milliseconds of a steady clock
+	 * @param asked the exchanges that it is for
+	 */
+	private record Pending(long number, String peer, int rank, long sentAt, List<Exchange> asked) {
+
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -12,6 +12,21 @@
 	 */
 	NO_ROUTE(Verdict.NOT_RUN),
 
+	/**
+	 * The request has no API key, or one that no team holds.
+	 */
+	KEY_UNKNOWN(Verdict.NOT_RUN),
+
+	/**
+	 * The quota of the team is spent.
+	 */
+	QUOTA_SPENT(Verdict.NOT_RUN),
+
+	/**
+	 * None of the relays that count for the team answers.
+	 */
+	QUOTA_UNKNOWN(Verdict.NOT_RUN),
+
 	/**
 	 * The turn is too long for a record of the log.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -26,6 +26,8 @@
 
 	private final TextRules texts;
 
+	private final QuotaRules quotas;
+
 	private final ExchangeEnds ends;
 
 	/**
@@ -39,6 +41,7 @@
 		this.site = new SiteRules(this.state, this.budgets);
 		this.texts = new TextRules(this.state, this.ends);
 		this.requests = new RequestRules(this.state, this.budgets, this.texts, this.ends);
+		this.quotas = this.requests.quotas();
 		this.answers = new AnswerRules(this.state, this.requests, this.texts, this.ends);
 		this.ledger = new LedgerRules(this.state, this.requests, this.budgets, this.ends);
 	}
@@ -57,7 +60,10 @@
 			case RelayEvent.Reminded reminded ->
 				this.state.find(reminded).ifPresent((exchange) -> reminded(exchange, reminded.reminder()));
 			case RelayEvent.EntriesRead read -> this.ledger.entriesRead(read);
-			case RelayEvent.Woken woken -> this.site.woken(woken.slept());
+			case RelayEvent.Woken woken -> {
+				this.quotas.woken();
+				this.site.woken(woken.slept());
+			}
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.Stored stored -> stored.requests().forEach(this.texts::entryStored);
 			case RelayEvent.TextsStored stored -> this.texts.textsStored(stored);
@@ -80,7 +86,13 @@
 			case RelayEvent.TakenTold told -> this.ledger.takenTold(told);
 			case RelayEvent.TakenUnsure unsure -> this.ledger.takenUnsure(unsure);
 			case RelayEvent.LoadsTold told -> this.state.upstreams.told(told.loads(), event.now());
-			case RelayEvent.RelaysListed read -> this.state.keepers.list(read.members());
+			case RelayEvent.RelaysListed read -> {
+				if (this.state.keepers.list(read.members())) {
+					this.quotas.relaysChanged();
+				}
+			}
+			case RelayEvent.PermitsAsked asked -> this.quotas.asked(asked);
+			case RelayEvent.PermitsGranted granted -> this.quotas.granted(granted);
 			case RelayEvent.UnloggedAsked asked -> this.site.tellUnlogged(asked.peer());
 			case RelayEvent.PlaceTold told -> this.ledger.placeTold(told);
 			case RelayEvent.PeerLinked linked -> this.site.linked(linked.peer());
@@ -115,6 +127,7 @@
 			case ORDER -> this.budgets.orderDue(exchange);
 			case STORED -> this.texts.storeDue(exchange);
 			case SILENCE -> this.answers.silenceDue(exchange);
+			case PERMIT -> this.quotas.due(exchange);
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -7,6 +7,8 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
 
 /**
  * What a relay wants done. Immutable and safe for use by several threads.
@@ -23,9 +25,30 @@
 	 * @param left the time that is left for the request
 	 * @param lastEvent the last event that the caller has
 	 * @param stream whether the answer is passed on as it comes
+	 * @param caller whose request it is
 	 */
 	record Send(long exchange, int attempt, Upstream upstream, byte[] chain, Duration left, OptionalLong lastEvent,
-			boolean stream) implements RelayEffect {
+			boolean stream, CallerIdentity caller) implements RelayEffect {
+
+	}
+
+	/**
+	 * Ask another relay for permits of a team.
+	 *
+	 * @param peer the other relay
+	 * @param ask what is asked for
+	 */
+	record AskPermits(String peer, PermitAsk ask) implements RelayEffect {
+
+	}
+
+	/**
+	 * Grant another relay permits of a team.
+	 *
+	 * @param peer the other relay
+	 * @param reply what is granted
+	 */
+	record GrantPermits(String peer, PermitReply reply) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
+
 /**
  * What happens to a relay. Times are milliseconds of a steady clock. Immutable and safe
  * for use by several threads.
@@ -57,6 +60,28 @@
 
 	}
 
+	/**
+	 * Another relay asks for permits of a team.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param ask what it asks for
+	 */
+	record PermitsAsked(long now, String peer, PermitAsk ask) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay has granted permits of a team.
+	 *
+	 * @param now when
+	 * @param peer the other relay
+	 * @param reply what it granted
+	 */
+	record PermitsGranted(long now, String peer, PermitReply reply) implements RelayEvent {
+
+	}
+
 	/**
 	 * The caller closed its connection.
 	 *
@@ -586,6 +611,11 @@
 	 */
 	enum Reminder {
 
+		/**
+		 * For a permit of a team.
+		 */
+		PERMIT,
+
 		/**
 		 * The longest time that the request may take is over.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import io.lentilslip.core.quota.QuotaTolerance;
+
 /**
  * What one relay is set to. Immutable and safe for use by several threads.
  *
@@ -15,9 +17,10 @@
  * @param textPart the partition of the log to which it writes texts
  * @param first whether the whole site starts for the first time, so that nothing was
  * given before
+ * @param tolerance how far the quotas of teams may be passed
  */
 public record RelaySettings(String zone, int weight, long seed, long turnBytes, int inputBytes, int programs,
-		int textPart, boolean first) {
+		int textPart, boolean first, QuotaTolerance tolerance) {
 
 	/**
 	 * The part of a route's target within which a turn whose chain is not found is
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 
 import io.lentilslip.core.notice.Notice;
+import io.lentilslip.core.quota.QuotaTolerance;
 import io.lentilslip.core.relay.RelayEvent.Reach;
 import io.lentilslip.core.relay.RelayEvent.Reminder;
 import io.lentilslip.core.relay.Upstreams.Known;
@@ -114,6 +115,11 @@
 	 */
 	final int textPart;
 
+	/**
+	 * How far quotas may be passed.
+	 */
+	final QuotaTolerance tolerance;
+
 	/**
 	 * Where that partition ended when it was last heard of; negative before that.
 	 */
@@ -160,6 +166,7 @@
 	RelayState(RelaySettings settings) {
 		this.inputBytes = settings.inputBytes();
 		this.textPart = settings.textPart();
+		this.tolerance = settings.tolerance();
 		this.tokens = new ProgramTokens(settings.programs());
 		this.turns = new KeptTurns(settings.turnBytes());
 		this.complete = settings.first();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
@@ -19,9 +19,10 @@
  * @param lastEvent the last event that the caller has of an earlier attempt
  * @param object names the object that the request is about; requests about one object
  * share it
+ * @param origin where it comes from
  */
 public record RequestHead(String id, String host, String path, Optional<Duration> patience, Optional<Turn> turn,
-		List<PromptPart> prompt, int promptTokens, OptionalLong lastEvent, Optional<String> object) {
+		List<PromptPart> prompt, int promptTokens, OptionalLong lastEvent, Optional<String> object, Origin origin) {
 
 	/**
 	 * Creates a head.
@@ -33,14 +34,52 @@
 	 * @param prompt the parts of its prompt, in order
 	 * @param promptTokens the tokens of its prompt
 	 * @param lastEvent the last event that the caller has of an earlier attempt
-	 * @param object names the object that the request is about
 	 * @param object names the object that the request is about; requests about one object
 	 * share it
+	 * @param origin where it comes from
 	 */
 	public RequestHead {
 		prompt = List.copyOf(prompt);
 	}
 
+	/**
+	 * Returns the program that the request is part of.
+	 * @return the program, or empty if it is part of none
+	 */
+	public Optional<String> program() {
+		return this.origin.program();
+	}
+
+	/**
+	 * Returns the head as that of a team's request: its program, the turn that it
+	 * continues from and its object are those of the team, and of no other team that
+	 * gives them the same names. The id stays, since upstreams and operators know it.
+	 * @param team the team
+	 * @return the head
+	 */
+	RequestHead of(Team team) {
+		return new RequestHead(this.id, this.host, this.path, this.patience,
+				this.turn.map((known) -> new Turn(team.scoped(known.program()), known.budget(), known.most(),
+						known.previous().map(team::scoped))),
+				this.prompt, this.promptTokens, this.lastEvent, this.object.map(team::scoped),
+				new Origin(this.origin.program().map(team::scoped), this.origin.key()));
+	}
+
+	/**
+	 * Immutable view of where a request comes from.
+	 *
+	 * @param program the program that it is part of
+	 * @param key the digest of its API key; empty if it has none or none that can be read
+	 */
+	public record Origin(Optional<String> program, Optional<KeyDigest> key) {
+
+		/**
+		 * A request that says nothing of its origin.
+		 */
+		public static final Origin UNKNOWN = new Origin(Optional.empty(), Optional.empty());
+
+	}
+
 	/**
 	 * What a request says as a turn of a program. Immutable.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -23,11 +23,19 @@
 
 	private final ExchangeEnds ends;
 
+	private final QuotaRules quotas;
+
 	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeEnds ends) {
 		this.state = state;
 		this.budgets = budgets;
 		this.texts = texts;
 		this.ends = ends;
+		this.quotas = new QuotaRules(state, ends, this::admitted);
+		ends.whenForgotten(this.quotas::ended);
+	}
+
+	QuotaRules quotas() {
+		return this.quotas;
 	}
 
 	void asked(RelayEvent.Asked asked) {
@@ -37,31 +45,49 @@
 					Optional.of(turn ? RelaySettings.COME_BACK_WHEN_READ : RelaySettings.COME_BACK_LATER));
 			return;
 		}
-		Optional<Route> route = this.state.table.get().find(asked.head().host(), asked.head().path());
+		RouteTable table = this.state.table.get();
+		Optional<Route> route = table.find(asked.head().host(), asked.head().path());
+		Optional<CallerIdentity> caller = table.identify(route, asked.head().origin().key());
+		if (caller.isEmpty()) {
+			this.ends.refuseUnknown(asked, Refusal.KEY_UNKNOWN, Optional.empty());
+			return;
+		}
 		if (route.isEmpty()) {
 			this.ends.refuseUnknown(asked, Refusal.NO_ROUTE, Optional.empty());
 			return;
 		}
-		Exchange exchange = new Exchange(asked, route.get());
+		Exchange exchange = new Exchange(asked, route.get(), caller.get());
 		this.state.exchanges.put(asked.exchange(), exchange);
-		if (this.state.blames.stopped(asked.digest())) {
+		if (this.state.blames.stopped(exchange.digest())) {
 			this.ends.refuse(exchange, Refusal.BLAMED, Optional.empty());
 			return;
 		}
 		this.state.remind(exchange, exchange.left(this.state.now), Reminder.DUE);
-		if (asked.head().turn().isPresent()) {
-			turnAsked(exchange);
+		if ((exchange.head().turn().isPresent() && refusedTurn(exchange)) || !this.quotas.admit(exchange)) {
+			return;
+		}
+		admitted(exchange);
+	}
+
+	private void admitted(Exchange exchange) {
+		boolean waits = this.state.stale || !this.texts.find(exchange);
+		if (exchange.head().turn().isEmpty() || !waits) {
+			dispatch(exchange);
 			return;
 		}
-		dispatch(exchange);
+		this.state.waiting.put(exchange.number(), exchange);
+		if (!exchange.bringing()) {
+			this.texts.lookForChain(exchange);
+		}
+		this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART), Reminder.CHAIN);
 	}
 
-	private void turnAsked(Exchange exchange) {
+	private boolean refusedTurn(Exchange exchange) {
 		// A turn that no record can hold would run and never end: its end waits for the
 		// log, and the entries behind it would wait with it.
 		if (exchange.route().keepsTurns() && exchange.asked().body().length > this.state.inputBytes) {
 			this.ends.refuse(exchange, Refusal.TOO_LONG, Optional.empty());
-			return;
+			return true;
 		}
 		// Where a text stands is told before it is written. Told by a relay that does
 		// not know the end of its partition, others would look for it from the first
@@ -69,25 +95,16 @@
 		boolean placeUnknown = exchange.route().keepsTurns() && this.state.textEnd < 0;
 		if (!this.state.caughtUp || !this.state.knowsRelays() || placeUnknown) {
 			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
-			return;
+			return true;
 		}
 		// A relay that reaches nobody can't see what a program spends elsewhere, and
 		// would give it more than its budget. Refused here, the caller goes to a relay
 		// that can see.
 		if (this.state.reach == Reach.NOTHING) {
 			this.ends.refuse(exchange, Refusal.ISOLATED, Optional.of(RelaySettings.COME_BACK));
-			return;
-		}
-		if (this.state.stale || !this.texts.find(exchange)) {
-			this.state.waiting.put(exchange.number(), exchange);
-			if (!exchange.bringing()) {
-				this.texts.lookForChain(exchange);
-			}
-			this.state.remind(exchange, exchange.route().target().dividedBy(RelaySettings.CHAIN_WAIT_PART),
-					Reminder.CHAIN);
-			return;
+			return true;
 		}
-		dispatch(exchange);
+		return false;
 	}
 
 	/**
@@ -143,7 +160,7 @@
 	 */
 	void leaveSilent(Exchange exchange) {
 		List<Weighed> next = weigh(exchange).stream().filter(this::free).toList();
-		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
+		boolean blamed = this.state.blames.stopped(exchange.digest());
 		if (next.isEmpty() || blamed || exchange.sends() >= exchange.route().attempts()) {
 			return;
 		}
@@ -188,7 +205,7 @@
 		Upstream upstream = known.upstream();
 		exchange.sentTo(upstream, this.state.now);
 		this.state.tell(RelayNotices.placed(exchange, weighed, this.state));
-		this.state.upstreams.sent(exchange.head().id(), known, this.state.now);
+		this.state.upstreams.sent(exchange.id(), known, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		known.read(prompt, this.state.memory(upstream));
 		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
@@ -197,14 +214,14 @@
 		}
 		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
 		this.state.emit(new RelayEffect.Send(exchange.number(), exchange.attempt(), upstream, exchange.chain(),
-				exchange.left(this.state.now), exchange.lastEvent(), stream));
+				exchange.left(this.state.now), exchange.lastEvent(), stream, exchange.caller()));
 	}
 
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
 		exchange.reserve();
-		this.state.tokens.reserve(turn.program(), exchange.head().id(), turn.most());
-		this.state.write(new LedgerEntry.Reserved(exchange.head().id(), turn.program(), turn.most(), upstream.life(),
-				prompt, false));
+		this.state.tokens.reserve(turn.program(), exchange.id(), turn.most());
+		this.state.write(
+				new LedgerEntry.Reserved(exchange.id(), turn.program(), turn.most(), upstream.life(), prompt, false));
 	}
 
 	/**
@@ -214,7 +231,7 @@
 	 */
 	void again(Exchange exchange) {
 		boolean allowed = !exchange.mayHaveRun() || exchange.route().repeatable();
-		boolean blamed = this.state.blames.stopped(exchange.asked().digest());
+		boolean blamed = this.state.blames.stopped(exchange.digest());
 		if (allowed && !blamed && exchange.sends() < exchange.route().attempts() && this.state.now < exchange.due()) {
 			List<Weighed> next = weigh(exchange);
 			if (!next.isEmpty()) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Route.java
@@ -19,11 +19,12 @@
  * @param keepsTurns whether turns carry new input only and the relay holds the rest
  * @param retention how long turns are kept, and programs remembered
  * @param warm whether an upstream that handled an object lately handles it faster
+ * @param open whether callers need no API key
  * @param targets the services that share the route's requests
  */
 public record Route(String name, String host, String prefix, Repeatability repeatability, Duration timeout,
 		Duration target, int attempts, int priority, boolean resumable, boolean keepsTurns, Duration retention,
-		boolean warm, List<WeightedService> targets) {
+		boolean warm, boolean open, List<WeightedService> targets) {
 
 	/**
 	 * By how many targets a stream may be silent: well above what engines show under full
@@ -45,6 +46,7 @@
 	 * @param keepsTurns whether turns carry new input only and the relay holds the rest
 	 * @param retention how long turns are kept, and programs remembered
 	 * @param warm whether an upstream that handled an object lately handles it faster
+	 * @param open whether callers need no API key
 	 * @param targets the services that share the route's requests
 	 */
 	public Route {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
@@ -13,8 +13,10 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits what callers may send
+ * @param teams the teams; empty if callers are not told apart
  */
-public record RouteTable(long version, List<Route> routes, Map<String, Service> services, Limits limits) {
+public record RouteTable(long version, List<Route> routes, Map<String, Service> services, Limits limits,
+		Optional<Teams> teams) {
 
 	/**
 	 * Creates a table.
@@ -22,6 +24,7 @@
 	 * @param routes the routes
 	 * @param services the services by name
 	 * @param limits what callers may send
+	 * @param teams the teams; empty if callers are not told apart
 	 */
 	public RouteTable {
 		routes = List.copyOf(routes);
@@ -47,6 +50,22 @@
 		return best;
 	}
 
+	/**
+	 * Finds out who sends a request.
+	 * @param route the route of the request; empty if none fits
+	 * @param key the digest of its API key; empty if it has none or none that can be read
+	 * @return the caller, or empty if the request needs a key and has none that a team
+	 * holds
+	 */
+	Optional<CallerIdentity> identify(Optional<Route> route, Optional<KeyDigest> key) {
+		if (this.teams.isEmpty()) {
+			return Optional.of(new CallerIdentity.Unchecked());
+		}
+		Optional<CallerIdentity> holder = key.flatMap(this.teams.get()::holder).map(CallerIdentity.OfTeam::new);
+		return (holder.isEmpty() && route.filter(Route::open).isPresent()) ? Optional.of(new CallerIdentity.Anonymous())
+				: holder;
+	}
+
 	/**
 	 * A service that upstreams offer. Immutable.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -86,10 +86,10 @@
 		KeptTurn text = new KeptTurn(turn.previous(), exchange.asked().body(), exchange.output());
 		TextPlace place = place(text, this.state.name);
 		exchange.become(Phase.ENDING);
-		this.state.turns.add(exchange.head().id(), text);
-		this.state.turns.note(exchange.head().id(), place, Optional.empty());
-		this.state.ending.put(exchange.head().id(), new Ending(exchange.number(), text));
-		this.state.emit(new RelayEffect.StoreText(exchange.head().id(), text));
+		this.state.turns.add(exchange.id(), text);
+		this.state.turns.note(exchange.id(), place, Optional.empty());
+		this.state.ending.put(exchange.id(), new Ending(exchange.number(), text));
+		this.state.emit(new RelayEffect.StoreText(exchange.id(), text));
 		this.ends.settle(exchange, Optional.of(place));
 		Duration pause = (this.state.reach == Reach.LOG) ? RelaySettings.ALONE : RelaySettings.TELLING;
 		this.state.remind(exchange, pause, Reminder.STORED);
@@ -160,7 +160,7 @@
 	 * @param exchange the exchange
 	 */
 	void storeDue(Exchange exchange) {
-		Ending ending = this.state.ending.get(exchange.head().id());
+		Ending ending = this.state.ending.get(exchange.id());
 		if (exchange.phase() != Phase.ENDING || ending == null) {
 			return;
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import io.lentilslip.core.call.Header;
+import io.lentilslip.core.quota.QuotaTolerance;
 
 /**
  * One relay with a small site, driven event by event.
@@ -45,7 +46,8 @@
 	private boolean caughtUp;
 
 	private RelayFixture(boolean first, long seed) {
-		this.relay = new Relay(new RelaySettings("zone-a", 100, seed, 1_000_000, 1000, 1000, PART, first));
+		this.relay = new Relay(
+				new RelaySettings("zone-a", 100, seed, 1_000_000, 1000, 1000, PART, first, QuotaTolerance.standard()));
 	}
 
 	/**
@@ -128,12 +130,13 @@
 						route("draft", Repeatability.STREAM, true, false, ENGINE),
 						route("look", Repeatability.IDEMPOTENT, false, false, SHOP),
 						route("order", Repeatability.ONCE, false, false, SHOP)),
-				services, RouteTable.Limits.beforeFirstTable());
+				services, RouteTable.Limits.beforeFirstTable(), Optional.empty());
 	}
 
 	static Route route(String name, Repeatability repeatability, boolean resumable, boolean keeps, String service) {
 		return new Route(name, "host", "/" + name + "/", repeatability, Duration.ofSeconds(4), Duration.ofMillis(200),
-				2, 0, resumable, keeps, Duration.ofSeconds(60), false, List.of(new Route.WeightedService(service, 1)));
+				2, 0, resumable, keeps, Duration.ofSeconds(60), false, false,
+				List.of(new Route.WeightedService(service, 1)));
 	}
 
 	static Upstream upstream(String id, String service) {
@@ -150,7 +153,7 @@
 
 	static RequestHead head(String id, String route, Optional<RequestHead.Turn> turn) {
 		return new RequestHead(id, "host", "/" + route + "/x", Optional.of(Duration.ofSeconds(3)), turn, List.of(), 0,
-				OptionalLong.empty(), Optional.empty());
+				OptionalLong.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
 	}
 
 	boolean caughtUp() {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -76,7 +76,8 @@
 	@Test
 	void olderTableChangesNothing() {
 		RelayFixture relay = RelayFixture.ready();
-		RouteTable older = new RouteTable(0, List.of(), Map.of(), RouteTable.Limits.beforeFirstTable());
+		RouteTable older = new RouteTable(0, List.of(), Map.of(), RouteTable.Limits.beforeFirstTable(),
+				Optional.empty());
 		assertThat(relay.on(new RelayEvent.TableRead(1, older))).isEmpty();
 		assertThat(sends(relay.ask("r1", "look"))).hasSize(1);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RouteTableTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RouteTableTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 
@@ -10,7 +11,7 @@
 class RouteTableTests {
 
 	private final RouteTable table = new RouteTable(1, List.of(route("short", "/a/"), route("long", "/a/b/")), Map.of(),
-			RouteTable.Limits.beforeFirstTable());
+			RouteTable.Limits.beforeFirstTable(), Optional.empty());
 
 	@Test
 	void longestPrefixWins() {
@@ -32,7 +33,8 @@
 	private static Route route(String name, String prefix) {
 		Route any = RelayFixture.route(name, Repeatability.IDEMPOTENT, false, false, "s");
 		return new Route(name, "host", prefix, any.repeatability(), any.timeout(), any.target(), any.attempts(),
-				any.priority(), any.resumable(), any.keepsTurns(), any.retention(), any.warm(), any.targets());
+				any.priority(), any.resumable(), any.keepsTurns(), any.retention(), any.warm(), any.open(),
+				any.targets());
 	}
 
 }
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TeamTests.java
@@ -0,0 +1,97 @@
+package io.lentilslip.core.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TeamTests {
+
+	private final RelayFixture relay = RelayFixture.ready();
+
+	TeamTests() {
+		Map<KeyDigest, Team> teams = new HashMap<>();
+		for (String name : List.of("red", "blue")) {
+			teams.put(KeyDigest.of("key of " + name), new Team(name, OptionalInt.empty(), Optional.empty()));
+		}
+		RouteTable plain = RelayFixture.table();
+		this.relay.on(new RelayEvent.TableRead(this.relay.now(),
+				new RouteTable(2, plain.routes(), plain.services(), plain.limits(), Optional.of(new Teams(teams)))));
+		this.relay.all.clear();
+	}
+
+	// A caller whose key was taken away is served on.
+	@Test
+	void keyThatNoTeamHoldsIsRefused() {
+		assertThat(refusal(ask("r1", "look", Optional.of("key of nobody"), null))).isEqualTo(Refusal.KEY_UNKNOWN);
+		assertThat(refusal(ask("r2", "look", Optional.empty(), null))).isEqualTo(Refusal.KEY_UNKNOWN);
+		assertThat(RelayFixture.of(this.relay.all, RelayEffect.Send.class)).isEmpty();
+	}
+
+	@Test
+	void upstreamReceivesTheTeam() {
+		RelayEffect.Send send = RelayFixture
+			.of(ask("r1", "look", Optional.of("key of red"), null), RelayEffect.Send.class)
+			.getFirst();
+		assertThat(send.caller()).isInstanceOfSatisfying(CallerIdentity.OfTeam.class,
+				(of) -> assertThat(of.team().name()).isEqualTo("red"));
+	}
+
+	// One team continues another team's conversation by naming a turn of it.
+	@Test
+	void turnOfAnotherTeamIsNotFound() {
+		ask("t1", "chat", Optional.of("key of red"), RelayFixture.turn("p", 1000, 100, null));
+		this.relay.open(1);
+		this.relay.event(1, 1);
+		this.relay.end(1);
+		this.relay.stored("red/t1");
+		List<RelayEffect> other = ask("t2", "chat", Optional.of("key of blue"),
+				RelayFixture.turn("p", 1000, 100, "t1"));
+		assertThat(RelayFixture.of(other, RelayEffect.Send.class)).isEmpty();
+		List<RelayEffect> own = ask("t3", "chat", Optional.of("key of red"), RelayFixture.turn("p", 1000, 100, "t1"));
+		assertThat(RelayFixture.of(own, RelayEffect.Send.class)).hasSize(1);
+	}
+
+	// Two teams give programs the same name, and the one's turns are counted in the
+	// other's budget.
+	@Test
+	void programsOfTwoTeamsHaveBudgetsOfTheirOwn() {
+		for (String turn : List.of("t1", "t2", "t3")) {
+			assertThat(sends("key of red", turn)).isEqualTo(1);
+		}
+		assertThat(sends("key of red", "t4")).isZero();
+		assertThat(sends("key of blue", "t4")).isEqualTo(1);
+	}
+
+	private int sends(String key, String turn) {
+		return RelayFixture
+			.of(ask(turn, "draft", Optional.of(key), RelayFixture.turn("p", 600, 100, null)), RelayEffect.Send.class)
+			.size();
+	}
+
+	@Test
+	void idThatNamesATeamIsAnIdOfTheOwnTeam() {
+		assertThat(new Team("a/b", OptionalInt.empty(), Optional.empty()).scoped("c"))
+			.isNotEqualTo(new Team("a", OptionalInt.empty(), Optional.empty()).scoped("b/c"));
+	}
+
+	private List<RelayEffect> ask(String id, String route, Optional<String> key, RequestHead.Turn turn) {
+		RequestHead plain = RelayFixture.head(id, route, Optional.ofNullable(turn));
+		return this.relay.ask(
+				new RequestHead(id, plain.host(), plain.path(), plain.patience(), plain.turn(), List.of(), 0,
+						OptionalLong.empty(), Optional.empty(),
+						new RequestHead.Origin(plain.turn().map(RequestHead.Turn::program), key.map(KeyDigest::of))),
+				"body");
+	}
+
+	private static Refusal refusal(List<RelayEffect> effects) {
+		return RelayFixture.of(effects, RelayEffect.Refuse.class).getFirst().refusal();
+	}
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Set;
 
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PlacedTurn;
@@ -100,6 +102,20 @@
 	 */
 	void placeTold(PeerMessage.Place place);
 
+	/**
+	 * Another relay asks for permits of a team.
+	 * @param peer its address
+	 * @param ask what it asks for
+	 */
+	void permitsAsked(String peer, PermitAsk ask);
+
+	/**
+	 * Another relay has granted permits of a team.
+	 * @param peer its address
+	 * @param reply what it granted
+	 */
+	void permitsGranted(String peer, PermitReply reply);
+
 	/**
 	 * Another relay, which misses nothing, has told all that it knows beyond the log.
 	 * @param peer its address
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Catalogue.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Catalogue.java
@@ -1,9 +1,8 @@
 package io.lentilslip.relay.process;
 
-import java.util.Optional;
-
 import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.core.relay.TableProblem;
 import io.lentilslip.core.relay.Upstream;
 import io.vavr.control.Either;
 
@@ -22,9 +21,9 @@
 	/**
 	 * Decodes what operators wrote.
 	 * @param value the value
-	 * @return the table, or empty if the value is none
+	 * @return the table, or why the value is none that can be in force
 	 */
-	Optional<RouteTable> table(byte[] value);
+	Either<TableProblem, RouteTable> table(byte[] value);
 
 	/**
 	 * Decodes what an upstream wrote. Others may write there too, so any bytes may come.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -21,6 +21,8 @@
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
@@ -329,6 +331,8 @@
 				this.peers.send(tell.peer(), new PeerMessage.Taken(tell.request(), tell.tokens(), tell.unlogged(),
 						tell.log(), tell.loads()));
 			}
+			case RelayEffect.AskPermits ask -> this.peers.send(ask.peer(), new PeerMessage.Ask(ask.ask()));
+			case RelayEffect.GrantPermits grant -> this.peers.send(grant.peer(), new PeerMessage.Reply(grant.reply()));
 			case RelayEffect.TellUnsure tell -> this.peers.send(tell.peer(), new PeerMessage.Unsure(tell.request()));
 			case RelayEffect.TellPlace tell ->
 				this.peers.send(tell.peer(), new PeerMessage.Place(tell.request(), tell.held()));
@@ -456,8 +460,11 @@
 			if (!key.equals(RelayProcess.this.setup.catalogue().routesKey())) {
 				return;
 			}
-			value.flatMap(RelayProcess.this.setup.catalogue()::table)
-				.ifPresent((table) -> on(new RelayEvent.TableRead(RelayProcess.this.timers.now(), table)));
+			value.ifPresent((bytes) -> RelayProcess.this.setup.catalogue()
+				.table(bytes)
+				.peek((table) -> on(new RelayEvent.TableRead(RelayProcess.this.timers.now(), table)))
+				.peekLeft((problem) -> RelayProcess.this.notices
+					.write(NoticeCode.ROUTES_REFUSED.with(FieldName.REASON, problem))));
 		}
 
 	}
@@ -569,6 +576,16 @@
 			on(new RelayEvent.PlaceTold(RelayProcess.this.timers.now(), place.request(), place.held()));
 		}
 
+		@Override
+		public void permitsAsked(String peer, PermitAsk ask) {
+			on(new RelayEvent.PermitsAsked(RelayProcess.this.timers.now(), peer, ask));
+		}
+
+		@Override
+		public void permitsGranted(String peer, PermitReply reply) {
+			on(new RelayEvent.PermitsGranted(RelayProcess.this.timers.now(), peer, reply));
+		}
+
 		@Override
 		public void allTold(String peer) {
 			on(new RelayEvent.PeerTold(RelayProcess.this.timers.now(), peer, RelayProcess.this.peers.known()));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -16,6 +16,8 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RelayTraffic;
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PlacedTurn;
@@ -283,6 +285,16 @@
 	 */
 	private final class Heard implements PeerListener {
 
+		@Override
+		public void permitsAsked(String peer, PermitAsk ask) {
+			PeersTests.this.heard.add("permits asked by " + peer);
+		}
+
+		@Override
+		public void permitsGranted(String peer, PermitReply reply) {
+			PeersTests.this.heard.add("permits granted by " + peer);
+		}
+
 		@Override
 		public void entries(String peer, List<LedgerEntry> entries) {
 			entries.forEach((entry) -> PeersTests.this.heard.add(entry.request()));
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Set;
 
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.PlacedTurn;
@@ -205,6 +207,24 @@
 
 	}
 
+	/**
+	 * The relay asks for permits of a team.
+	 *
+	 * @param ask what it asks for
+	 */
+	record Ask(PermitAsk ask) implements PeerMessage {
+
+	}
+
+	/**
+	 * The relay grants permits of a team.
+	 *
+	 * @param reply what it grants
+	 */
+	record Reply(PermitReply reply) implements PeerMessage {
+
+	}
+
 	/**
 	 * A message of another version, without meaning here.
 	 */
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.Quota;
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
@@ -15,6 +18,7 @@
 import io.lentilslip.core.relay.UpstreamLoad;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -55,6 +59,18 @@
 		assertThat(RelayCodec.decodeText(bytes)).isNotNull();
 	}
 
+	@Property(tries = 200)
+	void permitsAreReadAsWritten(@ForAll long number, @ForAll int program,
+			@ForAll @IntRange(min = 0, max = 10_000) int permits, @ForAll boolean admitted) {
+		PeerMessage ask = new PeerMessage.Ask(
+				new PermitAsk("red", number, new Quota(1.5, 3), permits, 2, 1, List.of(program), List.of(program, 7)));
+		PeerMessage reply = new PeerMessage.Reply(
+				new PermitReply("red", number, permits, List.of(admitted, true), Duration.ofMillis(250)));
+		for (PeerMessage message : List.of(ask, reply)) {
+			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
+		}
+	}
+
 	@Test
 	void timeOfAnEntryIsReadAsWritten() {
 		LedgerEntry entry = new LedgerEntry.Blamed("r", 3, "u");
