Spend permits at hand on programs that begin, and report each refusal of a quota

Cause: a permit at hand was spent on programs under way alone, so each program that came to another relay asked anew, also while its team was far below its quota.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -432,6 +432,17 @@
 			FieldName.REQUEST, FieldName.PROGRAM, FieldName.REASON, FieldName.COUNT, FieldName.VERDICT,
 			FieldName.TOKENS, FieldName.LIMIT, FieldName.MILLISECONDS),
 
+	/**
+	 * Written for each request that a quota refuses; {@code LIMIT} is the rate a second
+	 * and the burst in force, {@code VERSION} that of the routes, {@code ADDRESS} the
+	 * relay that counts for the team and {@code COUNT} how many requests of the team wait
+	 * here.
+	 */
+	QUOTA_REFUSED(4024, Level.WARN, "A team's quota refused a request, or no relay that counts for the team answered.",
+			"Compare the limit and its version with what the team is to have; see whether that relay is alone or late.",
+			FieldName.REQUEST, FieldName.GROUP, FieldName.REASON, FieldName.LIMIT, FieldName.VERSION, FieldName.ADDRESS,
+			FieldName.COUNT, FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -99,7 +99,10 @@
 			return false;
 		}
 		Desk desk = this.desks.computeIfAbsent(team.get().name(), Desk::new);
-		if (underWay(desk, exchange) && desk.permits.spend(this.state.now)) {
+		// Permits are granted ahead of need only while the quota has room for programs
+		// that begin.
+		if (desk.permits.spend(this.state.now)) {
+			exchange.head().program().ifPresent((program) -> desk.permits.admit(program.hashCode()));
 			exchange.permit();
 			return true;
 		}
@@ -324,6 +327,8 @@
 
 	private void refuse(Desk desk, Exchange exchange, Refusal refusal, Duration wait) {
 		desk.waiting.remove(exchange.number());
+		this.state.tell(RelayNotices.quotaRefused(exchange, refusal, counting(desk.team).getFirst(),
+				desk.waiting.size(), wait, this.state));
 		this.ends.refuse(exchange, refusal, Optional.of(wait));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -140,6 +140,30 @@
 				taken(exchange, state.now), tokens(exchange, state), budget(exchange));
 	}
 
+	/**
+	 * Returns why a quota refuses a request.
+	 * @param exchange the exchange
+	 * @param refusal the reason
+	 * @param counting the relay that counts for the team
+	 * @param waiting how many requests of the team wait at this relay
+	 * @param retryAfter when the caller is asked to come back
+	 * @param state what the relay knows
+	 * @return the notice
+	 */
+	static Notice quotaRefused(Exchange exchange, Refusal refusal, String counting, int waiting, Duration retryAfter,
+			RelayState state) {
+		String limit = exchange.team()
+			.flatMap(Team::quota)
+			.map((quota) -> quota.ratePerSecond() + "/s+" + quota.burst())
+			.orElse(NONE);
+		return notice(NoticeCode.QUOTA_REFUSED, request(exchange),
+				field(FieldName.GROUP, exchange.team().map(Team::name).orElse(NONE)), field(FieldName.REASON, refusal),
+				field(FieldName.LIMIT, limit),
+				field(FieldName.VERSION, state.table.map(RouteTable::version).orElse(0L)),
+				field(FieldName.ADDRESS, counting), field(FieldName.COUNT, waiting),
+				field(FieldName.MILLISECONDS, retryAfter.toMillis()));
+	}
+
 	static Notice callerLeft(Exchange exchange, long now) {
 		return notice(NoticeCode.CALLER_LEFT, request(exchange), program(exchange), upstream(exchange),
 				events(exchange), taken(exchange, now));
