--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitReply.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitReply.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /**
- * Immutable answer to a {@link PermitAsk}.
+ * Immutable answer to a {@link PermitRequest}.
  *
  * @param team the name of the team
  * @param number the number of the request
--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitAsk.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitRequest.java
@@ -15,7 +15,7 @@
  * @param underWay the programs of these requests, as far as they have one
  * @param beginning the programs that wait to be admitted, one for each permit
  */
-public record PermitAsk(String team, long number, Quota quota, int wanted, int ahead, int returned,
+public record PermitRequest(String team, long number, Quota quota, int wanted, int ahead, int returned,
 		List<Integer> underWay, List<Integer> beginning) {
 
 	/**
@@ -29,7 +29,7 @@
 	 * @param underWay the programs of these requests, as far as they have one
 	 * @param beginning the programs that wait to be admitted, one for each permit
 	 */
-	public PermitAsk {
+	public PermitRequest {
 		underWay = List.copyOf(underWay);
 		beginning = List.copyOf(beginning);
 	}
@@ -39,8 +39,8 @@
 	 * @param number tells the answer from others of the same relay
 	 * @return the request
 	 */
-	public static PermitAsk probe(long number) {
-		return new PermitAsk("", number, new Quota(1, 0), 0, 0, 0, List.of(), List.of());
+	public static PermitRequest probe(long number) {
+		return new PermitRequest("", number, new Quota(1, 0), 0, 0, 0, List.of(), List.of());
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBucket.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBucket.java
@@ -83,7 +83,7 @@
 	 * @param now milliseconds of a steady clock
 	 * @return what is granted
 	 */
-	PermitReply grant(Quota current, PermitAsk ask, long now) {
+	PermitReply grant(Quota current, PermitRequest ask, long now) {
 		refill(current, now);
 		giveBack(ask.returned());
 		int granted = 0;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBuckets.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBuckets.java
@@ -60,7 +60,7 @@
 	 * @param now milliseconds of a steady clock
 	 * @return what is granted
 	 */
-	public PermitReply grant(Quota quota, PermitAsk ask, Standing standing, long now) {
+	public PermitReply grant(Quota quota, PermitRequest ask, Standing standing, long now) {
 		boolean first = standing == Standing.FIRST;
 		Counted counted = this.buckets.get(ask.team());
 		boolean ended = counted != null && !first && now - counted.bucket().usedAt() > STAND_IN_END.toMillis();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.quota.Permits;
 import io.lentilslip.core.quota.Quota;
@@ -58,9 +58,9 @@
 
 	private final TeamBuckets buckets;
 
-	private final Map<String, Desk> desks = new LinkedHashMap<>(64, 0.75f, true) {
+	private final Map<String, TeamQueue> queues = new LinkedHashMap<>(64, 0.75f, true) {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, Desk> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<String, TeamQueue> eldest) {
 			return size() > TEAMS && eldest.getValue().waiting.isEmpty();
 		}
 	};
@@ -98,52 +98,52 @@
 			this.ends.refuse(exchange, Refusal.NOT_READY, Optional.of(RelaySettings.COME_BACK_WHEN_READ));
 			return false;
 		}
-		Desk desk = this.desks.computeIfAbsent(team.get().name(), Desk::new);
+		TeamQueue queue = this.queues.computeIfAbsent(team.get().name(), TeamQueue::new);
 		// Permits are granted ahead of need only while the quota has room for programs
 		// that begin.
-		if (desk.permits.spend(this.state.now)) {
-			exchange.head().program().ifPresent((program) -> desk.permits.admit(program.hashCode()));
+		if (queue.permits.spend(this.state.now)) {
+			exchange.head().program().ifPresent((program) -> queue.permits.admit(program.hashCode()));
 			exchange.permit();
 			return true;
 		}
 		exchange.become(Phase.WAITING_FOR_PERMIT);
-		desk.waiting.put(exchange.number(), exchange);
+		queue.waiting.put(exchange.number(), exchange);
 		this.state.remind(exchange, ANSWER_WAIT, Reminder.PERMIT);
-		askIfFree(desk);
+		askIfFree(queue);
 		return false;
 	}
 
-	private static boolean underWay(Desk desk, Exchange exchange) {
+	private static boolean underWay(TeamQueue queue, Exchange exchange) {
 		Optional<String> program = exchange.head().program();
-		return program.isEmpty() || desk.permits.underWay(program.get().hashCode());
+		return program.isEmpty() || queue.permits.underWay(program.get().hashCode());
 	}
 
-	private void askIfFree(Desk desk) {
-		if (desk.pending.isEmpty() && !desk.waiting.isEmpty()) {
-			ask(desk, 0);
+	private void askIfFree(TeamQueue queue) {
+		if (queue.pending.isEmpty() && !queue.waiting.isEmpty()) {
+			ask(queue, 0);
 		}
 	}
 
-	private void ask(Desk desk, int rank) {
-		List<String> counting = counting(desk.team);
+	private void ask(TeamQueue queue, int rank) {
+		List<String> counting = counting(queue.team);
 		if (rank >= counting.size()) {
-			desk.pending = Optional.empty();
-			for (Exchange exchange : List.copyOf(desk.waiting.values())) {
-				refuse(desk, exchange, Refusal.QUOTA_UNKNOWN, RelaySettings.COME_BACK);
+			queue.pending = Optional.empty();
+			for (Exchange exchange : List.copyOf(queue.waiting.values())) {
+				refuse(queue, exchange, Refusal.QUOTA_UNKNOWN, RelaySettings.COME_BACK);
 			}
 			return;
 		}
 		String target = counting.get(rank);
 		if (rank + 1 < counting.size() && suspected(target)) {
-			ask(desk, rank + 1);
+			ask(queue, rank + 1);
 			return;
 		}
-		List<Exchange> asked = List.copyOf(desk.waiting.values());
+		List<Exchange> asked = List.copyOf(queue.waiting.values());
 		List<Integer> going = new ArrayList<>();
 		List<Integer> beginning = new ArrayList<>();
 		int wanted = 0;
 		for (Exchange exchange : asked) {
-			if (underWay(desk, exchange)) {
+			if (underWay(queue, exchange)) {
 				wanted++;
 				exchange.head().program().ifPresent((program) -> going.add(program.hashCode()));
 			}
@@ -151,28 +151,28 @@
 				beginning.add(exchange.head().program().orElseThrow().hashCode());
 			}
 		}
-		Optional<Quota> quota = quota(desk.team);
+		Optional<Quota> quota = quota(queue.team);
 		if (quota.isEmpty()) {
-			unlimited(desk);
+			unlimited(queue);
 			return;
 		}
 		this.lastNumber++;
-		PermitAsk ask = new PermitAsk(desk.team, this.lastNumber, quota.get(), wanted,
-				desk.permits.ahead(this.state.now), desk.permits.returned(target, this.state.now), going, beginning);
-		desk.pending = Optional.of(new Pending(this.lastNumber, target, rank, this.state.now, asked));
+		PermitRequest ask = new PermitRequest(queue.team, this.lastNumber, quota.get(), wanted,
+				queue.permits.ahead(this.state.now), queue.permits.returned(target, this.state.now), going, beginning);
+		queue.pending = Optional.of(new Pending(this.lastNumber, target, rank, this.state.now, asked));
 		if (target.equals(this.state.name)) {
 			probe(counting);
 			replied(target, this.buckets.grant(quota.get(), ask, standing(counting), this.state.now));
 			return;
 		}
-		this.state.emit(new RelayEffect.AskPermits(target, ask));
+		this.state.emit(new RelayEffect.RequestPermits(target, ask));
 	}
 
 	// The quota was lifted, or the team removed, while its requests waited.
-	private void unlimited(Desk desk) {
-		desk.pending = Optional.empty();
-		List<Exchange> all = List.copyOf(desk.waiting.values());
-		desk.waiting.clear();
+	private void unlimited(TeamQueue queue) {
+		queue.pending = Optional.empty();
+		List<Exchange> all = List.copyOf(queue.waiting.values());
+		queue.waiting.clear();
 		all.forEach(this::admitted);
 	}
 
@@ -210,8 +210,8 @@
 	 * Takes another relay's request for permits.
 	 * @param asked the request
 	 */
-	void asked(RelayEvent.PermitsAsked asked) {
-		PermitAsk ask = asked.ask();
+	void asked(RelayEvent.PermitsRequested asked) {
+		PermitRequest ask = asked.ask();
 		if (ask.isProbe()) {
 			this.state.emit(new RelayEffect.GrantPermits(asked.peer(),
 					new PermitReply(ask.team(), ask.number(), 0, List.of(), Duration.ZERO)));
@@ -238,7 +238,7 @@
 			if (since == null) {
 				this.probes.put(relay, this.state.now);
 				this.lastNumber++;
-				this.state.emit(new RelayEffect.AskPermits(relay, PermitAsk.probe(this.lastNumber)));
+				this.state.emit(new RelayEffect.RequestPermits(relay, PermitRequest.probe(this.lastNumber)));
 			}
 			else if (this.state.now - since > ANSWER_WAIT.toMillis()) {
 				this.probes.remove(relay);
@@ -258,77 +258,77 @@
 	}
 
 	private void replied(String peer, PermitReply reply) {
-		Desk desk = this.desks.get(reply.team());
-		if (desk == null) {
+		TeamQueue queue = this.queues.get(reply.team());
+		if (queue == null) {
 			return;
 		}
-		if (desk.pending.isEmpty() || desk.pending.get().number() != reply.number()) {
-			desk.permits.add(peer, reply.total(), this.state.now);
+		if (queue.pending.isEmpty() || queue.pending.get().number() != reply.number()) {
+			queue.permits.add(peer, reply.total(), this.state.now);
 			return;
 		}
-		List<Exchange> asked = desk.pending.get().asked();
-		desk.pending = Optional.empty();
-		desk.permits.add(peer, reply.permits(), this.state.now);
+		List<Exchange> asked = queue.pending.get().asked();
+		queue.pending = Optional.empty();
+		queue.permits.add(peer, reply.permits(), this.state.now);
 		int next = 0;
 		for (Exchange exchange : asked) {
-			boolean waits = desk.waiting.containsKey(exchange.number());
-			boolean began = !underWay(desk, exchange);
+			boolean waits = queue.waiting.containsKey(exchange.number());
+			boolean began = !underWay(queue, exchange);
 			if (began && next < reply.admitted().size()) {
 				boolean held = reply.admitted().get(next);
 				next++;
-				began(desk, exchange, peer, held, waits, reply.retryAfter());
+				began(queue, exchange, peer, held, waits, reply.retryAfter());
 			}
 			else if (waits) {
-				wentOn(desk, exchange, reply.retryAfter());
+				wentOn(queue, exchange, reply.retryAfter());
 			}
 		}
-		askIfWaitingAnew(desk, asked);
+		askIfWaitingAnew(queue, asked);
 	}
 
-	private void began(Desk desk, Exchange exchange, String peer, boolean held, boolean waits, Duration wait) {
+	private void began(TeamQueue queue, Exchange exchange, String peer, boolean held, boolean waits, Duration wait) {
 		if (held) {
-			desk.permits.admit(exchange.head().program().orElseThrow().hashCode());
+			queue.permits.admit(exchange.head().program().orElseThrow().hashCode());
 		}
 		if (!waits) {
-			desk.permits.add(peer, held ? 1 : 0, this.state.now);
+			queue.permits.add(peer, held ? 1 : 0, this.state.now);
 			return;
 		}
 		if (!held) {
-			refuse(desk, exchange, Refusal.QUOTA_SPENT, wait);
+			refuse(queue, exchange, Refusal.QUOTA_SPENT, wait);
 			return;
 		}
-		desk.waiting.remove(exchange.number());
+		queue.waiting.remove(exchange.number());
 		admitted(exchange);
 	}
 
-	private void wentOn(Desk desk, Exchange exchange, Duration wait) {
-		if (desk.permits.spend(this.state.now)) {
-			desk.waiting.remove(exchange.number());
+	private void wentOn(TeamQueue queue, Exchange exchange, Duration wait) {
+		if (queue.permits.spend(this.state.now)) {
+			queue.waiting.remove(exchange.number());
 			admitted(exchange);
 			return;
 		}
 		long held = this.state.now - exchange.asked().now();
 		long most = exchange.route().target().toMillis() / HOLD_PART;
 		if (held + ANSWER_WAIT.toMillis() / 2 > most) {
-			refuse(desk, exchange, Refusal.QUOTA_SPENT, wait);
+			refuse(queue, exchange, Refusal.QUOTA_SPENT, wait);
 		}
 	}
 
 	// Requests that the answer was too short for ask again at their reminders; those that
 	// came meanwhile have not asked yet.
-	private void askIfWaitingAnew(Desk desk, List<Exchange> asked) {
-		for (Exchange exchange : desk.waiting.values()) {
+	private void askIfWaitingAnew(TeamQueue queue, List<Exchange> asked) {
+		for (Exchange exchange : queue.waiting.values()) {
 			if (!asked.contains(exchange)) {
-				askIfFree(desk);
+				askIfFree(queue);
 				return;
 			}
 		}
 	}
 
-	private void refuse(Desk desk, Exchange exchange, Refusal refusal, Duration wait) {
-		desk.waiting.remove(exchange.number());
-		this.state.tell(RelayNotices.quotaRefused(exchange, refusal, counting(desk.team).getFirst(),
-				desk.waiting.size(), wait, this.state));
+	private void refuse(TeamQueue queue, Exchange exchange, Refusal refusal, Duration wait) {
+		queue.waiting.remove(exchange.number());
+		this.state.tell(RelayNotices.quotaRefused(exchange, refusal, counting(queue.team).getFirst(),
+				queue.waiting.size(), wait, this.state));
 		this.ends.refuse(exchange, refusal, Optional.of(wait));
 	}
 
@@ -340,16 +340,16 @@
 		if (exchange.phase() != Phase.WAITING_FOR_PERMIT) {
 			return;
 		}
-		Desk desk = this.desks.get(exchange.team().orElseThrow().name());
+		TeamQueue queue = this.queues.get(exchange.team().orElseThrow().name());
 		this.state.remind(exchange, ANSWER_WAIT, Reminder.PERMIT);
-		if (desk.pending.isEmpty()) {
-			askIfFree(desk);
+		if (queue.pending.isEmpty()) {
+			askIfFree(queue);
 			return;
 		}
-		Pending pending = desk.pending.get();
+		Pending pending = queue.pending.get();
 		if (this.state.now - pending.sentAt() >= ANSWER_WAIT.toMillis()) {
 			this.suspects.put(pending.peer(), this.state.now);
-			ask(desk, pending.rank() + 1);
+			ask(queue, pending.rank() + 1);
 		}
 	}
 
@@ -359,14 +359,14 @@
 	 * @param exchange the exchange
 	 */
 	void ended(Exchange exchange) {
-		Desk desk = exchange.team().map((team) -> this.desks.get(team.name())).orElse(null);
-		if (desk == null) {
+		TeamQueue queue = exchange.team().map((team) -> this.queues.get(team.name())).orElse(null);
+		if (queue == null) {
 			return;
 		}
-		desk.waiting.remove(exchange.number());
+		queue.waiting.remove(exchange.number());
 		boolean sent = exchange.phase() == Phase.RUNNING || exchange.phase() == Phase.ENDING;
 		if (exchange.permitted() && !sent) {
-			desk.permits.putBack(this.state.now);
+			queue.permits.putBack(this.state.now);
 		}
 	}
 
@@ -383,13 +383,13 @@
 	 */
 	void woken() {
 		this.buckets.forget(this.state.now);
-		this.desks.values().forEach((desk) -> desk.permits.clear());
+		this.queues.values().forEach((queue) -> queue.permits.clear());
 	}
 
 	/**
 	 * What this relay has and waits for of one team. Used by one thread.
 	 */
-	private static final class Desk {
+	private static final class TeamQueue {
 
 		private final String team;
 
@@ -399,7 +399,7 @@
 
 		private Optional<Pending> pending = Optional.empty();
 
-		Desk(String team) {
+		TeamQueue(String team) {
 			this.team = team;
 		}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -91,7 +91,7 @@
 					this.quotas.relaysChanged();
 				}
 			}
-			case RelayEvent.PermitsAsked asked -> this.quotas.asked(asked);
+			case RelayEvent.PermitsRequested asked -> this.quotas.asked(asked);
 			case RelayEvent.PermitsGranted granted -> this.quotas.granted(granted);
 			case RelayEvent.UnloggedAsked asked -> this.site.tellUnlogged(asked.peer());
 			case RelayEvent.PlaceTold told -> this.ledger.placeTold(told);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -7,7 +7,7 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.Notice;
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 
 /**
@@ -38,7 +38,7 @@
 	 * @param peer the other relay
 	 * @param ask what is asked for
 	 */
-	record AskPermits(String peer, PermitAsk ask) implements RelayEffect {
+	record RequestPermits(String peer, PermitRequest ask) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 
 /**
@@ -67,7 +67,7 @@
 	 * @param peer the other relay
 	 * @param ask what it asks for
 	 */
-	record PermitsAsked(long now, String peer, PermitAsk ask) implements RelayEvent {
+	record PermitsRequested(long now, String peer, PermitRequest ask) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
@@ -239,8 +239,8 @@
 	private void take(Life from, List<RelayEffect> effects) {
 		for (RelayEffect effect : effects) {
 			switch (effect) {
-				case RelayEffect.AskPermits ask -> send(from, ask.peer(),
-						(to) -> new RelayEvent.PermitsAsked(this.now, Integer.toString(from.index), ask.ask()));
+				case RelayEffect.RequestPermits ask -> send(from, ask.peer(),
+						(to) -> new RelayEvent.PermitsRequested(this.now, Integer.toString(from.index), ask.ask()));
 				case RelayEffect.GrantPermits grant -> send(from, grant.peer(),
 						(to) -> new RelayEvent.PermitsGranted(this.now, Integer.toString(from.index), grant.reply()));
 				case RelayEffect.Remind remind -> at(remind.delay(), () -> whenRunning(from, () -> take(from,
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
@@ -107,7 +107,7 @@
 	 * @param peer its address
 	 * @param ask what it asks for
 	 */
-	void permitsAsked(String peer, PermitAsk ask);
+	void permitsRequested(String peer, PermitRequest ask);
 
 	/**
 	 * Another relay has granted permits of a team.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -174,7 +174,7 @@
 			case PeerMessage.TextsWanted ignored -> true;
 			case PeerMessage.Help ignored -> true;
 			case PeerMessage.Sync ignored -> true;
-			case PeerMessage.Ask ignored -> true;
+			case PeerMessage.Permits ignored -> true;
 			default -> false;
 		};
 	}
@@ -345,8 +345,8 @@
 				case PeerMessage.Taken taken -> Peers.this.listener.takenTold(this.peer, taken);
 				case PeerMessage.Unsure unsure -> Peers.this.listener.takenUnsure(this.peer, unsure.request());
 				case PeerMessage.Place place -> Peers.this.listener.placeTold(place);
-				case PeerMessage.Ask ask -> Peers.this.listener.permitsAsked(this.peer, ask.ask());
-				case PeerMessage.Reply reply -> Peers.this.listener.permitsGranted(this.peer, reply.reply());
+				case PeerMessage.Permits ask -> Peers.this.listener.permitsRequested(this.peer, ask.ask());
+				case PeerMessage.PermitsGranted reply -> Peers.this.listener.permitsGranted(this.peer, reply.reply());
 				case PeerMessage.Sync ignored -> Peers.this.listener.unloggedAsked(this.peer);
 				case PeerMessage.Told ignored -> Peers.this.listener.allTold(this.peer);
 				case PeerMessage.Pulse ignored -> {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -21,7 +21,7 @@
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.EntryProblem;
 import io.lentilslip.core.relay.LedgerEntry;
@@ -331,8 +331,9 @@
 				this.peers.send(tell.peer(), new PeerMessage.Taken(tell.request(), tell.tokens(), tell.unlogged(),
 						tell.log(), tell.loads()));
 			}
-			case RelayEffect.AskPermits ask -> this.peers.send(ask.peer(), new PeerMessage.Ask(ask.ask()));
-			case RelayEffect.GrantPermits grant -> this.peers.send(grant.peer(), new PeerMessage.Reply(grant.reply()));
+			case RelayEffect.RequestPermits ask -> this.peers.send(ask.peer(), new PeerMessage.Permits(ask.ask()));
+			case RelayEffect.GrantPermits grant ->
+				this.peers.send(grant.peer(), new PeerMessage.PermitsGranted(grant.reply()));
 			case RelayEffect.TellUnsure tell -> this.peers.send(tell.peer(), new PeerMessage.Unsure(tell.request()));
 			case RelayEffect.TellPlace tell ->
 				this.peers.send(tell.peer(), new PeerMessage.Place(tell.request(), tell.held()));
@@ -577,8 +578,8 @@
 		}
 
 		@Override
-		public void permitsAsked(String peer, PermitAsk ask) {
-			on(new RelayEvent.PermitsAsked(RelayProcess.this.timers.now(), peer, ask));
+		public void permitsRequested(String peer, PermitRequest ask) {
+			on(new RelayEvent.PermitsRequested(RelayProcess.this.timers.now(), peer, ask));
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -16,7 +16,7 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RelayTraffic;
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
@@ -286,7 +286,7 @@
 	private final class Heard implements PeerListener {
 
 		@Override
-		public void permitsAsked(String peer, PermitAsk ask) {
+		public void permitsRequested(String peer, PermitRequest ask) {
 			PeersTests.this.heard.add("permits asked by " + peer);
 		}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
@@ -212,7 +212,7 @@
 	 *
 	 * @param ask what it asks for
 	 */
-	record Ask(PermitAsk ask) implements PeerMessage {
+	record Permits(PermitRequest ask) implements PeerMessage {
 
 	}
 
@@ -221,7 +221,7 @@
 	 *
 	 * @param reply what it grants
 	 */
-	record Reply(PermitReply reply) implements PeerMessage {
+	record PermitsGranted(PermitReply reply) implements PeerMessage {
 
 	}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PermitCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PermitCodec.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.quota.Quota;
 import io.lentilslip.wire.generated.RelayProtocol;
@@ -23,8 +23,8 @@
 	private PermitCodec() {
 	}
 
-	static RelayProtocol.PermitAsk message(PermitAsk ask) {
-		return RelayProtocol.PermitAsk.newBuilder()
+	static RelayProtocol.PermitRequest message(PermitRequest ask) {
+		return RelayProtocol.PermitRequest.newBuilder()
 			.setTeam(ask.team())
 			.setNumber(ask.number())
 			.setRatePerSecond(ask.quota().ratePerSecond())
@@ -37,11 +37,11 @@
 			.build();
 	}
 
-	static Either<String, PermitAsk> ask(RelayProtocol.PermitAsk message) {
+	static Either<String, PermitRequest> ask(RelayProtocol.PermitRequest message) {
 		if (!(message.getRatePerSecond() > 0) || !(message.getBurst() >= 0)) {
 			return Either.left("a request for permits without a quota");
 		}
-		return Either.right(new PermitAsk(message.getTeam(), message.getNumber(),
+		return Either.right(new PermitRequest(message.getTeam(), message.getNumber(),
 				new Quota(message.getRatePerSecond(), message.getBurst()), bounded(message.getWanted()),
 				bounded(message.getAhead()), bounded(message.getReturned()), message.getUnderWayList(),
 				message.getBeginningList()));
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -140,8 +140,8 @@
 			case PeerMessage.Sync ignored -> builder.getSyncBuilder();
 			case PeerMessage.Place place -> builder.getPlaceBuilder().setRequest(place.request()).setHeld(place.held());
 			case PeerMessage.Told ignored -> builder.getToldBuilder();
-			case PeerMessage.Ask ask -> builder.setPermitAsk(PermitCodec.message(ask.ask()));
-			case PeerMessage.Reply reply -> builder.setPermitReply(PermitCodec.message(reply.reply()));
+			case PeerMessage.Permits ask -> builder.setPermitRequest(PermitCodec.message(ask.ask()));
+			case PeerMessage.PermitsGranted reply -> builder.setPermitReply(PermitCodec.message(reply.reply()));
 			case PeerMessage.Unknown ignored -> {
 				// Only read, never written.
 			}
@@ -182,8 +182,9 @@
 					Either.right(new PeerMessage.Place(message.getPlace().getRequest(), message.getPlace().getHeld()));
 				case TOLD -> Either.right(new PeerMessage.Told());
 				case PULSE -> Either.right(new PeerMessage.Pulse());
-				case PERMIT_ASK -> PermitCodec.ask(message.getPermitAsk()).map(PeerMessage.Ask::new);
-				case PERMIT_REPLY -> Either.right(new PeerMessage.Reply(PermitCodec.reply(message.getPermitReply())));
+				case PERMIT_REQUEST -> PermitCodec.ask(message.getPermitRequest()).map(PeerMessage.Permits::new);
+				case PERMIT_REPLY ->
+					Either.right(new PeerMessage.PermitsGranted(PermitCodec.reply(message.getPermitReply())));
 				case MESSAGE_NOT_SET -> unknown(message);
 			};
 		}
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitAsk;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.quota.Quota;
 import io.lentilslip.core.relay.KeptTurn;
@@ -62,9 +62,9 @@
 	@Property(tries = 200)
 	void permitsAreReadAsWritten(@ForAll long number, @ForAll int program,
 			@ForAll @IntRange(min = 0, max = 10_000) int permits, @ForAll boolean admitted) {
-		PeerMessage ask = new PeerMessage.Ask(
-				new PermitAsk("red", number, new Quota(1.5, 3), permits, 2, 1, List.of(program), List.of(program, 7)));
-		PeerMessage reply = new PeerMessage.Reply(
+		PeerMessage ask = new PeerMessage.Permits(new PermitRequest("red", number, new Quota(1.5, 3), permits, 2, 1,
+				List.of(program), List.of(program, 7)));
+		PeerMessage reply = new PeerMessage.PermitsGranted(
 				new PermitReply("red", number, permits, List.of(admitted, true), Duration.ofMillis(250)));
 		for (PeerMessage message : List.of(ask, reply)) {
 			assertThat(RelayCodec.decodePeer(RelayCodec.encode(message)).get()).isEqualTo(message);
