Match each answer on permits to the program that it admits

Cause: of several requests that waited, those whose program began were found anew when the answer came. Where two were of one program, the first one's admission made the second one's program be under way, and its answer went to the next program: one that was turned away ran in its place. Change: a request for permits remembers which exchanges it was for, and in which standing.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitRequest.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/PermitRequest.java
@@ -7,7 +7,7 @@
  * Programs are named by digests.
  *
  * @param team the name of the team
- * @param number tells the answer from others of the same relay
+ * @param number distinguishes the answer from others of the same relay
  * @param quota the quota of the team, as far as the relay that asks knows
  * @param wanted the permits for requests that wait and whose programs are under way
  * @param ahead the permits that are asked for beyond that
@@ -21,7 +21,7 @@
 	/**
 	 * Creates a request for permits.
 	 * @param team the name of the team
-	 * @param number tells the answer from others of the same relay
+	 * @param number distinguishes the answer from others of the same relay
 	 * @param quota the quota of the team, as far as the relay that asks knows
 	 * @param wanted the permits for requests that wait and whose programs are under way
 	 * @param ahead the permits that are asked for beyond that
@@ -36,7 +36,7 @@
 
 	/**
 	 * Returns a request for nothing, whose answer shows that the other relay lives.
-	 * @param number tells the answer from others of the same relay
+	 * @param number distinguishes the answer from others of the same relay
 	 * @return the request
 	 */
 	public static PermitRequest probe(long number) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -87,8 +87,8 @@
 	}
 
 	/**
-	 * Returns how many permits of a relay ended unspent since it was last told, and takes
-	 * that it is.
+	 * Returns how many permits of a relay ended unspent since this was last asked, and
+	 * begins to count anew.
 	 * @param from the relay
 	 * @param now milliseconds of a steady clock
 	 * @return the number; none for a relay that did not grant them
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/CallerIdentity.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/CallerIdentity.java
@@ -7,8 +7,8 @@
 public sealed interface CallerIdentity {
 
 	/**
-	 * The configuration has no teams: callers are not told apart, and what they send as
-	 * their credentials goes on to upstreams.
+	 * The configuration has no teams: callers are not distinguished, and what they send
+	 * as their credentials goes on to upstreams.
 	 */
 	record Unchecked() implements CallerIdentity {
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.Permits;
 import io.lentilslip.core.quota.Quota;
 import io.lentilslip.core.quota.TeamBuckets;
@@ -138,18 +138,10 @@
 			ask(queue, rank + 1);
 			return;
 		}
-		List<Exchange> asked = List.copyOf(queue.waiting.values());
-		List<Integer> going = new ArrayList<>();
-		List<Integer> beginning = new ArrayList<>();
-		int wanted = 0;
-		for (Exchange exchange : asked) {
-			if (underWay(queue, exchange)) {
-				wanted++;
-				exchange.head().program().ifPresent((program) -> going.add(program.hashCode()));
-			}
-			else {
-				beginning.add(exchange.head().program().orElseThrow().hashCode());
-			}
+		List<Exchange> going = new ArrayList<>();
+		List<Exchange> beginning = new ArrayList<>();
+		for (Exchange exchange : queue.waiting.values()) {
+			(underWay(queue, exchange) ? going : beginning).add(exchange);
 		}
 		Optional<Quota> quota = quota(queue.team);
 		if (quota.isEmpty()) {
@@ -157,9 +149,10 @@
 			return;
 		}
 		this.lastNumber++;
-		PermitRequest ask = new PermitRequest(queue.team, this.lastNumber, quota.get(), wanted,
-				queue.permits.ahead(this.state.now), queue.permits.returned(target, this.state.now), going, beginning);
-		queue.pending = Optional.of(new Pending(this.lastNumber, target, rank, this.state.now, asked));
+		PermitRequest ask = new PermitRequest(queue.team, this.lastNumber, quota.get(), going.size(),
+				queue.permits.ahead(this.state.now), queue.permits.returned(target, this.state.now), programs(going),
+				programs(beginning));
+		queue.pending = Optional.of(new Pending(this.lastNumber, target, rank, this.state.now, going, beginning));
 		if (target.equals(this.state.name)) {
 			probe(counting);
 			replied(target, this.buckets.grant(quota.get(), ask, standing(counting), this.state.now));
@@ -168,6 +161,13 @@
 		this.state.emit(new RelayEffect.RequestPermits(target, ask));
 	}
 
+	private static List<Integer> programs(List<Exchange> exchanges) {
+		return exchanges.stream()
+			.flatMap((exchange) -> exchange.head().program().stream())
+			.map(String::hashCode)
+			.toList();
+	}
+
 	// The quota was lifted, or the team removed, while its requests waited.
 	private void unlimited(TeamQueue queue) {
 		queue.pending = Optional.empty();
@@ -266,30 +266,25 @@
 			queue.permits.add(peer, reply.total(), this.state.now);
 			return;
 		}
-		List<Exchange> asked = queue.pending.get().asked();
+		Pending answered = queue.pending.get();
 		queue.pending = Optional.empty();
 		queue.permits.add(peer, reply.permits(), this.state.now);
-		int next = 0;
-		for (Exchange exchange : asked) {
-			boolean waits = queue.waiting.containsKey(exchange.number());
-			boolean began = !underWay(queue, exchange);
-			if (began && next < reply.admitted().size()) {
-				boolean held = reply.admitted().get(next);
-				next++;
-				began(queue, exchange, peer, held, waits, reply.retryAfter());
-			}
-			else if (waits) {
+		for (int i = 0; i < Math.min(answered.beginning().size(), reply.admitted().size()); i++) {
+			began(queue, answered.beginning().get(i), peer, reply.admitted().get(i), reply.retryAfter());
+		}
+		for (Exchange exchange : answered.going()) {
+			if (queue.waiting.containsKey(exchange.number())) {
 				wentOn(queue, exchange, reply.retryAfter());
 			}
 		}
-		askIfWaitingAnew(queue, asked);
+		askIfWaitingAnew(queue, answered);
 	}
 
-	private void began(TeamQueue queue, Exchange exchange, String peer, boolean held, boolean waits, Duration wait) {
+	private void began(TeamQueue queue, Exchange exchange, String peer, boolean held, Duration wait) {
 		if (held) {
 			queue.permits.admit(exchange.head().program().orElseThrow().hashCode());
 		}
-		if (!waits) {
+		if (!queue.waiting.containsKey(exchange.number())) {
 			queue.permits.add(peer, held ? 1 : 0, this.state.now);
 			return;
 		}
@@ -316,9 +311,9 @@
 
 	// Requests that the answer was too short for ask again at their reminders; those that
 	// came meanwhile have not asked yet.
-	private void askIfWaitingAnew(TeamQueue queue, List<Exchange> asked) {
+	private void askIfWaitingAnew(TeamQueue queue, Pending answered) {
 		for (Exchange exchange : queue.waiting.values()) {
-			if (!asked.contains(exchange)) {
+			if (!answered.going().contains(exchange) && !answered.beginning().contains(exchange)) {
 				askIfFree(queue);
 				return;
 			}
@@ -412,9 +407,11 @@
 	 * @param peer the relay that is asked
 	 * @param rank its rank among those that may count for the team
 	 * @param sentAt when it was sent, in milliseconds of a steady clock
-	 * @param asked the exchanges that it is for
+	 * @param going the exchanges that it is for whose programs are under way
+	 * @param beginning the exchanges that it is for whose programs begin
 	 */
-	private record Pending(long number, String peer, int rank, long sentAt, List<Exchange> asked) {
+	private record Pending(long number, String peer, int rank, long sentAt, List<Exchange> going,
+			List<Exchange> beginning) {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -7,8 +7,8 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.Notice;
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 
 /**
  * What a relay wants done. Immutable and safe for use by several threads.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 
 /**
  * What happens to a relay. Times are milliseconds of a steady clock. Immutable and safe
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
@@ -13,7 +13,7 @@
  * @param routes the routes
  * @param services the services by name
  * @param limits what callers may send
- * @param teams the teams; empty if callers are not told apart
+ * @param teams the teams; empty if callers are not distinguished
  */
 public record RouteTable(long version, List<Route> routes, Map<String, Service> services, Limits limits,
 		Optional<Teams> teams) {
@@ -24,7 +24,7 @@
 	 * @param routes the routes
 	 * @param services the services by name
 	 * @param limits what callers may send
-	 * @param teams the teams; empty if callers are not told apart
+	 * @param teams the teams; empty if callers are not distinguished
 	 */
 	public RouteTable {
 		routes = List.copyOf(routes);
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -16,8 +16,8 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RelayTraffic;
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PlacedTurn;
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Set;
 
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.KeptTurn;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.PlacedTurn;
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PermitCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PermitCodec.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 
-import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.PermitReply;
+import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.quota.Quota;
 import io.lentilslip.wire.generated.RelayProtocol;
 import io.vavr.control.Either;
