Escape the names of teams without a class of java.net

Change: a slash and a percent sign in a team's name are escaped by themselves, so that names of two teams' programs still can't meet (TeamTests#idThatNamesATeamIsAnIdOfTheOwnTeam).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Team.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Team.java
@@ -1,7 +1,5 @@
 package io.lentilslip.core.relay;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -23,7 +21,7 @@
 	 * @return the name
 	 */
 	public String scoped(String id) {
-		return URLEncoder.encode(this.name, StandardCharsets.UTF_8) + "/" + id;
+		return this.name.replace("%", "%25").replace("/", "%2F") + "/" + id;
 	}
 
 }
