--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonRequestsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonRequestsTests.java
@@ -1,5 +1,7 @@
 package io.lentilslip.core.relay;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,4 +37,31 @@
 		assertThat(this.poisonRequests.isPoison(2)).isFalse();
 	}
 
+	// Guards against forgetting a poison request when many others fail.
+	@Test
+	void poisonRequestIsRetainedWhileOthersFail() {
+		for (String upstream : List.of("a", "b", "c")) {
+			this.poisonRequests.recordFailure(1, upstream);
+		}
+		for (int other = 2; other < 10_000; other++) {
+			this.poisonRequests.recordFailure(other, "d");
+		}
+		assertThat(this.poisonRequests.isPoison(1)).isTrue();
+	}
+
+	// Guards against forgetting the failures of a request that still fails upstreams.
+	@Test
+	void leastRecentlyFailedRequestIsEvictedFirst() {
+		this.poisonRequests.recordFailure(1, "a");
+		for (int other = 2; other < 4_000; other++) {
+			this.poisonRequests.recordFailure(other, "d");
+		}
+		this.poisonRequests.recordFailure(1, "b");
+		for (int other = 4_000; other < 8_000; other++) {
+			this.poisonRequests.recordFailure(other, "d");
+		}
+		this.poisonRequests.recordFailure(1, "c");
+		assertThat(this.poisonRequests.isPoison(1)).isTrue();
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -253,6 +253,38 @@
 		assertThat(sends(relay.sendRequest("r2", "look"))).hasSize(1);
 	}
 
+	// Guards against sending on a request under which upstreams disappear without closing
+	// their connections.
+	@Test
+	void upstreamThatDisappearsUnderARequestCountsAsFailed() {
+		RelayFixture relay = RelayFixture.ready();
+		for (int i = 1; i <= 3; i++) {
+			Upstream upstream = sends(relay.sendRequest("r" + i, "order")).getFirst().upstream();
+			relay.advance(100);
+			relay.handle(new RelayEvent.CallerDisconnected(relay.now(), relay.exchange()));
+			relay.advance(2_000);
+			List<RelayEffect> removed = relay.handle(new RelayEvent.UpstreamRemoved(relay.now(), upstream.id()));
+			assertThat(RelayFixture.written(removed)).containsExactly(
+					new LedgerEntry.UpstreamFailed("r" + i, "/order/x".hashCode(), upstream.incarnationId()));
+		}
+		relay.handle(new RelayEvent.UpstreamUpdated(relay.now(), RelayFixture.upstream("s4", RelayFixture.SHOP)));
+		assertThat(refusal(relay.sendRequest("r4", "order"))).contains(Refusal.BLAMED);
+	}
+
+	// Guards against sending a request that became poison while it waited.
+	@Test
+	void waitingRequestIsRefusedOnceItIsPoison() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.handle(new RelayEvent.ProcessResumed(relay.now(), Duration.ofSeconds(4)));
+		assertThat(sends(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).isEmpty();
+		for (String upstream : List.of("e7", "e8", "e9")) {
+			relay.readFromPeer(new LedgerEntry.UpstreamFailed("r0", "/draft/x".hashCode(), upstream));
+		}
+		List<RelayEffect> effects = relay.handle(RelayFixture.caughtUp(relay.now()));
+		assertThat(sends(effects)).isEmpty();
+		assertThat(refusal(effects)).contains(Refusal.BLAMED);
+	}
+
 	// Guards against losing an uncommitted entry with its relay: the budget could be
 	// used a second time.
 	@Test
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
@@ -120,4 +120,14 @@
 		assertThat(appended).hasSize(entryCount);
 	}
 
+	// Guards against losing the second failure of a request with its relay.
+	@Test
+	void failuresOfOneRequestAtTwoUpstreamsAreBothTracked() {
+		this.entries.add(new LedgerEntry.UpstreamFailed("r", 3, "u1"), "x", 0);
+		this.entries.add(new LedgerEntry.UpstreamFailed("r", 3, "u2"), "x", 0);
+		assertThat(this.entries.all()).hasSize(2);
+		assertThat(this.entries.committed(new LedgerEntry.UpstreamFailed("r", 3, "u1"))).isFalse();
+		assertThat(this.entries.committed(new LedgerEntry.UpstreamFailed("r", 3, "u2"))).isFalse();
+	}
+
 }
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -0,0 +1,203 @@
+package io.lentilslip.relay.upstream;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import io.lentilslip.core.relay.CallerIdentity;
+import io.lentilslip.core.relay.Refusal;
+import io.lentilslip.core.relay.RelayEffect;
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.RequestHead;
+import io.lentilslip.core.relay.ResponseHead;
+import io.lentilslip.core.relay.Upstream;
+import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.store.Timers;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the client over a socket. A connection never opens before the event loop's
+ * current task has ended, so a task that sends a request and then advances the clock
+ * makes the connection open late.
+ */
+class UpstreamClientTests {
+
+	private static final String TIMEOUT = "timeout-ms";
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final EventLoop loop = this.group.next();
+
+	private final FakeTimers timers = new FakeTimers();
+
+	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers);
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+		this.server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+		this.server.close();
+	}
+
+	// Guards against granting an upstream the time that a request has waited for its
+	// connection.
+	@Test
+	void waitForAConnectionShortensTheTimeout() throws Exception {
+		onLoop(() -> {
+			send(1075);
+			this.timers.now += 649;
+		});
+		assertThat(receivedTimeout()).isEqualTo(426);
+	}
+
+	private void onLoop(Runnable task) throws Exception {
+		this.loop.submit(task).get(60, TimeUnit.SECONDS);
+	}
+
+	private void send(long timeoutMillis) {
+		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
+				OptionalLong.empty());
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+		this.client.send(
+				new RelayEffect.SendRequest(1, 1, upstream, new byte[0], Duration.ofMillis(timeoutMillis),
+						OptionalLong.empty(), false, new CallerIdentity.Unchecked()),
+				"r", request, new byte[0], new NoOpListener());
+	}
+
+	private long receivedTimeout() throws IOException {
+		try (Socket connection = this.server.accept()) {
+			connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+			BufferedReader reader = new BufferedReader(
+					new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
+			List<String> lines = new ArrayList<>();
+			for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+				lines.add(line);
+			}
+			return lines.stream()
+				.filter((line) -> line.startsWith(TIMEOUT))
+				.mapToLong((line) -> Long.parseLong(line.substring(TIMEOUT.length() + 1).strip()))
+				.findFirst()
+				.orElseThrow();
+		}
+	}
+
+	/**
+	 * Clock that the test advances on the event loop.
+	 */
+	private static final class FakeTimers implements Timers {
+
+		private volatile long now = 10_000;
+
+		@Override
+		public void schedule(Duration delay, Runnable task) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public long now() {
+			return this.now;
+		}
+
+	}
+
+	/**
+	 * Listener that ignores the outcome.
+	 */
+	private static final class NoOpListener implements AttemptListener {
+
+		@Override
+		public void onResponse(ResponseHead head, byte[] body) {
+		}
+
+		@Override
+		public void onStreamStart(ResponseHead head) {
+		}
+
+		@Override
+		public void onEvent(long number, byte[] raw, byte[] data) {
+		}
+
+		@Override
+		public void onStreamEnd() {
+		}
+
+		@Override
+		public void onFailure(FailureCause cause) {
+		}
+
+	}
+
+	/**
+	 * Dialect that writes the timeout only.
+	 */
+	private static final class PlainDialect implements Dialect {
+
+		@Override
+		public RequestHead decodeRequest(HttpRequest request) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public List<String> callerIds(HttpRequest request) {
+			return List.of();
+		}
+
+		@Override
+		public void writeUpstreamHeaders(HttpRequest request, RelayEffect.SendRequest send, HttpHeaders headers) {
+			headers.set(TIMEOUT, send.timeout().toMillis());
+		}
+
+		@Override
+		public boolean isResponseTo(HttpResponse response, String id) {
+			return true;
+		}
+
+		@Override
+		public ResponseHead decodeResponse(HttpResponse response) {
+			return new ResponseHead(response.status().code(), List.of(), false, true, Optional.empty());
+		}
+
+		@Override
+		public Optional<Duration> keepAliveTimeout(HttpResponse response) {
+			return Optional.empty();
+		}
+
+		@Override
+		public FullHttpResponse encodeRefusal(Refusal refusal, Optional<Duration> retryAfter) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
