Report how long a request waits between its placement and its write

The log had the placement of a request (E4022) and its outcome, not the time at which it was written to its upstream, so a wait in the relay could not be told from one on the way. E4025 reports a write 100 ms or more after the placement, and lentilslip_relay_write_delay_seconds has all of them. No decision changes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -612,6 +612,24 @@
 
 	}
 
+	/**
+	 * A relay wrote a request to an upstream.
+	 *
+	 * @param delay the time since the upstream was selected
+	 */
+	record RequestWritten(Duration delay) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param delay the time since the upstream was selected
+		 * @throws IllegalArgumentException if the duration is negative
+		 */
+		public RequestWritten {
+			requireNotNegative(delay, "delay");
+		}
+
+	}
+
 	/**
 	 * A relay dropped entries that were queued for the store.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -458,6 +458,15 @@
 			FieldName.REQUEST, FieldName.GROUP, FieldName.REASON, FieldName.LIMIT, FieldName.VERSION, FieldName.ADDRESS,
 			FieldName.COUNT, FieldName.MILLISECONDS),
 
+	/**
+	 * Written for requests whose write was delayed by 100 ms or more;
+	 * {@code MILLISECONDS} is the time since the upstream was selected.
+	 */
+	REQUEST_WRITTEN_LATE(4025, Level.WARN,
+			"A request was written to its upstream long after the upstream was selected.",
+			"Look for E3017 of the relay: its event loop is behind; without it, check the network to the upstream.",
+			FieldName.REQUEST, FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -104,6 +104,17 @@
 
 	}
 
+	/**
+	 * A request was written to a connection to its upstream.
+	 *
+	 * @param now the time of the event
+	 * @param exchange the exchange
+	 * @param attempt the attempt
+	 */
+	record RequestWritten(long now, long exchange, int attempt) implements AttemptEvent {
+
+	}
+
 	/**
 	 * The complete response of an upstream was received.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -121,6 +121,11 @@
 				+ " unread=" + ranked.uncachedTokens() + " age=" + age;
 	}
 
+	static Notice requestWrittenLate(Exchange exchange, Duration delay) {
+		return notice(NoticeCode.REQUEST_WRITTEN_LATE, request(exchange), program(exchange), upstream(exchange),
+				attempt(exchange), field(FieldName.MILLISECONDS, delay.toMillis()));
+	}
+
 	static Notice misdirected(Exchange exchange, long now) {
 		return attemptFailed(exchange, "MISDIRECTED", now);
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -111,6 +111,12 @@
 	 */
 	static final Duration REPLICATION_DELAY = Duration.ofMillis(5);
 
+	/**
+	 * The minimum time between the selection of an upstream and the write of the request
+	 * that is reported. Many times the time to open a connection.
+	 */
+	static final Duration MIN_REPORTED_WRITE_DELAY = Duration.ofMillis(100);
+
 	/**
 	 * The jitter of the time that relays wait for an entry of another relay to appear in
 	 * the log. Several times the time to read what another relay has written.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -1,8 +1,10 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.RouteRequestEnded.Outcome;
 import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
@@ -36,6 +38,7 @@
 		}
 		Exchange exchange = found.get();
 		switch (event) {
+			case RelayEvent.RequestWritten ignored -> requestWritten(exchange);
 			case RelayEvent.ResponseReceived response -> responseReceived(exchange, response);
 			case RelayEvent.StreamOpened opened -> streamOpened(exchange, opened);
 			case RelayEvent.StreamEventReceived received -> eventReceived(exchange, received);
@@ -44,6 +47,14 @@
 		}
 	}
 
+	private void requestWritten(Exchange exchange) {
+		Duration delay = Duration.ofMillis(this.state.now - exchange.lastActivityAt());
+		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.RequestWritten(delay)));
+		if (delay.compareTo(RelaySettings.MIN_REPORTED_WRITE_DELAY) >= 0) {
+			this.state.report(RelayNotices.requestWrittenLate(exchange, delay));
+		}
+	}
+
 	private void responseReceived(Exchange exchange, RelayEvent.ResponseReceived response) {
 		ResponseHead head = response.head();
 		Optional<UpstreamState> upstream = this.state.upstreamOf(exchange);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -194,6 +194,10 @@
 		return this.exchange;
 	}
 
+	List<RelayEffect> written(int attempt) {
+		return handle(new RelayEvent.RequestWritten(this.now, this.exchange, attempt));
+	}
+
 	List<RelayEffect> respond(int attempt, ResponseHead head) {
 		return handle(new RelayEvent.ResponseReceived(this.now, this.exchange, attempt, head, "answer".getBytes()));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.relay.RelayEvent.TimerKind;
 import org.junit.jupiter.api.Test;
 
@@ -56,6 +57,19 @@
 			.hasSize(1);
 	}
 
+	// Operators see how long a request waited for its connection.
+	@Test
+	void lateWriteIsReported() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendRequest("r1", "look");
+		relay.advance(99);
+		assertThat(RelayFixture.ofType(relay.written(1), RelayEffect.WriteNotice.class)).isEmpty();
+		relay.sendRequest("r2", "look");
+		relay.advance(100);
+		assertThat(RelayFixture.ofType(relay.written(1), RelayEffect.WriteNotice.class)).singleElement()
+			.satisfies((effect) -> assertThat(effect.notice().code()).isEqualTo(NoticeCode.REQUEST_WRITTEN_LATE));
+	}
+
 	// Guards against a timeout below the latency target of the route.
 	@Test
 	void fastResponsesDoNotShortenTheIdleTimeoutOfARoute() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -168,6 +168,11 @@
 			this.attempt = attempt;
 		}
 
+		@Override
+		public void onWritten() {
+			emit(new RelayEvent.RequestWritten(now(), this.exchange, this.attempt));
+		}
+
 		@Override
 		public void onResponse(ResponseHead head, byte[] body) {
 			emit(new RelayEvent.ResponseReceived(now(), this.exchange, this.attempt, head, body));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/AttemptListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/AttemptListener.java
@@ -9,6 +9,11 @@
  */
 public interface AttemptListener {
 
+	/**
+	 * Called when the request is written to a connection.
+	 */
+	void onWritten();
+
 	/**
 	 * Called with a complete response.
 	 * @param head the response head
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -137,6 +137,11 @@
 			this.delegate = delegate;
 		}
 
+		@Override
+		public void onWritten() {
+			this.delegate.onWritten();
+		}
+
 		@Override
 		public void onResponse(ResponseHead head, byte[] body) {
 			UpstreamClient.this.attempts.remove(this.key);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -77,6 +77,7 @@
 		this.current = Optional.of(outgoing);
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
+		outgoing.listener().onWritten();
 		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.request()));
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -136,6 +136,10 @@
 	 */
 	private static final class NoOpListener implements AttemptListener {
 
+		@Override
+		public void onWritten() {
+		}
+
 		@Override
 		public void onResponse(ResponseHead head, byte[] body) {
 		}
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -122,6 +122,9 @@
 	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
 			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
 
+	private final Histogram writeDelay = histogram("lentilslip_relay_write_delay_seconds",
+			"Time from the selection of an upstream to the write of the request.", CALL_BOUNDS);
+
 	private final Counter entriesGivenUp = counter("lentilslip_relay_entries_given_up_total",
 			"Entries that waited for the store until a relay no longer kept them.");
 
@@ -200,6 +203,7 @@
 			}
 			case Measurement.RouteRequestEnded ended -> apply(ended);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
+			case Measurement.RequestWritten(Duration delay) -> this.writeDelay.observe(seconds(delay));
 			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
 			case Measurement.RelayTraffic traffic -> {
 				this.relayBytes.labelValues(traffic.kind().label()).inc(traffic.bytes());
