Compute the timeout of a request when it is written to its upstream

The remaining time was computed when an upstream was selected and written into the headers before a connection was there. A request that waited for a new connection, or for an event loop that was behind, kept the figure of its decision.

The effect carries the deadline, and the pool computes the timeout when it writes the request. A request whose deadline has passed by then is not sent: the connection returns to the pool, and the caller gets a refusal that says that the request has not run (EXPIRED). An attempt is registered before it is sent, since it may now fail before the call returns.

Class: a value of time that is computed at a decision and used after a wait.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -64,6 +64,11 @@
 	 */
 	NO_UPSTREAM(Verdict.NOT_RUN),
 
+	/**
+	 * The deadline passed before the request was sent to an upstream.
+	 */
+	EXPIRED(Verdict.NOT_RUN),
+
 	/**
 	 * The request made several upstreams fail and is not run again.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -23,12 +23,13 @@
 	 * @param attempt the number of the attempt
 	 * @param upstream the upstream
 	 * @param prefix the bytes sent before the caller's body; shared and never modified
-	 * @param timeout the remaining time of the request
+	 * @param deadline the time at which the caller stops waiting, in milliseconds of the
+	 * monotonic clock
 	 * @param lastEvent the number of the last event that the caller received
 	 * @param stream whether the response is streamed
 	 * @param caller the caller of the request
 	 */
-	record SendRequest(long exchange, int attempt, Upstream upstream, byte[] prefix, Duration timeout,
+	record SendRequest(long exchange, int attempt, Upstream upstream, byte[] prefix, long deadline,
 			OptionalLong lastEvent, boolean stream, CallerIdentity caller) implements RelayEffect {
 
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -679,6 +679,12 @@
 		 */
 		NOT_CONNECTED(false),
 
+		/**
+		 * The deadline passed before a connection was established, so the request was not
+		 * sent.
+		 */
+		EXPIRED(false),
+
 		/**
 		 * The connection was closed before the response was complete.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -214,7 +214,7 @@
 		}
 		boolean stream = exchange.route().repeatability() == Repeatability.STREAM;
 		this.state.emit(new RelayEffect.SendRequest(exchange.number(), exchange.attempt(), upstream, exchange.prefix(),
-				exchange.remaining(this.state.now), exchange.lastEvent(), stream, exchange.caller()));
+				exchange.deadline(), exchange.lastEvent(), stream, exchange.caller()));
 	}
 
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
@@ -240,7 +240,15 @@
 				return;
 			}
 		}
-		this.completion.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
+		this.completion.giveUp(exchange, reasonWithoutUpstream(exchange));
+	}
+
+	private Refusal reasonWithoutUpstream(Exchange exchange) {
+		boolean expired = this.state.now >= exchange.deadline();
+		if (exchange.mayHaveRun()) {
+			return expired ? Refusal.NO_ANSWER_IN_TIME : Refusal.ANSWER_LOST;
+		}
+		return expired ? Refusal.EXPIRED : Refusal.NO_UPSTREAM;
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -158,7 +158,9 @@
 
 	private void attemptFailed(Exchange exchange, FailureCause cause) {
 		this.state.upstreams.requestEnded(exchange.id());
-		this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
+		if (cause != FailureCause.EXPIRED) {
+			this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
+		}
 		this.state.report(RelayNotices.attemptFailed(exchange, cause, this.state.now));
 		if (!cause.mayHaveRun()) {
 			exchange.markNotSent();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -14,6 +14,7 @@
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.RelayEvent.TimerKind;
+import io.lentilslip.core.verdict.Verdict;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -98,6 +99,18 @@
 		assertThat(retried.getFirst().upstream().id()).isNotEqualTo(first);
 	}
 
+	// Guards against reporting a request that was never sent as possibly run.
+	@Test
+	void requestThatExpiresBeforeItIsSentIsRefusedAsNotRun() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendRequest("r1", "order");
+		relay.advance(3_000);
+		List<RelayEffect> effects = relay.fail(1, FailureCause.EXPIRED);
+		assertThat(sends(effects)).isEmpty();
+		assertThat(refusal(effects)).contains(Refusal.EXPIRED);
+		assertThat(Refusal.EXPIRED.verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
 	// Operators see the candidates of each selection in the log.
 	@Test
 	void sendIsLoggedWithItsCandidates() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
@@ -35,14 +35,21 @@
 	List<String> callerIds(HttpRequest request);
 
 	/**
-	 * Writes the headers of a request to an upstream. Headers reserved for the system are
-	 * never copied from the caller's request.
+	 * Writes the headers of a request to an upstream, without its timeout. Headers
+	 * reserved for the system are never copied from the caller's request.
 	 * @param request the caller's request
 	 * @param send the effect that is carried out
 	 * @param headers receives the headers
 	 */
 	void writeUpstreamHeaders(HttpRequest request, RelayEffect.SendRequest send, HttpHeaders headers);
 
+	/**
+	 * Writes the header with the time that an upstream has for a request.
+	 * @param timeout the time until the caller stops waiting
+	 * @param headers receives the header
+	 */
+	void writeTimeout(Duration timeout, HttpHeaders headers);
+
 	/**
 	 * Returns whether a response belongs to the request with the given id.
 	 * @param response the response
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -65,9 +65,11 @@
 			HttpUtil.setContentLength(outgoing, outgoing.content().readableBytes());
 		}
 		AttemptKey key = new AttemptKey(send.exchange(), send.attempt());
-		UpstreamPool.Attempt attempt = pool(send.upstream()).send(
-				new UpstreamConnection.OutgoingRequest(id, outgoing, send.stream(), new AttemptTracker(key, listener)));
+		UpstreamPool.Attempt attempt = new UpstreamPool.Attempt();
+		// An attempt may fail before the call returns.
 		this.attempts.put(key, attempt);
+		pool(send.upstream()).send(new UpstreamConnection.OutgoingRequest(id, outgoing, send.deadline(), send.stream(),
+				new AttemptTracker(key, listener)), attempt);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -240,11 +240,14 @@
 	 * A request to an upstream. Immutable.
 	 *
 	 * @param id the request id that the response must carry
-	 * @param request the request
+	 * @param request the request, without its timeout
+	 * @param deadline the time at which the caller stops waiting, in milliseconds of the
+	 * monotonic clock
 	 * @param stream whether a successful response is streamed
 	 * @param listener receives the outcome
 	 */
-	record OutgoingRequest(String id, DefaultFullHttpRequest request, boolean stream, AttemptListener listener) {
+	record OutgoingRequest(String id, DefaultFullHttpRequest request, long deadline, boolean stream,
+			AttemptListener listener) {
 
 		void release() {
 			ReferenceCountUtil.release(this.request);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -56,6 +56,8 @@
 
 	private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
+	private final UpstreamConnection.Listener connectionListener = new IdleConnectionListener();
+
 	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers) {
 		this.loop = loop;
 		this.incarnationId = upstream.incarnationId();
@@ -67,18 +69,30 @@
 	/**
 	 * Sends a request on an idle connection or a new one.
 	 * @param outgoing the request
-	 * @return a handle to cancel the attempt
+	 * @param attempt the attempt, which may be cancelled at any time
+	 */
+	void send(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
+		acquire().ifPresentOrElse((reused) -> write(outgoing, reused, attempt), () -> connect(outgoing, attempt));
+	}
+
+	/**
+	 * Writes a request unless its deadline has passed. The timeout is computed here,
+	 * since any time may have passed until the connection was established.
+	 * @param outgoing the request
+	 * @param connection an established connection
+	 * @param attempt the attempt
 	 */
-	Attempt send(UpstreamConnection.OutgoingRequest outgoing) {
-		Attempt attempt = new Attempt();
-		Optional<UpstreamConnection> reused = acquire();
-		if (reused.isPresent()) {
-			attempt.connection = reused;
-			reused.get().send(outgoing);
-			return attempt;
+	private void write(UpstreamConnection.OutgoingRequest outgoing, UpstreamConnection connection, Attempt attempt) {
+		Duration timeout = Duration.ofMillis(outgoing.deadline() - this.timers.now());
+		if (!timeout.isPositive()) {
+			this.connectionListener.onIdle(connection);
+			outgoing.release();
+			outgoing.listener().onFailure(FailureCause.EXPIRED);
+			return;
 		}
-		connect(outgoing, attempt);
-		return attempt;
+		this.dialect.writeTimeout(timeout, outgoing.request().headers());
+		attempt.connection = Optional.of(connection);
+		connection.send(outgoing);
 	}
 
 	/**
@@ -108,7 +122,7 @@
 	}
 
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
-		UpstreamConnection connection = new UpstreamConnection(this.dialect, new IdleConnectionListener());
+		UpstreamConnection connection = new UpstreamConnection(this.dialect, this.connectionListener);
 		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> created.pipeline()
 			.addLast(new HttpRequestEncoder(), new ResponseDecoder(connection), connection));
 		future.addListener((done) -> {
@@ -122,8 +136,7 @@
 				outgoing.listener().onFailure(FailureCause.NOT_CONNECTED);
 				return;
 			}
-			attempt.connection = Optional.of(connection);
-			connection.send(outgoing);
+			write(outgoing, connection, attempt);
 		});
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 import io.lentilslip.core.relay.CallerIdentity;
@@ -56,6 +58,8 @@
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers);
 
+	private final BlockingQueue<FailureCause> failures = new LinkedBlockingQueue<>();
+
 	private ServerSocket server;
 
 	@BeforeEach
@@ -75,28 +79,41 @@
 	@Test
 	void waitForAConnectionShortensTheTimeout() throws Exception {
 		onLoop(() -> {
-			send(1075);
+			send(1, 1075);
 			this.timers.now += 649;
 		});
-		assertThat(receivedTimeout()).isEqualTo(426);
+		assertThat(receivedTimeout(this.server.accept())).isEqualTo(426);
+	}
+
+	// Guards against sending a request whose caller has stopped waiting; the connection
+	// serves the next one.
+	@Test
+	void requestThatExpiresBeforeItsConnectionOpensIsNotSent() throws Exception {
+		onLoop(() -> {
+			send(1, 1075);
+			this.timers.now += 1075;
+		});
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.EXPIRED);
+		onLoop(() -> send(2, 500));
+		assertThat(receivedTimeout(this.server.accept())).isEqualTo(500);
 	}
 
 	private void onLoop(Runnable task) throws Exception {
 		this.loop.submit(task).get(60, TimeUnit.SECONDS);
 	}
 
-	private void send(long timeoutMillis) {
+	private void send(long exchange, long timeoutMillis) {
 		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
 				OptionalLong.empty());
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.client.send(
-				new RelayEffect.SendRequest(1, 1, upstream, new byte[0], Duration.ofMillis(timeoutMillis),
+				new RelayEffect.SendRequest(exchange, 1, upstream, new byte[0], this.timers.now + timeoutMillis,
 						OptionalLong.empty(), false, new CallerIdentity.Unchecked()),
-				"r", request, new byte[0], new NoOpListener());
+				"r", request, new byte[0], new FailureListener());
 	}
 
-	private long receivedTimeout() throws IOException {
-		try (Socket connection = this.server.accept()) {
+	private static long receivedTimeout(Socket connection) throws IOException {
+		try (connection) {
 			connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
 			BufferedReader reader = new BufferedReader(
 					new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
@@ -132,9 +149,9 @@
 	}
 
 	/**
-	 * Listener that ignores the outcome.
+	 * Listener that records failures only.
 	 */
-	private static final class NoOpListener implements AttemptListener {
+	private final class FailureListener implements AttemptListener {
 
 		@Override
 		public void onWritten() {
@@ -158,6 +175,7 @@
 
 		@Override
 		public void onFailure(FailureCause cause) {
+			UpstreamClientTests.this.failures.add(cause);
 		}
 
 	}
@@ -179,7 +197,11 @@
 
 		@Override
 		public void writeUpstreamHeaders(HttpRequest request, RelayEffect.SendRequest send, HttpHeaders headers) {
-			headers.set(TIMEOUT, send.timeout().toMillis());
+		}
+
+		@Override
+		public void writeTimeout(Duration timeout, HttpHeaders headers) {
+			headers.set(TIMEOUT, timeout.toMillis());
 		}
 
 		@Override
