Start the idle timeout of an upstream when the request is written

The timeout starts when the request is written. An attempt that is abandoned before that has certainly not run, so neither the idle timeout nor the deadline reports it as possibly run any more; a request that may run only once can then be sent again by its caller.

Before: idleTimeoutStartsWhenTheRequestIsWritten and requestThatIsNotWrittenHasNotRun failed (a second send after 200 ms; ANSWER_LOST and NO_ANSWER_IN_TIME). requestWithoutResponseEndsAtItsDeadline now says that its request was written, which is the case it is about.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -55,6 +55,8 @@
 
 	private long nextIdleCheck;
 
+	private boolean written;
+
 	private boolean idleTimerStarted;
 
 	private boolean graceGranted;
@@ -186,6 +188,7 @@
 	void recordSend(Upstream next, long now) {
 		this.lastActivityAt = now;
 		this.graceGranted = false;
+		this.written = false;
 		this.attempt++;
 		this.sendCount++;
 		this.triedUpstreams.add(next.id());
@@ -193,6 +196,24 @@
 		this.phase = Phase.RUNNING;
 	}
 
+	/**
+	 * Records that the request was written to its upstream.
+	 * @param now the current time
+	 */
+	void recordWrite(long now) {
+		this.lastActivityAt = now;
+		this.written = true;
+	}
+
+	/**
+	 * Returns whether the current attempt was written to its upstream. Otherwise it was
+	 * not run, and is never sent once it is cancelled.
+	 * @return {@code true} if it was written
+	 */
+	boolean written() {
+		return this.written;
+	}
+
 	/**
 	 * Returns whether the missing texts of the chain are being fetched.
 	 * @return {@code true} if a fetch has started
@@ -250,7 +271,8 @@
 	}
 
 	/**
-	 * Returns when the upstream last sent an event, or when the request was sent to it.
+	 * Returns when the upstream last sent an event, or when the request was written or,
+	 * before that, the upstream selected.
 	 * @return milliseconds of a monotonic clock
 	 */
 	long lastActivityAt() {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -132,7 +132,8 @@
 			case WAITING_FOR_BUDGET -> budgetUndecided(exchange);
 			case RUNNING -> {
 				cancelAttempt(exchange);
-				giveUp(exchange, Refusal.NO_ANSWER_IN_TIME);
+				boolean mayHaveRun = exchange.mayHaveRun() || exchange.written();
+				giveUp(exchange, mayHaveRun ? Refusal.NO_ANSWER_IN_TIME : Refusal.EXPIRED);
 			}
 			case STORING -> abort(exchange, Refusal.NOT_STORED_IN_TIME);
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -164,7 +164,9 @@
 		if (next.isEmpty() || poison || exchange.sendCount() >= exchange.route().maxAttempts()) {
 			return;
 		}
-		exchange.markMayHaveRun();
+		if (exchange.written()) {
+			exchange.markMayHaveRun();
+		}
 		this.completion.cancelAttempt(exchange);
 		this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
 		this.state.report(RelayNotices.upstreamIdle(exchange, this.state.now));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -49,6 +49,7 @@
 
 	private void requestWritten(Exchange exchange) {
 		Duration delay = Duration.ofMillis(this.state.now - exchange.lastActivityAt());
+		exchange.recordWrite(this.state.now);
 		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.RequestWritten(delay)));
 		if (delay.compareTo(RelaySettings.MIN_REPORTED_WRITE_DELAY) >= 0) {
 			this.state.report(RelayNotices.requestWrittenLate(exchange, delay));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -250,6 +250,7 @@
 	void requestWithoutResponseEndsAtItsDeadline() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.sendRequest("r1", "order");
+		relay.written(1);
 		List<RelayEffect> effects = relay.fireTimer(TimerKind.DEADLINE);
 		assertThat(RelayFixture.ofType(effects, RelayEffect.CancelAttempt.class)).hasSize(1);
 		assertThat(refusal(effects)).contains(Refusal.NO_ANSWER_IN_TIME);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 
 import io.lentilslip.core.notice.NoticeCode;
@@ -70,6 +71,37 @@
 			.satisfies((effect) -> assertThat(effect.notice().code()).isEqualTo(NoticeCode.REQUEST_WRITTEN_LATE));
 	}
 
+	// Guards against taking the wait for a connection for an idle upstream.
+	@Test
+	void idleTimeoutStartsWhenTheRequestIsWritten() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendRequest("r1", "look");
+		relay.advance(190);
+		relay.written(1);
+		relay.advance(10);
+		RelayEffect.StartTimer timer = RelayFixture
+			.ofType(relay.fireTimer(TimerKind.UPSTREAM_IDLE), RelayEffect.StartTimer.class)
+			.getFirst();
+		assertThat(timer.delay()).isEqualTo(Duration.ofMillis(190));
+		relay.advance(190);
+		assertThat(RelayFixture.ofType(relay.fireTimer(TimerKind.UPSTREAM_IDLE), RelayEffect.SendRequest.class))
+			.hasSize(1);
+	}
+
+	// Guards against reporting a request as possibly run that was never written.
+	@Test
+	void requestThatIsNotWrittenHasNotRun() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendRequest("r1", "look");
+		relay.advance(200);
+		assertThat(RelayFixture.ofType(relay.fireTimer(TimerKind.UPSTREAM_IDLE), RelayEffect.SendRequest.class))
+			.hasSize(1);
+		assertThat(refusal(relay.respond(2, RelayFixture.FULL))).isEqualTo(Refusal.NO_UPSTREAM);
+		relay.sendRequest("r2", "order");
+		relay.advance(3_000);
+		assertThat(refusal(relay.fireTimer(TimerKind.DEADLINE))).isEqualTo(Refusal.EXPIRED);
+	}
+
 	// Guards against a timeout below the latency target of the route.
 	@Test
 	void fastResponsesDoNotShortenTheIdleTimeoutOfARoute() {
@@ -104,6 +136,10 @@
 		assertThat(relay.now() - sentAt).isLessThan(4 * 230);
 	}
 
+	private static Refusal refusal(List<RelayEffect> effects) {
+		return RelayFixture.ofType(effects, RelayEffect.Refuse.class).getFirst().refusal();
+	}
+
 	private static void respondAfter(RelayFixture relay, String id, long milliseconds) {
 		relay.sendRequest(id, "look");
 		relay.advance(milliseconds);
