Bound the table of failed requests by their number of failures

Callers of a request under which three upstreams had ended could make it run on further ones: the table evicted by first insertion beyond 4,096 requests, and in a wave of crashes each request in flight is one, so a poison request could be the oldest. A request now moves to the end with each failure, and requests of one, two and three failures have a bound each.

Not shown to be what the users saw.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -2,13 +2,16 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Tracks requests on which upstreams failed. A request that failed on several
  * incarnations is treated as the cause and not sent again; other requests that were in
- * flight at the same time are not affected. Bounded: the oldest requests are evicted
- * first. Not thread-safe.
+ * flight at the same time are not affected. Bounded separately for each number of
+ * failures, so that the many requests of one crash never evict a poison request. Not
+ * thread-safe.
  */
 final class PoisonRequests {
 
@@ -17,19 +20,45 @@
 	 */
 	static final int MAX_FAILED_INCARNATIONS = 3;
 
+	/**
+	 * The maximum number of requests with the same number of failures.
+	 */
 	private static final int MAX_REQUESTS = 4096;
 
-	private final LinkedHashMap<Long, Set<String>> failedIncarnations = new LinkedHashMap<>();
+	/**
+	 * The failed incarnations by request, least recently failed first, at the index of
+	 * their number.
+	 */
+	private final List<LinkedHashMap<Long, Set<String>>> byFailureCount = Stream
+		.generate(LinkedHashMap<Long, Set<String>>::new)
+		.limit(MAX_FAILED_INCARNATIONS + 1)
+		.toList();
+
+	void recordFailure(long digest, String incarnation) {
+		if (isPoison(digest)) {
+			return;
+		}
+		Set<String> failed = new HashSet<>(remove(digest));
+		failed.add(incarnation);
+		LinkedHashMap<Long, Set<String>> requests = this.byFailureCount.get(failed.size());
+		requests.put(digest, failed);
+		if (requests.size() > MAX_REQUESTS) {
+			requests.pollFirstEntry();
+		}
+	}
 
-	void recordFailure(long digest, String upstream) {
-		this.failedIncarnations.computeIfAbsent(digest, (key) -> new HashSet<>()).add(upstream);
-		if (this.failedIncarnations.size() > MAX_REQUESTS) {
-			this.failedIncarnations.pollFirstEntry();
+	private Set<String> remove(long digest) {
+		for (LinkedHashMap<Long, Set<String>> requests : this.byFailureCount) {
+			Set<String> removed = requests.remove(digest);
+			if (removed != null) {
+				return removed;
+			}
 		}
+		return Set.of();
 	}
 
 	boolean isPoison(long digest) {
-		return this.failedIncarnations.getOrDefault(digest, Set.of()).size() >= MAX_FAILED_INCARNATIONS;
+		return this.byFailureCount.get(MAX_FAILED_INCARNATIONS).containsKey(digest);
 	}
 
 }
