Refuse a waiting request that has become poison

A request that waited for its chain, a permit or a budget's decision was sent later without another look at the failures counted meanwhile: the check stood at the arrival and at a retry. It now stands where a request is dispatched as well, and a rejected request that has become poison is refused without a retry delay, as on arrival.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -59,7 +59,7 @@
 		Exchange exchange = new Exchange(request, route.get(), caller.get());
 		this.state.exchanges.put(request.exchange(), exchange);
 		if (this.state.poisonRequests.isPoison(exchange.digest())) {
-			this.completion.refuse(exchange, Refusal.BLAMED, Optional.empty());
+			refusePoison(exchange);
 			return;
 		}
 		this.state.startTimer(exchange, exchange.remaining(this.state.now), TimerKind.DEADLINE);
@@ -83,6 +83,12 @@
 				TimerKind.CHAIN_LOOKUP);
 	}
 
+	// No retry delay: the request is never run again.
+	private void refusePoison(Exchange exchange) {
+		this.completion.settle(exchange, Optional.empty());
+		this.completion.refuse(exchange, Refusal.BLAMED, Optional.empty());
+	}
+
 	private boolean refuseTurn(Exchange exchange) {
 		// The end of a turn waits until the log has its text. A text that exceeds a log
 		// record would block this turn and the entries queued behind it.
@@ -123,6 +129,10 @@
 
 	void dispatch(Exchange exchange) {
 		this.state.awaitingChain.remove(exchange.number());
+		if (this.state.poisonRequests.isPoison(exchange.digest())) {
+			refusePoison(exchange);
+			return;
+		}
 		if (!exchange.reserved()) {
 			switch (this.budgets.admit(exchange)) {
 				case REFUSED -> {
@@ -242,6 +252,10 @@
 				return;
 			}
 		}
+		if (poison && !exchange.mayHaveRun()) {
+			refusePoison(exchange);
+			return;
+		}
 		this.completion.giveUp(exchange, reasonWithoutUpstream(exchange));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -299,6 +299,20 @@
 		assertThat(refusal(effects)).contains(Refusal.BLAMED);
 	}
 
+	// Guards against asking the caller of a poison request to send it again.
+	@Test
+	void rejectedRequestThatBecamePoisonIsRefusedWithoutRetryAfter() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendRequest("r1", "order");
+		for (String upstream : List.of("s7", "s8", "s9")) {
+			relay.readFromPeer(new LedgerEntry.UpstreamFailed("r0", "/order/x".hashCode(), upstream));
+		}
+		List<RelayEffect> effects = relay.respond(1, RelayFixture.FULL);
+		assertThat(sends(effects)).isEmpty();
+		assertThat(refuse(effects).refusal()).isEqualTo(Refusal.BLAMED);
+		assertThat(refuse(effects).retryAfter()).isEmpty();
+	}
+
 	// Guards against losing an uncommitted entry with its relay: the budget could be
 	// used a second time.
 	@Test
