Tell failures of one request at two upstreams apart

Among the uncommitted entries, the second failure of a request had the key of the first: it was not tracked, and an entry that its own relay could not append any more was appended by nobody else. The key now has the upstream.

The metric of duplicates no longer counts them.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -112,7 +112,7 @@
 		// The reservation of a settled turn may never have been in the log. Appended
 		// after the settlement it would never be released.
 		if (entry instanceof LedgerEntry.Settled settled) {
-			this.pending.remove(new Key(settled.request(), LedgerEntry.Reserved.class));
+			this.pending.remove(new Key(settled.request(), LedgerEntry.Reserved.class, ""));
 		}
 		boolean first = this.committed.add(key);
 		if (this.committed.size() > MAX_ENTRIES) {
@@ -208,11 +208,14 @@
 	 *
 	 * @param request the request
 	 * @param kind the type of the entry
+	 * @param upstream the failed upstream, empty for other entries: a request may fail on
+	 * several
 	 */
-	private record Key(String request, Class<?> kind) {
+	private record Key(String request, Class<?> kind, String upstream) {
 
 		static Key of(LedgerEntry entry) {
-			return new Key(entry.request(), entry.getClass());
+			String upstream = (entry instanceof LedgerEntry.UpstreamFailed failed) ? failed.upstream() : "";
+			return new Key(entry.request(), entry.getClass(), upstream);
 		}
 
 	}
