Send the second failure of a request to all relays

Failures of upstreams went to the relays with an open link and to the log. Programs have three replicas each, so a relay has links to some of the others; the rest learned of a failure from the log alone, after its batching and their next read, and not at all while the log is away. The caller of a poison request may come to any of them at once. A first failure goes where it went: most requests of a crash are harmless. From the second failure of a request on it goes to all relays, and the sync of a new link no longer leaves out entries that belong to no program.

Before: secondFailureOfARequestIsSentToAllRelays and failuresAreSentToARelayThatConnects failed.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -34,9 +34,15 @@
 		.limit(MAX_FAILED_INCARNATIONS + 1)
 		.toList();
 
-	void recordFailure(long digest, String incarnation) {
+	/**
+	 * Records that an upstream failed while it ran a request.
+	 * @param digest the digest of the request
+	 * @param incarnation the incarnation of the upstream
+	 * @return the number of incarnations that failed, up to the maximum
+	 */
+	int recordFailure(long digest, String incarnation) {
 		if (isPoison(digest)) {
-			return;
+			return MAX_FAILED_INCARNATIONS;
 		}
 		Set<String> failed = new HashSet<>(remove(digest));
 		failed.add(incarnation);
@@ -45,6 +51,7 @@
 		if (requests.size() > MAX_REQUESTS) {
 			requests.pollFirstEntry();
 		}
+		return failed.size();
 	}
 
 	private Set<String> remove(long digest) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -209,6 +209,18 @@
 		emit(new RelayEffect.AppendEntry(entry, replicas));
 	}
 
+	/**
+	 * Records that an upstream failed while it ran a request. Most requests of a crash
+	 * are harmless, so a first failure reaches relays without a link through the log
+	 * only. A request that failed before may be the cause, and its caller may retry it at
+	 * any relay at once.
+	 * @param failed the failure
+	 */
+	void upstreamFailed(LedgerEntry.UpstreamFailed failed) {
+		int failures = this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+		write(failed, (failures > 1) ? otherRelays() : List.copyOf(this.linkedPeers));
+	}
+
 	/**
 	 * Records an entry as uncommitted. A conditional reservation is not counted until it
 	 * is read from the log, whose order decides on it.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -1,7 +1,6 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 import io.lentilslip.core.measurement.Measurement;
@@ -178,11 +177,8 @@
 		if (cause != FailureCause.BROKEN || exchange.upstream().isEmpty()) {
 			return;
 		}
-		String incarnation = exchange.upstream().get().incarnationId();
-		this.state.poisonRequests.recordFailure(exchange.digest(), incarnation);
-		this.state.emit(new RelayEffect.AppendEntry(
-				new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(), incarnation),
-				List.copyOf(this.state.linkedPeers)));
+		this.state.upstreamFailed(new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(),
+				exchange.upstream().get().incarnationId()));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -129,7 +129,8 @@
 	}
 
 	/**
-	 * Sends another relay the uncommitted entries of the programs that it replicates.
+	 * Sends another relay the uncommitted entries of the programs that it replicates, and
+	 * those that concern all relays.
 	 * @param peer the other relay
 	 */
 	void sendSync(String peer) {
@@ -137,8 +138,8 @@
 		if (this.state.replicas.contains(peer)) {
 			entries = entries.stream()
 				.filter((entry) -> entry.findProgram()
-					.filter((program) -> this.state.replicas.replicasOf(program).contains(peer))
-					.isPresent())
+					.map((program) -> this.state.replicas.replicasOf(program).contains(peer))
+					.orElse(true))
 				.toList();
 		}
 		this.state.emit(new RelayEffect.SendSync(peer, entries, this.state.ledgerComplete));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -299,6 +299,35 @@
 		assertThat(refusal(effects)).contains(Refusal.BLAMED);
 	}
 
+	// Guards against sending a request to further upstreams through relays that don't
+	// know its failures yet.
+	@Test
+	void secondFailureOfARequestIsSentToAllRelays() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.handle(new RelayEvent.ListenerStarted(relay.now(), "self"));
+		relay.handle(new RelayEvent.MembershipUpdated(relay.now(),
+				List.of(Member.of("self"), Member.of("a"), Member.of("b"))));
+		relay.handle(new RelayEvent.PeerConnected(relay.now(), "a"));
+		relay.sendRequest("r1", "look");
+		assertThat(replicas(relay.fail(1, FailureCause.BROKEN))).containsExactly("a");
+		assertThat(replicas(relay.fail(2, FailureCause.BROKEN))).containsExactlyInAnyOrder("a", "b");
+	}
+
+	// Guards against a failure that was recorded during an outage of the log being
+	// unknown to a relay that connects later.
+	@Test
+	void failuresAreSentToARelayThatConnects() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.handle(new RelayEvent.ListenerStarted(relay.now(), "self"));
+		relay.handle(new RelayEvent.MembershipUpdated(relay.now(),
+				List.of(Member.of("self"), Member.of("a"), Member.of("b"))));
+		LedgerEntry failed = new LedgerEntry.UpstreamFailed("r0", 3, "u");
+		relay.readFromPeer(failed);
+		List<RelayEffect> connected = relay.handle(new RelayEvent.PeerConnected(relay.now(), "b"));
+		assertThat(RelayFixture.ofType(connected, RelayEffect.SendSync.class).getFirst().entries())
+			.containsExactly(failed);
+	}
+
 	// Guards against asking the caller of a poison request to send it again.
 	@Test
 	void rejectedRequestThatBecamePoisonIsRefusedWithoutRetryAfter() {
@@ -791,6 +820,10 @@
 		assertThat(RelayFixture.ofType(effects, RelayEffect.AbortConnection.class)).hasSize(1);
 	}
 
+	private static List<String> replicas(List<RelayEffect> effects) {
+		return RelayFixture.ofType(effects, RelayEffect.AppendEntry.class).getFirst().replicas();
+	}
+
 	private static List<RelayEffect.SendRequest> sends(List<RelayEffect> effects) {
 		return RelayFixture.ofType(effects, RelayEffect.SendRequest.class);
 	}
