Count an upstream that disappears under a request as failed

Only a connection that was closed counted. An upstream that ends without closing its connections (power, a cut) looks like a slow one: the idle timeout moved the request, or the deadline or its caller ended it, nothing was counted, and the request went on to further upstreams.

Attempts that were written and abandoned without a response are remembered by the incarnation of their upstream. If it leaves the list without having drained, and has not responded to anything since, they count; an attempt that still runs at that moment counts once it is abandoned, since an upstream may serve for a while after its removal. Any later response of the incarnation clears them, so callers that leave a busy upstream cost nothing.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -57,6 +57,8 @@
 
 	private boolean written;
 
+	private boolean upstreamEnded;
+
 	private boolean idleTimerStarted;
 
 	private boolean graceGranted;
@@ -109,6 +111,15 @@
 		return this.request.digest() ^ team().map((team) -> (long) team.name().hashCode() << Integer.SIZE).orElse(0L);
 	}
 
+	/**
+	 * Returns the ledger entry for the failure of an upstream that ran the request.
+	 * @param failed the upstream
+	 * @return the entry
+	 */
+	LedgerEntry.UpstreamFailed failureOf(Upstream failed) {
+		return new LedgerEntry.UpstreamFailed(id(), digest(), failed.incarnationId());
+	}
+
 	CallerIdentity caller() {
 		return this.caller;
 	}
@@ -189,6 +200,7 @@
 		this.lastActivityAt = now;
 		this.graceGranted = false;
 		this.written = false;
+		this.upstreamEnded = false;
 		this.attempt++;
 		this.sendCount++;
 		this.triedUpstreams.add(next.id());
@@ -214,6 +226,24 @@
 		return this.written;
 	}
 
+	/**
+	 * Records that an upstream incarnation has ended. The request may still be answered,
+	 * since an upstream may serve for a while after its removal.
+	 * @param incarnation the incarnation
+	 */
+	void upstreamEnded(String incarnation) {
+		this.upstreamEnded = this.upstreamEnded
+				|| this.upstream.map(Upstream::incarnationId).filter(incarnation::equals).isPresent();
+	}
+
+	/**
+	 * Returns whether the upstream of the current attempt has ended unplanned.
+	 * @return {@code true} if it has
+	 */
+	boolean upstreamEnded() {
+		return this.upstreamEnded;
+	}
+
 	/**
 	 * Returns whether the missing texts of the chain are being fetched.
 	 * @return {@code true} if a fetch has started
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -139,11 +139,27 @@
 		}
 	}
 
+	/**
+	 * Abandons the current attempt without a response.
+	 * @param exchange the exchange
+	 */
 	void cancelAttempt(Exchange exchange) {
+		if (exchange.written()) {
+			recordUnanswered(exchange);
+		}
 		this.state.emit(new RelayEffect.CancelAttempt(exchange.number(), exchange.attempt()));
 		this.state.upstreams.requestEnded(exchange.id());
 	}
 
+	private void recordUnanswered(Exchange exchange) {
+		LedgerEntry.UpstreamFailed failure = exchange.failureOf(exchange.upstream().orElseThrow());
+		if (exchange.upstreamEnded()) {
+			this.state.upstreamFailed(failure);
+			return;
+		}
+		this.state.unansweredAttempts.add(failure);
+	}
+
 	void budgetUndecided(Exchange exchange) {
 		exchange.markReserved();
 		giveUp(exchange, Refusal.LOG_LOST);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -105,7 +105,7 @@
 			case RelayEvent.TurnWriteRequested request -> this.texts.storeForPeer(request);
 			case RelayEvent.ConnectivityChanged changed -> this.site.connectivityChanged(changed.connectivity());
 			case RelayEvent.RouteTableUpdated updated -> this.site.routeTableUpdated(updated.table());
-			case RelayEvent.UpstreamsReplaced replaced -> this.state.upstreams.replace(replaced.upstreams());
+			case RelayEvent.UpstreamsReplaced replaced -> this.site.upstreamsReplaced(replaced.upstreams());
 			case RelayEvent.UpstreamUpdated updated -> this.site.upstreamUpdated(updated.upstream());
 			case RelayEvent.UpstreamInvalid invalid -> this.site.upstreamInvalid(invalid.id(), invalid.error());
 			case RelayEvent.UpstreamRemoved removed -> this.site.upstreamRemoved(removed.id());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -37,6 +37,8 @@
 
 	final PoisonRequests poisonRequests = new PoisonRequests();
 
+	final UnansweredAttempts unansweredAttempts = new UnansweredAttempts();
+
 	final Upstreams upstreams = new Upstreams();
 
 	final UncommittedEntries uncommitted;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -64,9 +64,13 @@
 			if (head.misdirected()) {
 				misdirected(exchange);
 			}
+			else {
+				recordResponse(exchange);
+			}
 			this.requests.retry(exchange);
 			return;
 		}
+		recordResponse(exchange);
 		exchange.markMayHaveRun();
 		if (head.successful() && !head.signed()) {
 			attemptFailed(exchange, FailureCause.UNREADABLE);
@@ -105,6 +109,7 @@
 
 	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
 		exchange.markMayHaveRun();
+		recordResponse(exchange);
 		recordLoad(exchange, opened.head());
 		if (!opened.head().signed()) {
 			attemptFailed(exchange, FailureCause.UNREADABLE);
@@ -131,7 +136,12 @@
 		this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event.raw()));
 	}
 
+	private void recordResponse(Exchange exchange) {
+		exchange.upstream().map(Upstream::incarnationId).ifPresent(this.state.unansweredAttempts::responded);
+	}
+
 	private void streamEnded(Exchange exchange) {
+		recordResponse(exchange);
 		this.state.upstreams.requestEnded(exchange.id());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
 		if (!exchange.route().storesTurns() || exchange.head().turn().isEmpty()) {
@@ -177,8 +187,7 @@
 		if (cause != FailureCause.BROKEN || exchange.upstream().isEmpty()) {
 			return;
 		}
-		this.state.upstreamFailed(new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(),
-				exchange.upstream().get().incarnationId()));
+		this.state.upstreamFailed(exchange.failureOf(exchange.upstream().get()));
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -69,12 +69,18 @@
 		this.state.report(RelayNotices.routesAccepted(table));
 	}
 
+	void upstreamsReplaced(List<Upstream> upstreams) {
+		this.state.upstreams.replace(upstreams);
+		recordFailuresOfEnded();
+	}
+
 	void upstreamUpdated(Upstream upstream) {
 		Optional<Upstream> previous = this.state.upstreams.find(upstream.id()).map(UpstreamState::upstream);
 		if (!this.state.upstreams.put(upstream)) {
 			reportInvalid(upstream.id(), UpstreamRecordError.EARLIER_LIFE);
 			return;
 		}
+		recordFailuresOfEnded();
 		if (!previous.equals(Optional.of(upstream))) {
 			this.state.report(RelayNotices.upstreamListed(upstream));
 		}
@@ -102,6 +108,18 @@
 	void upstreamRemoved(String upstream) {
 		this.state.upstreams.remove(upstream);
 		this.state.report(RelayNotices.upstreamRemoved(upstream));
+		recordFailuresOfEnded();
+	}
+
+	// An upstream that was draining has ended as planned.
+	private void recordFailuresOfEnded() {
+		for (Upstream ended : this.state.upstreams.drainEnded()) {
+			if (ended.draining()) {
+				continue;
+			}
+			this.state.unansweredAttempts.incarnationEnded(ended.incarnationId()).forEach(this.state::upstreamFailed);
+			this.state.exchanges.values().forEach((exchange) -> exchange.upstreamEnded(ended.incarnationId()));
+		}
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -68,6 +68,8 @@
 		}
 	};
 
+	private List<Upstream> ended = new ArrayList<>();
+
 	private boolean initialized;
 
 	void replace(List<Upstream> upstreams) {
@@ -108,9 +110,20 @@
 			this.byIncarnation.remove(removed.upstream.incarnationId());
 			this.byIncarnationHash.remove(removed.upstream.incarnationId().hashCode());
 			this.byReportTime.remove(removed.upstream.incarnationId().hashCode());
+			this.ended.add(removed.upstream);
 		}
 	}
 
+	/**
+	 * Returns the incarnations that were removed or replaced since the last call.
+	 * @return the upstreams, in their last state
+	 */
+	List<Upstream> drainEnded() {
+		List<Upstream> drained = this.ended;
+		this.ended = new ArrayList<>();
+		return drained;
+	}
+
 	/**
 	 * Records that an upstream runs a request of another relay.
 	 * @param request the request
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
@@ -274,6 +275,7 @@
 		RelayFixture relay = RelayFixture.ready();
 		for (int i = 1; i <= 3; i++) {
 			Upstream upstream = sends(relay.sendRequest("r" + i, "order")).getFirst().upstream();
+			relay.written(1);
 			relay.advance(100);
 			relay.handle(new RelayEvent.CallerDisconnected(relay.now(), relay.exchange()));
 			relay.advance(2_000);
@@ -285,6 +287,50 @@
 		assertThat(refusal(relay.sendRequest("r4", "order"))).contains(Refusal.BLAMED);
 	}
 
+	// Guards against sending on a request whose callers wait longer than its upstreams
+	// are listed.
+	@Test
+	void upstreamThatIsRemovedWhileARequestRunsCountsAsFailedOnceItIsAbandoned() {
+		RelayFixture relay = RelayFixture.ready();
+		Upstream upstream = sends(relay.sendRequest("r1", "order")).getFirst().upstream();
+		relay.written(1);
+		assertThat(RelayFixture.written(relay.handle(new RelayEvent.UpstreamRemoved(relay.now(), upstream.id()))))
+			.isEmpty();
+		relay.advance(3_000);
+		assertThat(RelayFixture.written(relay.fireTimer(TimerKind.DEADLINE)))
+			.containsExactly(new LedgerEntry.UpstreamFailed("r1", "/order/x".hashCode(), upstream.incarnationId()));
+	}
+
+	// Guards against blaming a request for an upstream that ended later or as planned, or
+	// that never received it.
+	@Test
+	void upstreamThatDisappearsForAnotherReasonDoesNotCountAsFailed() {
+		RelayFixture relay = RelayFixture.ready();
+		Upstream unwritten = sends(relay.sendRequest("r1", "order")).getFirst().upstream();
+		relay.handle(new RelayEvent.CallerDisconnected(relay.now(), relay.exchange()));
+		assertThat(RelayFixture.written(remove(relay, unwritten))).isEmpty();
+		Upstream drained = abandon(relay, "r2");
+		relay.handle(new RelayEvent.UpstreamUpdated(relay.now(), new Upstream(drained.id(), drained.service(),
+				"10.0.0.1", 80, "zone-a", 6, true, OptionalLong.empty())));
+		assertThat(RelayFixture.written(remove(relay, drained))).isEmpty();
+		Upstream last = abandon(relay, "r3");
+		assertThat(sends(relay.sendRequest("r4", "look")).getFirst().upstream()).isEqualTo(last);
+		relay.written(1);
+		relay.respond(1, RelayFixture.SIGNED);
+		assertThat(RelayFixture.written(remove(relay, last))).isEmpty();
+	}
+
+	private static Upstream abandon(RelayFixture relay, String request) {
+		Upstream upstream = sends(relay.sendRequest(request, "order")).getFirst().upstream();
+		relay.written(1);
+		relay.handle(new RelayEvent.CallerDisconnected(relay.now(), relay.exchange()));
+		return upstream;
+	}
+
+	private static List<RelayEffect> remove(RelayFixture relay, Upstream upstream) {
+		return relay.handle(new RelayEvent.UpstreamRemoved(relay.now(), upstream.id()));
+	}
+
 	// Guards against sending a request that became poison while it waited.
 	@Test
 	void waitingRequestIsRefusedOnceItIsPoison() {
