Count a caller's timeout from the head of its request

The deadline of a request started when its last byte had been handled: an upload, or the wait of a pipelined request for the response before it, was time that the relay believed to have and its caller had not. The time is now taken when the head is read, also for a queued request.

What a request waits in the socket while the event loop is behind is still not known to the relay.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -80,7 +80,7 @@
 		this.lastEvent = route.resumable() ? request.head().lastEvent() : OptionalLong.empty();
 		Duration callerTimeout = request.head().callerTimeout().orElse(route.timeout());
 		Duration timeout = (callerTimeout.compareTo(route.timeout()) < 0) ? callerTimeout : route.timeout();
-		this.deadline = request.now() + timeout.toMillis();
+		this.deadline = request.headReadAt() + timeout.toMillis();
 	}
 
 	long number() {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -51,12 +51,14 @@
 	 * A caller's request was received completely.
 	 *
 	 * @param now the time of the event
+	 * @param headReadAt the time at which its head was read, from which the caller's
+	 * timeout counts
 	 * @param exchange the exchange
 	 * @param head the head of the request
 	 * @param body its body; shared and never modified
 	 * @param digest a digest of path, caller and body, equal for all retries
 	 */
-	record RequestReceived(long now, long exchange, RequestHead head, byte[] body,
+	record RequestReceived(long now, long headReadAt, long exchange, RequestHead head, byte[] body,
 			long digest) implements ExchangeEvent {
 
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
@@ -233,7 +233,7 @@
 		runWhenResumed(instance, () -> {
 			instance.teams.put(exchange, List.of(team, program));
 			applyEffects(instance, instance.relay
-				.handle(new RelayEvent.RequestReceived(this.now, exchange, head, new byte[0], exchange)));
+				.handle(new RelayEvent.RequestReceived(this.now, this.now, exchange, head, new byte[0], exchange)));
 			this.delayed += instance.teams.containsKey(exchange) ? 1 : 0;
 		});
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -185,9 +185,13 @@
 	}
 
 	List<RelayEffect> sendRequest(RequestHead head, String body) {
+		return sendRequest(head, body, this.now);
+	}
+
+	List<RelayEffect> sendRequest(RequestHead head, String body, long headReadAt) {
 		this.exchange++;
-		return handle(
-				new RelayEvent.RequestReceived(this.now, this.exchange, head, body.getBytes(), head.path().hashCode()));
+		return handle(new RelayEvent.RequestReceived(this.now, headReadAt, this.exchange, head, body.getBytes(),
+				head.path().hashCode()));
 	}
 
 	long exchange() {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -100,6 +100,17 @@
 		assertThat(retried.getFirst().upstream().id()).isNotEqualTo(first);
 	}
 
+	// Guards against counting a caller's timeout from the end of a slow upload.
+	@Test
+	void timeoutOfTheCallerCountsFromTheHeadOfItsRequest() {
+		RelayFixture relay = RelayFixture.ready();
+		long headReadAt = relay.now();
+		relay.advance(400);
+		List<RelayEffect> effects = relay.sendRequest(RelayFixture.head("r1", "look", Optional.empty()), "body",
+				headReadAt);
+		assertThat(sends(effects).getFirst().deadline()).isEqualTo(headReadAt + 3_000);
+	}
+
 	// Guards against reporting a request that was never sent as possibly run.
 	@Test
 	void requestThatExpiresBeforeItIsSentIsRefusedAsNotRun() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -50,12 +51,21 @@
 
 	private final CallerListener listener;
 
+	private final Timers timers;
+
 	private final Supplier<RouteTable.Limits> limits;
 
 	private final BooleanSupplier draining;
 
 	private final Deque<Object> queue = new ArrayDeque<>();
 
+	/**
+	 * When the heads in the queue were read.
+	 */
+	private final Deque<Long> queuedHeadTimes = new ArrayDeque<>();
+
+	private long headReadAt;
+
 	private ChannelHandlerContext context;
 
 	private Optional<HttpRequest> request = Optional.empty();
@@ -74,8 +84,10 @@
 
 	private long exchange;
 
-	CallerConnection(CallerListener listener, Supplier<RouteTable.Limits> limits, BooleanSupplier draining) {
+	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
+			BooleanSupplier draining) {
 		this.listener = listener;
+		this.timers = timers;
 		this.limits = limits;
 		this.draining = draining;
 	}
@@ -174,11 +186,15 @@
 		}
 		if (this.responding) {
 			this.queue.add(message);
+			if (message instanceof HttpRequest) {
+				this.queuedHeadTimes.add(this.timers.now());
+			}
 			if (this.queue.size() >= MAX_QUEUED_MESSAGES) {
 				ctx.channel().config().setAutoRead(false);
 			}
 			return;
 		}
+		this.headReadAt = (message instanceof HttpRequest) ? this.timers.now() : this.headReadAt;
 		process(message);
 	}
 
@@ -258,7 +274,7 @@
 		this.responding = true;
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
 		this.closeAfterResponse = this.closeAfterResponse || !HttpUtil.isKeepAlive(completed);
-		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray());
+		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray(), this.headReadAt);
 	}
 
 	private void responseSent() {
@@ -270,7 +286,9 @@
 		}
 		startTimer(this.limits.get().idleTimeout());
 		while (!this.responding && !this.closing && !this.queue.isEmpty()) {
-			process(this.queue.pollFirst());
+			Object next = this.queue.pollFirst();
+			this.headReadAt = (next instanceof HttpRequest) ? this.queuedHeadTimes.pollFirst() : this.headReadAt;
+			process(next);
 		}
 		if (this.queue.isEmpty()) {
 			this.context.channel().config().setAutoRead(true);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerListener.java
@@ -12,9 +12,11 @@
 	 * @param connection the connection to respond on
 	 * @param request the request
 	 * @param body the request body
+	 * @param headReadAt the time at which the head of the request was read, in
+	 * milliseconds of the monotonic clock
 	 * @return the id of the exchange
 	 */
-	long onRequest(CallerConnection connection, HttpRequest request, byte[] body);
+	long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt);
 
 	/**
 	 * Called when a caller disconnected before its response was complete.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -8,6 +8,7 @@
 
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.relay.net.Sockets;
+import io.lentilslip.relay.store.Timers;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
@@ -20,6 +21,8 @@
 
 	private final CallerListener listener;
 
+	private final Timers timers;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private RouteTable.Limits limits = RouteTable.Limits.defaults();
@@ -31,9 +34,11 @@
 	/**
 	 * Creates a server that is not yet bound.
 	 * @param listener receives the requests
+	 * @param timers the clock
 	 */
-	public CallerServer(CallerListener listener) {
+	public CallerServer(CallerListener listener, Timers timers) {
 		this.listener = listener;
+		this.timers = timers;
 	}
 
 	/**
@@ -83,7 +88,8 @@
 	}
 
 	private void accept(Channel channel) {
-		CallerConnection connection = new CallerConnection(this.listener, () -> this.limits, () -> this.draining);
+		CallerConnection connection = new CallerConnection(this.listener, this.timers, () -> this.limits,
+				() -> this.draining);
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
 		channel.pipeline()
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -51,11 +51,11 @@
 	}
 
 	@Override
-	public long onRequest(CallerConnection connection, HttpRequest request, byte[] body) {
+	public long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt) {
 		this.lastExchange++;
 		RequestHead head = this.dialect.decodeRequest(request);
 		this.open.put(this.lastExchange, new OpenExchange(connection, request, body, head.id()));
-		this.events.on(new RelayEvent.RequestReceived(this.timers.now(), this.lastExchange, head, body,
+		this.events.on(new RelayEvent.RequestReceived(this.timers.now(), headReadAt, this.lastExchange, head, body,
 				digest(request, body)));
 		return this.lastExchange;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -152,7 +152,7 @@
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
-		this.callers = new CallerServer(this.exchanges);
+		this.callers = new CallerServer(this.exchanges, this.timers);
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -0,0 +1,107 @@
+package io.lentilslip.relay.http;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.lentilslip.core.relay.ResponseHead;
+import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.relay.store.Timers;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CallerConnectionTests {
+
+	private static final ResponseHead RESPONSE = new ResponseHead(200, List.of(), false, true, Optional.empty());
+
+	private final FakeTimers timers = new FakeTimers();
+
+	private final RecordingListener listener = new RecordingListener();
+
+	private final CallerConnection connection = new CallerConnection(this.listener, this.timers,
+			RouteTable.Limits::defaults, () -> false);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection);
+
+	@AfterEach
+	void close() {
+		this.channel.finishAndReleaseAll();
+	}
+
+	// Guards against ignoring the time that an upload took.
+	@Test
+	void timeOfARequestIsThatOfItsHead() {
+		this.timers.now = 10;
+		this.channel.writeInbound(head());
+		this.timers.now = 310;
+		this.channel.writeInbound(LastHttpContent.EMPTY_LAST_CONTENT);
+		assertThat(this.listener.headTimes).containsExactly(10L);
+	}
+
+	// Guards against ignoring the time that a pipelined request was queued.
+	@Test
+	void timeOfAQueuedRequestIsThatOfItsHead() {
+		this.timers.now = 10;
+		this.channel.writeInbound(head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.timers.now = 20;
+		this.channel.writeInbound(head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.timers.now = 30;
+		this.channel.writeInbound(head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.timers.now = 400;
+		this.connection.respond(RESPONSE, new byte[0]);
+		this.connection.respond(RESPONSE, new byte[0]);
+		assertThat(this.listener.headTimes).containsExactly(10L, 20L, 30L);
+	}
+
+	private static HttpRequest head() {
+		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+	}
+
+	/**
+	 * Clock set by the test.
+	 */
+	private static final class FakeTimers implements Timers {
+
+		private long now;
+
+		@Override
+		public void schedule(Duration delay, Runnable task) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public long now() {
+			return this.now;
+		}
+
+	}
+
+	/**
+	 * Listener that records when the heads of requests were read.
+	 */
+	private static final class RecordingListener implements CallerListener {
+
+		private final List<Long> headTimes = new ArrayList<>();
+
+		@Override
+		public long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt) {
+			this.headTimes.add(headReadAt);
+			return this.headTimes.size();
+		}
+
+		@Override
+		public void onDisconnect(long exchange) {
+		}
+
+	}
+
+}
