Reduce the timeout of a call by its wait in the entry

The twin of the relay's fault on our own interface: an entry computed a call's timeout from the time of the event that routed it, and sent it after the event and its effect had been queued. The sidecar adds the timeout to its own clock, so a call could stay queued, and start, after its caller's deadline until the entry's cancellation arrived. The effect now carries the time of its event, and the timeout is reduced when the message is sent.

Not seen by users; found by reading.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/CallerRules.java
@@ -240,7 +240,8 @@
 		this.draft.removeWaiting(call.get());
 		if (call.get().phase() instanceof Call.Phase.Sent sent) {
 			this.draft.removeAttempt(sent);
-			this.draft.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+			this.draft
+				.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt()), this.draft.now));
 		}
 		CompletionRules completions = new CompletionRules(this.draft);
 		boolean mayRun = call.get().phase() instanceof Call.Phase.Sent;
@@ -263,7 +264,7 @@
 		AttemptId attempt = this.draft.nextAttempt();
 		this.draft.programRequests = this.draft.programRequests.put(event.ticket(),
 				new ProgramRequest.ForState(program, attempt));
-		this.draft.emit(new EntryEffect.Send(home, new LinkMessage.ProgramRequest(attempt, program)));
+		this.draft.emit(new EntryEffect.Send(home, new LinkMessage.ProgramRequest(attempt, program), this.draft.now));
 		this.draft.startTimer(ANSWER_TIMEOUT, new Timer.ProgramRequestTimeout(event.ticket()));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/EntryEffect.java
@@ -1,5 +1,8 @@
 package io.lentilslip.core.entry;
 
+import java.time.Duration;
+import java.time.Instant;
+
 import io.lentilslip.core.call.CallOutcome;
 import io.lentilslip.core.configuration.Endpoint;
 import io.lentilslip.core.identity.ProcessId;
@@ -47,8 +50,22 @@
 	 *
 	 * @param sidecar the receiver
 	 * @param message the message
+	 * @param decidedAt the time of the event that caused it
 	 */
-	record Send(ProcessId sidecar, LinkMessage.ToSidecar message) implements EntryEffect {
+	record Send(ProcessId sidecar, LinkMessage.ToSidecar message, Instant decidedAt) implements EntryEffect {
+
+		/**
+		 * Returns the message with the timeout of its call reduced by the time for which
+		 * the event and this effect were queued.
+		 * @param now the current time
+		 * @return the message to send
+		 */
+		public LinkMessage.ToSidecar messageAt(Instant now) {
+			return switch (this.message) {
+				case LinkMessage.Dispatch dispatch -> dispatch.afterDelay(Duration.between(this.decidedAt, now));
+				default -> this.message;
+			};
+		}
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/RouteRules.java
@@ -317,7 +317,7 @@
 		this.draft.updateCandidate(sidecar.vm(), Candidate::callSent);
 		Duration left = Duration.between(this.draft.now, call.deadline());
 		this.draft.emit(new EntryEffect.Send(sidecar, new LinkMessage.Dispatch(attempt, call.request(), standing,
-				(left.isNegative()) ? Duration.ZERO : left, call.delivered().text())));
+				(left.isNegative()) ? Duration.ZERO : left, call.delivered().text()), this.draft.now));
 	}
 
 	/**
@@ -523,7 +523,8 @@
 		}
 		CallFailure failure = CallFailure.notRun(FailureCause.DEADLINE_PASSED, "The deadline of the request passed.");
 		if (call.get().phase() instanceof Call.Phase.Sent sent) {
-			this.draft.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+			this.draft
+				.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt()), this.draft.now));
 			refuse(call.get(), failure.combineWith(Verdict.MAY_HAVE_RUN));
 			return;
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/entry/SidecarRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/entry/SidecarRules.java
@@ -110,7 +110,8 @@
 		if (sent.nextSequence() != message.sequence()) {
 			// A delta is missing or duplicated, so continuing would corrupt the text sent
 			// to the caller.
-			this.draft.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt())));
+			this.draft
+				.emit(new EntryEffect.Send(sent.sidecar(), new LinkMessage.Cancel(sent.attempt()), this.draft.now));
 			this.routes.attemptFailed(call.get(), sent, CallFailure.mayHaveRun(FailureCause.INTERNAL,
 					"Part of the streamed answer was lost or duplicated."));
 			return;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/link/LinkMessage.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/link/LinkMessage.java
@@ -77,6 +77,17 @@
 	record Dispatch(AttemptId attempt, CallRequest call, ExecutionAuthority authority, Duration timeout,
 			String deliveredText) implements ToSidecar {
 
+		/**
+		 * Returns this call after a delay before its send.
+		 * @param delay the delay
+		 * @return the call with the remaining timeout, at least zero
+		 */
+		public Dispatch afterDelay(Duration delay) {
+			Duration remaining = this.timeout.minus(delay);
+			return new Dispatch(this.attempt, this.call, this.authority,
+					remaining.isNegative() ? Duration.ZERO : remaining, this.deliveredText);
+		}
+
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/model/World.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/model/World.java
@@ -461,7 +461,7 @@
 				case EntryEffect.Connect connect -> linkTo(connect.vm()).wanted = true;
 				case EntryEffect.Disconnect disconnect -> throw new AssertionError("disconnects " + disconnect.vm());
 				case EntryEffect.Send send -> {
-					if (!linkTo(send.sidecar().vm()).sendToSidecar(send.sidecar(), send.message())) {
+					if (!linkTo(send.sidecar().vm()).sendToSidecar(send.sidecar(), send.messageAt(World.this.now))) {
 						this.inbox.add(new EntryEvent.SendRefused(send.sidecar(), send.message(), World.this.now));
 					}
 				}
--- a/lentilslip-entry/src/main/java/io/lentilslip/entry/EntryProcess.java
+++ b/lentilslip-entry/src/main/java/io/lentilslip/entry/EntryProcess.java
@@ -213,7 +213,7 @@
 			case EntryEffect.ForNode forNode -> this.node.run(forNode.effect());
 			case EntryEffect.Connect connect -> this.links.connect(connect.vm(), connect.address());
 			case EntryEffect.Disconnect disconnect -> this.links.disconnect(disconnect.vm());
-			case EntryEffect.Send send -> this.links.send(send.sidecar(), send.message());
+			case EntryEffect.Send send -> this.links.send(send.sidecar(), send.messageAt(this.node.now()));
 			case EntryEffect.Deliver deliver -> this.callers.orElseThrow().run(deliver);
 			case EntryEffect.Complete complete -> this.callers.orElseThrow().run(complete);
 			case EntryEffect.SendProgramState show -> this.callers.orElseThrow().run(show);
--- a/lentilslip-entry/src/test/java/io/lentilslip/entry/EntryProcessTests.java
+++ b/lentilslip-entry/src/test/java/io/lentilslip/entry/EntryProcessTests.java
@@ -173,7 +173,7 @@
 			this.script = (event) -> switch (event) {
 				case EntryEvent.CallArrived arrived -> List.of(new EntryEffect.Connect(SIDECAR.vm(), address));
 				case EntryEvent.SidecarLinked linked ->
-					List.of(new EntryEffect.Send(linked.sidecar(), new LinkMessage.Cancel(attempt())));
+					List.of(new EntryEffect.Send(linked.sidecar(), new LinkMessage.Cancel(attempt()), linked.now()));
 				case EntryEvent.SidecarMessageReceived spoke when spoke
 					.message() instanceof LinkMessage.Finished finished ->
 					List.of(new EntryEffect.Complete(new Ticket(1), finished.outcome()));
