Clear the failures of a request that an upstream has run

Each closed connection counts one incarnation against a request, and nothing ever took it back: a frequent harmless request, whose digest is the same each time, was refused for good once connections of three incarnations had closed under it, however long ago. An answer of an upstream now clears the failures of its request at this relay, unless it is poison already, as the end of an isolated run does on our own interface.

Before: requestThatSucceedsAfterEachFailureIsNotPoison failed (the fourth request was refused). Found by reading; not seen by users.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -55,6 +55,17 @@
 		return failed.size();
 	}
 
+	/**
+	 * Records that an upstream has run a request without failing, so that the request did
+	 * not cause the earlier failures.
+	 * @param digest the digest of the request
+	 */
+	void recordSuccess(long digest) {
+		if (!isPoison(digest)) {
+			remove(digest);
+		}
+	}
+
 	private Set<String> remove(long digest) {
 		for (LinkedHashMap<Long, Set<String>> requests : this.byFailureCount) {
 			Set<String> removed = requests.remove(digest);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -77,6 +77,7 @@
 			return;
 		}
 		upstream.ifPresent(UpstreamState::recordSuccess);
+		this.state.poisonRequests.recordSuccess(exchange.digest());
 		this.state.idleTimeout.recordFirstResponse(exchange);
 		this.completion.settle(exchange, Optional.empty());
 		if (exchange.streamOpened()) {
@@ -144,6 +145,7 @@
 		recordResponse(exchange);
 		this.state.upstreams.requestEnded(exchange.id());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
+		this.state.poisonRequests.recordSuccess(exchange.digest());
 		if (!exchange.route().storesTurns() || exchange.head().turn().isEmpty()) {
 			this.completion.settle(exchange, Optional.empty());
 			this.completion.endStream(exchange);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -356,6 +356,22 @@
 		assertThat(refusal(effects)).contains(Refusal.BLAMED);
 	}
 
+	// Guards against refusing a frequent harmless request after a few broken connections.
+	@Test
+	void requestThatSucceedsAfterEachFailureIsNotPoison() {
+		RelayFixture relay = RelayFixture.ready();
+		for (int incarnation = 1; incarnation <= 4; incarnation++) {
+			for (String id : List.of("s1", "s2", "s3")) {
+				relay.handle(new RelayEvent.UpstreamUpdated(relay.now(),
+						RelayFixture.withStartTime(id, RelayFixture.SHOP, incarnation)));
+			}
+			assertThat(sends(relay.sendRequest("r" + incarnation, "look"))).hasSize(1);
+			relay.fail(1, FailureCause.BROKEN);
+			assertThat(RelayFixture.ofType(relay.respond(2, RelayFixture.SIGNED), RelayEffect.SendResponse.class))
+				.hasSize(1);
+		}
+	}
+
 	// Guards against sending a request to further upstreams through relays that don't
 	// know its failures yet.
 	@Test
