Bound the unanswered attempts of all upstreams together

The bound was one for incarnations and one for the attempts of each, which together allowed a million entries; one relay has at most thousands of requests in flight. The oldest incarnations are evicted first.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Attempts that were abandoned without a response, by the incarnation of their upstream.
@@ -15,32 +14,24 @@
 final class UnansweredAttempts {
 
 	/**
-	 * The maximum number of incarnations, more than the upstreams of a large site.
+	 * The maximum number of attempts, several times what all upstreams of a large site
+	 * run for one relay.
 	 */
-	private static final int MAX_INCARNATIONS = 4096;
+	private static final int MAX_ATTEMPTS = 8192;
 
-	/**
-	 * The maximum number of attempts for each incarnation, several times what one runs
-	 * concurrently.
-	 */
-	private static final int MAX_ATTEMPTS = 256;
+	private final LinkedHashMap<String, List<LedgerEntry.UpstreamFailed>> byIncarnation = new LinkedHashMap<>();
 
-	private final Map<String, List<LedgerEntry.UpstreamFailed>> byIncarnation = new LinkedHashMap<>() {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, List<LedgerEntry.UpstreamFailed>> eldest) {
-			return size() > MAX_INCARNATIONS;
-		}
-	};
+	private int attemptCount;
 
 	/**
 	 * Adds an abandoned attempt.
 	 * @param failure the failure to record if the incarnation ends
 	 */
 	void add(LedgerEntry.UpstreamFailed failure) {
-		List<LedgerEntry.UpstreamFailed> attempts = this.byIncarnation.computeIfAbsent(failure.upstream(),
-				(incarnation) -> new ArrayList<>());
-		if (attempts.size() < MAX_ATTEMPTS) {
-			attempts.add(failure);
+		this.byIncarnation.computeIfAbsent(failure.upstream(), (incarnation) -> new ArrayList<>()).add(failure);
+		this.attemptCount++;
+		while (this.attemptCount > MAX_ATTEMPTS) {
+			incarnationEnded(this.byIncarnation.firstEntry().getKey());
 		}
 	}
 
@@ -50,7 +41,7 @@
 	 * @param incarnation its incarnation
 	 */
 	void responded(String incarnation) {
-		this.byIncarnation.remove(incarnation);
+		incarnationEnded(incarnation);
 	}
 
 	/**
@@ -60,7 +51,11 @@
 	 */
 	List<LedgerEntry.UpstreamFailed> incarnationEnded(String incarnation) {
 		List<LedgerEntry.UpstreamFailed> removed = this.byIncarnation.remove(incarnation);
-		return (removed != null) ? removed : List.of();
+		if (removed == null) {
+			return List.of();
+		}
+		this.attemptCount -= removed.size();
+		return removed;
 	}
 
 }
