Leave idle connections alone when a request has expired

An expired request took an idle connection and put it back with a full idle timeout, though the upstream counts from the last response: a later request could have met the upstream's close. The deadline is now checked before a connection is taken.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -231,7 +231,7 @@
 	 * since an upstream may serve for a while after its removal.
 	 * @param incarnation the incarnation
 	 */
-	void upstreamEnded(String incarnation) {
+	void recordUpstreamEnd(String incarnation) {
 		this.upstreamEnded = this.upstreamEnded
 				|| this.upstream.map(Upstream::incarnationId).filter(incarnation::equals).isPresent();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -118,7 +118,7 @@
 				continue;
 			}
 			this.state.unansweredAttempts.incarnationEnded(ended.incarnationId()).forEach(this.state::upstreamFailed);
-			this.state.exchanges.values().forEach((exchange) -> exchange.upstreamEnded(ended.incarnationId()));
+			this.state.exchanges.values().forEach((exchange) -> exchange.recordUpstreamEnd(ended.incarnationId()));
 		}
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -72,24 +72,31 @@
 	 * @param attempt the attempt, which may be cancelled at any time
 	 */
 	void send(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
+		if (isExpired(outgoing)) {
+			expire(outgoing);
+			return;
+		}
 		acquire().ifPresentOrElse((reused) -> write(outgoing, reused, attempt), () -> connect(outgoing, attempt));
 	}
 
+	private boolean isExpired(UpstreamConnection.OutgoingRequest outgoing) {
+		return outgoing.deadline() <= this.timers.now();
+	}
+
+	private static void expire(UpstreamConnection.OutgoingRequest outgoing) {
+		outgoing.release();
+		outgoing.listener().onFailure(FailureCause.EXPIRED);
+	}
+
 	/**
-	 * Writes a request unless its deadline has passed. The timeout is computed here,
-	 * since any time may have passed until the connection was established.
+	 * Writes a request. The timeout is computed here, since any time may have passed
+	 * until the connection was established.
 	 * @param outgoing the request
 	 * @param connection an established connection
 	 * @param attempt the attempt
 	 */
 	private void write(UpstreamConnection.OutgoingRequest outgoing, UpstreamConnection connection, Attempt attempt) {
 		Duration timeout = Duration.ofMillis(outgoing.deadline() - this.timers.now());
-		if (!timeout.isPositive()) {
-			this.connectionListener.onIdle(connection);
-			outgoing.release();
-			outgoing.listener().onFailure(FailureCause.EXPIRED);
-			return;
-		}
 		this.dialect.writeTimeout(timeout, outgoing.request().headers());
 		attempt.connection = Optional.of(connection);
 		connection.send(outgoing);
@@ -136,6 +143,11 @@
 				outgoing.listener().onFailure(FailureCause.NOT_CONNECTED);
 				return;
 			}
+			if (isExpired(outgoing)) {
+				this.connectionListener.onIdle(connection);
+				expire(outgoing);
+				return;
+			}
 			write(outgoing, connection, attempt);
 		});
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -98,6 +98,16 @@
 		assertThat(receivedTimeout(this.server.accept())).isEqualTo(500);
 	}
 
+	// Guards against sending an expired request on an idle connection, and against
+	// treating that connection as just used.
+	@Test
+	void expiredRequestDoesNotUseAConnection() throws Exception {
+		onLoop(() -> send(1, 0));
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.EXPIRED);
+		onLoop(() -> send(2, 500));
+		assertThat(receivedTimeout(this.server.accept())).isEqualTo(500);
+	}
+
 	private void onLoop(Runnable task) throws Exception {
 		this.loop.submit(task).get(60, TimeUnit.SECONDS);
 	}
