Admit programs as a whole while a service has room

Cause: when more programs arrive than the upstreams of a service can run, all of them waited in the upstreams' queues and ended late.

Change: core.admission decides at the first turn of a program. The expected wait for a place, from load reports (with the fourth figure of the load header) and own sends, is compared with what the routes of the service tolerate; above it the rate that was admitted lately is continued, corrected by the wait, and divided by priority and then by weighted max-min fairness among teams. A program's level is a hash of its id, so relays decide alike without a message. Turns of programs that have begun are never refused for load: known here, from the log, or without the log from the replicas. Retry-After spreads returns at the rate of admission. A relay adds the lateness of its own event loop. Bytes held for callers that send or read slowly are bounded; an upstream is not read while its caller does not read.

Not measured on a deployment yet.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
@@ -80,6 +80,11 @@
 	/**
 	 * Events that wait for the reducer.
 	 */
-	MAILBOX
+	MAILBOX,
+
+	/**
+	 * Bytes of requests and responses that a relay holds for slow callers.
+	 */
+	HELD_BYTES
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -496,6 +496,49 @@
 
 	}
 
+	/**
+	 * A relay refused a request of a route.
+	 *
+	 * @param route the name of the route
+	 * @param reason the reason, in lower case
+	 */
+	record RouteRequestRefused(String route, String reason) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param route the name of the route
+		 * @param reason the reason, in lower case
+		 */
+		public RouteRequestRefused {
+			Objects.requireNonNull(route, "route");
+			Objects.requireNonNull(reason, "reason");
+		}
+
+	}
+
+	/**
+	 * The admission of new programs to a service, as estimated by a relay.
+	 *
+	 * @param service the name of the service
+	 * @param fraction the fraction of new programs that is admitted
+	 * @param expectedWait the expected wait for a place at an upstream
+	 */
+	record ServiceAdmission(String service, double fraction, Duration expectedWait) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param service the name of the service
+		 * @param fraction the fraction of new programs that is admitted
+		 * @param expectedWait the expected wait for a place at an upstream
+		 * @throws IllegalArgumentException if the wait is negative
+		 */
+		public ServiceAdmission {
+			Objects.requireNonNull(service, "service");
+			requireNotNegative(expectedWait, "expectedWait");
+		}
+
+	}
+
 	/**
 	 * The connections of this process to its peers of one role.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -162,7 +162,22 @@
 	 * The ranked upstreams of a request, the best first, each with its cost, the inputs
 	 * of the cost, and the age of its load report.
 	 */
-	CANDIDATES;
+	CANDIDATES,
+
+	/**
+	 * A priority; 0 is the highest.
+	 */
+	PRIORITY,
+
+	/**
+	 * An expected wait in milliseconds.
+	 */
+	WAIT,
+
+	/**
+	 * The milliseconds after which a caller is told to come back.
+	 */
+	RETRY_AFTER;
 
 	/**
 	 * Returns the key of the field in log lines and in JSON.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -467,6 +467,16 @@
 			"Look for E3017 of the relay: its event loop is behind; without it, check the network to the upstream.",
 			FieldName.REQUEST, FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.MILLISECONDS),
 
+	/**
+	 * Written for each program that is refused for load; {@code LIMIT} is the admitted
+	 * share of its class and {@code WAIT} the expected wait for a place, both as of at
+	 * most 20 ms before.
+	 */
+	PROGRAM_REFUSED(4026, Level.WARN, "A service has no room for another program, and its first turn was rejected.",
+			"If it lasts, add upstreams; if one team causes it, lower its quota.", FieldName.REQUEST, FieldName.PROGRAM,
+			FieldName.GROUP, FieldName.ROUTE, FieldName.PRIORITY, FieldName.LIMIT, FieldName.WAIT,
+			FieldName.RETRY_AFTER, FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -299,6 +299,9 @@
 		}
 		Exchange exchange = this.state.exchanges.get(poll.exchange());
 		poll.addUsage(usage.peer(), usage.tokens(), usage.uncommitted());
+		if (usage.tokens() > exchange.head().turn().orElseThrow().maxTokens()) {
+			exchange.markProgramBegun();
+		}
 		return (poll.stage() == UsagePoll.Stage.REPLICAS) ? decideByReplicas(exchange, poll)
 				: decideByMajority(exchange, poll, usage);
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
+import io.lentilslip.core.admission.ProgramAdmission.Decision;
+
 /**
  * State of one caller's request and its response, from the receipt of the request to the
  * end of the response. Used by one thread.
@@ -71,6 +74,12 @@
 
 	private boolean permitted;
 
+	private boolean callerBlocked;
+
+	private boolean knownToHaveBegun;
+
+	private Optional<Decision.Refused> loadRefusal = Optional.empty();
+
 	Exchange(RelayEvent.RequestReceived request, Route route, CallerIdentity caller) {
 		this.request = request;
 		this.route = route;
@@ -144,6 +153,37 @@
 		return this.permitted;
 	}
 
+	/**
+	 * Records that other turns of the program have run or are running.
+	 */
+	void markProgramBegun() {
+		this.knownToHaveBegun = true;
+	}
+
+	boolean programBegun() {
+		return this.knownToHaveBegun;
+	}
+
+	/**
+	 * Records that there is no room for the program, unless it turns out to have begun.
+	 * @param refused the decision
+	 */
+	void refuseForLoad(Decision.Refused refused) {
+		this.loadRefusal = Optional.of(refused);
+	}
+
+	Optional<Decision.Refused> loadRefusal() {
+		return this.loadRefusal;
+	}
+
+	/**
+	 * Returns the priority of the request; that of a team overrides that of the route.
+	 * @return the priority; 0 is the highest
+	 */
+	int priority() {
+		return team().map(Team::priority).orElse(OptionalInt.empty()).orElse(this.route.priority());
+	}
+
 	Route route() {
 		return this.route;
 	}
@@ -300,6 +340,15 @@
 				: Optional.empty();
 	}
 
+	/**
+	 * Returns the time since the first event of the stream.
+	 * @param now the current time
+	 * @return the time, or empty if there was no event
+	 */
+	Optional<Duration> timeSinceFirstEvent(long now) {
+		return (this.eventCount > 0) ? Optional.of(Duration.ofMillis(now - this.firstEventAt)) : Optional.empty();
+	}
+
 	/**
 	 * Returns when the upstream last sent an event, or when the request was written or,
 	 * before that, the upstream selected.
@@ -319,6 +368,21 @@
 		return first;
 	}
 
+	/**
+	 * Records whether the upstream is not read because its caller does not read. A
+	 * blocked stream is not idle.
+	 * @param blocked whether it is
+	 * @param now the current time
+	 */
+	void callerBlocked(boolean blocked, long now) {
+		this.callerBlocked = blocked;
+		this.lastActivityAt = now;
+	}
+
+	boolean callerBlocked() {
+		return this.callerBlocked;
+	}
+
 	/**
 	 * Returns when the upstream is next checked for being idle.
 	 * @return milliseconds of a monotonic clock
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -33,6 +34,8 @@
 	void refuse(Exchange exchange, Refusal refusal, Optional<Duration> retryAfter) {
 		this.state.report(RelayNotices.requestRefused(exchange, refusal, this.state));
 		recordOutcome(exchange, Outcome.REFUSED);
+		this.state.emit(new RelayEffect.RecordMeasurement(
+				new Measurement.RouteRequestRefused(exchange.route().name(), refusal.name().toLowerCase(Locale.ROOT))));
 		close(exchange, new RelayEffect.Refuse(exchange.number(), refusal, retryAfter));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -28,6 +28,11 @@
 	 */
 	QUOTA_UNKNOWN(Verdict.NOT_RUN),
 
+	/**
+	 * The service has no room for another program.
+	 */
+	OVERLOADED(Verdict.NOT_RUN),
+
 	/**
 	 * The input of the turn exceeds the size that fits into a log record.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -58,6 +58,9 @@
 			case RelayEvent.AttemptEvent attemptEvent -> this.responses.attemptEvent(attemptEvent);
 			case RelayEvent.CallerDisconnected disconnected ->
 				this.state.find(disconnected).ifPresent(this.completion::callerDisconnected);
+			case RelayEvent.CallerBlocked blocked -> this.state.find(blocked)
+				.ifPresent((exchange) -> exchange.callerBlocked(blocked.blocked(), event.now()));
+			case RelayEvent.EventLoopDelayed delayed -> this.state.eventLoopDelay = delayed.delay();
 			case RelayEvent.TimerFired fired ->
 				this.state.find(fired).ifPresent((exchange) -> timerFired(exchange, fired.timer()));
 			case RelayEvent.EntriesReceived received -> this.ledger.entriesReceived(received);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -85,6 +85,17 @@
 
 	}
 
+	/**
+	 * The caller reads its response more slowly than it arrives, or reads again.
+	 *
+	 * @param now the time of the event
+	 * @param exchange the exchange
+	 * @param blocked whether reading from the upstream is paused for it
+	 */
+	record CallerBlocked(long now, long exchange, boolean blocked) implements ExchangeEvent {
+
+	}
+
 	/**
 	 * The caller closed its connection.
 	 *
@@ -406,6 +417,16 @@
 
 	}
 
+	/**
+	 * A periodic timer of the event loop has run.
+	 *
+	 * @param now the time of the event
+	 * @param delay by how much it was late
+	 */
+	record EventLoopDelayed(long now, Duration delay) implements RelayEvent {
+
+	}
+
 	/**
 	 * Another relay reserved a turn and reported the usage of its program.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import io.lentilslip.core.admission.ProgramAdmission;
+import io.lentilslip.core.admission.ProgramAdmission.Decision;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
@@ -20,6 +22,8 @@
 
 	private static final String NONE = "none";
 
+	private static final int PERCENT = 100;
+
 	private RelayNotices() {
 	}
 
@@ -170,6 +174,27 @@
 				field(FieldName.MILLISECONDS, retryAfter.toMillis()));
 	}
 
+	/**
+	 * Reports a program for which a service has no room.
+	 * @param exchange the exchange of its first turn
+	 * @param refused the decision
+	 * @param admission the admission of the service, with the inputs of the decision
+	 * @param now the current time
+	 * @return the notice
+	 */
+	static Notice loadRefused(Exchange exchange, Decision.Refused refused, ProgramAdmission admission, long now) {
+		return notice(NoticeCode.PROGRAM_REFUSED, request(exchange), program(exchange),
+				field(FieldName.GROUP, exchange.team().map(Team::name).orElse(NONE)),
+				field(FieldName.ROUTE, exchange.route().name()), field(FieldName.PRIORITY, exchange.priority()),
+				field(FieldName.LIMIT, percent(refused.cutoff())),
+				field(FieldName.WAIT, admission.expectedWait().toMillis()),
+				field(FieldName.RETRY_AFTER, refused.retryAfter().toMillis()), elapsed(exchange, now));
+	}
+
+	private static String percent(double fraction) {
+		return Math.round(fraction * PERCENT) + "%";
+	}
+
 	static Notice callerDisconnected(Exchange exchange, long now) {
 		return notice(NoticeCode.CALLER_LEFT, request(exchange), program(exchange), upstream(exchange),
 				events(exchange), elapsed(exchange, now));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -134,6 +134,11 @@
 	 */
 	long logSlowAt = NEVER;
 
+	/**
+	 * By how much the event loop of this relay was last late.
+	 */
+	Duration eventLoopDelay = Duration.ZERO;
+
 	/**
 	 * The address by which other relays know this one; empty until it listens for them.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -25,15 +25,22 @@
 
 	private final QuotaRules quotas;
 
+	private final AdmissionRules admissions;
+
 	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeCompletion completion) {
 		this.state = state;
 		this.budgets = budgets;
 		this.texts = texts;
 		this.completion = completion;
 		this.quotas = new QuotaRules(state, completion, this::admitted);
+		this.admissions = new AdmissionRules(state, completion);
 		completion.onRemoved(this.quotas::exchangeEnded);
 	}
 
+	AdmissionRules admissions() {
+		return this.admissions;
+	}
+
 	QuotaRules quotas() {
 		return this.quotas;
 	}
@@ -63,7 +70,10 @@
 			return;
 		}
 		this.state.startTimer(exchange, exchange.remaining(this.state.now), TimerKind.DEADLINE);
-		if ((exchange.head().turn().isPresent() && refuseTurn(exchange)) || !this.quotas.admit(exchange)) {
+		if (exchange.head().turn().isPresent() && (refuseTurn(exchange) || this.admissions.refuse(exchange))) {
+			return;
+		}
+		if (!this.quotas.admit(exchange)) {
 			return;
 		}
 		admitted(exchange);
@@ -153,6 +163,9 @@
 				}
 			}
 		}
+		if (this.admissions.refuseUndecided(exchange)) {
+			return;
+		}
 		List<RankedUpstream> ranked = rank(exchange);
 		if (ranked.isEmpty()) {
 			this.completion.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
@@ -213,6 +226,7 @@
 	}
 
 	private void send(Exchange exchange, List<RankedUpstream> ranked) {
+		this.admissions.sent(exchange);
 		UpstreamState candidate = ranked.getFirst().state();
 		Upstream upstream = candidate.upstream();
 		exchange.recordSend(upstream, this.state.now);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseHead.java
@@ -57,8 +57,15 @@
 	 *
 	 * @param running the requests in execution
 	 * @param waiting the requests in its queue
+	 * @param slowdownPercent how long work takes there at this moment, in percent of the
+	 * usual time
 	 */
-	public record Load(int running, int waiting) {
+	public record Load(int running, int waiting, int slowdownPercent) {
+
+		/**
+		 * The slowdown of an upstream that works as usual, or reports none.
+		 */
+		public static final int USUAL_PERCENT = 100;
 
 		/**
 		 * Returns the total number of requests.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -23,7 +23,10 @@
 
 	private final ExchangeCompletion completion;
 
+	private final AdmissionRules admissions;
+
 	ResponseRules(RelayState state, RequestRules requests, TextRules texts, ExchangeCompletion completion) {
+		this.admissions = requests.admissions();
 		this.state = state;
 		this.requests = requests;
 		this.texts = texts;
@@ -105,7 +108,7 @@
 	private void recordLoad(Exchange exchange, ResponseHead head) {
 		this.state.upstreamOf(exchange)
 			.ifPresent((upstream) -> head.load()
-				.ifPresent((load) -> this.state.upstreams.loadReported(upstream, load.requests(), this.state.now)));
+				.ifPresent((load) -> this.state.upstreams.loadReported(upstream, load, this.state.now)));
 	}
 
 	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
@@ -146,6 +149,7 @@
 		this.state.upstreams.requestEnded(exchange.id());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
 		this.state.poisonRequests.recordSuccess(exchange.digest());
+		this.admissions.streamEnded(exchange);
 		if (!exchange.route().storesTurns() || exchange.head().turn().isEmpty()) {
 			this.completion.settle(exchange, Optional.empty());
 			this.completion.endStream(exchange);
@@ -162,6 +166,10 @@
 		if (exchange.phase() != Phase.RUNNING) {
 			return;
 		}
+		if (exchange.callerBlocked()) {
+			this.state.idleTimeout.start(exchange);
+			return;
+		}
 		if (this.state.idleTimeout.hasExpired(exchange)) {
 			this.requests.replaceIdleUpstream(exchange);
 			this.state.idleTimeout.start(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import io.lentilslip.core.admission.ServiceRoom;
+
 /**
  * A relay's view of the upstreams: which are listed, and the estimated load, cache
  * content and ejection of each. A wrong estimate costs latency, never correctness. Not
@@ -171,17 +174,23 @@
 	/**
 	 * Records a load report of an upstream.
 	 * @param upstream the upstream
-	 * @param requests the number of running and queued requests
+	 * @param load the report
 	 * @param at the time of the report
 	 */
-	void loadReported(UpstreamState upstream, int requests, long at) {
-		if (upstream.updateReport(requests, at)) {
-			int hash = upstream.upstream.incarnationId().hashCode();
-			this.byReportTime.remove(hash);
-			this.byReportTime.put(hash, upstream);
+	void loadReported(UpstreamState upstream, ResponseHead.Load load, long at) {
+		if (upstream.updateReport(load.requests(), at)) {
+			upstream.slowdownPercent = load.slowdownPercent();
+			upstream.slowdownAt = at;
+			recordReport(upstream);
 		}
 	}
 
+	private void recordReport(UpstreamState upstream) {
+		int hash = upstream.upstream.incarnationId().hashCode();
+		this.byReportTime.remove(hash);
+		this.byReportTime.put(hash, upstream);
+	}
+
 	/**
 	 * Merges load reports shared by another relay. Outdated reports are ignored.
 	 * @param loads the reports
@@ -190,8 +199,8 @@
 	void mergeLoads(List<UpstreamLoad> loads, long now) {
 		for (UpstreamLoad load : loads) {
 			UpstreamState upstream = this.byIncarnationHash.get(load.incarnationHash());
-			if (upstream != null) {
-				loadReported(upstream, load.requests(), now - load.ageMillis());
+			if (upstream != null && upstream.updateReport(load.requests(), now - load.ageMillis())) {
+				recordReport(upstream);
 			}
 		}
 	}
@@ -247,6 +256,25 @@
 		return available;
 	}
 
+	/**
+	 * Estimates the room of a service. Ejected upstreams provide none.
+	 * @param service the service
+	 * @param holdTime the mean time for which a request holds a place
+	 * @param now the current time
+	 * @return the room
+	 */
+	ServiceRoom room(String service, Duration holdTime, long now) {
+		double places = 0;
+		int requests = 0;
+		for (UpstreamState candidate : available(service)) {
+			if (!candidate.isEjected(now)) {
+				places += candidate.slots() * (double) ResponseHead.Load.USUAL_PERCENT / candidate.slowdownPercent(now);
+				requests += candidate.load(now);
+			}
+		}
+		return new ServiceRoom(places, requests, holdTime);
+	}
+
 	/**
 	 * Estimated state of one upstream incarnation. Not thread-safe.
 	 */
@@ -264,6 +292,10 @@
 
 		private long reportedAt = Long.MIN_VALUE / 2;
 
+		private int slowdownPercent = ResponseHead.Load.USUAL_PERCENT;
+
+		private long slowdownAt = Long.MIN_VALUE / 2;
+
 		private long ejectedUntil;
 
 		private long ejectionMillis = INITIAL_EJECTION_MS;
@@ -306,6 +338,15 @@
 			return (this.reportedAt >= 0) ? OptionalLong.of(now - this.reportedAt) : OptionalLong.empty();
 		}
 
+		/**
+		 * Returns how long work takes at the upstream, in percent of the usual time.
+		 * @param now the current time
+		 * @return the percentage; the usual one without a recent report
+		 */
+		int slowdownPercent(long now) {
+			return (now - this.slowdownAt < REPORT_MAX_AGE_MS) ? this.slowdownPercent : ResponseHead.Load.USUAL_PERCENT;
+		}
+
 		void recordFailure(long now) {
 			this.ejectedUntil = now + this.ejectionMillis;
 			this.ejectionMillis = Math.min(2 * this.ejectionMillis, MAX_EJECTION_MS);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
@@ -57,8 +57,8 @@
 		Upstreams engines = engines(2);
 		UpstreamState withCachedPrompt = engines.find("engine-0").orElseThrow();
 		withCachedPrompt.addToCache(session.subList(0, 1), 1_000_000);
-		engines.loadReported(withCachedPrompt, 30, NOW);
-		engines.loadReported(engines.find("engine-1").orElseThrow(), 26, NOW);
+		engines.loadReported(withCachedPrompt, load(30), NOW);
+		engines.loadReported(engines.find("engine-1").orElseThrow(), load(26), NOW);
 		assertThat(this.selector.rank(engines.available("s"), Set.of(), session, true, NOW).getFirst().state())
 			.isSameAs(withCachedPrompt);
 	}
@@ -83,7 +83,7 @@
 			input += 1000;
 			for (UpstreamState engine : engines.available("s")) {
 				int error = random.nextInt(-4, 5);
-				engines.loadReported(engine, Math.max(0, load.getOrDefault(engine, 0) + error), NOW + turn);
+				engines.loadReported(engine, load(Math.max(0, load.getOrDefault(engine, 0) + error)), NOW + turn);
 			}
 			UpstreamState selected = this.selector
 				.rank(engines.available("s"), Set.of(), conversation, true, NOW + turn)
@@ -200,4 +200,8 @@
 			.id();
 	}
 
+	private static ResponseHead.Load load(int running) {
+		return new ResponseHead.Load(running, 0, ResponseHead.Load.USUAL_PERCENT);
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -52,7 +52,7 @@
 		Upstreams.UpstreamState engine = add("a");
 		this.upstreams.requestStarted("other", engine, 0);
 		this.upstreams.requestSent("before", engine, 5);
-		this.upstreams.loadReported(engine, 7, 10);
+		this.upstreams.loadReported(engine, load(7), 10);
 		this.upstreams.requestSent("r1", engine, 20);
 		this.upstreams.requestSent("r2", engine, 30);
 		assertThat(engine.load(40)).isEqualTo(9);
@@ -63,8 +63,8 @@
 
 	@Test
 	void loadReportsAreSharedWithTheirAgeUntilTheyExpire() {
-		this.upstreams.loadReported(add("a"), 7, 100);
-		this.upstreams.loadReported(add("b"), 3, 250);
+		this.upstreams.loadReported(add("a"), load(7), 100);
+		this.upstreams.loadReported(add("b"), load(3), 250);
 		List<UpstreamLoad> shared = this.upstreams.recentLoads(300);
 		assertThat(shared).containsExactly(new UpstreamLoad("b".hashCode(), 3, 50),
 				new UpstreamLoad("a".hashCode(), 7, 200));
@@ -80,7 +80,7 @@
 	@Test
 	void outdatedLoadReportIsIgnored() {
 		Upstreams.UpstreamState engine = add("a");
-		this.upstreams.loadReported(engine, 7, 100);
+		this.upstreams.loadReported(engine, load(7), 100);
 		this.upstreams.mergeLoads(List.of(new UpstreamLoad("a".hashCode(), 1, 30)), 120);
 		assertThat(engine.load(120)).isEqualTo(7);
 	}
@@ -88,7 +88,7 @@
 	@Test
 	void numberOfSharedLoadReportsIsBounded() {
 		for (int i = 0; i < 100; i++) {
-			this.upstreams.loadReported(add("engine-" + i), i, 100 + i);
+			this.upstreams.loadReported(add("engine-" + i), load(i), 100 + i);
 		}
 		assertThat(this.upstreams.recentLoads(200)).hasSize(16)
 			.first()
@@ -96,6 +96,10 @@
 			.isEqualTo(99);
 	}
 
+	private static ResponseHead.Load load(int running) {
+		return new ResponseHead.Load(running, 0, 100);
+	}
+
 	private Upstreams.UpstreamState add(String id) {
 		this.upstreams.put(RelayFixture.upstream(id, "s"));
 		return this.upstreams.find(id).orElseThrow();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -49,6 +50,12 @@
 	 */
 	private static final int MAX_QUEUED_MESSAGES = 64;
 
+	/**
+	 * The retry delay of a caller for whose body there is no memory; the time in which
+	 * most responses end.
+	 */
+	private static final int RETRY_AFTER_SECONDS = 1;
+
 	private final CallerListener listener;
 
 	private final Timers timers;
@@ -57,6 +64,8 @@
 
 	private final BooleanSupplier draining;
 
+	private final HeldBytes heldBytes;
+
 	private final Deque<Object> queue = new ArrayDeque<>();
 
 	/**
@@ -84,12 +93,15 @@
 
 	private long exchange;
 
+	private long held;
+
 	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
-			BooleanSupplier draining) {
+			BooleanSupplier draining, HeldBytes heldBytes) {
 		this.listener = listener;
 		this.timers = timers;
 		this.limits = limits;
 		this.draining = draining;
+		this.heldBytes = heldBytes;
 	}
 
 	/**
@@ -101,6 +113,8 @@
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(head.status()), Unpooled.wrappedBuffer(responseBody));
 		copyHeaders(head, response);
+		this.held += responseBody.length;
+		this.heldBytes.hold(responseBody.length);
 		respond(response);
 	}
 
@@ -153,6 +167,7 @@
 	 * Closes the connection without completing the response.
 	 */
 	public void abort() {
+		releaseHeld();
 		this.responding = false;
 		this.closing = true;
 		this.context.close();
@@ -198,9 +213,17 @@
 		process(message);
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		if (this.responding) {
+			this.listener.onWritabilityChanged(this.exchange, ctx.channel().isWritable());
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		cancelTimer();
+		releaseHeld();
 		this.queue.forEach(ReferenceCountUtil::release);
 		this.queue.clear();
 		if (this.responding) {
@@ -257,6 +280,11 @@
 				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 				return;
 			}
+			if (!this.heldBytes.tryHold(bytes.readableBytes())) {
+				reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+				return;
+			}
+			this.held += bytes.readableBytes();
 			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 			if (content instanceof LastHttpContent) {
 				completeRequest();
@@ -277,7 +305,13 @@
 		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray(), this.headReadAt);
 	}
 
+	private void releaseHeld() {
+		this.heldBytes.release(this.held);
+		this.held = 0;
+	}
+
 	private void responseSent() {
+		releaseHeld();
 		this.responding = false;
 		if (this.closeAfterResponse || !this.context.channel().isActive()) {
 			this.closing = true;
@@ -298,7 +332,11 @@
 	private void reject(HttpResponseStatus status) {
 		this.closing = true;
 		cancelTimer();
+		releaseHeld();
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+		}
 		HttpUtil.setContentLength(response, 0);
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		this.context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerListener.java
@@ -18,6 +18,14 @@
 	 */
 	long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt);
 
+	/**
+	 * Called when the bytes that wait to be read by a caller exceed what is buffered for
+	 * one connection, and when there is room again.
+	 * @param exchange the id of the exchange
+	 * @param writable whether there is room
+	 */
+	void onWritabilityChanged(long exchange, boolean writable);
+
 	/**
 	 * Called when a caller disconnected before its response was complete.
 	 * @param exchange the id of the exchange
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.netty.channel.Channel;
@@ -23,6 +24,8 @@
 
 	private final Timers timers;
 
+	private final HeldBytes heldBytes;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private RouteTable.Limits limits = RouteTable.Limits.defaults();
@@ -35,8 +38,10 @@
 	 * Creates a server that is not yet bound.
 	 * @param listener receives the requests
 	 * @param timers the clock
+	 * @param heldBytes bounds what is held for slow callers
 	 */
-	public CallerServer(CallerListener listener, Timers timers) {
+	public CallerServer(CallerListener listener, Timers timers, HeldBytes heldBytes) {
+		this.heldBytes = heldBytes;
 		this.listener = listener;
 		this.timers = timers;
 	}
@@ -89,7 +94,7 @@
 
 	private void accept(Channel channel) {
 		CallerConnection connection = new CallerConnection(this.listener, this.timers, () -> this.limits,
-				() -> this.draining);
+				() -> this.draining, this.heldBytes);
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
 		channel.pipeline()
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -60,6 +60,16 @@
 		return this.lastExchange;
 	}
 
+	// The upstream is not read until the caller reads again. It may cut off a response
+	// that stays unread, which then is not complete for the caller either.
+	@Override
+	public void onWritabilityChanged(long exchange, boolean writable) {
+		if (this.open.containsKey(exchange)) {
+			this.upstreams.setReading(exchange, writable);
+			this.events.on(new RelayEvent.CallerBlocked(this.timers.now(), exchange, !writable));
+		}
+	}
+
 	@Override
 	public void onDisconnect(long exchange) {
 		this.open.remove(exchange);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
+import io.lentilslip.core.measurement.CollectionName;
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
@@ -36,6 +37,7 @@
 import io.lentilslip.relay.http.CallerServer;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.http.ReadinessServer;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.net.TrafficCounter;
 import io.lentilslip.relay.peer.PeerListener;
 import io.lentilslip.relay.peer.Peers;
@@ -152,7 +154,7 @@
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
-		this.callers = new CallerServer(this.exchanges, this.timers);
+		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes());
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
@@ -257,7 +259,7 @@
 	}
 
 	private void checkConnectivity() {
-		this.timerDelayMonitor.recordRun(this.timers.now());
+		on(new RelayEvent.EventLoopDelayed(this.timers.now(), this.timerDelayMonitor.recordRun(this.timers.now())));
 		detectPause();
 		this.peers.checkLiveness();
 		this.connectivityMonitor.check();
@@ -265,6 +267,9 @@
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.connectedCount(),
 					this.peers.connectedCount() + this.peers.unreachableCount()));
 		this.traffic.publish(this.setup.measurements());
+		this.setup.measurements()
+			.accept(new Measurement.CollectionSize(CollectionName.HELD_BYTES, this.setup.heldBytes().held(),
+					this.setup.heldBytes().limit()));
 		this.timerDelayMonitor.expectRun(this.timers.now() + CONNECTIVITY_CHECK_INTERVAL.toMillis());
 		this.timers.schedule(CONNECTIVITY_CHECK_INTERVAL, this::checkConnectivity);
 	}
@@ -433,10 +438,11 @@
 	 * @param notices receives notices
 	 * @param measurements receives measurements
 	 * @param metrics returns the metrics page
+	 * @param heldBytes bounds what is held for slow callers
 	 */
 	public record Setup(RelaySettings settings, RelayAddresses addresses, Duration drainLimit, Dialect dialect,
 			StoreDecoder storeDecoder, Function<EventLoop, Store> store, Notices notices,
-			Consumer<Measurement> measurements, Supplier<String> metrics) {
+			Consumer<Measurement> measurements, Supplier<String> metrics, HeldBytes heldBytes) {
 
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/TimerDelayMonitor.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/TimerDelayMonitor.java
@@ -50,10 +50,11 @@
 	/**
 	 * Records that the timer has run.
 	 * @param now milliseconds of the monotonic clock
+	 * @return by how much it was late
 	 */
-	void recordRun(long now) {
+	Duration recordRun(long now) {
 		if (this.expectedAt.isEmpty()) {
-			return;
+			return Duration.ZERO;
 		}
 		long delay = Math.max(0, now - this.expectedAt.getAsLong());
 		this.expectedAt = OptionalLong.empty();
@@ -62,6 +63,7 @@
 		if (this.maxDelay >= MIN_REPORTED_DELAY_MS && now >= this.nextNoticeAt) {
 			report(now);
 		}
+		return Duration.ofMillis(delay);
 	}
 
 	private void report(long now) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -84,6 +84,19 @@
 		}
 	}
 
+	/**
+	 * Pauses or resumes reading the response of the current attempt of an exchange.
+	 * @param exchange the exchange
+	 * @param reading whether to read
+	 */
+	public void setReading(long exchange, boolean reading) {
+		this.attempts.forEach((key, attempt) -> {
+			if (key.exchange() == exchange) {
+				attempt.setReading(reading);
+			}
+		});
+	}
+
 	/**
 	 * Closes the idle connections to an upstream that was removed.
 	 * @param upstream the id of the upstream
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -81,6 +81,10 @@
 		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.request()));
 	}
 
+	void setReading(boolean reading) {
+		this.context.channel().config().setAutoRead(reading);
+	}
+
 	boolean isReusable() {
 		return this.current.isEmpty() && this.context.channel().isActive();
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -216,6 +216,14 @@
 
 		private boolean cancelled;
 
+		/**
+		 * Pauses or resumes reading the response, if the request was sent.
+		 * @param reading whether to read
+		 */
+		void setReading(boolean reading) {
+			this.connection.ifPresent((sent) -> sent.setReading(reading));
+		}
+
 		void cancel() {
 			this.cancelled = true;
 			this.connection.ifPresent(UpstreamConnection::cancel);
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -7,11 +7,18 @@
 
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.RouteTable;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.junit.jupiter.api.AfterEach;
@@ -27,8 +34,10 @@
 
 	private final RecordingListener listener = new RecordingListener();
 
+	private final HeldBytes heldBytes = new HeldBytes(1_000);
+
 	private final CallerConnection connection = new CallerConnection(this.listener, this.timers,
-			RouteTable.Limits::defaults, () -> false);
+			RouteTable.Limits::defaults, () -> false, this.heldBytes);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection);
 
@@ -62,6 +71,47 @@
 		assertThat(this.listener.headTimes).containsExactly(10L, 20L, 30L);
 	}
 
+	// Guards against bodies that trickle in on many connections and fill the memory.
+	@Test
+	void bodyBeyondTheMemoryForSlowCallersIsRefusedAsNotRun() {
+		EmbeddedChannel other = new EmbeddedChannel(new CallerConnection(this.listener, this.timers,
+				RouteTable.Limits::defaults, () -> false, this.heldBytes));
+		other.writeInbound(head(), content(700));
+		this.channel.writeInbound(head(), content(200), content(200));
+		HttpResponse refused = this.channel.readOutbound();
+		assertThat(refused.status()).isEqualTo(HttpResponseStatus.SERVICE_UNAVAILABLE);
+		assertThat(refused.headers().contains(HttpHeaderNames.RETRY_AFTER)).isTrue();
+		assertThat(this.channel.isActive()).isFalse();
+		assertThat(this.listener.headTimes).isEmpty();
+		assertThat(this.heldBytes.held()).isEqualTo(700);
+		other.close();
+		assertThat(this.heldBytes.held()).isZero();
+		other.finishAndReleaseAll();
+	}
+
+	@Test
+	void bytesAreReleasedWithTheResponse() {
+		this.channel.writeInbound(head(), content(300), LastHttpContent.EMPTY_LAST_CONTENT);
+		assertThat(this.heldBytes.held()).isEqualTo(300);
+		this.connection.respond(RESPONSE, new byte[50]);
+		assertThat(this.heldBytes.held()).isZero();
+	}
+
+	// Guards against buffering the whole stream of a caller that does not read.
+	@Test
+	void listenerIsNotifiedWhenACallerDoesNotRead() {
+		this.channel.writeInbound(head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.channel.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+		this.channel.runPendingTasks();
+		this.channel.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+		this.channel.runPendingTasks();
+		assertThat(this.listener.writability).containsExactly(false, true);
+	}
+
+	private static HttpContent content(int bytes) {
+		return new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[bytes]));
+	}
+
 	private static HttpRequest head() {
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 	}
@@ -92,12 +142,19 @@
 
 		private final List<Long> headTimes = new ArrayList<>();
 
+		private final List<Boolean> writability = new ArrayList<>();
+
 		@Override
 		public long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt) {
 			this.headTimes.add(headReadAt);
 			return this.headTimes.size();
 		}
 
+		@Override
+		public void onWritabilityChanged(long exchange, boolean writable) {
+			this.writability.add(writable);
+		}
+
 		@Override
 		public void onDisconnect(long exchange) {
 		}
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -119,6 +119,17 @@
 	private final Histogram routeFirstEvent = histogram("lentilslip_route_first_event_seconds",
 			"Time from the reading of a request by a relay to the first event of its answer.", "route", CALL_BOUNDS);
 
+	private final Counter routeRefusals = counter("lentilslip_route_refusals_total", "Requests that a relay refused.",
+			"route", "reason");
+
+	private final BoundedLabels services = new BoundedLabels(ROUTE_LIMIT);
+
+	private final Gauge admittedFraction = gauge("lentilslip_service_admitted_fraction",
+			"Fraction of new programs that a relay admits to a service.", "service");
+
+	private final Gauge expectedWait = gauge("lentilslip_service_expected_wait_seconds",
+			"Expected wait for a place at the upstreams of a service.", "service");
+
 	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
 			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
 
@@ -202,6 +213,9 @@
 				this.linksKnown.labelValues(state.kind().label()).set(state.known());
 			}
 			case Measurement.RouteRequestEnded ended -> apply(ended);
+			case Measurement.RouteRequestRefused(String route, String reason) ->
+				this.routeRefusals.labelValues(this.routes.labelOf(route), reason).inc();
+			case Measurement.ServiceAdmission admission -> apply(admission);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.RequestWritten(Duration delay) -> this.writeDelay.observe(seconds(delay));
 			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
@@ -292,6 +306,16 @@
 		ended.firstEvent().ifPresent((time) -> this.routeFirstEvent.labelValues(route).observe(seconds(time)));
 	}
 
+	// Gauges of several services cannot share a series, as for groups.
+	private void apply(Measurement.ServiceAdmission admission) {
+		String service = this.services.labelOf(admission.service());
+		if (service.equals(BoundedLabels.OTHER)) {
+			return;
+		}
+		this.admittedFraction.labelValues(service).set(admission.fraction());
+		this.expectedWait.labelValues(service).set(seconds(admission.expectedWait()));
+	}
+
 	private void apply(Measurement.ProgramEnded ended) {
 		String group = labelOf(ended.group());
 		this.programLatency.labelValues(group).observe(seconds(ended.latency()));
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -50,6 +50,8 @@
 			new Measurement.Retries(Measurement.Retries.Operation.CALL, 1, 0),
 			new Measurement.RouteRequestEnded("chat", Measurement.RouteRequestEnded.Outcome.ANSWERED,
 					Duration.ofMillis(5), Optional.of(Duration.ofMillis(1))),
+			new Measurement.RouteRequestRefused("chat", "overloaded"),
+			new Measurement.ServiceAdmission("engine", 0.5, Duration.ofMillis(1)),
 			new Measurement.TimerRan(Duration.ofMillis(1)), new Measurement.RequestWritten(Duration.ofMillis(1)),
 			new Measurement.EntriesGivenUp(1),
 			new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_IN, 1, 1),
