Count only a perceptible delay of the event loop as wait

Cause: any delay of a relay's event loop counted as wait, so a pause of some ten milliseconds let it refuse programs while upstreams had free places.

Change: only the part beyond half of the latency target counts. A route with several services is admitted by the one that most of its requests go to.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -120,20 +121,37 @@
 	}
 
 	private ServiceLoad load(Route route) {
-		String service = route.services().getFirst().service();
+		String service = mainService(route);
 		ServiceLoad load = this.loads.computeIfAbsent(service,
 				(name) -> new ServiceLoad(new ProgramAdmission(this.state.random.split())));
 		if (load.admission.isOutdated(this.state.now)) {
 			Duration target = latencyTarget(service).orElse(route.latencyTarget());
 			Duration holdTime = load.holdTime().orElse(target);
-			Duration wait = this.state.upstreams.room(service, holdTime, this.state.now).expectedWait();
-			load.admission.update(wait.plus(this.state.eventLoopDelay), WaitTolerance.of(target), this.state.now);
+			Duration wait = this.state.upstreams.room(service, holdTime, this.state.now)
+				.expectedWait()
+				.plus(perceptibleDelay(target));
+			load.admission.update(wait, WaitTolerance.of(target), this.state.now);
 			this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.ServiceAdmission(service,
 					load.admission.fraction(), load.admission.expectedWait())));
 		}
 		return load;
 	}
 
+	// A relay whose own event loop is so late that callers notice admits fewer programs;
+	// short delays say nothing about the room.
+	private Duration perceptibleDelay(Duration latencyTarget) {
+		Duration excess = this.state.eventLoopDelay.minus(latencyTarget.dividedBy(2));
+		return excess.isNegative() ? Duration.ZERO : excess;
+	}
+
+	private static String mainService(Route route) {
+		return route.services()
+			.stream()
+			.max(Comparator.comparingDouble(Route.WeightedService::weight))
+			.orElseThrow()
+			.service();
+	}
+
 	// The most demanding callers of a service determine how long its queues may be.
 	private Optional<Duration> latencyTarget(String service) {
 		return this.state.routeTable.stream()
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -87,6 +88,18 @@
 		assertThat(sends(firstTurn("p"))).hasSize(1);
 	}
 
+	// Guards against a relay that takes programs while its callers wait for its own event
+	// loop, and against one that refuses programs for a short delay with room to spare.
+	@Test
+	void relayWithALateEventLoopRefusesPrograms() {
+		this.relay.handle(new RelayEvent.EventLoopDelayed(this.relay.now(), Duration.ofMillis(90)));
+		assertThat(sends(firstTurn("p"))).hasSize(1);
+		this.relay.advance(100);
+		this.relay.handle(new RelayEvent.EventLoopDelayed(this.relay.now(), Duration.ofMillis(900)));
+		assertThat(sends(firstTurn("q"))).isEmpty();
+		assertThat(sends(firstTurn("p"))).hasSize(1);
+	}
+
 	@Test
 	void priorityOfTheTeamOverridesThatOfTheRoute() {
 		RouteTable plain = RelayFixture.table();
