Leave requests that only the log knows out of the room of a service

Cause: without a recent report, the load of an upstream fell back to the requests that the log shows as running. While the store is away their ends are not read, so idle upstreams seemed full for five seconds and programs were refused with room to spare.

Change: of an upstream without a recent report only the requests of this relay count.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -257,7 +257,9 @@
 	}
 
 	/**
-	 * Estimates the room of a service. Ejected upstreams provide none.
+	 * Estimates the room of a service. Ejected upstreams provide none. Of an upstream
+	 * without a recent report, only the requests of this relay count: those in the log
+	 * may have ended long ago if the log is unavailable.
 	 * @param service the service
 	 * @param holdTime the mean time for which a request holds a place
 	 * @param now the current time
@@ -269,7 +271,7 @@
 		for (UpstreamState candidate : this.byId.values()) {
 			if (candidate.isAvailable(service) && !candidate.isEjected(now)) {
 				places += candidate.slots() * (double) ResponseHead.Load.USUAL_PERCENT / candidate.slowdownPercent(now);
-				requests += candidate.load(now);
+				requests += candidate.reportedLoad(now);
 			}
 		}
 		return new ServiceRoom(places, requests, holdTime);
@@ -412,8 +414,21 @@
 		 */
 		int load(long now) {
 			removeExpired(now);
-			if (now - this.reportedAt >= REPORT_MAX_AGE_MS) {
-				return this.runs.size();
+			return hasRecentReport(now) ? reportedLoad(now) : this.runs.size();
+		}
+
+		private boolean hasRecentReport(long now) {
+			return now - this.reportedAt < REPORT_MAX_AGE_MS;
+		}
+
+		/**
+		 * Returns the requests that a recent load report and this relay know of.
+		 * @param now the current time
+		 * @return the number of requests
+		 */
+		int reportedLoad(long now) {
+			if (!hasRecentReport(now)) {
+				return this.localRuns;
 			}
 			return Math.max(this.localRuns, this.reportedLoad + this.sentSinceReport);
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -1,7 +1,10 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
 
+import io.lentilslip.core.admission.ServiceRoom;
+
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -76,6 +79,36 @@
 		assertThat(other.recentLoads(1_010)).containsExactly(new UpstreamLoad("b".hashCode(), 3, 60));
 	}
 
+	// Guards against refusing programs because of requests that have ended, but whose
+	// ends could not be read from the log during an outage.
+	@Test
+	void requestsKnownFromTheLogTakeNoRoom() {
+		Upstreams.UpstreamState engine = add("a");
+		for (int i = 0; i < 20; i++) {
+			this.upstreams.requestStarted("other-" + i, engine, 0);
+		}
+		this.upstreams.requestSent("own", engine, 10);
+		ServiceRoom room = this.upstreams.room("s", Duration.ofMillis(200), 500);
+		assertThat(room.requests()).isEqualTo(1);
+		assertThat(room.expectedWait()).isZero();
+		assertThat(engine.load(500)).isEqualTo(21);
+	}
+
+	@Test
+	void slowUpstreamsProvideLessRoom() {
+		this.upstreams.loadReported(add("a"), new ResponseHead.Load(6, 0, 200), 100);
+		this.upstreams.loadReported(add("b"), new ResponseHead.Load(6, 0, 100), 100);
+		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 150).places()).isEqualTo(9);
+		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 900).places()).isEqualTo(12);
+	}
+
+	@Test
+	void ejectedAndDrainingUpstreamsProvideNoRoom() {
+		add("a").recordFailure(100);
+		add("b");
+		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 150).places()).isEqualTo(6);
+	}
+
 	// Guards against applying load reports of two relays out of order.
 	@Test
 	void outdatedLoadReportIsIgnored() {
