Read a reused connection to an upstream again after a pause

Cause: the end of a response may be read together with the data that paused the reading for a slow caller. The connection then went back to the pool with reading switched off, and the next request on it would have got no answer until its deadline. Found by reading; the test fails without the change.

Change: sending a request switches reading on.

--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -4,7 +4,6 @@
 import java.util.List;
 
 import io.lentilslip.core.admission.ServiceRoom;
-
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -77,6 +77,9 @@
 		this.current = Optional.of(outgoing);
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
+		// The end of the previous response may have been read together with the data that
+		// paused the reading.
+		setReading(true);
 		outgoing.listener().onWritten();
 		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.request()));
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -193,7 +193,7 @@
 	/**
 	 * Dialect that writes the timeout only.
 	 */
-	private static final class PlainDialect implements Dialect {
+	static final class PlainDialect implements Dialect {
 
 		@Override
 		public RequestHead decodeRequest(HttpRequest request) {
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -0,0 +1,112 @@
+package io.lentilslip.relay.upstream;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import io.lentilslip.core.relay.ResponseHead;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UpstreamConnectionTests implements UpstreamConnection.Listener {
+
+	private final UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection);
+
+	private final List<String> outcomes = new ArrayList<>();
+
+	@AfterEach
+	void close() {
+		this.channel.finishAndReleaseAll();
+	}
+
+	@Test
+	void upstreamIsNotReadWhileReadingIsPaused() {
+		send("r1");
+		this.connection.setReading(false);
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		this.connection.setReading(true);
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+	}
+
+	// Guards against a connection that is never read again: the end of a response may be
+	// read together with the data that paused the reading.
+	@Test
+	void reusedConnectionIsReadAfterAPause() {
+		send("r1");
+		this.connection.setReading(false);
+		this.channel.writeInbound(response());
+		assertThat(this.outcomes).containsExactly("idle", "response");
+		send("r2");
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+	}
+
+	@Override
+	public void onIdle(UpstreamConnection idle) {
+		this.outcomes.add("idle");
+	}
+
+	@Override
+	public void onClosed(UpstreamConnection closed) {
+	}
+
+	private void send(String id) {
+		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+		this.connection
+			.send(new UpstreamConnection.OutgoingRequest(id, request, Long.MAX_VALUE, false, new RecordingListener()));
+	}
+
+	private static FullHttpResponse response() {
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+				Unpooled.wrappedBuffer("answer".getBytes(StandardCharsets.ISO_8859_1)));
+		HttpUtil.setContentLength(response, response.content().readableBytes());
+		return response;
+	}
+
+	/**
+	 * Listener that records responses.
+	 */
+	private final class RecordingListener implements AttemptListener {
+
+		@Override
+		public void onWritten() {
+		}
+
+		@Override
+		public void onResponse(ResponseHead head, byte[] body) {
+			UpstreamConnectionTests.this.outcomes.add("response");
+		}
+
+		@Override
+		public void onStreamStart(ResponseHead head) {
+		}
+
+		@Override
+		public void onEvent(long number, byte[] raw, byte[] data) {
+		}
+
+		@Override
+		public void onStreamEnd() {
+		}
+
+		@Override
+		public void onFailure(FailureCause cause) {
+			UpstreamConnectionTests.this.outcomes.add("failure " + cause);
+		}
+
+	}
+
+}
