Count requests in the log as load while the log is available

Cause: leaving out requests that only the log knows took away most of what admission gains: the reports that a relay has are too old for too many upstreams.

Change: they count again, except while this relay does not reach the log.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
@@ -127,7 +127,8 @@
 		if (load.admission.isOutdated(this.state.now)) {
 			Duration target = latencyTarget(service).orElse(route.latencyTarget());
 			Duration holdTime = load.holdTime().orElse(target);
-			Duration wait = this.state.upstreams.room(service, holdTime, this.state.now)
+			Duration wait = this.state.upstreams
+				.room(service, holdTime, this.state.connectivity == Connectivity.LOG, this.state.now)
 				.expectedWait()
 				.plus(perceptibleDelay(target));
 			load.admission.update(wait, WaitTolerance.of(target), this.state.now);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -262,16 +262,17 @@
 	 * may have ended long ago if the log is unavailable.
 	 * @param service the service
 	 * @param holdTime the mean time for which a request holds a place
+	 * @param logAvailable whether the requests in the log count
 	 * @param now the current time
 	 * @return the room
 	 */
-	ServiceRoom room(String service, Duration holdTime, long now) {
+	ServiceRoom room(String service, Duration holdTime, boolean logAvailable, long now) {
 		double places = 0;
 		int requests = 0;
 		for (UpstreamState candidate : this.byId.values()) {
 			if (candidate.isAvailable(service) && !candidate.isEjected(now)) {
 				places += candidate.slots() * (double) ResponseHead.Load.USUAL_PERCENT / candidate.slowdownPercent(now);
-				requests += candidate.reportedLoad(now);
+				requests += logAvailable ? candidate.load(now) : candidate.reportedLoad(now);
 			}
 		}
 		return new ServiceRoom(places, requests, holdTime);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -12,6 +12,8 @@
 
 	private static final List<PromptPart> PROMPT = List.of(new PromptPart(1, 500));
 
+	private static final Duration HOLD_TIME = Duration.ofMillis(200);
+
 	private final Upstreams upstreams = new Upstreams();
 
 	// Guards against using estimates of an engine from before its restart.
@@ -81,31 +83,31 @@
 	// Guards against refusing programs because of requests that have ended, but whose
 	// ends could not be read from the log during an outage.
 	@Test
-	void requestsKnownFromTheLogTakeNoRoom() {
+	void requestsKnownFromTheLogTakeNoRoomWithoutTheLog() {
 		Upstreams.UpstreamState engine = add("a");
 		for (int i = 0; i < 20; i++) {
 			this.upstreams.requestStarted("other-" + i, engine, 0);
 		}
 		this.upstreams.requestSent("own", engine, 10);
-		ServiceRoom room = this.upstreams.room("s", Duration.ofMillis(200), 500);
+		ServiceRoom room = this.upstreams.room("s", HOLD_TIME, false, 500);
 		assertThat(room.requests()).isEqualTo(1);
 		assertThat(room.expectedWait()).isZero();
-		assertThat(engine.load(500)).isEqualTo(21);
+		assertThat(this.upstreams.room("s", HOLD_TIME, true, 500).requests()).isEqualTo(21);
 	}
 
 	@Test
 	void slowUpstreamsProvideLessRoom() {
 		this.upstreams.loadReported(add("a"), new ResponseHead.Load(6, 0, 200), 100);
 		this.upstreams.loadReported(add("b"), new ResponseHead.Load(6, 0, 100), 100);
-		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 150).places()).isEqualTo(9);
-		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 900).places()).isEqualTo(12);
+		assertThat(this.upstreams.room("s", HOLD_TIME, true, 150).places()).isEqualTo(9);
+		assertThat(this.upstreams.room("s", HOLD_TIME, true, 900).places()).isEqualTo(12);
 	}
 
 	@Test
 	void ejectedAndDrainingUpstreamsProvideNoRoom() {
 		add("a").recordFailure(100);
 		add("b");
-		assertThat(this.upstreams.room("s", Duration.ofMillis(200), 150).places()).isEqualTo(6);
+		assertThat(this.upstreams.room("s", HOLD_TIME, true, 150).places()).isEqualTo(6);
 	}
 
 	// Guards against applying load reports of two relays out of order.
