--- a/lentilslip-core/src/main/java/io/lentilslip/core/admission/WaitTolerance.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/admission/WaitTolerance.java
@@ -8,7 +8,8 @@
  * use by several threads.
  *
  * @param begin the longest wait at which all programs are admitted
- * @param end the shortest wait at which none is; longer than {@code begin}
+ * @param end the shortest wait at which none is admitted unless programs were admitted
+ * lately; longer than {@code begin}
  */
 public record WaitTolerance(Duration begin, Duration end) {
 
@@ -28,6 +29,10 @@
 	 */
 	private static final double MIN_FRACTION = 0.5;
 
+	/**
+	 * How many times the aim a wait has to be off for the rate to change by all of
+	 * itself.
+	 */
 	private static final double SLOPE = 3;
 
 	private static final double MIN_CORRECTION = 0.6;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -17,6 +17,8 @@
 
 	private final RelayFixture relay = RelayFixture.ready();
 
+	private int usages;
+
 	@Test
 	void programIsRefusedAtOnceAtItsFirstTurnWithoutRoom() {
 		reportLoad(9);
@@ -141,8 +143,6 @@
 			.handle(new RelayEvent.UsageReceived(this.relay.now(), peer, request, tokens, tokens, false, 2));
 	}
 
-	private int usages;
-
 	private List<RelayEffect> firstTurn(String program) {
 		return this.relay.sendTurn("t1", "draft", RelayFixture.turn(program, 1000, 100, null));
 	}
