Forget the load of services that are no longer configured

Cause: the relay kept an admission for each service that it had ever admitted programs to; services may change their names with the configuration. Change: those that a new table does not name are forgotten.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
@@ -122,8 +122,7 @@
 
 	private ServiceLoad load(Route route) {
 		String service = mainService(route);
-		ServiceLoad load = this.loads.computeIfAbsent(service,
-				(name) -> new ServiceLoad(new ProgramAdmission(this.state.random.split())));
+		ServiceLoad load = this.loads.computeIfAbsent(service, this::addLoad);
 		if (load.admission.isOutdated(this.state.now)) {
 			Duration target = latencyTarget(service).orElse(route.latencyTarget());
 			Duration holdTime = load.holdTime().orElse(target);
@@ -138,6 +137,17 @@
 		return load;
 	}
 
+	private ServiceLoad addLoad(String service) {
+		return new ServiceLoad(new ProgramAdmission(this.state.random.split()));
+	}
+
+	/**
+	 * Forgets the services that are no longer configured.
+	 */
+	void routeTableUpdated() {
+		this.state.routeTable.ifPresent((table) -> this.loads.keySet().retainAll(table.services().keySet()));
+	}
+
 	// A relay whose own event loop is so late that callers notice admits fewer programs;
 	// short delays say nothing about the room.
 	private Duration perceptibleDelay(Duration latencyTarget) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -107,7 +107,10 @@
 			case RelayEvent.PeerDisconnected disconnected -> this.site.peerDisconnected(disconnected.peer());
 			case RelayEvent.TurnWriteRequested request -> this.texts.storeForPeer(request);
 			case RelayEvent.ConnectivityChanged changed -> this.site.connectivityChanged(changed.connectivity());
-			case RelayEvent.RouteTableUpdated updated -> this.site.routeTableUpdated(updated.table());
+			case RelayEvent.RouteTableUpdated updated -> {
+				this.site.routeTableUpdated(updated.table());
+				this.requests.admissions().routeTableUpdated();
+			}
 			case RelayEvent.UpstreamsReplaced replaced -> this.site.upstreamsReplaced(replaced.upstreams());
 			case RelayEvent.UpstreamUpdated updated -> this.site.upstreamUpdated(updated.upstream());
 			case RelayEvent.UpstreamInvalid invalid -> this.site.upstreamInvalid(invalid.id(), invalid.error());
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -90,6 +90,16 @@
 		assertThat(sends(firstTurn("p"))).hasSize(1);
 	}
 
+	@Test
+	void loadOfAServiceIsKeptOverAChangeOfRoutes() {
+		reportLoad(9);
+		firstTurn("p");
+		RouteTable plain = RelayFixture.table();
+		this.relay.handle(new RelayEvent.RouteTableUpdated(this.relay.now(),
+				new RouteTable(2, plain.routes(), plain.services(), plain.limits(), Optional.empty())));
+		assertThat(RelayFixture.ofType(firstTurn("p"), RelayEffect.Refuse.class)).hasSize(1);
+	}
+
 	// Guards against a relay that takes programs while its callers wait for its own event
 	// loop, and against one that refuses programs for a short delay with room to spare.
 	@Test
