--- a/lentilslip-core/src/main/java/io/lentilslip/core/admission/ReturnSchedule.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/admission/ReturnSchedule.java
@@ -11,11 +11,12 @@
 final class ReturnSchedule {
 
 	/**
-	 * The shortest time after which a caller is told to come back: long enough for the
-	 * reported loads to change.
+	 * The shortest delay before a retry: long enough for the reported loads to change.
 	 */
 	private static final Duration MIN_DELAY = Duration.ofMillis(100);
 
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private final RandomGenerator random;
 
 	private double nextReturnAt;
@@ -34,7 +35,7 @@
 	Duration next(double admittedPerSecond, Duration longest, long now) {
 		double earliest = now + (double) MIN_DELAY.toMillis();
 		double latest = Math.max(earliest, now + (double) longest.toMillis());
-		double interval = 1000 / Math.max(admittedPerSecond, 1);
+		double interval = MILLIS_PER_SECOND / Math.max(admittedPerSecond, 1);
 		this.nextReturnAt = Math.max(this.nextReturnAt, earliest) + interval * 2 * this.random.nextDouble();
 		if (this.nextReturnAt > latest) {
 			// More callers than can be served in time: the rest is spread over the whole
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -175,7 +175,7 @@
 	WAIT,
 
 	/**
-	 * The milliseconds after which a caller is told to come back.
+	 * The delay in milliseconds after which a caller may retry.
 	 */
 	RETRY_AFTER;
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -257,9 +257,9 @@
 	}
 
 	/**
-	 * Estimates the room of a service. Ejected upstreams provide none. Of an upstream
-	 * without a recent report, only the requests of this relay count: those in the log
-	 * may have ended long ago if the log is unavailable.
+	 * Estimates the room of a service. Ejected upstreams provide none. While the log is
+	 * unavailable, the requests in it may have ended long ago, so only load reports and
+	 * the requests of this relay count.
 	 * @param service the service
 	 * @param holdTime the mean time for which a request holds a place
 	 * @param logAvailable whether the requests in the log count
--- a/lentilslip-core/src/test/java/io/lentilslip/core/admission/AdmissionSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/admission/AdmissionSite.java
@@ -77,7 +77,7 @@
 	}
 
 	/**
-	 * Makes each refused caller come back once, when it is told to.
+	 * Makes each refused caller come back once, after the delay that it got.
 	 * @return this site
 	 */
 	AdmissionSite withReturns() {
