--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -98,6 +98,21 @@
 	 */
 	VERSION,
 
+	/**
+	 * The software version of an upstream.
+	 */
+	SOFTWARE,
+
+	/**
+	 * The request that started the stream that another request resumes.
+	 */
+	RESUMED,
+
+	/**
+	 * The number of the last event of a stream that the caller has.
+	 */
+	LAST_EVENT,
+
 	/**
 	 * The cause of the event.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -215,7 +215,7 @@
 	 * Written when the platform lists an upstream for the first time.
 	 */
 	UPSTREAM_LISTED(3009, Level.INFO, "An upstream is listed and can receive requests.", "Nothing.", FieldName.UPSTREAM,
-			FieldName.SERVICE, FieldName.ZONE, FieldName.ADDRESS),
+			FieldName.SERVICE, FieldName.ZONE, FieldName.ADDRESS, FieldName.SOFTWARE),
 
 	/**
 	 * Written when the platform no longer lists an upstream.
@@ -435,7 +435,8 @@
 	 */
 	REQUEST_PLACED(4022, Level.INFO, "A request was sent to the best-ranked upstream.", "Nothing.", FieldName.REQUEST,
 			FieldName.PROGRAM, FieldName.UPSTREAM, FieldName.ATTEMPT, FieldName.VERSION, FieldName.CANDIDATES,
-			FieldName.MILLISECONDS, FieldName.TOKENS, FieldName.LIMIT, FieldName.DIGEST, FieldName.FAILURES),
+			FieldName.MILLISECONDS, FieldName.TOKENS, FieldName.LIMIT, FieldName.DIGEST, FieldName.FAILURES,
+			FieldName.SOFTWARE, FieldName.RESUMED, FieldName.LAST_EVENT),
 
 	/**
 	 * Written for each turn that was not admitted by the replicas of its program;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
@@ -96,7 +96,7 @@
 	}
 
 	private boolean hasBegun(Exchange exchange, RequestHead.Turn turn) {
-		return turn.previous().isPresent() || exchange.head().lastEvent().isPresent()
+		return turn.previous().isPresent() || exchange.head().resumption().isPresent()
 				|| this.begun.containsKey(turn.program()) || this.state.tokens.used(turn.program()) > 0;
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.zip.CRC32C;
 
 import io.lentilslip.core.admission.ProgramAdmission.Decision;
+import io.lentilslip.core.relay.RequestHead.Resumption;
 
 /**
  * State of one caller's request and its response, from the receipt of the request to the
@@ -92,7 +93,7 @@
 		this.caller = caller;
 		this.head = team().map(request.head()::scopedTo).orElse(request.head());
 		this.id = team().map((team) -> team.scopedId(request.head().id())).orElse(request.head().id());
-		this.lastEvent = route.resumable() ? request.head().lastEvent() : OptionalLong.empty();
+		this.lastEvent = resumption().stream().mapToLong(Resumption::lastEvent).findFirst();
 		Duration callerTimeout = request.head().callerTimeout().orElse(route.timeout());
 		Duration timeout = (callerTimeout.compareTo(route.timeout()) < 0) ? callerTimeout : route.timeout();
 		this.deadline = request.headReadAt() + timeout.toMillis();
@@ -158,6 +159,14 @@
 		return this.route.resumable() && this.eventCount > this.eventCountAtSend;
 	}
 
+	/**
+	 * Returns the stream that the request resumes.
+	 * @return the stream, or empty if the request starts one or the route has none
+	 */
+	Optional<Resumption> resumption() {
+		return this.head.resumption().filter((ignored) -> this.route.resumable());
+	}
+
 	CallerIdentity caller() {
 		return this.caller;
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -11,6 +11,7 @@
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.notice.NoticeField;
+import io.lentilslip.core.relay.RequestHead.Resumption;
 import io.lentilslip.core.relay.UpstreamSelector.RankedUpstream;
 import io.lentilslip.core.relay.Upstreams.UpstreamState;
 
@@ -39,7 +40,8 @@
 		}
 		return notice(NoticeCode.UPSTREAM_LISTED, field(FieldName.UPSTREAM, upstream.id()),
 				field(FieldName.SERVICE, upstream.service()), field(FieldName.ZONE, upstream.zone()),
-				field(FieldName.ADDRESS, upstream.host() + ":" + upstream.port()));
+				field(FieldName.ADDRESS, upstream.host() + ":" + upstream.port()),
+				field(FieldName.SOFTWARE, upstream.version()));
 	}
 
 	/**
@@ -116,7 +118,11 @@
 		return notice(NoticeCode.REQUEST_PLACED, request(exchange), program(exchange), upstream(exchange),
 				attempt(exchange), field(FieldName.VERSION, state.routeTable.map(RouteTable::version).orElse(0L)),
 				field(FieldName.CANDIDATES, candidates), elapsed(exchange, state.now), tokens(exchange, state),
-				budget(exchange), digest(exchange), failures(exchange, state));
+				budget(exchange), digest(exchange), failures(exchange, state),
+				field(FieldName.SOFTWARE, exchange.upstream().map(Upstream::version).orElse(NONE)),
+				field(FieldName.RESUMED, exchange.resumption().flatMap(Resumption::request).orElse(NONE)),
+				field(FieldName.LAST_EVENT,
+						exchange.lastEvent().stream().mapToObj(Long::toString).findFirst().orElse(NONE)));
 	}
 
 	private static String describe(RankedUpstream ranked, long now) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
@@ -16,14 +16,13 @@
  * @param turn the turn, if the request is one of a program
  * @param prompt the parts of its prompt, in order
  * @param promptTokens the number of tokens of its prompt
- * @param lastEvent the number of the last event that the caller received in an earlier
- * attempt
+ * @param resumption the stream that the request resumes, if it does
  * @param affinityKey the object that the request concerns, the same for all requests
  * about it
  * @param origin the program and API key that the request comes from
  */
 public record RequestHead(String id, String host, String path, Optional<Duration> callerTimeout, Optional<Turn> turn,
-		List<PromptPart> prompt, int promptTokens, OptionalLong lastEvent, Optional<String> affinityKey,
+		List<PromptPart> prompt, int promptTokens, Optional<Resumption> resumption, Optional<String> affinityKey,
 		Origin origin) {
 
 	/**
@@ -36,8 +35,7 @@
 	 * @param turn the turn, if the request is one of a program
 	 * @param prompt the parts of its prompt, in order
 	 * @param promptTokens the number of tokens of its prompt
-	 * @param lastEvent the number of the last event that the caller received in an
-	 * earlier attempt
+	 * @param resumption the stream that the request resumes, if it does
 	 * @param affinityKey the object that the request concerns, the same for all requests
 	 * about it
 	 * @param origin the program and API key that the request comes from
@@ -55,9 +53,9 @@
 	}
 
 	/**
-	 * Returns a copy whose program, previous turn and affinity key are scoped to a team,
-	 * so that equal names of other teams refer to other objects. The request id is
-	 * unchanged, since upstreams and operators use it.
+	 * Returns a copy whose program, previous turn, resumed request and affinity key are
+	 * scoped to a team, so that equal names of other teams refer to other objects. The
+	 * request id is unchanged, since upstreams and operators use it.
 	 * @param team the team
 	 * @return the scoped head
 	 */
@@ -65,10 +63,24 @@
 		return new RequestHead(this.id, this.host, this.path, this.callerTimeout,
 				this.turn.map((turn) -> new Turn(team.scopedId(turn.program()), turn.budget(), turn.maxTokens(),
 						turn.previous().map(team::scopedId))),
-				this.prompt, this.promptTokens, this.lastEvent, this.affinityKey.map(team::scopedId),
+				this.prompt, this.promptTokens,
+				this.resumption
+					.map((resumed) -> new Resumption(resumed.lastEvent(), resumed.request().map(team::scopedId))),
+				this.affinityKey.map(team::scopedId),
 				new Origin(this.origin.program().map(team::scopedId), this.origin.key()));
 	}
 
+	/**
+	 * Immutable view of a request as the continuation of a stream.
+	 *
+	 * @param lastEvent the number of the last event that the caller received
+	 * @param request the caller's attempt that received the first event; empty if the
+	 * caller does not name it
+	 */
+	public record Resumption(long lastEvent, Optional<String> request) {
+
+	}
+
 	/**
 	 * Immutable view of the origin of a request.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstream.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstream.java
@@ -16,9 +16,10 @@
  * @param draining whether it accepts no new requests
  * @param startedAt when this incarnation started, in milliseconds of the upstream's own
  * wall clock; empty if unknown
+ * @param version the version of its software; empty if unknown
  */
 public record Upstream(String id, String service, String host, int port, String zone, int slots, boolean draining,
-		OptionalLong startedAt) {
+		OptionalLong startedAt, String version) {
 
 	/**
 	 * Returns an id that is unique among all incarnations of all upstreams.
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
@@ -145,8 +144,8 @@
 
 	private List<RelayEffect> teamTurn(String id, String key) {
 		RequestHead head = new RequestHead(id, "host", "/draft/x", Optional.empty(),
-				Optional.of(RelayFixture.turn(id, 1000, 100, null)), List.of(), 0, OptionalLong.empty(),
-				Optional.empty(), new RequestHead.Origin(Optional.of(id), Optional.of(KeyDigest.of(key))));
+				Optional.of(RelayFixture.turn(id, 1000, 100, null)), List.of(), 0, Optional.empty(), Optional.empty(),
+				new RequestHead.Origin(Optional.of(id), Optional.of(KeyDigest.of(key))));
 		return this.relay.sendRequest(head, "body");
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.quota.PermitRequest;
@@ -84,7 +83,7 @@
 
 	private List<RelayEffect> sendRequest(String id, String program) {
 		return this.relay.sendRequest(new RequestHead(id, "host", "/look/x", Optional.of(Duration.ofSeconds(3)),
-				Optional.empty(), List.of(), 0, OptionalLong.empty(), Optional.empty(),
+				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
 				new RequestHead.Origin(Optional.of(program), Optional.of(KeyDigest.of("key")))), "body");
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 
@@ -228,7 +227,7 @@
 		}
 		this.requests++;
 		RequestHead head = new RequestHead("r" + exchange, "host", "/order/x", Optional.of(Duration.ofSeconds(3)),
-				Optional.empty(), List.of(), 0, OptionalLong.empty(), Optional.empty(),
+				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
 				new RequestHead.Origin(Optional.of(program), Optional.of(KeyDigest.of(team))));
 		runWhenResumed(instance, () -> {
 			instance.teams.put(exchange, List.of(team, program));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -141,11 +141,11 @@
 	}
 
 	static Upstream upstream(String id, String service) {
-		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty());
+		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty(), "v1");
 	}
 
 	static Upstream withStartTime(String id, String service, long born) {
-		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.of(born));
+		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.of(born), "v1");
 	}
 
 	static RequestHead.Turn turn(String program, long budget, int maxTokens, String previous) {
@@ -154,7 +154,7 @@
 
 	static RequestHead head(String id, String route, Optional<RequestHead.Turn> turn) {
 		return new RequestHead(id, "host", "/" + route + "/x", Optional.of(Duration.ofSeconds(3)), turn, List.of(), 0,
-				OptionalLong.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
+				Optional.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
 	}
 
 	boolean caughtUp() {
@@ -228,7 +228,7 @@
 	 */
 	List<RelayEffect> sendRequest(String id, String route, String target, String content) {
 		RequestHead head = new RequestHead(id, "host", "/" + route + "/" + target, Optional.of(Duration.ofSeconds(3)),
-				Optional.empty(), List.of(), 0, OptionalLong.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
+				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
 		this.exchange++;
 		return handle(new RelayEvent.RequestReceived(this.now, this.now, this.exchange, head, content.getBytes(),
 				2L * content.hashCode()));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -205,7 +205,7 @@
 		for (String id : List.of("s1", "s2")) {
 			Upstream listed = RelayFixture.upstream(id, RelayFixture.SHOP);
 			relay.handle(new RelayEvent.UpstreamUpdated(2, new Upstream(id, listed.service(), listed.host(),
-					listed.port(), listed.zone(), listed.slots(), true, listed.startedAt())));
+					listed.port(), listed.zone(), listed.slots(), true, listed.startedAt(), "v1")));
 		}
 		for (int i = 0; i < 10; i++) {
 			assertThat(sends(relay.sendRequest("r" + i, "look")).getFirst().upstream().id()).isEqualTo("s3");
@@ -322,7 +322,7 @@
 		assertThat(RelayFixture.written(remove(relay, unwritten))).isEmpty();
 		Upstream drained = abandon(relay, "r2");
 		relay.handle(new RelayEvent.UpstreamUpdated(relay.now(), new Upstream(drained.id(), drained.service(),
-				"10.0.0.1", 80, "zone-a", 6, true, OptionalLong.empty())));
+				"10.0.0.1", 80, "zone-a", 6, true, OptionalLong.empty(), "v1")));
 		assertThat(RelayFixture.written(remove(relay, drained))).isEmpty();
 		Upstream last = abandon(relay, "r3");
 		assertThat(sends(relay.sendRequest("r4", "look")).getFirst().upstream()).isEqualTo(last);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TeamTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TeamTests.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -87,7 +86,7 @@
 		RequestHead plain = RelayFixture.head(id, route, Optional.ofNullable(turn));
 		return this.relay.sendRequest(
 				new RequestHead(id, plain.host(), plain.path(), plain.callerTimeout(), plain.turn(), List.of(), 0,
-						OptionalLong.empty(), Optional.empty(),
+						Optional.empty(), Optional.empty(),
 						new RequestHead.Origin(plain.turn().map(RequestHead.Turn::program), key.map(KeyDigest::of))),
 				"body");
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
@@ -104,7 +104,8 @@
 	private static Upstreams engines(int count) {
 		Upstreams engines = new Upstreams();
 		for (int i = 0; i < count; i++) {
-			engines.put(new Upstream("engine-" + i, "s", "10.0.0." + i, 80, "zone-a", 64, false, OptionalLong.empty()));
+			engines.put(new Upstream("engine-" + i, "s", "10.0.0." + i, 80, "zone-a", 64, false, OptionalLong.empty(),
+					"v1"));
 		}
 		return engines;
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -178,7 +178,7 @@
 
 	private void send(long exchange, long timeoutMillis, byte[] body) {
 		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
-				OptionalLong.empty());
+				OptionalLong.empty(), "v1");
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.client.send(
 				new RelayEffect.SendRequest(exchange, 1, upstream, new byte[0], this.timers.now + timeoutMillis,
