--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -637,6 +637,55 @@
 
 	}
 
+	/**
+	 * A relay has looked up the software version of a stream that a caller resumes.
+	 *
+	 * @param source how the version is known
+	 */
+	record StreamResumed(Source source) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param source how the version is known
+		 */
+		public StreamResumed {
+			Objects.requireNonNull(source, "source");
+		}
+
+		/**
+		 * How the software version of a stream is known. Safe for use by several threads.
+		 */
+		public enum Source implements Label {
+
+			/**
+			 * From the ledger, as sent by this relay or read from the log.
+			 */
+			LEDGER,
+
+			/**
+			 * From another relay.
+			 */
+			PEER,
+
+			/**
+			 * As the only version that the service has had.
+			 */
+			ONLY_VERSION,
+
+			/**
+			 * Known, but no upstream of the version is left; the request is refused.
+			 */
+			GONE,
+
+			/**
+			 * Not known; the request is refused.
+			 */
+			UNKNOWN
+
+		}
+
+	}
+
 	/**
 	 * A timer of a relay has fired.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -49,6 +49,8 @@
 
 	private OptionalLong lastEvent;
 
+	private Optional<SoftwareVersion> softwareVersion = Optional.empty();
+
 	private boolean streamOpened;
 
 	private int eventCount;
@@ -453,7 +455,22 @@
 		return this.lastEvent.isPresent() && number <= this.lastEvent.getAsLong();
 	}
 
+	/**
+	 * Returns the software version at which the stream has to continue.
+	 * @return the version, or empty if the caller has no event of a resumable stream
+	 */
+	Optional<SoftwareVersion> softwareVersion() {
+		return this.softwareVersion;
+	}
+
+	void continueAt(SoftwareVersion version) {
+		this.softwareVersion = Optional.of(version);
+	}
+
 	void recordEvent(RelayEvent.StreamEventReceived event) {
+		if (this.route.resumable() && this.softwareVersion.isEmpty()) {
+			this.softwareVersion = this.upstream.map(SoftwareVersion::of);
+		}
 		if (this.eventCount == 0) {
 			this.firstEventAt = event.now();
 		}
@@ -496,6 +513,11 @@
 		 */
 		WAITING_FOR_PERMIT,
 
+		/**
+		 * The software version of the stream that the request resumes.
+		 */
+		WAITING_FOR_VERSION,
+
 		/**
 		 * The texts of the previous turns.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -75,6 +75,7 @@
 		this.onRemoved.accept(exchange);
 		this.state.exchanges.remove(exchange.number());
 		this.state.awaitingChain.remove(exchange.number());
+		this.state.awaitingVersion.remove(exchange.number());
 		this.state.pendingTurns.remove(exchange.id());
 		this.state.conditionalReservations.remove(exchange.id());
 		this.state.polls.remove(exchange.id());
@@ -132,6 +133,7 @@
 	void deadlineExceeded(Exchange exchange) {
 		switch (exchange.phase()) {
 			case WAITING_FOR_PERMIT -> refuse(exchange, Refusal.QUOTA_UNKNOWN, Optional.of(RelaySettings.RETRY_AFTER));
+			case WAITING_FOR_VERSION -> refuse(exchange, Refusal.EXPIRED, Optional.empty());
 			case WAITING_FOR_CHAIN -> chainTimedOut(exchange);
 			case WAITING_FOR_BUDGET -> budgetUndecided(exchange);
 			case RUNNING -> {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -40,9 +40,11 @@
 	 * @param prompt the prompt parts that the upstream has cached after the turn
 	 * @param conditional whether the turn runs only if the budget admits it at this
 	 * position in the log; otherwise it is already admitted
+	 * @param stream the attempt that was sent, if the turn is a stream that can be
+	 * resumed
 	 */
 	record Reserved(String request, String program, int maxTokens, String upstream, List<PromptPart> prompt,
-			boolean conditional) implements LedgerEntry {
+			boolean conditional, Optional<StreamAttempt> stream) implements LedgerEntry {
 
 		/**
 		 * Creates an entry.
@@ -54,11 +56,29 @@
 		 * @param prompt the prompt parts that the upstream has cached after the turn
 		 * @param conditional whether the turn runs only if the budget admits it at this
 		 * position in the log; otherwise it is already admitted
+		 * @param stream the attempt that was sent, if the turn is a stream that can be
+		 * resumed
 		 */
 		public Reserved {
 			prompt = List.copyOf(prompt);
 		}
 
+		/**
+		 * Creates an entry of a turn that is no stream that can be resumed.
+		 * @param request the id of the caller's attempt
+		 * @param program the program
+		 * @param maxTokens the maximum tokens that the turn generates
+		 * @param upstream the incarnation of the upstream; empty if the reservation is
+		 * conditional
+		 * @param prompt the prompt parts that the upstream has cached after the turn
+		 * @param conditional whether the turn runs only if the budget admits it at this
+		 * position in the log; otherwise it is already admitted
+		 */
+		public Reserved(String request, String program, int maxTokens, String upstream, List<PromptPart> prompt,
+				boolean conditional) {
+			this(request, program, maxTokens, upstream, prompt, conditional, Optional.empty());
+		}
+
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
+
 /**
  * Rules that apply ledger entries from the log and from other relays, and that act on the
  * budget decisions that follow from them. Used by one thread.
@@ -32,7 +34,11 @@
 				.ifPresentOrElse((sender) -> this.state.uncommitted.add(entry, sender, received.now()),
 						() -> committed(entry));
 			switch (entry) {
-				case LedgerEntry.Reserved reserved -> reserved(reserved, received.fromLog());
+				case LedgerEntry.Reserved reserved -> {
+					reserved.stream()
+						.ifPresent((attempt) -> this.state.recordStreamAttempt(reserved.request(), attempt));
+					reserved(reserved, received.fromLog());
+				}
 				case LedgerEntry.Settled settled -> settled(settled, received.sender());
 				case LedgerEntry.UpstreamFailed failed ->
 					this.state.poisonRequests.recordFailure(failed.digest(), failed.upstream());
@@ -43,6 +49,7 @@
 			this.duplicates.drain()
 				.forEach((measurement) -> this.state.emit(new RelayEffect.RecordMeasurement(measurement)));
 		}
+		this.requests.resumeWaiting(Source.LEDGER);
 		this.requests.dispatchWaiting();
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -69,6 +69,16 @@
 	 */
 	NO_UPSTREAM(Verdict.NOT_RUN),
 
+	/**
+	 * No upstream of the software version that started the stream is left.
+	 */
+	VERSION_GONE(Verdict.NOT_RUN),
+
+	/**
+	 * The software version that started the stream is not known here.
+	 */
+	VERSION_UNKNOWN(Verdict.NOT_RUN),
+
 	/**
 	 * The deadline passed before the request was sent to an upstream.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
+
 /**
  * State machine of a relay: consumes events and returns effects. All decisions of a relay
  * are made here, without reading a clock or doing I/O. An exchange exists from
@@ -96,6 +98,11 @@
 					this.quotas.membershipUpdated();
 				}
 			}
+			case RelayEvent.StreamVersionRequested request -> this.requests.streams().versionRequested(request);
+			case RelayEvent.StreamVersionReceived received -> {
+				this.requests.streams().versionReceived(received);
+				this.requests.resumeWaiting(Source.PEER);
+			}
 			case RelayEvent.PermitsRequested request -> this.quotas.permitsRequested(request);
 			case RelayEvent.PermitsGranted granted -> this.quotas.permitsGranted(granted);
 			case RelayEvent.SyncRequested request -> this.site.sendSync(request.peer());
@@ -131,6 +138,7 @@
 	private void timerFired(Exchange exchange, RelayEvent.TimerKind timer) {
 		switch (timer) {
 			case DEADLINE -> this.completion.deadlineExceeded(exchange);
+			case STREAM_VERSION -> this.requests.versionTimedOut(exchange);
 			case CHAIN_LOOKUP -> this.texts.chainTimedOut(exchange);
 			case TEXT_FETCH -> this.texts.textsTimedOut(exchange);
 			case BUDGET_DECISION -> this.budgets.decisionTimedOut(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -34,6 +34,36 @@
 
 	}
 
+	/**
+	 * Requests the software version of a stream from other relays.
+	 *
+	 * @param peers the other relays
+	 * @param request the request that started the stream
+	 */
+	record RequestStreamVersion(List<String> peers, String request) implements RelayEffect {
+
+		/**
+		 * Creates an effect.
+		 * @param peers the other relays
+		 * @param request the request that started the stream
+		 */
+		public RequestStreamVersion {
+			peers = List.copyOf(peers);
+		}
+
+	}
+
+	/**
+	 * Sends the software version of a stream to another relay.
+	 *
+	 * @param peer the other relay
+	 * @param request the request that started the stream
+	 * @param attempt its last attempt
+	 */
+	record SendStreamVersion(String peer, String request, StreamAttempt attempt) implements RelayEffect {
+
+	}
+
 	/**
 	 * Requests permits of a team from another relay.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -223,6 +223,28 @@
 
 	}
 
+	/**
+	 * Another relay asks for the software version of a stream.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param peer the other relay
+	 * @param request the request that started the stream
+	 */
+	record StreamVersionRequested(long now, String peer, String request) implements RelayEvent {
+
+	}
+
+	/**
+	 * Another relay has sent the software version of a stream.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param request the request that started the stream
+	 * @param attempt its last attempt that the other relay knows
+	 */
+	record StreamVersionReceived(long now, String request, StreamAttempt attempt) implements RelayEvent {
+
+	}
+
 	/**
 	 * This process resumed after it was frozen, suspended or starved of processor time.
 	 * Its state may be stale by the length of that pause.
@@ -669,6 +691,11 @@
 		 */
 		CHAIN_LOOKUP,
 
+		/**
+		 * The wait for the software version of a stream.
+		 */
+		STREAM_VERSION,
+
 		/**
 		 * Timeout of the fetch of the chain's texts.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -35,6 +35,12 @@
 	 */
 	static final Duration REPLICA_TIMEOUT = Duration.ofMillis(30);
 
+	/**
+	 * The number of attempts over which a caller may resume a stream, each of which may
+	 * last as long as the timeout of its route.
+	 */
+	static final int STREAM_ATTEMPTS = 3;
+
 	/**
 	 * The time to wait for a decision through the log before the other relays are asked
 	 * as well. Several times the normal latency of the log, but a fraction of a latency
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -94,6 +94,17 @@
 	 */
 	final Map<Long, Exchange> awaitingChain = new LinkedHashMap<>();
 
+	/**
+	 * The exchanges that wait for the software versions of the streams that they resume,
+	 * by number.
+	 */
+	final Map<Long, Exchange> awaitingVersion = new LinkedHashMap<>();
+
+	/**
+	 * The software versions of streams that callers may resume.
+	 */
+	final StreamVersions streamVersions = new StreamVersions();
+
 	/**
 	 * The turns that this relay writes for other relays, by request. Bounded: the oldest
 	 * are dropped, and their relays retry.
@@ -148,6 +159,11 @@
 
 	Optional<RouteTable> routeTable = Optional.empty();
 
+	/**
+	 * For how long after its start a stream may be resumed.
+	 */
+	Duration streamRetention = Duration.ZERO;
+
 	boolean caughtUp;
 
 	boolean logStale;
@@ -281,6 +297,10 @@
 		this.requestTargets.recordAnswer(exchange);
 	}
 
+	void recordStreamAttempt(String request, StreamAttempt attempt) {
+		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+	}
+
 	/**
 	 * Records an entry as uncommitted. A conditional reservation is not counted until it
 	 * is read from the log, whose order decides on it.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
+import io.lentilslip.core.relay.Exchange.Phase;
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
 import io.lentilslip.core.relay.RelayEvent.TimerKind;
 import io.lentilslip.core.relay.RequestHead.Turn;
@@ -27,6 +29,8 @@
 
 	private final AdmissionRules admissions;
 
+	private final StreamRules streams;
+
 	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeCompletion completion) {
 		this.state = state;
 		this.budgets = budgets;
@@ -34,6 +38,7 @@
 		this.completion = completion;
 		this.quotas = new QuotaRules(state, completion, this::admitted);
 		this.admissions = new AdmissionRules(state, completion);
+		this.streams = new StreamRules(state, completion);
 		completion.onRemoved(this.quotas::exchangeEnded);
 	}
 
@@ -41,6 +46,10 @@
 		return this.admissions;
 	}
 
+	StreamRules streams() {
+		return this.streams;
+	}
+
 	QuotaRules quotas() {
 		return this.quotas;
 	}
@@ -80,7 +89,28 @@
 		admitted(exchange);
 	}
 
+	/**
+	 * Continues the waiting requests whose software versions are known now.
+	 * @param source how they became known
+	 */
+	void resumeWaiting(Source source) {
+		this.streams.takeResolved(source).forEach(this::resolved);
+	}
+
+	void versionTimedOut(Exchange exchange) {
+		if (this.streams.timedOut(exchange)) {
+			resolved(exchange);
+		}
+	}
+
 	private void admitted(Exchange exchange) {
+		if (this.streams.resolve(exchange)) {
+			resolved(exchange);
+		}
+	}
+
+	private void resolved(Exchange exchange) {
+		exchange.transitionTo(Phase.WAITING_FOR_CHAIN);
 		boolean mustWait = this.state.logStale || !this.texts.resolveChain(exchange);
 		if (exchange.head().turn().isEmpty() || !mustWait) {
 			dispatch(exchange);
@@ -169,7 +199,7 @@
 		}
 		List<RankedUpstream> ranked = rank(exchange);
 		if (ranked.isEmpty()) {
-			this.completion.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : Refusal.NO_UPSTREAM);
+			this.completion.giveUp(exchange, exchange.mayHaveRun() ? Refusal.ANSWER_LOST : noUpstream(exchange));
 			return;
 		}
 		send(exchange, ranked);
@@ -203,14 +233,22 @@
 	}
 
 	private List<RankedUpstream> rank(Exchange exchange) {
-		String service = selectService(exchange.route());
+		String service = exchange.softwareVersion()
+			.map(SoftwareVersion::service)
+			.orElseGet(() -> selectService(exchange.route()));
 		boolean engine = this.state.engine(service).isPresent();
 		boolean useAffinity = exchange.route().affinity() && !engine;
 		Optional<String> affinityKey = exchange.head().affinityKey().filter((key) -> useAffinity);
-		return this.state.upstreamSelector.rank(this.state.upstreams.available(service), exchange.triedUpstreams(),
+		return this.state.upstreamSelector.rank(candidates(exchange, service), exchange.triedUpstreams(),
 				exchange.head().prompt(), engine, affinityKey, this.state.now);
 	}
 
+	private List<UpstreamState> candidates(Exchange exchange, String service) {
+		return exchange.softwareVersion()
+			.map((version) -> this.streams.candidates(exchange, version))
+			.orElseGet(() -> this.state.upstreams.available(service));
+	}
+
 	private String selectService(Route route) {
 		double totalWeight = 0;
 		for (Route.WeightedService target : route.services()) {
@@ -235,7 +273,8 @@
 		this.state.upstreams.requestSent(exchange.id(), candidate, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		candidate.addToCache(prompt, this.state.cacheTokens(upstream));
-		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, prompt));
+		Optional<StreamAttempt> attempt = this.streams.recordSend(exchange, upstream);
+		exchange.head().turn().ifPresent((turn) -> reserve(exchange, turn, upstream, attempt));
 		if (exchange.route().repeatable() && exchange.markIdleTimerStarted()) {
 			this.state.idleTimeout.start(exchange);
 		}
@@ -244,11 +283,11 @@
 				exchange.deadline(), exchange.lastEvent(), stream, exchange.caller()));
 	}
 
-	private void reserve(Exchange exchange, Turn turn, Upstream upstream, List<PromptPart> prompt) {
+	private void reserve(Exchange exchange, Turn turn, Upstream upstream, Optional<StreamAttempt> attempt) {
 		exchange.markReserved();
 		this.state.tokens.reserve(turn.program(), exchange.id(), turn.maxTokens());
 		this.state.write(new LedgerEntry.Reserved(exchange.id(), turn.program(), turn.maxTokens(),
-				upstream.incarnationId(), prompt, false));
+				upstream.incarnationId(), exchange.head().prompt(), false, attempt));
 	}
 
 	/**
@@ -279,7 +318,11 @@
 		if (exchange.mayHaveRun()) {
 			return expired ? Refusal.NO_ANSWER_IN_TIME : Refusal.ANSWER_LOST;
 		}
-		return expired ? Refusal.EXPIRED : Refusal.NO_UPSTREAM;
+		return expired ? Refusal.EXPIRED : noUpstream(exchange);
+	}
+
+	private Refusal noUpstream(Exchange exchange) {
+		return this.streams.isVersionGone(exchange) ? Refusal.VERSION_GONE : Refusal.NO_UPSTREAM;
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
@@ -66,6 +66,18 @@
 				? Optional.of(new CallerIdentity.Anonymous()) : holder;
 	}
 
+	/**
+	 * Returns the longest timeout of a stream that can be resumed.
+	 * @return the timeout, or zero if there is no such stream
+	 */
+	Duration longestResumableTimeout() {
+		return this.routes.stream()
+			.filter(Route::resumable)
+			.map(Route::timeout)
+			.max(Duration::compareTo)
+			.orElse(Duration.ZERO);
+	}
+
 	/**
 	 * Immutable service that upstreams provide.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -65,18 +65,19 @@
 			return;
 		}
 		this.state.routeTable = Optional.of(table);
+		this.state.streamRetention = table.longestResumableTimeout().multipliedBy(RelaySettings.STREAM_ATTEMPTS);
 		this.state.emit(new RelayEffect.ApplyLimits(table.limits()));
 		this.state.report(RelayNotices.routesAccepted(table));
 	}
 
 	void upstreamsReplaced(List<Upstream> upstreams) {
-		this.state.upstreams.replace(upstreams);
+		this.state.upstreams.replace(upstreams, this.state.now);
 		recordFailuresOfEnded();
 	}
 
 	void upstreamUpdated(Upstream upstream) {
 		Optional<Upstream> previous = this.state.upstreams.find(upstream.id()).map(UpstreamState::upstream);
-		if (!this.state.upstreams.put(upstream)) {
+		if (!this.state.upstreams.put(upstream, this.state.now)) {
 			reportInvalid(upstream.id(), UpstreamRecordError.EARLIER_LIFE);
 			return;
 		}
@@ -106,7 +107,7 @@
 	}
 
 	void upstreamRemoved(String upstream) {
-		this.state.upstreams.remove(upstream);
+		this.state.upstreams.remove(upstream, this.state.now);
 		this.state.report(RelayNotices.upstreamRemoved(upstream));
 		recordFailuresOfEnded();
 	}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -0,0 +1,184 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
+import io.lentilslip.core.relay.Exchange.Phase;
+import io.lentilslip.core.relay.RelayEvent.Connectivity;
+import io.lentilslip.core.relay.RelayEvent.TimerKind;
+import io.lentilslip.core.relay.RequestHead.Resumption;
+import io.lentilslip.core.relay.Upstreams.UpstreamState;
+
+/**
+ * Rules that find the software version at which a caller's stream continues. The ledger
+ * has the version of each turn that is sent. If it does not have one, for example during
+ * an outage of the log, the other relays are asked. Without an answer the stream
+ * continues only if its service has had a single version since before the stream can have
+ * started; otherwise its caller has to start it again. Used by one thread.
+ */
+final class StreamRules {
+
+	private final RelayState state;
+
+	private final ExchangeCompletion completion;
+
+	StreamRules(RelayState state, ExchangeCompletion completion) {
+		this.state = state;
+		this.completion = completion;
+	}
+
+	/**
+	 * Looks up the version of the stream that a request resumes.
+	 * @param exchange the exchange of the request
+	 * @return whether the request can be handled further; otherwise it waits or is
+	 * refused
+	 */
+	boolean resolve(Exchange exchange) {
+		Optional<Resumption> resumption = exchange.resumption().filter((resumed) -> resumed.lastEvent() > 0);
+		if (resumption.isEmpty() || exchange.softwareVersion().isPresent()) {
+			return true;
+		}
+		Optional<StreamAttempt> known = resumption.get().request().flatMap(this.state.streamVersions::find);
+		if (known.isPresent()) {
+			return continueAt(exchange, known.get().version(), Source.LEDGER);
+		}
+		if (resumption.get().request().isEmpty() || this.state.linkedPeers.isEmpty()) {
+			return continueAtOnlyVersion(exchange);
+		}
+		exchange.transitionTo(Phase.WAITING_FOR_VERSION);
+		this.state.awaitingVersion.put(exchange.number(), exchange);
+		this.state.emit(new RelayEffect.RequestStreamVersion(List.copyOf(this.state.linkedPeers),
+				resumption.get().request().get()));
+		this.state.startTimer(exchange, RelaySettings.REPLICA_TIMEOUT, TimerKind.STREAM_VERSION);
+		return false;
+	}
+
+	/**
+	 * Returns the waiting requests whose streams can continue now.
+	 * @param source how their versions became known
+	 * @return the exchanges
+	 */
+	List<Exchange> takeResolved(Source source) {
+		if (this.state.awaitingVersion.isEmpty()) {
+			return List.of();
+		}
+		return List.copyOf(this.state.awaitingVersion.values())
+			.stream()
+			.filter((exchange) -> this.state.streamVersions.find(request(exchange))
+				.filter((attempt) -> continueAt(exchange, attempt.version(), source))
+				.isPresent())
+			.toList();
+	}
+
+	/**
+	 * Decides without an answer of other relays.
+	 * @param exchange the waiting exchange
+	 * @return whether the request can be handled further; otherwise it is refused
+	 */
+	boolean timedOut(Exchange exchange) {
+		return exchange.phase() == Phase.WAITING_FOR_VERSION && continueAtOnlyVersion(exchange);
+	}
+
+	/**
+	 * Records an attempt that another relay knows of.
+	 * @param received the event
+	 */
+	void versionReceived(RelayEvent.StreamVersionReceived received) {
+		this.state.recordStreamAttempt(received.request(), received.attempt());
+	}
+
+	void versionRequested(RelayEvent.StreamVersionRequested requested) {
+		this.state.streamVersions.find(requested.request())
+			.ifPresent((attempt) -> this.state
+				.emit(new RelayEffect.SendStreamVersion(requested.peer(), requested.request(), attempt)));
+	}
+
+	/**
+	 * Records that an attempt of a stream is sent.
+	 * @param exchange the exchange, with its new attempt
+	 * @param upstream the upstream
+	 * @return the attempt, or empty if the stream can't be resumed
+	 */
+	Optional<StreamAttempt> recordSend(Exchange exchange, Upstream upstream) {
+		if (!exchange.route().resumable()) {
+			return Optional.empty();
+		}
+		StreamAttempt attempt = new StreamAttempt(SoftwareVersion.of(upstream), exchange.attempt());
+		this.state.recordStreamAttempt(exchange.id(), attempt);
+		return Optional.of(attempt);
+	}
+
+	/**
+	 * Returns the upstreams at which a stream can continue. Upstreams that have begun to
+	 * drain are used only if no other one of its version is left.
+	 * @param exchange the exchange of the stream
+	 * @param version its version
+	 * @return the upstreams
+	 */
+	List<UpstreamState> candidates(Exchange exchange, SoftwareVersion version) {
+		List<UpstreamState> untried = usable(exchange, version)
+			.filter((candidate) -> !exchange.triedUpstreams().contains(candidate.upstream().id()))
+			.toList();
+		List<UpstreamState> listed = untried.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
+		return listed.isEmpty() ? untried : listed;
+	}
+
+	/**
+	 * Returns whether a stream can't continue because no upstream of its version is left.
+	 * @param exchange the exchange
+	 * @return {@code true} if it can't
+	 */
+	boolean isVersionGone(Exchange exchange) {
+		return exchange.softwareVersion()
+			.filter((version) -> usable(exchange, version).findAny().isEmpty())
+			.isPresent();
+	}
+
+	// A route may have moved to another service while its caller held the stream.
+	private Stream<UpstreamState> usable(Exchange exchange, SoftwareVersion version) {
+		boolean routed = exchange.route()
+			.services()
+			.stream()
+			.anyMatch((target) -> target.service().equals(version.service()));
+		return routed ? this.state.upstreams.available(version, this.state.now).stream() : Stream.empty();
+	}
+
+	private static String request(Exchange exchange) {
+		return exchange.resumption().flatMap(Resumption::request).orElseThrow();
+	}
+
+	private boolean continueAt(Exchange exchange, SoftwareVersion version, Source source) {
+		this.state.awaitingVersion.remove(exchange.number());
+		exchange.continueAt(version);
+		if (isVersionGone(exchange)) {
+			recordSource(Source.GONE);
+			this.completion.refuse(exchange, Refusal.VERSION_GONE, Optional.empty());
+			return false;
+		}
+		recordSource(source);
+		return true;
+	}
+
+	private boolean continueAtOnlyVersion(Exchange exchange) {
+		this.state.awaitingVersion.remove(exchange.number());
+		boolean listCurrent = this.state.connectivity == Connectivity.LOG && !this.state.logStale;
+		Optional<SoftwareVersion> only = Optional.of(exchange.route().services())
+			.filter((services) -> listCurrent && services.size() == 1)
+			.flatMap((services) -> this.state.upstreams.onlyVersion(services.getFirst().service(),
+					this.state.now - this.state.streamRetention.toMillis()));
+		if (only.isPresent()) {
+			return continueAt(exchange, only.get(), Source.ONLY_VERSION);
+		}
+		recordSource(Source.UNKNOWN);
+		this.completion.refuse(exchange, Refusal.VERSION_UNKNOWN, Optional.of(RelaySettings.RETRY_AFTER));
+		return false;
+	}
+
+	private void recordSource(Source source) {
+		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.StreamResumed(source)));
+	}
+
+}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -55,7 +55,7 @@
 		if (this.committed.contains(key)) {
 			return;
 		}
-		this.pending.putIfAbsent(key, new PendingEntry(entry, sender, now, INITIAL_WRITERS));
+		this.pending.merge(key, new PendingEntry(entry, sender, now, INITIAL_WRITERS), PendingEntry::latest);
 		if (this.pending.size() > MAX_ENTRIES) {
 			this.pending.remove(this.pending.keySet().iterator().next());
 		}
@@ -197,6 +197,12 @@
 	 */
 	private record PendingEntry(LedgerEntry entry, String sender, long since, int writers) {
 
+		// The reservation of a turn has no attempt before it is sent.
+		PendingEntry latest(PendingEntry next) {
+			boolean sent = next.entry instanceof LedgerEntry.Reserved reserved && reserved.stream().isPresent();
+			return sent ? new PendingEntry(next.entry, this.sender, this.since, this.writers) : this;
+		}
+
 		PendingEntry reschedule(long now) {
 			return new PendingEntry(this.entry, this.sender, now, 2 * this.writers);
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -53,6 +53,17 @@
 	 */
 	private static final int MAX_RUNNING = 50_000;
 
+	/**
+	 * The time for which a draining upstream still receives streams of its version: half
+	 * of the time for which it accepts requests.
+	 */
+	private static final long DRAIN_USE_MS = 1_000;
+
+	/**
+	 * The maximum number of software versions whose last listing is known.
+	 */
+	private static final int MAX_VERSIONS = 256;
+
 	private final Map<String, UpstreamState> byId = new HashMap<>();
 
 	private final Map<String, UpstreamState> byIncarnation = new HashMap<>();
@@ -71,25 +82,36 @@
 		}
 	};
 
+	/**
+	 * When an upstream of each software version was last listed, the most recent last.
+	 */
+	private final LinkedHashMap<SoftwareVersion, Long> lastListed = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<SoftwareVersion, Long> eldest) {
+			return size() > MAX_VERSIONS;
+		}
+	};
+
 	private List<Upstream> ended = new ArrayList<>();
 
-	private boolean initialized;
+	private OptionalLong initializedAt = OptionalLong.empty();
 
-	void replace(List<Upstream> upstreams) {
+	void replace(List<Upstream> upstreams, long now) {
 		Set<String> ids = new HashSet<>();
 		upstreams.forEach((upstream) -> ids.add(upstream.id()));
-		Set.copyOf(this.byId.keySet()).stream().filter((id) -> !ids.contains(id)).forEach(this::remove);
-		upstreams.forEach(this::put);
-		this.initialized = true;
+		Set.copyOf(this.byId.keySet()).stream().filter((id) -> !ids.contains(id)).forEach((id) -> remove(id, now));
+		upstreams.forEach((upstream) -> put(upstream, now));
+		this.initializedAt = this.initializedAt.isPresent() ? this.initializedAt : OptionalLong.of(now);
 	}
 
 	/**
 	 * Adds or updates an upstream. A new incarnation starts without cache or running
 	 * requests, so the state of the previous one is discarded.
 	 * @param upstream the upstream
+	 * @param now the current time
 	 * @return whether the record was applied; false if it is of an earlier incarnation
 	 */
-	boolean put(Upstream upstream) {
+	boolean put(Upstream upstream, long now) {
 		UpstreamState previous = this.byId.get(upstream.id());
 		if (previous != null && !upstream.supersedes(previous.upstream)) {
 			return false;
@@ -97,19 +119,21 @@
 		boolean sameIncarnation = previous != null
 				&& previous.upstream.incarnationId().equals(upstream.incarnationId());
 		if (!sameIncarnation) {
-			remove(upstream.id());
+			remove(upstream.id(), now);
 		}
 		UpstreamState state = sameIncarnation ? previous : new UpstreamState();
-		state.upstream = upstream;
+		state.update(upstream, now);
+		recordListing(upstream, now);
 		this.byId.put(upstream.id(), state);
 		this.byIncarnation.put(upstream.incarnationId(), state);
 		this.byIncarnationHash.put(upstream.incarnationId().hashCode(), state);
 		return true;
 	}
 
-	void remove(String id) {
+	void remove(String id, long now) {
 		UpstreamState removed = this.byId.remove(id);
 		if (removed != null) {
+			recordListing(removed.upstream, now);
 			this.byIncarnation.remove(removed.upstream.incarnationId());
 			this.byIncarnationHash.remove(removed.upstream.incarnationId().hashCode());
 			this.byReportTime.remove(removed.upstream.incarnationId().hashCode());
@@ -117,6 +141,12 @@
 		}
 	}
 
+	private void recordListing(Upstream upstream, long now) {
+		SoftwareVersion version = SoftwareVersion.of(upstream);
+		this.lastListed.remove(version);
+		this.lastListed.put(version, now);
+	}
+
 	/**
 	 * Returns the incarnations that were removed or replaced since the last call.
 	 * @return the upstreams, in their last state
@@ -225,7 +255,7 @@
 	}
 
 	boolean initialized() {
-		return this.initialized;
+		return this.initializedAt.isPresent();
 	}
 
 	Optional<UpstreamState> find(String id) {
@@ -256,6 +286,47 @@
 		return available;
 	}
 
+	/**
+	 * Returns the upstreams at which a stream can continue: those of its version that
+	 * accept new requests or have just begun to drain.
+	 * @param version the version of the stream
+	 * @param now the current time
+	 * @return the upstreams
+	 */
+	List<UpstreamState> available(SoftwareVersion version, long now) {
+		List<UpstreamState> available = new ArrayList<>();
+		for (UpstreamState candidate : this.byId.values()) {
+			if (version.isOf(candidate.upstream) && candidate.acceptsResumedStreams(now)) {
+				available.add(candidate);
+			}
+		}
+		return available;
+	}
+
+	/**
+	 * Returns the only software version of a service.
+	 * @param service the service
+	 * @param since the time from which on other versions count
+	 * @return the version, or empty if there were several or the list was not known then
+	 */
+	Optional<SoftwareVersion> onlyVersion(String service, long since) {
+		if (this.initializedAt.isEmpty() || this.initializedAt.getAsLong() > since) {
+			return Optional.empty();
+		}
+		Set<SoftwareVersion> versions = new HashSet<>();
+		this.byId.values()
+			.stream()
+			.map((state) -> SoftwareVersion.of(state.upstream))
+			.filter((version) -> version.service().equals(service))
+			.forEach(versions::add);
+		this.lastListed.forEach((version, at) -> {
+			if (at >= since && version.service().equals(service)) {
+				versions.add(version);
+			}
+		});
+		return (versions.size() == 1) ? Optional.of(versions.iterator().next()) : Optional.empty();
+	}
+
 	/**
 	 * Estimates the room of a service. Ejected upstreams provide none. While the log is
 	 * unavailable, the requests in it may have ended long ago, so only load reports and
@@ -309,6 +380,8 @@
 
 		private long slowdownAt = Long.MIN_VALUE / 2;
 
+		private OptionalLong drainingSince = OptionalLong.empty();
+
 		private long ejectedUntil;
 
 		private long ejectionMillis = INITIAL_EJECTION_MS;
@@ -321,6 +394,20 @@
 			return Math.max(1, this.upstream.slots());
 		}
 
+		private void update(Upstream updated, long now) {
+			this.upstream = updated;
+			if (!updated.draining()) {
+				this.drainingSince = OptionalLong.empty();
+			}
+			else if (this.drainingSince.isEmpty()) {
+				this.drainingSince = OptionalLong.of(now);
+			}
+		}
+
+		private boolean acceptsResumedStreams(long now) {
+			return this.drainingSince.isEmpty() || now - this.drainingSince.getAsLong() < DRAIN_USE_MS;
+		}
+
 		boolean isAvailable(String service) {
 			return this.upstream.service().equals(service) && !this.upstream.draining();
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -144,6 +144,10 @@
 		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty(), "v1");
 	}
 
+	static Upstream engine(String id, String version, boolean draining) {
+		return new Upstream(id, ENGINE, "10.0.0.1", 80, "zone-a", 6, draining, OptionalLong.empty(), version);
+	}
+
 	static Upstream withStartTime(String id, String service, long born) {
 		return new Upstream(id, service, "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.of(born), "v1");
 	}
@@ -157,6 +161,21 @@
 				Optional.empty(), Optional.empty(), RequestHead.Origin.UNKNOWN);
 	}
 
+	/**
+	 * Returns the head of a request that resumes a stream.
+	 * @param id the request id
+	 * @param origin the request that started the stream; null if the caller does not name
+	 * it
+	 * @param lastEvent the number of the last event that the caller received
+	 * @return the head
+	 */
+	static RequestHead resuming(String id, String origin, long lastEvent) {
+		RequestHead head = head(id, "draft", Optional.of(turn("p", 10_000, 100, null)));
+		return new RequestHead(id, head.host(), head.path(), head.callerTimeout(), head.turn(), head.prompt(), 0,
+				Optional.of(new RequestHead.Resumption(lastEvent, Optional.ofNullable(origin))), Optional.empty(),
+				head.origin());
+	}
+
 	boolean caughtUp() {
 		return this.caughtUp;
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
@@ -30,8 +30,8 @@
 
 	@BeforeEach
 	void addUpstreams() {
-		this.upstreams.put(RelayFixture.upstream("a", "s"));
-		this.upstreams.put(RelayFixture.upstream("b", "s"));
+		this.upstreams.put(RelayFixture.upstream("a", "s"), 0);
+		this.upstreams.put(RelayFixture.upstream("b", "s"), 0);
 	}
 
 	@Test
@@ -105,7 +105,7 @@
 		Upstreams engines = new Upstreams();
 		for (int i = 0; i < count; i++) {
 			engines.put(new Upstream("engine-" + i, "s", "10.0.0." + i, 80, "zone-a", 64, false, OptionalLong.empty(),
-					"v1"));
+					"v1"), 0);
 		}
 		return engines;
 	}
@@ -146,7 +146,7 @@
 	@Test
 	void bestThreeAreReturnedInOrder() {
 		for (String id : List.of("c", "d", "e")) {
-			this.upstreams.put(RelayFixture.upstream(id, "s"));
+			this.upstreams.put(RelayFixture.upstream(id, "s"), 0);
 		}
 		for (int i = 0; i < 4; i++) {
 			for (String id : List.of("a", "b", "c", "d").subList(0, 4 - i)) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -19,12 +19,12 @@
 	// Guards against using estimates of an engine from before its restart.
 	@Test
 	void newIncarnationStartsWithoutEstimates() {
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10));
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10), 0);
 		Upstreams.UpstreamState previous = this.upstreams.find("a").orElseThrow();
 		previous.addToCache(PROMPT, 1000);
 		previous.recordFailure(5);
 		this.upstreams.requestStarted("r", previous, 5);
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 11));
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 11), 0);
 		Upstreams.UpstreamState current = this.upstreams.find("a").orElseThrow();
 		assertThat(current.uncachedTokens(PROMPT)).isEqualTo(500);
 		assertThat(current.load(5)).isZero();
@@ -33,9 +33,9 @@
 
 	@Test
 	void estimatesAreKeptWhileTheIncarnationIsTheSame() {
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10));
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10), 0);
 		this.upstreams.find("a").orElseThrow().addToCache(PROMPT, 1000);
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10));
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10), 0);
 		assertThat(this.upstreams.find("a").orElseThrow().uncachedTokens(PROMPT)).isZero();
 	}
 
@@ -43,9 +43,9 @@
 	// record is read late or has no start time.
 	@Test
 	void recordOfAnEarlierIncarnationIsIgnored() {
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10));
-		assertThat(this.upstreams.put(RelayFixture.withStartTime("a", "other", 9))).isFalse();
-		assertThat(this.upstreams.put(RelayFixture.upstream("a", "other"))).isFalse();
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10), 0);
+		assertThat(this.upstreams.put(RelayFixture.withStartTime("a", "other", 9), 0)).isFalse();
+		assertThat(this.upstreams.put(RelayFixture.upstream("a", "other"), 0)).isFalse();
 		assertThat(this.upstreams.find("a").orElseThrow().upstream().service()).isEqualTo("s");
 	}
 
@@ -74,7 +74,7 @@
 				new UpstreamLoad("a".hashCode(), 7, 200));
 		assertThat(this.upstreams.recentLoads(450)).containsExactly(new UpstreamLoad("b".hashCode(), 3, 200));
 		Upstreams other = new Upstreams();
-		other.put(RelayFixture.upstream("b", "s"));
+		other.put(RelayFixture.upstream("b", "s"), 0);
 		other.mergeLoads(shared, 1_000);
 		assertThat(other.find("b").orElseThrow().load(1_000)).isEqualTo(3);
 		assertThat(other.recentLoads(1_010)).containsExactly(new UpstreamLoad("b".hashCode(), 3, 60));
@@ -135,17 +135,17 @@
 	}
 
 	private Upstreams.UpstreamState add(String id) {
-		this.upstreams.put(RelayFixture.upstream(id, "s"));
+		this.upstreams.put(RelayFixture.upstream(id, "s"), 0);
 		return this.upstreams.find(id).orElseThrow();
 	}
 
 	@Test
 	void earlierIncarnationIsNotFound() {
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10));
-		this.upstreams.put(RelayFixture.withStartTime("a", "s", 11));
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 10), 0);
+		this.upstreams.put(RelayFixture.withStartTime("a", "s", 11), 0);
 		assertThat(this.upstreams.findIncarnation("a@10")).isEmpty();
 		assertThat(this.upstreams.findIncarnation("a@11")).isPresent();
-		this.upstreams.remove("a");
+		this.upstreams.remove("a", 0);
 		assertThat(this.upstreams.findIncarnation("a@11")).isEmpty();
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -45,6 +45,19 @@
 	 */
 	void textLocationsReceived(String peer, List<TurnLocation> turns);
 
+	/**
+	 * Another relay requests the software version of a stream.
+	 * @param peer the address of the other relay
+	 * @param request the request that started the stream
+	 */
+	void streamVersionRequested(String peer, String request);
+
+	/**
+	 * Another relay has sent the software version of a stream.
+	 * @param version the version
+	 */
+	void streamVersionReceived(PeerMessage.StreamVersion version);
+
 	/**
 	 * Another relay requests texts.
 	 * @param peer the address of the other relay
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -343,6 +343,9 @@
 					Peers.this.listener.textLocationsRequested(this.peer, request.request());
 				case PeerMessage.TextLocations locations ->
 					Peers.this.listener.textLocationsReceived(this.peer, locations.turns());
+				case PeerMessage.StreamVersionRequest request ->
+					Peers.this.listener.streamVersionRequested(this.peer, request.request());
+				case PeerMessage.StreamVersion version -> Peers.this.listener.streamVersionReceived(version);
 				case PeerMessage.TextsRequest request ->
 					Peers.this.listener.textsRequested(this.peer, request.requests());
 				case PeerMessage.Texts texts -> Peers.this.listener.textsReceived(texts.turns());
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -336,6 +336,10 @@
 				this.peers.sendRequest(request.peers(), new PeerMessage.TextLocationsRequest(request.request()));
 			case RelayEffect.SendTextLocations response ->
 				this.peers.send(response.peer(), new PeerMessage.TextLocations(response.turns()));
+			case RelayEffect.RequestStreamVersion request ->
+				this.peers.sendRequest(request.peers(), new PeerMessage.StreamVersionRequest(request.request()));
+			case RelayEffect.SendStreamVersion response ->
+				this.peers.send(response.peer(), new PeerMessage.StreamVersion(response.request(), response.attempt()));
 			case RelayEffect.RequestTexts request ->
 				this.peers.send(request.peer(), new PeerMessage.TextsRequest(Set.copyOf(request.requests())));
 			case RelayEffect.SendTexts response ->
@@ -569,6 +573,17 @@
 			on(new RelayEvent.TextLocationsReceived(RelayProcess.this.timers.now(), peer, turns));
 		}
 
+		@Override
+		public void streamVersionRequested(String peer, String request) {
+			on(new RelayEvent.StreamVersionRequested(RelayProcess.this.timers.now(), peer, request));
+		}
+
+		@Override
+		public void streamVersionReceived(PeerMessage.StreamVersion version) {
+			on(new RelayEvent.StreamVersionReceived(RelayProcess.this.timers.now(), version.request(),
+					version.attempt()));
+		}
+
 		@Override
 		public void textsRequested(String peer, Set<String> requests) {
 			on(new RelayEvent.TextsRequested(RelayProcess.this.timers.now(), peer, requests));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -315,6 +315,16 @@
 		public void textLocationsReceived(String peer, List<TurnLocation> turns) {
 		}
 
+		@Override
+		public void streamVersionRequested(String peer, String request) {
+			PeersTests.this.received.add("version of " + request);
+		}
+
+		@Override
+		public void streamVersionReceived(PeerMessage.StreamVersion version) {
+			PeersTests.this.received.add("version of " + version.request() + " received");
+		}
+
 		@Override
 		public void textsRequested(String peer, Set<String> requests) {
 			PeersTests.this.received.add("texts of " + requests);
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -122,6 +122,9 @@
 	private final Counter routeRefusals = counter("lentilslip_route_refusals_total", "Requests that a relay refused.",
 			"route", "reason");
 
+	private final Counter streamsResumed = counter("lentilslip_relay_streams_resumed_total",
+			"Streams that callers resumed, by how their software version was known.", "source");
+
 	private final BoundedLabels services = new BoundedLabels(ROUTE_LIMIT);
 
 	private final Gauge admittedFraction = gauge("lentilslip_service_admitted_fraction",
@@ -215,6 +218,8 @@
 			case Measurement.RouteRequestEnded ended -> apply(ended);
 			case Measurement.RouteRequestRefused(String route, String reason) ->
 				this.routeRefusals.labelValues(this.routes.labelOf(route), reason).inc();
+			case Measurement.StreamResumed(Measurement.StreamResumed.Source source) ->
+				this.streamsResumed.labelValues(source.label()).inc();
 			case Measurement.ServiceAdmission admission -> apply(admission);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.RequestWritten(Duration delay) -> this.writeDelay.observe(seconds(delay));
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -52,6 +52,7 @@
 					Duration.ofMillis(5), Optional.of(Duration.ofMillis(1))),
 			new Measurement.RouteRequestRefused("chat", "overloaded"),
 			new Measurement.ServiceAdmission("engine", 0.5, Duration.ofMillis(1)),
+			new Measurement.StreamResumed(Measurement.StreamResumed.Source.LEDGER),
 			new Measurement.TimerRan(Duration.ofMillis(1)), new Measurement.RequestWritten(Duration.ofMillis(1)),
 			new Measurement.EntriesGivenUp(1),
 			new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_IN, 1, 1),
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -7,6 +7,7 @@
 import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.StoredTurn;
+import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.UpstreamLoad;
@@ -43,6 +44,25 @@
 
 	}
 
+	/**
+	 * Request for the software version of a stream.
+	 *
+	 * @param request the request that started the stream
+	 */
+	record StreamVersionRequest(String request) implements PeerMessage {
+
+	}
+
+	/**
+	 * The software version of a stream.
+	 *
+	 * @param request the request that started the stream
+	 * @param attempt its last attempt that the sender knows
+	 */
+	record StreamVersion(String request, StreamAttempt attempt) implements PeerMessage {
+
+	}
+
 	/**
 	 * Request to write a turn to the log, since the sender cannot.
 	 *
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -12,7 +12,9 @@
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
+import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
@@ -140,6 +142,12 @@
 				builder.getPlacesWantedBuilder().addRequest(request.request());
 			case PeerMessage.TextLocations locations ->
 				locations.turns().forEach((turn) -> builder.getPlacesBuilder().addTurns(message(turn)));
+			case PeerMessage.StreamVersionRequest request ->
+				builder.getStreamVersionsWantedBuilder().addRequest(request.request());
+			case PeerMessage.StreamVersion version -> builder.getStreamVersionsBuilder()
+				.addStreamsBuilder()
+				.setRequest(version.request())
+				.setStream(message(version.attempt()));
 			case PeerMessage.UsageUnavailable unavailable ->
 				builder.getUnsureBuilder().setRequest(unavailable.request());
 			case PeerMessage.SyncRequest ignored -> builder.getSyncBuilder();
@@ -183,6 +191,11 @@
 						: Either.left("text locations request must name exactly one turn");
 				case PLACES -> Either.right(new PeerMessage.TextLocations(
 						message.getPlaces().getTurnsList().stream().map(RelayCodec::turnLocation).toList()));
+				case STREAM_VERSIONS_WANTED -> (message.getStreamVersionsWanted().getRequestCount() == 1)
+						? Either.right(
+								new PeerMessage.StreamVersionRequest(message.getStreamVersionsWanted().getRequest(0)))
+						: Either.left("stream version request must name exactly one request");
+				case STREAM_VERSIONS -> streamVersion(message.getStreamVersions());
 				case UNSURE -> Either.right(new PeerMessage.UsageUnavailable(message.getUnsure().getRequest()));
 				case SYNC -> Either.right(new PeerMessage.SyncRequest());
 				case PLACE -> Either
@@ -232,6 +245,26 @@
 		}
 	}
 
+	private static Either<String, PeerMessage> streamVersion(RelayProtocol.StreamVersions message) {
+		if (message.getStreamsCount() != 1) {
+			return Either.left("message must have exactly one stream version");
+		}
+		RelayProtocol.VersionedStream stream = message.getStreams(0);
+		return Either.right(new PeerMessage.StreamVersion(stream.getRequest(), attempt(stream.getStream())));
+	}
+
+	private static RelayProtocol.StreamVersion message(StreamAttempt attempt) {
+		return RelayProtocol.StreamVersion.newBuilder()
+			.setService(attempt.version().service())
+			.setVersion(attempt.version().version())
+			.setAttempt(attempt.number())
+			.build();
+	}
+
+	private static StreamAttempt attempt(RelayProtocol.StreamVersion message) {
+		return new StreamAttempt(new SoftwareVersion(message.getService(), message.getVersion()), message.getAttempt());
+	}
+
 	private static RelayProtocol.PlacedTurn message(TurnLocation turn) {
 		return RelayProtocol.PlacedTurn.newBuilder()
 			.setRequest(turn.request())
@@ -327,6 +360,7 @@
 			.setTokens(reserved.maxTokens())
 			.setUpstream(reserved.upstream())
 			.setContending(reserved.conditional());
+		reserved.stream().ifPresent((attempt) -> builder.setStream(message(attempt)));
 		for (PromptPart part : reserved.prompt()) {
 			builder.addPrompt(RelayProtocol.Part.newBuilder().setId(part.id()).setTokens(part.tokens()));
 		}
@@ -360,7 +394,8 @@
 			prompt.add(new PromptPart(part.getId(), part.getTokens()));
 		}
 		return new LedgerEntry.Reserved(request, message.getProgram(), message.getTokens(), message.getUpstream(),
-				prompt, message.getContending());
+				prompt, message.getContending(),
+				message.hasStream() ? Optional.of(attempt(message.getStream())) : Optional.empty());
 	}
 
 	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -11,7 +11,9 @@
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
+import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
@@ -28,7 +30,8 @@
 	@Property(tries = 200)
 	void reservationsRoundTrip(@ForAll int tokens, @ForAll long part, @ForAll boolean conditional) {
 		LedgerEntry entry = new LedgerEntry.Reserved("r", "p", tokens, conditional ? "" : "u",
-				List.of(new PromptPart(part, 7)), conditional);
+				List.of(new PromptPart(part, 7)), conditional,
+				conditional ? Optional.empty() : Optional.of(new StreamAttempt(new SoftwareVersion("s", "v1"), 1)));
 		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
 	}
 
@@ -121,6 +124,8 @@
 				new PeerMessage.TextsRequest(Set.of("a", "b")), new PeerMessage.TurnWriteAck(Set.of("a")),
 				new PeerMessage.Heartbeat(), new PeerMessage.ReservationRequest("r", "p", 588, 1L << 41, true),
 				new PeerMessage.Usage("r", 1L << 40, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
+				new PeerMessage.StreamVersionRequest("r"),
+				new PeerMessage.StreamVersion("r", new StreamAttempt(new SoftwareVersion("s", "v1.1"), 2)),
 				new PeerMessage.UsageUnavailable("r"), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t"),
 				new PeerMessage.TextLocations(List.of(new TurnLocation("t",
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
@@ -11,7 +11,9 @@
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
+import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
@@ -33,8 +35,10 @@
 	private static final TextLocation LOCATION = new TextLocation(Optional.of("t0"), 900, 7, 1L << 33,
 			Optional.of("10.0.0.1:7380"));
 
+	private static final StreamAttempt ATTEMPT = new StreamAttempt(new SoftwareVersion("s", "v1.1"), 2);
+
 	private static final LedgerEntry RESERVED = new LedgerEntry.Reserved("t1", "p", 588, "e1@17",
-			List.of(new PromptPart(0x5c1e07a2L, 800), new PromptPart(-3, 400)), true);
+			List.of(new PromptPart(0x5c1e07a2L, 800), new PromptPart(-3, 400)), true, Optional.of(ATTEMPT));
 
 	private static final LedgerEntry.Settled SETTLED = new LedgerEntry.Settled("t1", "p", 90, Optional.of(LOCATION));
 
@@ -66,6 +70,7 @@
 				new PeerMessage.Texts(List.of(new TurnText("t1", TEXT))), new PeerMessage.TurnWriteAck(Set.of("t1")),
 				new PeerMessage.ReservationRequest("t1", "p", 588, 1L << 40, false),
 				new PeerMessage.Usage("t1", 1200, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
+				new PeerMessage.StreamVersionRequest("t1"), new PeerMessage.StreamVersion("t1", ATTEMPT),
 				new PeerMessage.UsageUnavailable("t1"), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t1"),
 				new PeerMessage.TextLocations(List.of(new TurnLocation("t1", LOCATION))),
