Learn from the log which software versions have served before a relay started

Cause: the rule of the only version needed a list of upstreams as old as the retention of streams, 12 s. Change: the attempts in the log count as well. A relay that has read the log knows the versions of all attempts of that time, whichever relay sent them. Test: startingRelayKnowsFromTheLogWhichVersionsHaveServed fails without the change (refused as unknown).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -299,6 +299,7 @@
 
 	void recordStreamAttempt(String request, StreamAttempt attempt) {
 		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -164,7 +164,10 @@
 
 	private boolean continueAtOnlyVersion(Exchange exchange) {
 		this.state.awaitingVersion.remove(exchange.number());
-		boolean listCurrent = this.state.connectivity == Connectivity.LOG && !this.state.logStale;
+		// The log has the attempts of all relays, so that a relay knows the versions from
+		// before its start once it has read it.
+		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp
+				&& !this.state.logStale;
 		Optional<SoftwareVersion> only = Optional.of(exchange.route().services())
 			.filter((services) -> listCurrent && services.size() == 1)
 			.flatMap((services) -> this.state.upstreams.onlyVersion(services.getFirst().service(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -60,7 +60,7 @@
 	private static final long DRAIN_USE_MS = 1_000;
 
 	/**
-	 * The maximum number of software versions whose last listing is known.
+	 * The maximum number of software versions that are remembered.
 	 */
 	private static final int MAX_VERSIONS = 256;
 
@@ -83,9 +83,9 @@
 	};
 
 	/**
-	 * When an upstream of each software version was last listed, the most recent last.
+	 * When each software version was last listed or sent a stream, the most recent last.
 	 */
-	private final LinkedHashMap<SoftwareVersion, Long> lastListed = new LinkedHashMap<>() {
+	private final LinkedHashMap<SoftwareVersion, Long> lastSeen = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<SoftwareVersion, Long> eldest) {
 			return size() > MAX_VERSIONS;
@@ -94,14 +94,14 @@
 
 	private List<Upstream> ended = new ArrayList<>();
 
-	private OptionalLong initializedAt = OptionalLong.empty();
+	private boolean initialized;
 
 	void replace(List<Upstream> upstreams, long now) {
 		Set<String> ids = new HashSet<>();
 		upstreams.forEach((upstream) -> ids.add(upstream.id()));
 		Set.copyOf(this.byId.keySet()).stream().filter((id) -> !ids.contains(id)).forEach((id) -> remove(id, now));
 		upstreams.forEach((upstream) -> put(upstream, now));
-		this.initializedAt = this.initializedAt.isPresent() ? this.initializedAt : OptionalLong.of(now);
+		this.initialized = true;
 	}
 
 	/**
@@ -123,7 +123,7 @@
 		}
 		UpstreamState state = sameIncarnation ? previous : new UpstreamState();
 		state.update(upstream, now);
-		recordListing(upstream, now);
+		recordVersion(SoftwareVersion.of(upstream), now);
 		this.byId.put(upstream.id(), state);
 		this.byIncarnation.put(upstream.incarnationId(), state);
 		this.byIncarnationHash.put(upstream.incarnationId().hashCode(), state);
@@ -133,7 +133,7 @@
 	void remove(String id, long now) {
 		UpstreamState removed = this.byId.remove(id);
 		if (removed != null) {
-			recordListing(removed.upstream, now);
+			recordVersion(SoftwareVersion.of(removed.upstream), now);
 			this.byIncarnation.remove(removed.upstream.incarnationId());
 			this.byIncarnationHash.remove(removed.upstream.incarnationId().hashCode());
 			this.byReportTime.remove(removed.upstream.incarnationId().hashCode());
@@ -141,10 +141,14 @@
 		}
 	}
 
-	private void recordListing(Upstream upstream, long now) {
-		SoftwareVersion version = SoftwareVersion.of(upstream);
-		this.lastListed.remove(version);
-		this.lastListed.put(version, now);
+	/**
+	 * Records that a software version serves.
+	 * @param version the version
+	 * @param now the current time
+	 */
+	void recordVersion(SoftwareVersion version, long now) {
+		this.lastSeen.remove(version);
+		this.lastSeen.put(version, now);
 	}
 
 	/**
@@ -255,7 +259,7 @@
 	}
 
 	boolean initialized() {
-		return this.initializedAt.isPresent();
+		return this.initialized;
 	}
 
 	Optional<UpstreamState> find(String id) {
@@ -307,19 +311,16 @@
 	 * Returns the only software version of a service.
 	 * @param service the service
 	 * @param since the time from which on other versions count
-	 * @return the version, or empty if there were several or the list was not known then
+	 * @return the version, or empty if there were several
 	 */
 	Optional<SoftwareVersion> onlyVersion(String service, long since) {
-		if (this.initializedAt.isEmpty() || this.initializedAt.getAsLong() > since) {
-			return Optional.empty();
-		}
 		Set<SoftwareVersion> versions = new HashSet<>();
 		this.byId.values()
 			.stream()
 			.map((state) -> SoftwareVersion.of(state.upstream))
 			.filter((version) -> version.service().equals(service))
 			.forEach(versions::add);
-		this.lastListed.forEach((version, at) -> {
+		this.lastSeen.forEach((version, at) -> {
 			if (at >= since && version.service().equals(service)) {
 				versions.add(version);
 			}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -180,6 +180,18 @@
 		assertThat(sent(resume("u2", "t1")).id()).isEqualTo("c");
 	}
 
+	// Guards against a starting relay that refuses streams until it has known the list
+	// for
+	// as long as streams can be resumed.
+	@Test
+	void startingRelayKnowsFromTheLogWhichVersionsHaveServed() {
+		list(engine("c", "v1"));
+		this.relay.readFromLog(reserved("t8", "c", "v1", 1));
+		assertThat(sent(resume("u1", null)).id()).isEqualTo("c");
+		this.relay.readFromLog(reserved("t9", "gone", "v2", 1));
+		assertThat(refusal(resume("u2", null)).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+	}
+
 	// A relay that does not reach the log may not know that a release has begun.
 	@Test
 	void unknownVersionIsRefusedWithoutACurrentListOfUpstreams() {
