--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
@@ -13,6 +13,7 @@
 import io.lentilslip.telemetry.LogWriting;
 import io.lentilslip.telemetry.Metrics;
 import io.lentilslip.telemetry.Notices;
+import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import sun.misc.Signal;
 
@@ -28,6 +29,8 @@
 	 */
 	private static final int EVENTS_PER_SECOND = 200;
 
+	private static final String ADMIT_BY_LOAD = "admit-by-load";
+
 	private final StopRequests stops;
 
 	/**
@@ -52,7 +55,10 @@
 
 	@Override
 	public Options options() {
-		return new Options();
+		return new Options().addOption(Option.builder()
+			.longOpt(ADMIT_BY_LOAD)
+			.desc("refuse new programs while their service has no room")
+			.build());
 	}
 
 	private static Notices notices(String process) {
@@ -69,7 +75,8 @@
 		});
 		LogSettings log = LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput();
 		try (LogWriting writing = log.applyWithoutWaiting();
-				RelayProcess relay = PlatformRelay.create(RelayCommand::notices, new Metrics())) {
+				RelayProcess relay = PlatformRelay.create(RelayCommand::notices, new Metrics(),
+						arguments.has(ADMIT_BY_LOAD))) {
 			relay.start();
 			signals.onFirst(() -> relay.drain().thenRun(() -> ended.complete(ExitCode.OK)));
 			return ended.get();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/AdmissionRules.java
@@ -63,7 +63,7 @@
 	 */
 	boolean refuse(Exchange exchange) {
 		RequestHead.Turn turn = exchange.head().turn().orElseThrow();
-		if (hasBegun(exchange, turn)) {
+		if (!this.state.admission || hasBegun(exchange, turn)) {
 			exchange.markProgramBegun();
 			return false;
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -18,9 +18,10 @@
  * @param bootstrap whether the whole site starts for the first time, so that there are no
  * earlier reservations
  * @param quotaTolerance the bound on exceeding the quotas of teams
+ * @param admission whether new programs are refused while their service has no room
  */
 public record RelaySettings(String zone, int weight, long seed, long turnCacheBytes, int maxInputBytes, int maxPrograms,
-		int textPartition, boolean bootstrap, QuotaTolerance quotaTolerance) {
+		int textPartition, boolean bootstrap, QuotaTolerance quotaTolerance, boolean admission) {
 
 	/**
 	 * The fraction of a route's latency target after which a turn without its chain is
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -137,6 +137,11 @@
 	 */
 	final QuotaTolerance quotaTolerance;
 
+	/**
+	 * Whether new programs are refused while their service has no room.
+	 */
+	final boolean admission;
+
 	/**
 	 * The last known end offset of the text partition; negative if unknown.
 	 */
@@ -195,6 +200,7 @@
 		this.maxInputBytes = settings.maxInputBytes();
 		this.textPartition = settings.textPartition();
 		this.quotaTolerance = settings.quotaTolerance();
+		this.admission = settings.admission();
 		this.tokens = new ProgramTokens(settings.maxPrograms());
 		this.turnCache = new TurnCache(settings.turnCacheBytes());
 		this.ledgerComplete = settings.bootstrap();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -43,6 +43,15 @@
 			.satisfies((refuse) -> assertThat(refuse.refusal()).isEqualTo(Refusal.BLAMED));
 	}
 
+	@Test
+	void programIsAdmittedWithoutRoomIfAdmissionIsOff() {
+		RelayFixture off = RelayFixture.withoutAdmission();
+		for (String engine : List.of("e1", "e2")) {
+			off.handle(new RelayEvent.LoadsReceived(off.now(), List.of(new UpstreamLoad(engine.hashCode(), 60, 0))));
+		}
+		assertThat(sends(off.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).hasSize(1);
+	}
+
 	@Test
 	void programIsAdmittedWhileUpstreamsAreFullButNothingWaits() {
 		reportLoad(6);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -46,8 +46,12 @@
 	private boolean caughtUp;
 
 	private RelayFixture(boolean bootstrap, long seed) {
+		this(bootstrap, seed, true);
+	}
+
+	private RelayFixture(boolean bootstrap, long seed, boolean admission) {
 		this.relay = new Relay(new RelaySettings("zone-a", 100, seed, 1_000_000, 1000, 1000, TEXT_PARTITION, bootstrap,
-				QuotaTolerance.standard()));
+				QuotaTolerance.standard(), admission));
 	}
 
 	/**
@@ -64,7 +68,10 @@
 	 * @return the relay
 	 */
 	static RelayFixture ready(long seed) {
-		RelayFixture fixture = configured(true, seed);
+		return makeReady(configured(true, seed));
+	}
+
+	private static RelayFixture makeReady(RelayFixture fixture) {
 		fixture.handle(caughtUp(fixture.now));
 		fixture.handle(textOffsetKnown(fixture.now));
 		fixture.all.clear();
@@ -86,11 +93,7 @@
 	 * @return the relay
 	 */
 	static RelayFixture readyAfterRestart() {
-		RelayFixture fixture = afterRestart();
-		fixture.handle(caughtUp(fixture.now));
-		fixture.handle(textOffsetKnown(fixture.now));
-		fixture.all.clear();
-		return fixture;
+		return makeReady(afterRestart());
 	}
 
 	/**
@@ -101,8 +104,19 @@
 		return configured(false, SEED);
 	}
 
+	/**
+	 * Returns a ready relay that does not refuse programs for load.
+	 * @return the relay
+	 */
+	static RelayFixture withoutAdmission() {
+		return makeReady(configured(new RelayFixture(true, SEED, false)));
+	}
+
 	private static RelayFixture configured(boolean bootstrap, long seed) {
-		RelayFixture fixture = new RelayFixture(bootstrap, seed);
+		return configured(new RelayFixture(bootstrap, seed));
+	}
+
+	private static RelayFixture configured(RelayFixture fixture) {
 		fixture.handle(new RelayEvent.RouteTableUpdated(fixture.now, table()));
 		fixture.handle(new RelayEvent.UpstreamsReplaced(fixture.now, List.of(upstream("e1", ENGINE),
 				upstream("e2", ENGINE), upstream("s1", SHOP), upstream("s2", SHOP), upstream("s3", SHOP))));
