Retry a stream without events at the version of its last attempt

Cause, found by reading: a relay that has read the first attempt of a request but not the second one yet would resume the stream at the version of the first, though the second brought the first event. A slow log makes that gap seconds long. Change: a retry before the first event prefers upstreams of the version of the last attempt; others are used if none of it is left, or, for an idle upstream, if none of it has a free slot. So the versions of the attempts of a request differ only if one is going. Tests: retryWithoutAnEventPrefersTheVersionOfTheLastAttempt fails without the change; streamOfAnotherTeamIsUnknown guards the ids of teams. None measured.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
 import io.lentilslip.core.relay.Exchange.Phase;
@@ -213,7 +214,7 @@
 	 * @param exchange the exchange
 	 */
 	void replaceIdleUpstream(Exchange exchange) {
-		List<RankedUpstream> next = rank(exchange).stream().filter(this::hasFreeSlot).toList();
+		List<RankedUpstream> next = rank(exchange, this::hasFreeSlot);
 		boolean poison = this.state.isPoison(exchange);
 		if (next.isEmpty() || poison || exchange.sendCount() >= exchange.route().maxAttempts()) {
 			return;
@@ -233,20 +234,29 @@
 	}
 
 	private List<RankedUpstream> rank(Exchange exchange) {
+		return rank(exchange, (ranked) -> true);
+	}
+
+	// Another relay may know an earlier attempt only, so a retry prefers its version.
+	private List<RankedUpstream> rank(Exchange exchange, Predicate<RankedUpstream> usable) {
 		String service = exchange.softwareVersion()
 			.map(SoftwareVersion::service)
 			.orElseGet(() -> selectService(exchange.route()));
 		boolean engine = this.state.engine(service).isPresent();
 		boolean useAffinity = exchange.route().affinity() && !engine;
 		Optional<String> affinityKey = exchange.head().affinityKey().filter((key) -> useAffinity);
-		return this.state.upstreamSelector.rank(candidates(exchange, service), exchange.triedUpstreams(),
-				exchange.head().prompt(), engine, affinityKey, this.state.now);
-	}
-
-	private List<UpstreamState> candidates(Exchange exchange, String service) {
-		return exchange.softwareVersion()
-			.map((version) -> this.streams.candidates(exchange, version))
-			.orElseGet(() -> this.state.upstreams.available(service));
+		for (List<UpstreamState> candidates : this.streams.candidates(exchange, service)) {
+			List<RankedUpstream> ranked = this.state.upstreamSelector
+				.rank(candidates, exchange.triedUpstreams(), exchange.head().prompt(), engine, affinityKey,
+						this.state.now)
+				.stream()
+				.filter(usable)
+				.toList();
+			if (!ranked.isEmpty()) {
+				return ranked;
+			}
+		}
+		return List.of();
 	}
 
 	private String selectService(Route route) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -112,18 +112,32 @@
 	}
 
 	/**
-	 * Returns the upstreams at which a stream can continue. Upstreams that have begun to
-	 * drain are used only if no other one of its version is left.
-	 * @param exchange the exchange of the stream
-	 * @param version its version
-	 * @return the upstreams
+	 * Returns the upstreams to which a request can be sent. A stream continues at its
+	 * version only, and upstreams that have begun to drain are used if no other one is
+	 * left. A retry of a stream without events prefers the version of the last attempt,
+	 * since other relays may not know of a later one yet.
+	 * @param exchange the exchange
+	 * @param service the service that is selected for the request
+	 * @return the upstreams in groups, the preferred group first
 	 */
-	List<UpstreamState> candidates(Exchange exchange, SoftwareVersion version) {
-		List<UpstreamState> untried = usable(exchange, version)
-			.filter((candidate) -> !exchange.triedUpstreams().contains(candidate.upstream().id()))
-			.toList();
-		List<UpstreamState> listed = untried.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
-		return listed.isEmpty() ? untried : listed;
+	List<List<UpstreamState>> candidates(Exchange exchange, String service) {
+		if (exchange.softwareVersion().isPresent()) {
+			List<UpstreamState> usable = usable(exchange, exchange.softwareVersion().get()).toList();
+			return List.of(listed(usable), usable);
+		}
+		List<UpstreamState> available = this.state.upstreams.available(service);
+		Optional<SoftwareVersion> last = exchange.upstream()
+			.filter((ignored) -> exchange.route().resumable())
+			.map(SoftwareVersion::of);
+		return last.isEmpty() ? List.of(available) : List.of(ofVersion(available, last.get()), available);
+	}
+
+	private static List<UpstreamState> listed(List<UpstreamState> candidates) {
+		return candidates.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
+	}
+
+	private static List<UpstreamState> ofVersion(List<UpstreamState> candidates, SoftwareVersion version) {
+		return candidates.stream().filter((candidate) -> version.isOf(candidate.upstream())).toList();
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -83,6 +83,17 @@
 		assertThat(versionsOfResumed("t1")).containsExactly("v2");
 	}
 
+	// A relay that has not read the second attempt from the log yet knows the version of
+	// the first one.
+	@Test
+	void retryWithoutAnEventPrefersTheVersionOfTheLastAttempt() {
+		list(engine("a", "v1"), engine("b", "v2"), engine("c", "v1"), engine("d", "v2"));
+		for (int i = 0; i < STREAMS; i++) {
+			Upstream first = sent(this.relay.sendTurn("t" + i, "draft", turn("p" + i)));
+			assertThat(sent(this.relay.fail(1, FailureCause.NOT_CONNECTED)).version()).isEqualTo(first.version());
+		}
+	}
+
 	@Test
 	void callerResumesAtTheSameRelay() {
 		start("t1", "v1");
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TeamTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TeamTests.java
@@ -59,6 +59,27 @@
 		assertThat(RelayFixture.ofType(own, RelayEffect.SendRequest.class)).hasSize(1);
 	}
 
+	// Guards against revealing which ids of another team exist.
+	@Test
+	void streamOfAnotherTeamIsUnknown() {
+		this.relay.handle(new RelayEvent.UpstreamsReplaced(this.relay.now(),
+				List.of(RelayFixture.engine("a", "v1", false), RelayFixture.engine("b", "v2", false))));
+		sendRequest("t1", "draft", Optional.of("key of red"), RelayFixture.turn("p", 1000, 100, null));
+		assertThat(refusal(resume("t2", "t1", "key of blue"))).isEqualTo(Refusal.VERSION_UNKNOWN);
+		assertThat(refusal(resume("t3", "t9", "key of blue"))).isEqualTo(Refusal.VERSION_UNKNOWN);
+		assertThat(RelayFixture.ofType(resume("t4", "t1", "key of red"), RelayEffect.SendRequest.class)).hasSize(1);
+	}
+
+	private List<RelayEffect> resume(String id, String origin, String key) {
+		RequestHead head = RelayFixture.resuming(id, origin, 1);
+		return this.relay
+			.sendRequest(
+					new RequestHead(id, head.host(), head.path(), head.callerTimeout(), head.turn(), List.of(), 0,
+							head.resumption(), Optional.empty(), new RequestHead.Origin(
+									head.turn().map(RequestHead.Turn::program), Optional.of(KeyDigest.of(key)))),
+					"body");
+	}
+
 	// Guards against charging a budget of another team for a program of the same name.
 	@Test
 	void programsOfDifferentTeamsHaveSeparateBudgets() {
