Measure the size of what a relay remembers of requests

The streams, the request targets and the failures of upstreams that a relay remembers are bounded, but no metric showed their sizes. lentilslip_collection_size has them now as stream_versions, request_targets and crash_records.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
@@ -82,6 +82,16 @@
 	 */
 	MAILBOX,
 
+	/**
+	 * Requests by which a relay distinguishes poison targets from harmless ones.
+	 */
+	REQUEST_TARGETS,
+
+	/**
+	 * Streams whose software versions a relay knows.
+	 */
+	STREAM_VERSIONS,
+
 	/**
 	 * Bytes of requests and responses that a relay holds for slow callers.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -29,7 +29,7 @@
 	 * The maximum number of requests with the same number of failures, and of explained
 	 * failures.
 	 */
-	private static final int MAX_REQUESTS = 4096;
+	static final int MAX_REQUESTS = 4096;
 
 	/**
 	 * The failed incarnations by request, least recently failed first, at the index of
@@ -120,6 +120,14 @@
 		explain(target, this.byFailureCount.get(MAX_FAILED_INCARNATIONS).get(target));
 	}
 
+	/**
+	 * Returns the number of requests and targets with failures.
+	 * @return the number
+	 */
+	int size() {
+		return this.byFailureCount.stream().mapToInt(LinkedHashMap::size).sum();
+	}
+
 	private boolean isExplained(long digest, String incarnation) {
 		return isTarget(digest) ? this.explained.getOrDefault(incarnation, false)
 				: this.explained.containsKey(incarnation);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.lentilslip.core.measurement.CollectionName;
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.measurement.Measurement.StreamResumed.Source;
 
 /**
@@ -135,6 +137,20 @@
 		return this.state.exchanges.size();
 	}
 
+	/**
+	 * Returns the sizes and bounds of what the relay remembers of requests.
+	 * @return the measurements
+	 */
+	public List<Measurement.CollectionSize> collectionSizes() {
+		return List.of(
+				new Measurement.CollectionSize(CollectionName.STREAM_VERSIONS, this.state.streamVersions.size(),
+						StreamVersions.MAX_STREAMS),
+				new Measurement.CollectionSize(CollectionName.REQUEST_TARGETS, this.state.requestTargets.size(),
+						RequestTargets.MAX_ENTRIES),
+				new Measurement.CollectionSize(CollectionName.CRASH_RECORDS, this.state.poisonRequests.size(),
+						(long) PoisonRequests.MAX_FAILED_INCARNATIONS * PoisonRequests.MAX_REQUESTS));
+	}
+
 	private void timerFired(Exchange exchange, RelayEvent.TimerKind timer) {
 		switch (timer) {
 			case DEADLINE -> this.completion.deadlineExceeded(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestTargets.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestTargets.java
@@ -29,7 +29,7 @@
 	 */
 	private static final Duration REFUSAL_TIME = Duration.ofSeconds(60);
 
-	private static final int MAX_ENTRIES = 4096;
+	static final int MAX_ENTRIES = 4096;
 
 	private final Map<Long, Boolean> requests = new RecentMap<>();
 
@@ -52,6 +52,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of the latest requests that are counted.
+	 * @return the number
+	 */
+	int size() {
+		return this.requests.size();
+	}
+
 	/**
 	 * Records that an upstream answered a request.
 	 * @param exchange the exchange of the request
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
@@ -14,7 +14,7 @@
 	/**
 	 * The maximum number of streams, at about 130 bytes each.
 	 */
-	private static final int MAX_STREAMS = 50_000;
+	static final int MAX_STREAMS = 50_000;
 
 	/**
 	 * The maximum number of equal attempts that share an instance.
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import io.lentilslip.core.call.Header;
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.quota.QuotaTolerance;
 
 /**
@@ -201,6 +202,10 @@
 		return effects;
 	}
 
+	List<Measurement.CollectionSize> collectionSizes() {
+		return this.relay.collectionSizes();
+	}
+
 	long now() {
 		return this.now;
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import io.lentilslip.core.measurement.CollectionName;
+import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.RelayEvent.TimerKind;
@@ -284,6 +286,13 @@
 		assertThat(versions.size()).isEqualTo(2);
 	}
 
+	@Test
+	void numberOfStreamsIsMeasured() {
+		this.relay.readFromLog(reserved("t1", "a", "v1", 1));
+		assertThat(this.relay.collectionSizes())
+			.contains(new Measurement.CollectionSize(CollectionName.STREAM_VERSIONS, 1, 50_000));
+	}
+
 	@Test
 	void numberOfVersionsIsBounded() {
 		StreamVersions versions = new StreamVersions();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -276,6 +276,7 @@
 		this.setup.measurements()
 			.accept(new Measurement.CollectionSize(CollectionName.HELD_BYTES, this.setup.heldBytes().held(),
 					this.setup.heldBytes().limit()));
+		this.relay.collectionSizes().forEach(this.setup.measurements());
 		this.timerDelayMonitor.expectRun(this.timers.now() + CONNECTIVITY_CHECK_INTERVAL.toMillis());
 		this.timers.schedule(CONNECTIVITY_CHECK_INTERVAL, this::checkConnectivity);
 	}
