Don't resume streams at upstreams that are first seen while they drain

Found on reading again: a relay that starts, or reads the list after a cut, took an upstream that drains as one that has just begun to, and would have resumed streams there for a second though it may have stopped accepting requests. Change: the second counts from the change to draining that the relay has seen itself. Test: upstreamThatIsFirstSeenWhileItDrainsIsNotUsed, which sent the request before the change. None measured.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -123,7 +123,7 @@
 	List<List<UpstreamState>> candidates(Exchange exchange, String service) {
 		if (exchange.softwareVersion().isPresent()) {
 			List<UpstreamState> usable = usable(exchange, exchange.softwareVersion().get()).toList();
-			return List.of(listed(usable), usable);
+			return List.of(notDraining(usable), usable);
 		}
 		List<UpstreamState> available = this.state.upstreams.available(service);
 		Optional<SoftwareVersion> last = exchange.upstream()
@@ -132,7 +132,7 @@
 		return last.isEmpty() ? List.of(available) : List.of(ofVersion(available, last.get()), available);
 	}
 
-	private static List<UpstreamState> listed(List<UpstreamState> candidates) {
+	private static List<UpstreamState> notDraining(List<UpstreamState> candidates) {
 		return candidates.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -396,13 +396,14 @@
 		}
 
 		private void update(Upstream updated, long now) {
-			this.upstream = updated;
 			if (!updated.draining()) {
 				this.drainingSince = OptionalLong.empty();
 			}
 			else if (this.drainingSince.isEmpty()) {
-				this.drainingSince = OptionalLong.of(now);
+				// One that is first seen while it drains may have done so for long.
+				this.drainingSince = OptionalLong.of((this.upstream != null) ? now : RelayState.NEVER);
 			}
+			this.upstream = updated;
 		}
 
 		private boolean acceptsResumedStreams(long now) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -235,6 +235,7 @@
 	@Test
 	void drainingUpstreamOfTheVersionIsUsedForAShortTime() {
 		start("t1", "v1");
+		list(engine("c", "v1"), engine("d", "v2"));
 		list(RelayFixture.engine("c", "v1", true), engine("d", "v2"));
 		this.relay.advance(900);
 		assertThat(sent(resume("u1", "t1")).id()).isEqualTo("c");
@@ -242,9 +243,18 @@
 		assertThat(refusal(resume("u2", "t1")).refusal()).isEqualTo(Refusal.VERSION_GONE);
 	}
 
+	// Guards against a starting relay that uses an upstream which has drained for long.
+	@Test
+	void upstreamThatIsFirstSeenWhileItDrainsIsNotUsed() {
+		start("t1", "v1");
+		list(RelayFixture.engine("c", "v1", true), engine("d", "v2"));
+		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_GONE);
+	}
+
 	@Test
 	void drainingUpstreamIsTheLastChoice() {
 		start("t1", "v1");
+		list(engine("c", "v1"), engine("d", "v2"), engine("e", "v1"));
 		list(RelayFixture.engine("c", "v1", true), engine("d", "v2"), engine("e", "v1"));
 		for (int i = 0; i < STREAMS; i++) {
 			assertThat(sent(resume("u" + i, "t1")).id()).isEqualTo("e");
