--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
@@ -12,7 +12,7 @@
 final class StreamVersions {
 
 	/**
-	 * The maximum number of streams, at about 130 bytes each.
+	 * The maximum number of streams, those of several seconds at a large site.
 	 */
 	static final int MAX_STREAMS = 50_000;
 
