--- /dev/null
+++ b/review/standins/Runner.java
@@ -0,0 +1,133 @@
+package review;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Stand-in for a runner: runs what it gets, streams numbered events, and registers itself
+ * in the store. Safe for use by several threads.
+ */
+final class Runner implements AutoCloseable {
+
+	/**
+	 * A request that was run.
+	 */
+	record Run(long at, String request, String program, String previous, String lastEvent, byte[] body) {
+
+	}
+
+	final List<Run> runs = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger working = new AtomicInteger();
+
+	private volatile int most;
+
+	private final Web.Server server;
+
+	private final String id;
+
+	private final String service;
+
+	private final String zone;
+
+	private final Store store;
+
+	private final Record record;
+
+	/**
+	 * The events of a stream, their size, and the time between two of them.
+	 */
+	volatile int events = 17;
+
+	volatile int eventBytes = 100;
+
+	volatile int gapMillis = 20;
+
+	private volatile boolean closed;
+
+	private int beats;
+
+	Runner(String id, String service, String zone, Store store, Record record) throws IOException {
+		this.id = id;
+		this.service = service;
+		this.zone = zone;
+		this.store = store;
+		this.record = record;
+		this.server = new Web.Server(this::handle);
+		beat();
+		Thread.ofVirtual().start(this::beatOn);
+	}
+
+	private void beat() {
+		this.beats++;
+		this.store.put("keyed.servers", this.id,
+				"{\"Service\":\"" + this.service + "\",\"Address\":\"127.0.0.1:" + this.server.port() + "\",\"Zone\":\""
+						+ this.zone + "\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":"
+						+ this.beats + "}");
+	}
+
+	private void beatOn() {
+		while (!this.closed) {
+			Wait.millis(1200);
+			beat();
+		}
+	}
+
+	private void handle(Web.Message request, Web.Connection connection) throws Exception {
+		if (request.path().equals("/healthz")) {
+			connection.respond(200, "X-Lentilslip-Instance-Id: " + this.id + "\r\n", new byte[0]);
+			return;
+		}
+		String request_id = request.header("X-Lentilslip-Request-Id");
+		String echo = "X-Lentilslip-Request-Id: " + request_id + "\r\n";
+		if (!request.header("X-Lentilslip-Expect-Instance").equals(this.id)) {
+			connection.respond(421, echo + "X-Lentilslip-Instance-Id: " + this.id + "\r\n", new byte[0]);
+			return;
+		}
+		this.runs.add(new Run(Wait.now(), request_id, request.header("X-Lentilslip-Program-Id"),
+				request.header("X-Lentilslip-Previous-Turn"), request.header("Last-Event-Id"), request.body()));
+		this.record.line("run", this.id + " runs " + request_id + " program=" + request.header("X-Lentilslip-Program-Id")
+				+ " previous=" + request.header("X-Lentilslip-Previous-Turn") + " last-event="
+				+ request.header("Last-Event-Id") + " body=" + request.body().length + " bytes");
+		this.most = Math.max(this.most, this.working.incrementAndGet());
+		try {
+			String head = echo + "X-Lentilslip-Response-Stamp: stamp." + this.id + "\r\nX-Lentilslip-Instance-Load: "
+					+ this.working.get() + ",0,64\r\n";
+			if (request.header("X-Lentilslip-Token-Usage").isEmpty()) {
+				connection.respond(200, head, ("done " + request_id).getBytes(StandardCharsets.ISO_8859_1));
+				return;
+			}
+			connection.send("HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+			String last = request.header("Last-Event-Id");
+			int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+			for (int number = first; number <= this.events; number++) {
+				Wait.millis(this.gapMillis);
+				String event = "id: " + number + "\ndata: " + data(number) + "\n\n";
+				connection.send(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+			}
+			connection.send("0\r\n\r\n");
+		}
+		finally {
+			this.working.decrementAndGet();
+		}
+	}
+
+	String data(int number) {
+		String text = "piece " + number + " of " + this.events + " ";
+		return text + "x".repeat(Math.max(0, this.eventBytes - text.length()));
+	}
+
+	int mostAtOnce() {
+		return this.most;
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.server.close();
+	}
+
+}
