--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -23,6 +26,11 @@
 
 	private final AtomicInteger working = new AtomicInteger();
 
+	/**
+	 * The connections by the last request on each.
+	 */
+	private final Map<String, Web.Connection> connections = new ConcurrentHashMap<>();
+
 	private volatile int most;
 
 	private final Web.Server server;
@@ -81,23 +89,25 @@
 			connection.respond(200, "X-Lentilslip-Instance-Id: " + this.id + "\r\n", new byte[0]);
 			return;
 		}
-		String request_id = request.header("X-Lentilslip-Request-Id");
-		String echo = "X-Lentilslip-Request-Id: " + request_id + "\r\n";
+		String requestId = request.header("X-Lentilslip-Request-Id");
+		String echo = "X-Lentilslip-Request-Id: " + requestId + "\r\n";
 		if (!request.header("X-Lentilslip-Expect-Instance").equals(this.id)) {
 			connection.respond(421, echo + "X-Lentilslip-Instance-Id: " + this.id + "\r\n", new byte[0]);
 			return;
 		}
-		this.runs.add(new Run(Wait.now(), request_id, request.header("X-Lentilslip-Program-Id"),
+		this.runs.add(new Run(Wait.now(), requestId, request.header("X-Lentilslip-Program-Id"),
 				request.header("X-Lentilslip-Previous-Turn"), request.header("Last-Event-Id"), request.body()));
-		this.record.line("run", this.id + " runs " + request_id + " program=" + request.header("X-Lentilslip-Program-Id")
+		this.record.line("run", this.id + " runs " + requestId + " program=" + request.header("X-Lentilslip-Program-Id")
 				+ " previous=" + request.header("X-Lentilslip-Previous-Turn") + " last-event="
 				+ request.header("Last-Event-Id") + " body=" + request.body().length + " bytes");
+		this.connections.values().removeIf((other) -> other.socket() == connection.socket());
+		this.connections.put(requestId, connection);
 		this.most = Math.max(this.most, this.working.incrementAndGet());
 		try {
 			String head = echo + "X-Lentilslip-Response-Stamp: stamp." + this.id + "\r\nX-Lentilslip-Instance-Load: "
 					+ this.working.get() + ",0,64\r\n";
 			if (request.header("X-Lentilslip-Token-Usage").isEmpty()) {
-				connection.respond(200, head, ("done " + request_id).getBytes(StandardCharsets.ISO_8859_1));
+				connection.respond(200, head, ("done " + requestId).getBytes(StandardCharsets.ISO_8859_1));
 				return;
 			}
 			connection.send("HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -120,6 +130,23 @@
 		return text + "x".repeat(Math.max(0, this.eventBytes - text.length()));
 	}
 
+	/**
+	 * Returns the open connections whose last request is one of these.
+	 */
+	Set<String> openConnections(Set<String> requests) {
+		this.connections.values().removeIf((connection) -> connection.socket().isClosed());
+		Set<String> open = new java.util.HashSet<>(this.connections.keySet());
+		open.retainAll(requests);
+		return open;
+	}
+
+	void reset(String request) throws IOException {
+		Web.Connection connection = this.connections.remove(request);
+		if (connection != null) {
+			connection.reset();
+		}
+	}
+
 	int mostAtOnce() {
 		return this.most;
 	}
