--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -76,6 +76,20 @@
 		return sizes.toString();
 	}
 
+	/**
+	 * Returns the partitions of a topic with a record that contains a text.
+	 */
+	synchronized List<String> find(String topic, String text) {
+		List<String> found = new ArrayList<>();
+		this.partitions.forEach((name, records) -> {
+			if (name.startsWith(topic) && records.stream()
+				.anyMatch((content) -> new String(content, StandardCharsets.ISO_8859_1).contains(text))) {
+				found.add(name);
+			}
+		});
+		return found;
+	}
+
 	private List<byte[]> partition(String topic, long part) {
 		return this.partitions.computeIfAbsent(topic + "/" + part, (name) -> new ArrayList<>());
 	}
