Review case 2: a request that crashes runners after their first events

Cause: a failure isn't recorded if the attempt had brought an event on a route whose streams may be resumed, so such a request is never poison.

--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -54,6 +54,19 @@
 
 	volatile int gapMillis = 20;
 
+	/**
+	 * The version of the software.
+	 */
+	volatile String version = "v1";
+
+	/**
+	 * The text of a request that crashes this runner, and what follows the crash.
+	 */
+	volatile String deadly = "";
+
+	volatile Runnable onCrash = () -> {
+	};
+
 	private volatile boolean closed;
 
 	private int beats;
@@ -73,14 +86,16 @@
 		this.beats++;
 		this.store.put("keyed.servers", this.id,
 				"{\"Service\":\"" + this.service + "\",\"Address\":\"127.0.0.1:" + this.server.port() + "\",\"Zone\":\""
-						+ this.zone + "\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":"
+						+ this.zone + "\",\"Version\":\"" + this.version + "\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":"
 						+ this.beats + "}");
 	}
 
 	private void beatOn() {
 		while (!this.closed) {
 			Wait.millis(1200);
-			beat();
+			if (!this.closed) {
+				beat();
+			}
 		}
 	}
 
@@ -117,6 +132,12 @@
 				Wait.millis(this.gapMillis);
 				String event = "id: " + number + "\ndata: " + data(number) + "\n\n";
 				connection.send(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+				if (!this.deadly.isEmpty() && number == first + 1
+						&& new String(request.body(), StandardCharsets.ISO_8859_1).contains(this.deadly)) {
+					Wait.millis(this.gapMillis);
+					crash(requestId);
+					return;
+				}
 			}
 			connection.send("0\r\n\r\n");
 		}
@@ -125,6 +146,23 @@
 		}
 	}
 
+	private void crash(String requestId) {
+		this.record.line("crash", this.id + " crashes under " + requestId);
+		close();
+		this.onCrash.run();
+	}
+
+	/**
+	 * Removes the entry of a runner that is silent, as the platform does.
+	 */
+	void expire() {
+		this.store.put("keyed.servers", this.id, "");
+	}
+
+	String zone() {
+		return this.zone;
+	}
+
 	String data(int number) {
 		String text = "piece " + number + " of " + this.events + " ";
 		return text + "x".repeat(Math.max(0, this.eventBytes - text.length()));
