--- /dev/null
+++ b/review/standins-2/Record.java
@@ -0,0 +1,30 @@
+package review2;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** What was sent, answered and run, one line each, in record.txt of a case. */
+final class Record implements AutoCloseable {
+
+	private final PrintWriter out;
+
+	private final long start = System.nanoTime();
+
+	Record(Path folder) throws IOException {
+		this.out = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt"), StandardCharsets.UTF_8));
+	}
+
+	synchronized void add(String text) {
+		this.out.printf("%8.3f  %s%n", (System.nanoTime() - this.start) / 1e9, text);
+		this.out.flush();
+	}
+
+	@Override
+	public synchronized void close() {
+		this.out.close();
+	}
+
+}
