--- a/review/8/Scenario8.java
+++ b/review/8/Scenario8.java
@@ -14,7 +14,7 @@
  */
 final class Scenario8 {
 
-	private static final int REQUESTS = 1200;
+	private static final int REQUESTS = 3000;
 
 	private static final int LONG_ONE_IN = 75;
 
