--- a/review/8/Scenario8.java
+++ b/review/8/Scenario8.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One request in 75 has a long body. One runner of three answers these before it has read
+ * One request in 100 has a long body. One runner of three answers these before it has read
  * their bodies. Its answer has no length and ends with its connection, which is reset in
  * the middle of the answer. All its other answers are sound.
  */
@@ -16,7 +16,7 @@
 
 	private static final int REQUESTS = 3000;
 
-	private static final int LONG_ONE_IN = 75;
+	private static final int LONG_ONE_IN = 100;
 
 	private static final int BODY_BYTES = 4_000_000;
 
@@ -53,6 +53,8 @@
 			for (int request = 0; request < REQUESTS; request++) {
 				String id = "p" + request;
 				boolean ofLength = request % LONG_ONE_IN == LONG_ONE_IN - 1;
+				// The usual requests are left out of the record, but for those that are mixed.
+				site.record.quiet = !ofLength;
 				Caller.Answer answer = caller.call("POST", "/photo-check/2f", id, Map.of(), ofLength ? longBody : usual, 3000);
 				boolean whole = Arrays.equals(answer.body(), answerTo(id));
 				if (answer.status() == 200 && answer.complete() && !whole) {
