Treat a response without a length as cut off unless its upstream ends it

Cause: the decoder ends a response without a length whenever the channel becomes inactive, and only a failing read was taken for a reset. While a part of the request waits to be written, the failing write closes the channel first.

Change: connections to upstreams allow half-closure, so that an orderly end is reported on a channel that is still active. On an inactive channel such a response has been cut off.

Evidence: two tests of the connection and one over a socket, for a stream that is reset between two events, fail without the change. A response with a length stays complete however its connection ends.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/Sockets.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/Sockets.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
@@ -66,6 +67,17 @@
 			.bind(address);
 	}
 
+	/**
+	 * Makes the orderly end of a peer's output distinguishable from a reset. After it the
+	 * channel stays active, and its handlers receive a {@link ChannelInputShutdownEvent}
+	 * and have to close it. A channel that is reset, or whose write fails, becomes
+	 * inactive without that event.
+	 * @param channel the channel
+	 */
+	public static void reportOrderlyEnd(Channel channel) {
+		channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+	}
+
 	private static ChannelInitializer<Channel> initializer(Consumer<Channel> configurer) {
 		return new ChannelInitializer<>() {
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -130,6 +131,15 @@
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+		if (event instanceof ChannelInputShutdownEvent) {
+			fail(FailureCause.BROKEN);
+			ctx.close();
+		}
+		super.userEventTriggered(ctx, event);
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.listener.onClosed(this);
@@ -138,8 +148,6 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		// Report the reset first: the decoder would treat the end of the connection as
-		// the end of a response without a length.
 		fail((cause instanceof IOException) ? FailureCause.BROKEN : FailureCause.UNREADABLE);
 		ctx.close();
 	}
@@ -186,10 +194,26 @@
 			consume(content.content());
 		}
 		if (content instanceof LastHttpContent && this.current.isPresent() && !this.skipping) {
+			if (endedByClose()) {
+				fail(FailureCause.BROKEN);
+				return;
+			}
 			completeResponse();
 		}
 	}
 
+	// The decoder ends a response without a length however the connection ends. A write
+	// that
+	// fails after a reset closes the channel before a read could fail, so only an orderly
+	// end, after which the channel is still active, shows that nothing is missing.
+	private boolean endedByClose() {
+		return !isFramed(this.head.orElseThrow()) && !this.context.channel().isActive();
+	}
+
+	private static boolean isFramed(HttpResponse response) {
+		return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+	}
+
 	private void consume(ByteBuf bytes) {
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		if (this.eventParser.isPresent()) {
@@ -222,11 +246,10 @@
 	}
 
 	private void returnToPool(HttpResponse response) {
-		boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 		boolean sent = this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
 		// If the request is not fully written, the upstream would read the next request
 		// as the rest of its body.
-		if (!framed || !sent || !HttpUtil.isKeepAlive(response)
+		if (!isFramed(response) || !sent || !HttpUtil.isKeepAlive(response)
 				|| response.headers().contains(HttpHeaderNames.UPGRADE)) {
 			this.context.close();
 			return;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -136,8 +136,10 @@
 
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
 		UpstreamConnection connection = new UpstreamConnection(this.dialect, this.connectionListener);
-		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> created.pipeline()
-			.addLast(new HttpRequestEncoder(), new ResponseDecoder(connection), connection));
+		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
+			Sockets.reportOrderlyEnd(created);
+			created.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(connection), connection);
+		});
 		future.addListener((done) -> {
 			if (attempt.cancelled) {
 				future.channel().close();
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -62,6 +62,10 @@
 
 	private final BlockingQueue<ResponseHead> responses = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<Long> events = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<Boolean> streamEnds = new LinkedBlockingQueue<>();
+
 	private ServerSocket server;
 
 	@BeforeEach
@@ -131,6 +135,33 @@
 		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
 	}
 
+	// Guards against ending a stream as complete that was reset between two events.
+	@Test
+	void streamWithoutALengthThatIsResetIsABrokenConnection() throws Exception {
+		onLoop(() -> send(1, 60_000, new byte[16 * 1024 * 1024], true));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n".getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(this.events.poll(60, TimeUnit.SECONDS)).isEqualTo(1);
+			connection.setSoLinger(true, 0);
+		}
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
+		assertThat(this.streamEnds).isEmpty();
+	}
+
+	@Test
+	void streamWithoutALengthEndsWithItsConnection() throws Exception {
+		onLoop(() -> send(1, 60_000, new byte[0], true));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n".getBytes(StandardCharsets.ISO_8859_1));
+		}
+		assertThat(this.streamEnds.poll(60, TimeUnit.SECONDS)).isTrue();
+		assertThat(this.failures).isEmpty();
+	}
+
 	// Guards against sending a request on a connection that its upstream is about to
 	// close.
 	@Test
@@ -177,12 +208,16 @@
 	}
 
 	private void send(long exchange, long timeoutMillis, byte[] body) {
+		send(exchange, timeoutMillis, body, false);
+	}
+
+	private void send(long exchange, long timeoutMillis, byte[] body, boolean stream) {
 		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
 				OptionalLong.empty(), "v1");
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.client.send(
 				new RelayEffect.SendRequest(exchange, 1, upstream, new byte[0], this.timers.now + timeoutMillis,
-						OptionalLong.empty(), false, new CallerIdentity.Unchecked()),
+						OptionalLong.empty(), stream, new CallerIdentity.Unchecked()),
 				"r", request, body, new FailureListener());
 	}
 
@@ -242,10 +277,12 @@
 
 		@Override
 		public void onEvent(long number, byte[] raw, byte[] data) {
+			UpstreamClientTests.this.events.add(number);
 		}
 
 		@Override
 		public void onStreamEnd() {
+			UpstreamClientTests.this.streamEnds.add(true);
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -6,12 +6,15 @@
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -22,9 +25,9 @@
 
 class UpstreamConnectionTests implements UpstreamConnection.Listener {
 
-	private final UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
+	private UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection);
+	private EmbeddedChannel channel = new EmbeddedChannel(this.connection);
 
 	private final List<String> outcomes = new ArrayList<>();
 
@@ -54,6 +57,53 @@
 		assertThat(this.channel.config().isAutoRead()).isTrue();
 	}
 
+	// Guards against passing on the first part of a response as if it were whole.
+	@Test
+	void responseWithoutALengthIsIncompleteUnlessTheUpstreamEndsIt() {
+		EmbeddedChannel decoding = decodingChannel();
+		send("r1");
+		decoding.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\nfirst half"));
+		decoding.close();
+		assertThat(this.outcomes).containsExactly("failure BROKEN");
+	}
+
+	@Test
+	void responseWithoutALengthIsCompleteOnceTheUpstreamEndsIt() {
+		EmbeddedChannel decoding = decodingChannel();
+		send("r1");
+		decoding.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\nwhole"));
+		decoding.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertThat(this.outcomes).containsExactly("response");
+		assertThat(decoding.isOpen()).isFalse();
+	}
+
+	// Guards against losing a whole response because its connection failed afterwards.
+	@Test
+	void responseWithALengthIsCompleteHoweverItsConnectionEnds() {
+		EmbeddedChannel decoding = decodingChannel();
+		send("r1");
+		decoding.writeInbound(bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"));
+		decoding.close();
+		assertThat(this.outcomes).containsExactly("idle", "response");
+	}
+
+	@Test
+	void idleConnectionIsClosedOnceTheUpstreamEndsIt() {
+		EmbeddedChannel decoding = decodingChannel();
+		decoding.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		assertThat(decoding.isOpen()).isFalse();
+	}
+
+	private EmbeddedChannel decodingChannel() {
+		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
+		this.channel = new EmbeddedChannel(new HttpResponseDecoder(), this.connection);
+		return this.channel;
+	}
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+	}
+
 	@Override
 	public void onIdle(UpstreamConnection idle) {
 		this.outcomes.add("idle");
