Fail calls to the store whose response without a length was reset

The client of the store ended such a response like the client of upstreams did: the first part of a document was passed on as the whole. The test fails without the change.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -85,8 +86,11 @@
 	}
 
 	private void connect(Call call) {
-		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> created.pipeline()
-			.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler()));
+		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
+			Sockets.reportOrderlyEnd(created);
+			created.pipeline()
+				.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler());
+		});
 		future.addListener((done) -> {
 			if (!isCurrent(call)) {
 				future.channel().close();
@@ -145,8 +149,19 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
 			if (isCurrentChannel(context)) {
-				complete(response.decoderResult().isSuccess() ? Optional.of(response) : Optional.empty());
+				// If the channel is closed, the decoder has ended a response without a
+				// length that may lack its last part.
+				boolean whole = response.decoderResult().isSuccess() && context.channel().isActive();
+				complete(whole ? Optional.of(response) : Optional.empty());
+			}
+		}
+
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+			if (event instanceof ChannelInputShutdownEvent) {
+				context.close();
 			}
+			super.userEventTriggered(context, event);
 		}
 
 		@Override
--- /dev/null
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -0,0 +1,98 @@
+package io.lentilslip.relay.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SerialHttpClientTests {
+
+	private static final int LARGE_BODY_BYTES = 16 * 1024 * 1024;
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final EventLoop loop = this.group.next();
+
+	private final BlockingQueue<Optional<String>> responses = new LinkedBlockingQueue<>();
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+		this.server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+		this.server.close();
+	}
+
+	// Guards against taking the first part of the store's response for the whole. The
+	// server waits until the client has read the part, so that the reset meets a write.
+	@Test
+	void responseWithoutALengthThatIsResetFails() throws Exception {
+		call(LARGE_BODY_BYTES);
+		try (Socket connection = this.server.accept()) {
+			assertThat(connection.getInputStream().read()).isPositive();
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\n\r\n{\"Off"));
+			for (int i = 0; i < 3; i++) {
+				this.loop.submit(() -> {
+				}).get(60, TimeUnit.SECONDS);
+			}
+			connection.setSoLinger(true, 0);
+		}
+		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).isEmpty();
+	}
+
+	@Test
+	void responseWithoutALengthEndsWithItsConnection() throws Exception {
+		call(0);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\n\r\nwhole"));
+		}
+		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("whole");
+	}
+
+	private void call(int bodyBytes) throws Exception {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
+				Unpooled.wrappedBuffer(new byte[bodyBytes]));
+		HttpUtil.setContentLength(request, bodyBytes);
+		SerialHttpClient client = new SerialHttpClient(this.loop,
+				(InetSocketAddress) this.server.getLocalSocketAddress());
+		this.loop
+			.submit(() -> client.call(request, Duration.ofSeconds(60),
+					(response) -> this.responses
+						.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)))))
+			.get(60, TimeUnit.SECONDS);
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
+}
