Treat a response as cut off if it has no length and its request was not written

On the own interface the HTTP library reads a response although a write of its request has failed. The failed write has consumed the report of the reset, so that the read sees an orderly end, and half of a body was taken for the whole. The test fails without the change.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
@@ -202,6 +202,13 @@
 					return unanswered(FailureKind.TOO_LONG,
 							"answer longer than " + HttpSender.this.limits.maximumAnswerBytes() + " bytes");
 				}
+				// A reset is reported once. If a write has received the report, the end
+				// of the
+				// connection looks orderly to a read.
+				if (this.recorder.writeFailed() && !isFramed(response)) {
+					return unanswered(FailureKind.BROKEN_OFF,
+							"answer cut off: no length, and the request was not written");
+				}
 				return new Exchange.Answered(response.code(), response.headers(), bytes.get());
 			}
 			catch (IOException ex) {
@@ -209,6 +216,11 @@
 			}
 		}
 
+		private static boolean isFramed(Response response) {
+			return response.header("Content-Length") != null
+					|| "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
+		}
+
 		/**
 		 * Reads a body in steps. Its stated length may be absent or false, and an endless
 		 * body would fill the memory.
--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/TransmissionRecorder.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/TransmissionRecorder.java
@@ -1,5 +1,7 @@
 package io.lentilslip.client.http;
 
+import java.io.IOException;
+
 import okhttp3.Call;
 import okhttp3.EventListener;
 import okhttp3.Request;
@@ -14,6 +16,8 @@
 
 	private volatile Transmission transmission = Transmission.NEVER_SENT;
 
+	private volatile boolean writeFailed;
+
 	private TransmissionRecorder() {
 	}
 
@@ -49,6 +53,20 @@
 		return this.transmission;
 	}
 
+	/**
+	 * Returns whether a write of the request has failed. The library reads the response
+	 * nevertheless.
+	 * @return whether a write has failed
+	 */
+	boolean writeFailed() {
+		return this.writeFailed;
+	}
+
+	@Override
+	public void requestFailed(Call call, IOException ex) {
+		this.writeFailed = true;
+	}
+
 	/**
 	 * Records that the request may have been sent. This comes before the first byte is
 	 * written: a failure half-way through the headers would else pass for a request that
--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -1,7 +1,12 @@
 package io.lentilslip.client.http;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.jooby.Context;
@@ -114,6 +119,25 @@
 		assertThat(((Exchange.Unanswered) exchange).reason()).startsWith("answer cut off");
 	}
 
+	// Guards against taking the first part of a response without a length for the whole:
+	// the library reads on after a write of the request has failed, and the failed write
+	// has consumed the report of the reset.
+	@Test
+	void responseWithoutALengthIsCutOffIfTheRequestCouldNotBeWritten() throws Exception {
+		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+			RequestBody body = RequestBody.create(new byte[64 * 1024 * 1024]);
+			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/early");
+			CompletableFuture<Exchange> outcome = this.sender.send(new Request.Builder().url(url).post(body))
+				.toCompletableFuture();
+			try (Socket connection = upstream.accept()) {
+				assertThat(connection.getInputStream().read()).isPositive();
+				connection.getOutputStream()
+					.write("HTTP/1.1 200 OK\r\n\r\nfirst half".getBytes(StandardCharsets.ISO_8859_1));
+			}
+			assertUnanswered(outcome.get(60, TimeUnit.SECONDS), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+		}
+	}
+
 	// The server holds the answer back until the read has timed out. The
 	// request has left, so running out of time does not mean that it never ran.
 	@Test
