Fail attempts whose upstream sends bytes without end

The relay bounded what it keeps of a response but not what it discards: informational responses, the body of a response to another request, comments and blank lines between events were read until the deadline of the attempt. Bytes after a complete response stayed in the decoder of a reused connection and became part of the next response.

Change: a connection counts the bytes that it reads without progress and fails beyond a bound; it is closed at the first byte that comes while it is idle, and not reused if the decoder has bytes left. A response whose length is beyond the limit fails at its head, and incomplete bodies count as held bytes.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
@@ -2,8 +2,9 @@
 
 /**
  * Bytes of requests and responses that a process holds in memory for callers that send or
- * read slowly, with a limit. New requests are refused at the limit; a response of an
- * accepted request is always held. Used by the event loop's thread.
+ * read slowly, with a limit. At the limit new requests are refused, and large responses
+ * are not read further; a small response of an accepted request is always held. Used by
+ * the event loop's thread.
  */
 public final class HeldBytes {
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -158,7 +158,7 @@
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
-		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers);
+		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes());
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes());
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -10,6 +10,7 @@
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -32,6 +33,8 @@
 
 	private final Timers timers;
 
+	private final HeldBytes heldBytes;
+
 	private final Map<String, UpstreamPool> pools = new HashMap<>();
 
 	private final Map<AttemptKey, UpstreamPool.Attempt> attempts = new HashMap<>();
@@ -41,11 +44,13 @@
 	 * @param loop the event loop
 	 * @param dialect the upstreams' header names and formats
 	 * @param timers the clock
+	 * @param heldBytes bounds the bytes of responses that are not complete
 	 */
-	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers) {
+	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes) {
 		this.loop = loop;
 		this.dialect = dialect;
 		this.timers = timers;
+		this.heldBytes = heldBytes;
 	}
 
 	/**
@@ -122,7 +127,7 @@
 			return existing;
 		}
 		removeUpstream(upstream.id());
-		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers);
+		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes);
 		this.pools.put(upstream.id(), pool);
 		return pool;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -4,9 +4,11 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelFuture;
@@ -38,21 +40,42 @@
 	 */
 	private static final int MAX_SKIPPED_RESPONSES = 2;
 
+	/**
+	 * The maximum number of informational responses to one request.
+	 */
+	private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
+	/**
+	 * The maximum number of bytes that are read without progress: without a response
+	 * head, a part of a body or an event that is passed on. At least as large as an
+	 * event.
+	 */
+	private static final int MAX_UNPRODUCTIVE_BYTES = 1024 * 1024 + 64 * 1024;
+
 	/**
 	 * The maximum size of the body of a non-streaming response, in bytes.
 	 */
 	private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+	/**
+	 * The size up to which a body is read while the process holds too much.
+	 */
+	private static final int SMALL_RESPONSE_BYTES = 64 * 1024;
+
 	private final Dialect dialect;
 
 	private final Listener listener;
 
+	private final HeldBytes heldBytes;
+
 	private Optional<OutgoingRequest> current = Optional.empty();
 
 	private Optional<HttpResponse> head = Optional.empty();
 
 	private ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+	private long held;
+
 	private Optional<EventParser> eventParser = Optional.empty();
 
 	private Optional<ChannelFuture> writeFuture = Optional.empty();
@@ -61,13 +84,20 @@
 
 	private int skippedResponses;
 
+	private int informationalResponses;
+
+	private long unproductiveBytes;
+
+	private BooleanSupplier unreadBytes = () -> false;
+
 	private ChannelHandlerContext context;
 
 	private Optional<Duration> keepAliveTimeout = Optional.empty();
 
-	UpstreamConnection(Dialect dialect, Listener listener) {
+	UpstreamConnection(Dialect dialect, Listener listener, HeldBytes heldBytes) {
 		this.dialect = dialect;
 		this.listener = listener;
+		this.heldBytes = heldBytes;
 	}
 
 	@Override
@@ -79,6 +109,8 @@
 		this.current = Optional.of(outgoing);
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
+		this.informationalResponses = 0;
+		this.unproductiveBytes = 0;
 		// The end of the previous response may have been read together with the data that
 		// paused the reading.
 		setReading(true);
@@ -86,6 +118,34 @@
 		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.request()));
 	}
 
+	/**
+	 * Sets what returns whether the decoder has bytes that it has not decoded yet.
+	 * @param decoderHasBytes the supplier
+	 */
+	void setUnreadBytes(BooleanSupplier decoderHasBytes) {
+		this.unreadBytes = decoderHasBytes;
+	}
+
+	/**
+	 * Checks bytes that were received before they are decoded. An upstream in trouble may
+	 * send bytes without end, of which the decoder may make nothing.
+	 * @param count the number of bytes
+	 * @return whether they may be decoded
+	 */
+	boolean accept(int count) {
+		if (this.current.isEmpty()) {
+			// Unsolicited data: the framing of later responses can't be trusted.
+			this.context.close();
+			return false;
+		}
+		this.unproductiveBytes += count;
+		if (this.unproductiveBytes > MAX_UNPRODUCTIVE_BYTES) {
+			fail(FailureCause.UNREADABLE);
+			return false;
+		}
+		return true;
+	}
+
 	void setReading(boolean reading) {
 		this.context.channel().config().setAutoRead(reading);
 	}
@@ -108,6 +168,7 @@
 	 */
 	void cancel() {
 		this.current = Optional.empty();
+		releaseBody();
 		this.context.close();
 	}
 
@@ -160,6 +221,10 @@
 		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
+			this.informationalResponses++;
+			if (this.informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+				fail(FailureCause.UNREADABLE);
+			}
 			return;
 		}
 		OutgoingRequest outgoing = this.current.orElseThrow();
@@ -167,9 +232,13 @@
 			skipResponse();
 			return;
 		}
+		if (!expectsNoBody() && HttpUtil.getContentLength(response, 0L) > MAX_RESPONSE_BYTES) {
+			fail(FailureCause.UNREADABLE);
+			return;
+		}
 		this.skipping = false;
+		this.unproductiveBytes = 0;
 		this.head = Optional.of(response);
-		this.body = new ByteArrayOutputStream();
 		boolean stream = outgoing.stream() && response.status().equals(HttpResponseStatus.OK);
 		this.eventParser = stream ? Optional.of(new EventParser()) : Optional.empty();
 		if (stream) {
@@ -217,18 +286,41 @@
 	private void consume(ByteBuf bytes) {
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		if (this.eventParser.isPresent()) {
-			if (!this.eventParser.get().read(bytes, outgoing.listener()::onEvent)) {
+			if (!this.eventParser.get().read(bytes, (number, raw, data) -> forward(outgoing, number, raw, data))) {
 				fail(FailureCause.UNREADABLE);
 			}
 			return;
 		}
-		if (this.body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+		if (this.body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES || !hold(bytes.readableBytes())) {
 			fail(FailureCause.UNREADABLE);
 			return;
 		}
+		this.unproductiveBytes = 0;
 		this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 	}
 
+	private boolean hold(int bytes) {
+		if (this.body.size() + bytes <= SMALL_RESPONSE_BYTES) {
+			this.heldBytes.hold(bytes);
+		}
+		else if (!this.heldBytes.tryHold(bytes)) {
+			return false;
+		}
+		this.held += bytes;
+		return true;
+	}
+
+	private void releaseBody() {
+		this.heldBytes.release(this.held);
+		this.held = 0;
+		this.body = new ByteArrayOutputStream();
+	}
+
+	private void forward(OutgoingRequest outgoing, long number, byte[] raw, byte[] data) {
+		this.unproductiveBytes = 0;
+		outgoing.listener().onEvent(number, raw, data);
+	}
+
 	private void completeResponse() {
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		HttpResponse response = this.head.orElseThrow();
@@ -242,14 +334,16 @@
 			outgoing.listener().onStreamEnd();
 			return;
 		}
-		outgoing.listener().onResponse(this.dialect.decodeResponse(response), this.body.toByteArray());
+		byte[] whole = this.body.toByteArray();
+		releaseBody();
+		outgoing.listener().onResponse(this.dialect.decodeResponse(response), whole);
 	}
 
 	private void returnToPool(HttpResponse response) {
 		boolean sent = this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
 		// If the request is not fully written, the upstream would read the next request
-		// as the rest of its body.
-		if (!isFramed(response) || !sent || !HttpUtil.isKeepAlive(response)
+		// as the rest of its body. Bytes that follow the response belong to no request.
+		if (!isFramed(response) || !sent || this.unreadBytes.getAsBoolean() || !HttpUtil.isKeepAlive(response)
 				|| response.headers().contains(HttpHeaderNames.UPGRADE)) {
 			this.context.close();
 			return;
@@ -264,6 +358,7 @@
 		}
 		OutgoingRequest outgoing = this.current.get();
 		this.current = Optional.empty();
+		releaseBody();
 		this.context.close();
 		outgoing.listener().onFailure(cause);
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -9,9 +9,12 @@
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -54,6 +57,8 @@
 
 	private final Timers timers;
 
+	private final HeldBytes heldBytes;
+
 	private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
 	private final UpstreamConnection.Listener connectionListener = new IdleConnectionListener();
@@ -64,12 +69,13 @@
 	 */
 	private Optional<Duration> announcedTimeout = Optional.empty();
 
-	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers) {
+	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes) {
 		this.loop = loop;
 		this.incarnationId = upstream.incarnationId();
 		this.address = new InetSocketAddress(upstream.host(), upstream.port());
 		this.dialect = dialect;
 		this.timers = timers;
+		this.heldBytes = heldBytes;
 	}
 
 	/**
@@ -135,7 +141,7 @@
 	}
 
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
-		UpstreamConnection connection = new UpstreamConnection(this.dialect, this.connectionListener);
+		UpstreamConnection connection = new UpstreamConnection(this.dialect, this.connectionListener, this.heldBytes);
 		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
 			Sockets.reportOrderlyEnd(created);
 			created.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(connection), connection);
@@ -198,8 +204,8 @@
 	}
 
 	/**
-	 * Response decoder that expects no body in responses to HEAD requests. Used by one
-	 * connection.
+	 * Response decoder that expects no body in responses to HEAD requests and decodes
+	 * only bytes that the connection accepts. Used by one connection.
 	 */
 	private static final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -207,6 +213,16 @@
 
 		ResponseDecoder(UpstreamConnection connection) {
 			this.connection = connection;
+			connection.setUnreadBytes(() -> actualReadableBytes() > 0);
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+			if (message instanceof ByteBuf bytes && !this.connection.accept(bytes.readableBytes())) {
+				bytes.release();
+				return;
+			}
+			super.channelRead(ctx, message);
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -24,6 +24,7 @@
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -50,13 +51,16 @@
 
 	private static final String TIMEOUT = "timeout-ms";
 
+	static final String OTHER_REQUEST = "other-request";
+
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
 	private final EventLoop loop = this.group.next();
 
 	private final FakeTimers timers = new FakeTimers();
 
-	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers);
+	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers,
+			new HeldBytes(1_000_000));
 
 	private final BlockingQueue<FailureCause> failures = new LinkedBlockingQueue<>();
 
@@ -318,7 +322,7 @@
 
 		@Override
 		public boolean isResponseTo(HttpResponse response, String id) {
-			return true;
+			return !response.headers().contains(OTHER_REQUEST);
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -6,6 +6,7 @@
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
+import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -25,7 +26,8 @@
 
 class UpstreamConnectionTests implements UpstreamConnection.Listener {
 
-	private UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
+	private UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
+			new HeldBytes(1_000_000));
 
 	private EmbeddedChannel channel = new EmbeddedChannel(this.connection);
 
@@ -95,7 +97,8 @@
 	}
 
 	private EmbeddedChannel decodingChannel() {
-		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this);
+		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
+				new HeldBytes(1_000_000));
 		this.channel = new EmbeddedChannel(new HttpResponseDecoder(), this.connection);
 		return this.channel;
 	}
