Don't take the listed software version for the only one after a restart

Callers saw (reported by the users for a system like this one): after a loss of all relays, resumed streams were answered 200 and joined events of two versions.

Cause: a relay that does not find the attempt of a stream continues it if its service has had one version since the stream can have started. A relay that has just started knows only the versions that are listed and those of streams in the log. If the upstreams of the earlier version left in the meantime and the log has none of their streams, the new version looked like the only one.

Change: a relay that has not run for as long as streams can be resumed needs a stream of the service in the log from before its start. Without one, and before it has read the list of upstreams, it refuses with Retry-After.

Evidence: restartedRelayDoesNotTakeTheListedVersionForTheOnlyOne and streamsThatBeganAfterARestartDoNotShowEarlierVersions fail without the change.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -40,8 +40,13 @@
 						() -> committed(entry));
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> {
-					reserved.stream()
-						.ifPresent((attempt) -> this.state.recordStreamAttempt(reserved.request(), attempt));
+					long writtenAt = received.writtenAt(i);
+					reserved.stream().ifPresent((attempt) -> {
+						this.state.recordStreamAttempt(reserved.request(), attempt);
+						if (received.fromLog()) {
+							this.state.recordLoggedStream(attempt, writtenAt);
+						}
+					});
 					reserved(reserved, received.fromLog());
 				}
 				case LedgerEntry.Settled settled -> {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -59,7 +59,7 @@
 	 * @return the effects to execute, in order
 	 */
 	public List<RelayEffect> handle(RelayEvent event) {
-		this.state.now = event.now();
+		this.state.advanceTo(event.now());
 		switch (event) {
 			case RelayEvent.RequestReceived request -> this.requests.requestReceived(request);
 			case RelayEvent.AttemptEvent attemptEvent -> this.responses.attemptEvent(attemptEvent);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -29,6 +29,11 @@
 	 */
 	static final long NEVER = Long.MIN_VALUE / 2;
 
+	/**
+	 * The maximum number of services with streams that are remembered.
+	 */
+	private static final int MAX_SERVICES = 1024;
+
 	final int maxInputBytes;
 
 	final ProgramTokens tokens;
@@ -105,6 +110,11 @@
 	 */
 	final Map<Long, Exchange> awaitingVersion = new LinkedHashMap<>();
 
+	/**
+	 * The services of which the log has streams from before this relay started.
+	 */
+	final Set<String> servicesWithHistory = new HashSet<>();
+
 	/**
 	 * The software versions of streams that callers may resume.
 	 */
@@ -202,6 +212,14 @@
 
 	long now;
 
+	/**
+	 * When this relay started; the start of time if the whole site did, so that no stream
+	 * is older.
+	 */
+	private long startedAt;
+
+	private boolean started;
+
 	long lastLogReadAt;
 
 	private List<RelayEffect> effects = new ArrayList<>();
@@ -215,11 +233,25 @@
 		this.tokens = new ProgramTokens(settings.maxPrograms());
 		this.turnCache = new TurnCache(settings.turnCacheBytes());
 		this.ledgerComplete = settings.bootstrap();
+		this.started = settings.bootstrap();
+		this.startedAt = NEVER;
 		this.random = new SplittableRandom(settings.seed());
 		this.uncommitted = new UncommittedEntries(this.random.nextLong(RelaySettings.ADOPTION_JITTER.toMillis()));
 		this.upstreamSelector = new UpstreamSelector(settings.zone(), this.random);
 	}
 
+	/**
+	 * Sets the current time.
+	 * @param time the time of the event that is handled
+	 */
+	void advanceTo(long time) {
+		this.now = time;
+		if (!this.started) {
+			this.started = true;
+			this.startedAt = time;
+		}
+	}
+
 	void emit(RelayEffect effect) {
 		this.effects.add(effect);
 	}
@@ -314,6 +346,30 @@
 		this.requestTargets.recordAnswer(exchange);
 	}
 
+	/**
+	 * Records an attempt of a stream that was read from the log.
+	 * @param attempt the attempt
+	 * @param writtenAt when it was written
+	 */
+	void recordLoggedStream(StreamAttempt attempt, long writtenAt) {
+		if (writtenAt < this.startedAt && this.servicesWithHistory.size() < MAX_SERVICES) {
+			this.servicesWithHistory.add(attempt.version().service());
+		}
+	}
+
+	/**
+	 * Returns whether this relay knows the software versions that a service has had since
+	 * the oldest stream that callers may resume. A relay that has just started knows only
+	 * those that are listed and those of streams in the log. If the log has none from
+	 * before, the upstreams of another version may have left in the meantime.
+	 * @param service the service
+	 * @return whether it does
+	 */
+	boolean knowsVersionHistory(String service) {
+		return this.startedAt < this.now - this.streamRetention.toMillis()
+				|| this.servicesWithHistory.contains(service);
+	}
+
 	void recordStreamAttempt(String request, StreamAttempt attempt) {
 		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
 		this.upstreams.recordVersion(attempt.version(), this.now);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -16,8 +16,9 @@
  * Rules that find the software version at which a caller's stream continues. The ledger
  * has the version of each turn that is sent. If it does not have one, for example during
  * an outage of the log, the other relays are asked. Without an answer the stream
- * continues only if its service has had a single version since before the stream can have
- * started; otherwise its caller has to start it again. Used by one thread.
+ * continues only if its service is known to have had a single version since before the
+ * stream can have started; otherwise its caller has to start it again. Used by one
+ * thread.
  */
 final class StreamRules {
 
@@ -167,6 +168,9 @@
 	private boolean continueAt(Exchange exchange, SoftwareVersion version, Source source) {
 		this.state.awaitingVersion.remove(exchange.number());
 		exchange.continueAt(version);
+		if (!this.state.upstreams.initialized()) {
+			return refuseUnknown(exchange);
+		}
 		if (isVersionGone(exchange)) {
 			recordSource(Source.GONE);
 			this.completion.refuse(exchange, Refusal.VERSION_GONE, Optional.empty());
@@ -180,15 +184,21 @@
 		this.state.awaitingVersion.remove(exchange.number());
 		// The log has the attempts of all relays, so that a relay knows the versions from
 		// before its start once it has read it.
-		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp
-				&& !this.state.logStale;
+		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp && !this.state.logStale
+				&& this.state.upstreams.initialized();
 		Optional<SoftwareVersion> only = Optional.of(exchange.route().services())
 			.filter((services) -> listCurrent && services.size() == 1)
-			.flatMap((services) -> this.state.upstreams.onlyVersion(services.getFirst().service(),
+			.map((services) -> services.getFirst().service())
+			.filter(this.state::knowsVersionHistory)
+			.flatMap((service) -> this.state.upstreams.onlyVersion(service,
 					this.state.now - this.state.streamRetention.toMillis()));
 		if (only.isPresent()) {
 			return continueAt(exchange, only.get(), Source.ONLY_VERSION);
 		}
+		return refuseUnknown(exchange);
+	}
+
+	private boolean refuseUnknown(Exchange exchange) {
 		recordSource(Source.UNKNOWN);
 		this.completion.refuse(exchange, Refusal.VERSION_UNKNOWN, Optional.of(RelaySettings.RETRY_AFTER));
 		return false;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -134,6 +134,10 @@
 		return new RelayEvent.TextsStored(now, Set.of(), 0, Duration.ZERO);
 	}
 
+	static RelayFixture unconfiguredAfterRestart() {
+		return new RelayFixture(false, SEED);
+	}
+
 	static RelayFixture unconfigured() {
 		return new RelayFixture(true, SEED);
 	}
@@ -327,6 +331,10 @@
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entries), Optional.empty()));
 	}
 
+	List<RelayEffect> readFromLog(Duration age, LedgerEntry entry) {
+		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entry), Optional.empty(), List.of(age)));
+	}
+
 	List<RelayEffect> readFromPeer(LedgerEntry... entries) {
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entries), Optional.of("sender")));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -313,6 +313,76 @@
 		assertThat(versions.find("t59999")).isPresent();
 	}
 
+	// Guards against joining two versions after a full restart: the upstreams of the
+	// version that began the stream have left meanwhile, and the log does not have it.
+	@Test
+	void restartedRelayDoesNotTakeTheListedVersionForTheOnlyOne() {
+		RelayFixture restarted = restarted("v2");
+		RelayEffect.Refuse refusal = refusal(resume(restarted, "u1", "t1"));
+		assertThat(refusal.refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+		assertThat(refusal.retryAfter()).isPresent();
+		assertThat(refusal(resume(restarted, "u2", null)).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+	}
+
+	@Test
+	void restartedRelayKnowsOtherVersionsFromStreamsInTheLog() {
+		RelayFixture restarted = restarted("v2");
+		restarted.readFromLog(Duration.ofSeconds(4), reserved("t8", "gone", "v1", 1));
+		assertThat(refusal(resume(restarted, "u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+	}
+
+	@Test
+	void restartedRelayContinuesStreamsOfTheOnlyVersionInTheLog() {
+		RelayFixture restarted = restarted("v2");
+		restarted.readFromLog(Duration.ofSeconds(4), reserved("t8", "gone", "v2", 1));
+		assertThat(sent(resume(restarted, "u1", "t1")).version()).isEqualTo("v2");
+	}
+
+	// Guards against evidence that is younger than the stream.
+	@Test
+	void streamsThatBeganAfterARestartDoNotShowEarlierVersions() {
+		RelayFixture restarted = restarted("v2");
+		restarted.readFromLog(Duration.ZERO, reserved("t8", "a", "v2", 1));
+		assertThat(refusal(resume(restarted, "u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+	}
+
+	@Test
+	void restartedRelayKnowsTheOnlyVersionOnceAllEarlierStreamsHaveEnded() {
+		RelayFixture restarted = restarted("v2");
+		restarted.advance(RETENTION_MS + 1);
+		assertThat(sent(resume(restarted, "u1", "t1")).version()).isEqualTo("v2");
+	}
+
+	// Guards against a final refusal by a relay that has read the log but not yet the
+	// list
+	// of upstreams.
+	@Test
+	void versionIsNotGoneBeforeTheUpstreamsAreKnown() {
+		RelayFixture starting = RelayFixture.unconfigured();
+		starting.handle(new RelayEvent.RouteTableUpdated(starting.now(), RelayFixture.table()));
+		starting.handle(RelayFixture.caughtUp(starting.now()));
+		starting.handle(RelayFixture.textOffsetKnown(starting.now()));
+		starting.readFromLog(reserved("t1", "a", "v1", 1));
+		RelayEffect.Refuse refusal = refusal(resume(starting, "u1", "t1"));
+		assertThat(refusal.refusal()).isNotEqualTo(Refusal.VERSION_GONE);
+		assertThat(refusal.retryAfter()).isPresent();
+	}
+
+	private static RelayFixture restarted(String version) {
+		RelayFixture restarted = RelayFixture.unconfiguredAfterRestart();
+		restarted.handle(new RelayEvent.RouteTableUpdated(restarted.now(), RelayFixture.table()));
+		restarted.handle(RelayFixture.textOffsetKnown(restarted.now()));
+		restarted.handle(
+				new RelayEvent.UpstreamsReplaced(restarted.now(), List.of(engine("a", version), engine("b", version))));
+		restarted.handle(RelayFixture.caughtUp(restarted.now()));
+		restarted.advance(500);
+		return restarted;
+	}
+
+	private static List<RelayEffect> resume(RelayFixture relay, String id, String origin) {
+		return relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body");
+	}
+
 	private void start(String id, String version) {
 		list(engine("a", version));
 		this.relay.sendTurn(id, "draft", turn("p"));
