Hold the events of a retry at another software version until the log has it

After a loss of all relays the log may have only the first attempt of a stream, which brought no event, while the caller has events of a retry at another version. A resumed stream then continued at the version of the first attempt.

Change: events of a retry that changes the version wait for the append of its reservation, some milliseconds that begin with the send. Without the log a retry does not change the version. Retries at the same version don't wait.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -3,7 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -53,6 +55,15 @@
 
 	private boolean streamOpened;
 
+	/**
+	 * The events that wait until the log has the attempt that brought them.
+	 */
+	private final List<byte[]> heldEvents = new ArrayList<>();
+
+	private OptionalInt heldAttempt = OptionalInt.empty();
+
+	private boolean endHeld;
+
 	private int eventCount;
 
 	private int eventCountAtSend;
@@ -483,6 +494,51 @@
 		}
 	}
 
+	/**
+	 * Holds the events of the current attempt and of later ones until
+	 * {@link #releaseEvents(int)}.
+	 */
+	void holdEvents() {
+		this.heldAttempt = OptionalInt.of(this.attempt);
+	}
+
+	/**
+	 * Adds an event to the held ones, if events are held.
+	 * @param raw the event
+	 * @return whether it is held
+	 */
+	boolean holdEvent(byte[] raw) {
+		return this.heldAttempt.isPresent() && this.heldEvents.add(raw);
+	}
+
+	/**
+	 * Holds the end of the stream, if events are held.
+	 * @return whether it is held
+	 */
+	boolean holdEnd() {
+		this.endHeld = this.heldAttempt.isPresent();
+		return this.endHeld;
+	}
+
+	boolean endHeld() {
+		return this.endHeld;
+	}
+
+	/**
+	 * Returns the held events once the log has the attempt that brought them.
+	 * @param storedAttempt the number of an attempt that the log has
+	 * @return the events to be forwarded; empty if they are still held
+	 */
+	List<byte[]> releaseEvents(int storedAttempt) {
+		if (this.heldAttempt.isEmpty() || storedAttempt < this.heldAttempt.getAsInt()) {
+			return List.of();
+		}
+		this.heldAttempt = OptionalInt.empty();
+		List<byte[]> released = List.copyOf(this.heldEvents);
+		this.heldEvents.clear();
+		return released;
+	}
+
 	byte[] output() {
 		return this.output.toByteArray();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -81,6 +81,7 @@
 				this.texts.textsStored(stored);
 				this.renewals.textsStored(stored);
 			}
+			case RelayEvent.StreamAttemptsStored stored -> this.responses.streamAttemptsStored(stored);
 			case RelayEvent.RenewalRoundStarted ignored -> this.renewals.renewDue();
 			case RelayEvent.TurnWritesAcknowledged acknowledged ->
 				acknowledged.requests().forEach(this.texts::endStream);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -247,6 +248,25 @@
 
 	}
 
+	/**
+	 * The log has the attempts of streams that this relay sent.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param attempts the number of the last stored attempt of each request
+	 */
+	record StreamAttemptsStored(long now, Map<String, Integer> attempts) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now milliseconds of a monotonic clock
+		 * @param attempts the number of the last stored attempt of each request
+		 */
+		public StreamAttemptsStored {
+			attempts = Map.copyOf(attempts);
+		}
+
+	}
+
 	/**
 	 * It is time to renew the turns whose records in the log are about to expire.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -110,6 +110,12 @@
 	 */
 	final Map<Long, Exchange> awaitingVersion = new LinkedHashMap<>();
 
+	/**
+	 * The exchanges whose events wait until the log has the attempts that brought them,
+	 * by request.
+	 */
+	final Map<String, Long> awaitingStreamRecord = new LinkedHashMap<>();
+
 	/**
 	 * The services of which the log has streams from before this relay started.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -278,7 +278,14 @@
 		this.admissions.sent(exchange);
 		UpstreamState candidate = ranked.getFirst().state();
 		Upstream upstream = candidate.upstream();
+		boolean otherVersion = exchange.upstream()
+			.filter((previous) -> !SoftwareVersion.of(previous).isOf(upstream))
+			.isPresent();
 		exchange.recordSend(upstream, this.state.now);
+		if (otherVersion && exchange.route().resumable() && exchange.head().turn().isPresent()) {
+			exchange.holdEvents();
+			this.state.awaitingStreamRecord.put(exchange.id(), exchange.number());
+		}
 		this.state.report(RelayNotices.requestPlaced(exchange, ranked, this.state));
 		this.state.upstreams.requestSent(exchange.id(), candidate, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -139,7 +139,31 @@
 			this.state.idleTimeout.recordFirstResponse(exchange);
 		}
 		exchange.recordEvent(event);
-		this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event.raw()));
+		if (!exchange.holdEvent(event.raw())) {
+			this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event.raw()));
+		}
+	}
+
+	/**
+	 * Forwards the events that waited until the log has the attempts that brought them.
+	 * @param stored the stored attempts
+	 */
+	void streamAttemptsStored(RelayEvent.StreamAttemptsStored stored) {
+		stored.attempts().forEach((request, attempt) -> {
+			Long number = this.state.awaitingStreamRecord.get(request);
+			if (number != null) {
+				releaseEvents(this.state.exchanges.get(number), attempt);
+			}
+		});
+	}
+
+	private void releaseEvents(Exchange exchange, int attempt) {
+		for (byte[] event : exchange.releaseEvents(attempt)) {
+			this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event));
+		}
+		if (exchange.endHeld() && !exchange.holdEnd()) {
+			finishStream(exchange);
+		}
 	}
 
 	private void recordResponse(Exchange exchange) {
@@ -152,6 +176,12 @@
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
 		this.state.requestAnswered(exchange);
 		this.admissions.streamEnded(exchange);
+		if (!exchange.holdEnd()) {
+			finishStream(exchange);
+		}
+	}
+
+	private void finishStream(Exchange exchange) {
 		if (!exchange.route().storesTurns() || exchange.head().turn().isEmpty()) {
 			this.completion.settle(exchange, Optional.empty());
 			this.completion.endStream(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -17,8 +17,9 @@
  * has the version of each turn that is sent. If it does not have one, for example during
  * an outage of the log, the other relays are asked. Without an answer the stream
  * continues only if its service is known to have had a single version since before the
- * stream can have started; otherwise its caller has to start it again. Used by one
- * thread.
+ * stream can have started; otherwise its caller has to start it again. A retry at another
+ * version holds its events until the ledger has it, so that an earlier attempt never
+ * stands for them. Used by one thread.
  */
 final class StreamRules {
 
@@ -116,7 +117,7 @@
 	 * Returns the upstreams to which a request can be sent. A stream continues at its
 	 * version only, and upstreams that have begun to drain are used if no other one is
 	 * left. A retry of a stream without events prefers the version of the last attempt,
-	 * since other relays may not know of a later one yet.
+	 * and changes it only if the log can record that.
 	 * @param exchange the exchange
 	 * @param service the service that is selected for the request
 	 * @return the upstreams in groups, the preferred group first
@@ -130,7 +131,12 @@
 		Optional<SoftwareVersion> last = exchange.upstream()
 			.filter((ignored) -> exchange.route().resumable())
 			.map(SoftwareVersion::of);
-		return last.isEmpty() ? List.of(available) : List.of(ofVersion(available, last.get()), available);
+		if (last.isEmpty()) {
+			return List.of(available);
+		}
+		boolean recordable = this.state.connectivity == Connectivity.LOG || exchange.head().turn().isEmpty();
+		List<UpstreamState> sameVersion = ofVersion(available, last.get());
+		return recordable ? List.of(sameVersion, available) : List.of(sameVersion);
 	}
 
 	private static List<UpstreamState> notDraining(List<UpstreamState> candidates) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -335,6 +335,10 @@
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entry), Optional.empty(), List.of(age)));
 	}
 
+	List<RelayEffect> streamStored(String request, int attempt) {
+		return handle(new RelayEvent.StreamAttemptsStored(this.now, Map.of(request, attempt)));
+	}
+
 	List<RelayEffect> readFromPeer(LedgerEntry... entries) {
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entries), Optional.of("sender")));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -368,6 +368,60 @@
 		assertThat(refusal.retryAfter()).isPresent();
 	}
 
+	// Guards against a loss of all relays that leaves the log with an earlier attempt of
+	// another version, which brought no event.
+	@Test
+	void eventsOfARetryAtAnotherVersionWaitForItsRecord() {
+		startRetryAtAnotherVersion();
+		this.relay.open(2);
+		assertThat(forwarded(this.relay.event(2, 1))).isZero();
+		assertThat(forwarded(this.relay.streamStored("t1", 1))).isZero();
+		assertThat(forwarded(this.relay.streamStored("t1", 2))).isEqualTo(1);
+		assertThat(forwarded(this.relay.event(2, 2))).isEqualTo(1);
+	}
+
+	@Test
+	void endOfARetryAtAnotherVersionFollowsItsEvents() {
+		startRetryAtAnotherVersion();
+		this.relay.open(2);
+		this.relay.event(2, 1);
+		assertThat(RelayFixture.ofType(this.relay.end(2), RelayEffect.EndStream.class)).isEmpty();
+		List<RelayEffect> released = this.relay.streamStored("t1", 2);
+		assertThat(forwarded(released)).isEqualTo(1);
+		assertThat(RelayFixture.ofType(released, RelayEffect.EndStream.class)).hasSize(1);
+	}
+
+	@Test
+	void eventsOfARetryAtTheSameVersionDoNotWait() {
+		list(engine("a", "v1"), engine("b", "v1"));
+		this.relay.sendTurn("t1", "draft", turn("p"));
+		this.relay.fail(1, FailureCause.BROKEN);
+		this.relay.open(2);
+		assertThat(forwarded(this.relay.event(2, 1))).isEqualTo(1);
+	}
+
+	// Without the log the record of the retry could not outlive a loss of all relays.
+	@Test
+	void retryDoesNotChangeTheVersionWithoutTheLog() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "draft", turn("p"));
+		list(engine("a", "v1"), engine("b", "v2"));
+		this.relay.handle(new RelayEvent.ConnectivityChanged(this.relay.now(), Connectivity.RELAYS));
+		assertThat(RelayFixture.ofType(this.relay.fail(1, FailureCause.BROKEN), RelayEffect.SendRequest.class))
+			.isEmpty();
+	}
+
+	private void startRetryAtAnotherVersion() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "draft", turn("p"));
+		list(engine("a", "v1"), engine("b", "v2"));
+		assertThat(sent(this.relay.fail(1, FailureCause.BROKEN)).version()).isEqualTo("v2");
+	}
+
+	private static int forwarded(List<RelayEffect> effects) {
+		return RelayFixture.ofType(effects, RelayEffect.ForwardStreamEvent.class).size();
+	}
+
 	private static RelayFixture restarted(String version) {
 		RelayFixture restarted = RelayFixture.unconfiguredAfterRestart();
 		restarted.handle(new RelayEvent.RouteTableUpdated(restarted.now(), RelayFixture.table()));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -165,8 +165,8 @@
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored,
-				this::conditionalReservationsStored, this.connectivityMonitor::storeCallCompleted,
-				dropReporter::recordDropped);
+				this::streamAttemptsStored, this::conditionalReservationsStored,
+				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
 				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated);
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
@@ -407,6 +407,10 @@
 		on(new RelayEvent.SettlementsStored(this.timers.now(), requests));
 	}
 
+	private void streamAttemptsStored(Map<String, Integer> attempts) {
+		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
+	}
+
 	private void textsStored(Set<String> requests, long endOffset, Duration latency) {
 		on(new RelayEvent.TextsStored(this.timers.now(), requests, endOffset, latency));
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -1,8 +1,10 @@
 package io.lentilslip.relay.store;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
@@ -41,6 +43,8 @@
 
 	private final Consumer<Set<String>> turnsStored;
 
+	private final Consumer<Map<String, Integer>> streamAttemptsStored;
+
 	private final Runnable conditionalReservationsStored;
 
 	private final AppendQueue<LedgerEntry> queue;
@@ -53,15 +57,19 @@
 	 * @param timers schedules appends
 	 * @param random the source of retry jitter
 	 * @param turnsStored receives the stored turns whose settlements were acknowledged
+	 * @param streamAttemptsStored receives the number of the last acknowledged attempt of
+	 * each stream
 	 * @param conditionalReservationsStored runs when conditional reservations were
 	 * acknowledged
 	 * @param callListener receives whether each call to the store succeeded
 	 * @param dropListener receives the number of entries whenever some are dropped
 	 */
 	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
-			Runnable conditionalReservationsStored, Consumer<Boolean> callListener, IntConsumer dropListener) {
+			Consumer<Map<String, Integer>> streamAttemptsStored, Runnable conditionalReservationsStored,
+			Consumer<Boolean> callListener, IntConsumer dropListener) {
 		this.timers = timers;
 		this.turnsStored = turnsStored;
+		this.streamAttemptsStored = streamAttemptsStored;
 		this.conditionalReservationsStored = conditionalReservationsStored;
 		this.queue = new AppendQueue<>((records, callback) -> store.append(Topic.ENTRIES, records, callback),
 				EntryWriter::stampDelay, timers, random, MAX_QUEUED_BYTES,
@@ -126,11 +134,14 @@
 	private void stored(List<LedgerEntry> entries) {
 		Set<String> turns = new HashSet<>();
 		boolean conditionalReservations = false;
+		Map<String, Integer> attempts = new HashMap<>();
 		for (LedgerEntry written : entries) {
 			switch (written) {
 				case LedgerEntry.Settled settled when settled.textLocation().isPresent() ->
 					turns.add(settled.request());
 				case LedgerEntry.Reserved reserved when reserved.conditional() -> conditionalReservations = true;
+				case LedgerEntry.Reserved reserved -> reserved.stream()
+					.ifPresent((attempt) -> attempts.merge(reserved.request(), attempt.number(), Math::max));
 				default -> {
 				}
 			}
@@ -138,6 +149,9 @@
 		if (!turns.isEmpty()) {
 			this.turnsStored.accept(turns);
 		}
+		if (!attempts.isEmpty()) {
+			this.streamAttemptsStored.accept(attempts);
+		}
 		if (conditionalReservations) {
 			this.conditionalReservationsStored.run();
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -2,13 +2,17 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.SoftwareVersion;
+import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.wire.relay.RelayCodec;
 import org.junit.jupiter.api.Test;
@@ -25,10 +29,13 @@
 
 	private final List<Integer> dropped = new ArrayList<>();
 
+	private final Map<String, Integer> storedAttempts = new HashMap<>();
+
 	private int conditionalReservations;
 
 	private final EntryWriter writer = new EntryWriter(this.store, this.store, new SplittableRandom(1),
-			this.storedTurns::addAll, () -> this.conditionalReservations++, (succeeded) -> {
+			this.storedTurns::addAll, this.storedAttempts::putAll, () -> this.conditionalReservations++,
+			(succeeded) -> {
 			}, this.dropped::add);
 
 	@Test
@@ -40,6 +47,21 @@
 		assertThat(this.store.appends.getFirst()).hasSize(2);
 	}
 
+	@Test
+	void lastStoredAttemptOfAStreamIsReported() {
+		this.writer.write(sent("a", 1));
+		this.writer.write(sent("a", 2));
+		this.store.advance(100);
+		assertThat(this.storedAttempts).isEmpty();
+		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
+		assertThat(this.storedAttempts).containsExactly(Map.entry("a", 2));
+	}
+
+	private static LedgerEntry sent(String request, int attempt) {
+		return new LedgerEntry.Reserved(request, "p", 1, "u", List.of(), false,
+				Optional.of(new StreamAttempt(new SoftwareVersion("s", "v1"), attempt)));
+	}
+
 	@Test
 	void otherEntriesAreBatched() {
 		this.writer.write(settled("a", Optional.empty()));
