Renew the usage of programs before the log drops their entries

After a loss of all relays a program that had lasted longer than the retention of the log got its budget again (BUDGET).

Change: the replicas of a program append the tokens of its turns again, with open reservations, when its oldest entry reaches half of the retention; each further replica follows an eighth later. The entry says for how long the usage is retained.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
@@ -92,6 +92,11 @@
 	 */
 	RETAINED_TURNS,
 
+	/**
+	 * Programs whose usage a relay may have to renew.
+	 */
+	RETAINED_PROGRAMS,
+
 	/**
 	 * Streams whose software versions a relay knows.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/DuplicateEntryCounter.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/DuplicateEntryCounter.java
@@ -16,16 +16,24 @@
 
 	private final long[] counts = new long[KINDS.length];
 
+	/**
+	 * Counts an entry. Renewed entries repeat others on purpose and are not counted.
+	 * @param entry the entry
+	 */
 	void add(LedgerEntry entry) {
-		this.counts[kind(entry).ordinal()]++;
+		switch (entry) {
+			case LedgerEntry.Reserved ignored -> count(Kind.RESERVED);
+			case LedgerEntry.Settled settled when settled.renewal() -> {
+			}
+			case LedgerEntry.Settled ignored -> count(Kind.SETTLED);
+			case LedgerEntry.UpstreamFailed ignored -> count(Kind.BLAMED);
+			case LedgerEntry.UsageRenewed ignored -> {
+			}
+		}
 	}
 
-	private static Kind kind(LedgerEntry entry) {
-		return switch (entry) {
-			case LedgerEntry.Reserved ignored -> Kind.RESERVED;
-			case LedgerEntry.Settled ignored -> Kind.SETTLED;
-			case LedgerEntry.UpstreamFailed ignored -> Kind.BLAMED;
-		};
+	private void count(Kind kind) {
+		this.counts[kind.ordinal()]++;
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -13,7 +15,8 @@
 
 	/**
 	 * Returns the request of the entry.
-	 * @return the id of the caller's attempt
+	 * @return the id of the caller's attempt, or of the program if the entry concerns all
+	 * of its turns
 	 */
 	String request();
 
@@ -25,6 +28,7 @@
 		return switch (this) {
 			case Reserved reserved -> Optional.of(reserved.program());
 			case Settled settled -> Optional.of(settled.program());
+			case UsageRenewed renewed -> Optional.of(renewed.program());
 			case UpstreamFailed ignored -> Optional.empty();
 		};
 	}
@@ -93,6 +97,40 @@
 	record Settled(String request, String program, int tokens,
 			Optional<TextLocation> textLocation) implements LedgerEntry {
 
+		/**
+		 * Returns whether this repeats an entry that is about to expire.
+		 * @return whether it does
+		 */
+		public boolean renewal() {
+			return this.textLocation.filter(TextLocation::renewed).isPresent();
+		}
+
+	}
+
+	/**
+	 * Repeats the usage of a program, whose entries are about to expire.
+	 *
+	 * @param program the program
+	 * @param turns the tokens of its turns, by request
+	 * @param retention for how long after the append the usage is retained
+	 */
+	record UsageRenewed(String program, Map<String, TurnTokens> turns, Duration retention) implements LedgerEntry {
+
+		/**
+		 * Creates an entry.
+		 * @param program the program
+		 * @param turns the tokens of its turns, by request
+		 * @param retention for how long after the append the usage is retained
+		 */
+		public UsageRenewed {
+			turns = Map.copyOf(turns);
+		}
+
+		@Override
+		public String request() {
+			return this.program;
+		}
+
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -38,6 +38,9 @@
 			received.sender()
 				.ifPresentOrElse((sender) -> this.state.uncommitted.add(entry, sender, received.now()),
 						() -> committed(entry));
+			if (received.fromLog()) {
+				this.renewals.entryRead(entry, received.writtenAt(i));
+			}
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> {
 					long writtenAt = received.writtenAt(i);
@@ -49,12 +52,8 @@
 					});
 					reserved(reserved, received.fromLog());
 				}
-				case LedgerEntry.Settled settled -> {
-					settled(settled, received.sender());
-					if (received.fromLog()) {
-						this.renewals.settlementRead(settled, received.writtenAt(i));
-					}
-				}
+				case LedgerEntry.Settled settled -> settled(settled, received.sender());
+				case LedgerEntry.UsageRenewed renewed -> this.state.tokens.apply(renewed);
 				case LedgerEntry.UpstreamFailed failed ->
 					this.state.poisonRequests.recordFailure(failed.digest(), failed.upstream());
 			}
@@ -69,16 +68,11 @@
 	}
 
 	private void committed(LedgerEntry entry) {
-		if (this.state.uncommitted.committed(entry) && !isRenewal(entry)) {
+		if (this.state.uncommitted.committed(entry)) {
 			this.duplicates.add(entry);
 		}
 	}
 
-	private static boolean isRenewal(LedgerEntry entry) {
-		return entry instanceof LedgerEntry.Settled settled
-				&& settled.textLocation().filter(TextLocation::renewed).isPresent();
-	}
-
 	private void dispatchOrRefuse(Exchange exchange, boolean admitted, Refusal refusal) {
 		if (admitted) {
 			this.requests.dispatch(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ProgramTokens.java
@@ -53,7 +53,7 @@
 		if (account == null) {
 			return 0;
 		}
-		return account.spent + account.reserved - Math.max(0, account.turns.getOrDefault(request, 0));
+		return account.spent + account.reserved - account.reservedBy(request);
 	}
 
 	/**
@@ -64,7 +64,7 @@
 	 */
 	void reserve(String program, String request, int maxTokens) {
 		Account account = account(program);
-		if (account.turns.putIfAbsent(request, maxTokens) == null) {
+		if (account.turns.putIfAbsent(request, new TurnTokens(maxTokens, true)) == null) {
 			account.reserved += maxTokens;
 		}
 	}
@@ -77,19 +77,45 @@
 	 */
 	boolean isOpen(String program, String request) {
 		Account account = this.accounts.get(program);
-		return account != null && account.turns.getOrDefault(request, Account.SETTLED) != Account.SETTLED;
+		return account != null && account.turns.containsKey(request) && account.turns.get(request).open();
 	}
 
 	void settle(String program, String request, int tokens) {
 		Account account = account(program);
-		Integer reservedTokens = account.turns.put(request, Account.SETTLED);
-		if (reservedTokens != null && reservedTokens == Account.SETTLED) {
+		TurnTokens before = account.turns.get(request);
+		if (before != null && !before.open()) {
 			return;
 		}
-		account.reserved -= (reservedTokens != null) ? reservedTokens : 0;
+		account.turns.put(request, new TurnTokens(tokens, false));
+		account.reserved -= (before != null) ? before.tokens() : 0;
 		account.spent += tokens;
 	}
 
+	/**
+	 * Applies the usage of a program that was written again.
+	 * @param renewed the usage
+	 */
+	void apply(LedgerEntry.UsageRenewed renewed) {
+		renewed.turns().forEach((request, turn) -> {
+			if (turn.open()) {
+				reserve(renewed.program(), request, turn.tokens());
+			}
+			else {
+				settle(renewed.program(), request, turn.tokens());
+			}
+		});
+	}
+
+	/**
+	 * Returns the turns of a program.
+	 * @param program the program
+	 * @return the tokens by request
+	 */
+	Map<String, TurnTokens> turns(String program) {
+		Account account = this.accounts.get(program);
+		return (account != null) ? Map.copyOf(account.turns) : Map.of();
+	}
+
 	int size() {
 		return this.accounts.size();
 	}
@@ -107,14 +133,17 @@
 	 */
 	private static final class Account {
 
-		private static final int SETTLED = -1;
-
-		private final Map<String, Integer> turns = new HashMap<>();
+		private final Map<String, TurnTokens> turns = new HashMap<>();
 
 		private long spent;
 
 		private long reserved;
 
+		int reservedBy(String request) {
+			TurnTokens turn = this.turns.get(request);
+			return (turn != null && turn.open()) ? turn.tokens() : 0;
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -165,6 +165,8 @@
 						StreamVersions.MAX_STREAMS),
 				new Measurement.CollectionSize(CollectionName.RETAINED_TURNS, this.state.retainedTurns.size(),
 						RetainedTurns.MAX_TURNS),
+				new Measurement.CollectionSize(CollectionName.RETAINED_PROGRAMS, this.state.retainedPrograms.size(),
+						this.state.retainedPrograms.maxSize()),
 				new Measurement.CollectionSize(CollectionName.REQUEST_TARGETS, this.state.requestTargets.size(),
 						RequestTargets.MAX_ENTRIES),
 				new Measurement.CollectionSize(CollectionName.CRASH_RECORDS, this.state.poisonRequests.size(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -49,6 +49,11 @@
 	 */
 	final RetainedTurns retainedTurns = new RetainedTurns();
 
+	/**
+	 * The programs whose usage the log has, by the age of their entries.
+	 */
+	final RetainedPrograms retainedPrograms;
+
 	final UnansweredAttempts unansweredAttempts = new UnansweredAttempts();
 
 	final Upstreams upstreams = new Upstreams();
@@ -237,6 +242,7 @@
 		this.logRetention = settings.logRetention();
 		this.admission = settings.admission();
 		this.tokens = new ProgramTokens(settings.maxPrograms());
+		this.retainedPrograms = new RetainedPrograms(settings.maxPrograms());
 		this.turnCache = new TurnCache(settings.turnCacheBytes());
 		this.ledgerComplete = settings.bootstrap();
 		this.started = settings.bootstrap();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -8,14 +8,16 @@
 
 import io.lentilslip.core.measurement.Measurement;
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
+import io.lentilslip.core.relay.RetainedPrograms.Activity;
 import io.lentilslip.core.relay.RetainedTurns.RetainedTurn;
 
 /**
- * Appends turns again before their records in the log expire. The log drops records by
- * age, but a turn is needed as long as any turn that continues it. Without a renewal a
- * chain longer than the retention of the log would exist only in the memory of the relays
- * that ran it. The relay that ran a turn renews it first; the replicas of its program
- * follow one after the other if the record gets older. Used by one thread.
+ * Appends turns and the usage of programs again before their records in the log expire.
+ * The log drops records by age, but a turn is needed as long as any turn that continues
+ * it, and the usage as long as the program. Without a renewal both would exist only in
+ * the memory of the relays that received them. The relay that ran a turn renews it first;
+ * the replicas of its program follow one after the other if the record gets older. Used
+ * by one thread.
  */
 final class RenewalRules {
 
@@ -43,37 +45,71 @@
 	 */
 	private static final int MAX_ROUND_BYTES = 512 * 1024;
 
+	/**
+	 * The maximum number of programs whose usage a relay renews in one round.
+	 */
+	private static final int MAX_ROUND_PROGRAMS = 256;
+
 	private final RelayState state;
 
 	/**
-	 * When the renewals that have not been read from the log were started.
+	 * When the renewals that have not been read from the log were started, by turn and by
+	 * program.
 	 */
 	private final Map<String, Long> pending = new LinkedHashMap<>();
 
+	private final Map<String, Long> pendingPrograms = new LinkedHashMap<>();
+
 	RenewalRules(RelayState state) {
 		this.state = state;
 	}
 
 	/**
-	 * Records a settlement that was read from the log.
-	 * @param settled the settlement
+	 * Records an entry that was read from the log.
+	 * @param entry the entry
 	 * @param writtenAt when it was written, by the monotonic clock
 	 */
-	void settlementRead(LedgerEntry.Settled settled, long writtenAt) {
-		if (this.state.logRetention.isZero() || settled.textLocation().isEmpty()) {
+	void entryRead(LedgerEntry entry, long writtenAt) {
+		if (this.state.logRetention.isZero()) {
 			return;
 		}
-		TextLocation location = settled.textLocation().get();
+		switch (entry) {
+			case LedgerEntry.Reserved reserved -> turnRead(reserved.program(), writtenAt);
+			case LedgerEntry.Settled settled -> {
+				if (!settled.renewal()) {
+					turnRead(settled.program(), writtenAt);
+				}
+				settled.textLocation().ifPresent((location) -> textRead(settled, location, writtenAt));
+			}
+			case LedgerEntry.UsageRenewed renewed -> {
+				this.pendingPrograms.remove(renewed.program());
+				// Turns that had just started at other relays may be missing.
+				this.state.retainedPrograms.recordRenewal(renewed.program(), writtenAt - step(),
+						writtenAt + renewed.retention().toMillis());
+			}
+			case LedgerEntry.UpstreamFailed ignored -> {
+			}
+		}
+	}
+
+	private void turnRead(String program, long writtenAt) {
+		this.state.retainedPrograms.recordTurn(program, writtenAt, writtenAt + longestRetention().toMillis());
+	}
+
+	private void textRead(LedgerEntry.Settled settled, TextLocation location, long writtenAt) {
 		this.state.retainedTurns.record(settled, location, writtenAt, retention(location).toMillis());
 		if (location.renewed()) {
 			this.pending.remove(settled.request());
 		}
 	}
 
+	private Duration longestRetention() {
+		return this.state.routeTable.map(RouteTable::longestRetention).orElse(Duration.ZERO);
+	}
+
 	private Duration retention(TextLocation location) {
 		boolean known = location.renewed() || location.retention().isPositive();
-		return known ? location.retention()
-				: this.state.routeTable.map(RouteTable::longestRetention).orElse(Duration.ZERO);
+		return known ? location.retention() : longestRetention();
 	}
 
 	/**
@@ -86,6 +122,12 @@
 		}
 		long now = this.state.now;
 		this.pending.values().removeIf((startedAt) -> now - startedAt > step() * RETRY_STEPS);
+		this.pendingPrograms.values().removeIf((startedAt) -> now - startedAt > step() * RETRY_STEPS);
+		renewTurns(now);
+		renewUsage(now);
+	}
+
+	private void renewTurns(long now) {
 		int bytes = 0;
 		for (RetainedTurn turn : this.state.retainedTurns.olderThan(now, step() * FIRST_STEP,
 				this.state.logRetention.toMillis())) {
@@ -101,6 +143,30 @@
 		}
 	}
 
+	// Only replicas of a program know all of its turns.
+	private void renewUsage(long now) {
+		int entries = 0;
+		for (Map.Entry<String, Activity> next : this.state.retainedPrograms.olderThan(now - step() * FIRST_STEP, now)
+			.entrySet()) {
+			String program = next.getKey();
+			boolean due = now - next.getValue().oldestAt() >= usageRenewalAge(program);
+			if (entries == MAX_ROUND_PROGRAMS || !due || this.pendingPrograms.containsKey(program)) {
+				continue;
+			}
+			this.pendingPrograms.put(program, now);
+			entries++;
+			Duration remaining = Duration.ofMillis(next.getValue().retainedUntil() - now);
+			this.state.emit(new RelayEffect.AppendEntry(
+					new LedgerEntry.UsageRenewed(program, this.state.tokens.turns(program), remaining), List.of()));
+		}
+	}
+
+	private long usageRenewalAge(String program) {
+		List<String> replicas = this.state.replicas.replicasOf(program);
+		int rank = replicas.isEmpty() ? 0 : replicas.indexOf(this.state.name);
+		return (rank < 0) ? Long.MAX_VALUE : step() * (FIRST_STEP + rank);
+	}
+
 	private long step() {
 		return this.state.logRetention.toMillis() / STEPS;
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RouteTable.java
@@ -79,15 +79,11 @@
 	}
 
 	/**
-	 * Returns the longest retention of turns.
-	 * @return the retention, or zero if no route stores turns
+	 * Returns the longest retention of turns and of the usage of programs.
+	 * @return the retention, or zero if there are no routes
 	 */
 	Duration longestRetention() {
-		return this.routes.stream()
-			.filter(Route::storesTurns)
-			.map(Route::retention)
-			.max(Duration::compareTo)
-			.orElse(Duration.ZERO);
+		return this.routes.stream().map(Route::retention).max(Duration::compareTo).orElse(Duration.ZERO);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -82,6 +82,9 @@
 			switch (entry) {
 				case LedgerEntry.Reserved reserved -> byTurn.putIfAbsent(reserved.request(), reserved.maxTokens());
 				case LedgerEntry.Settled settled -> byTurn.put(settled.request(), settled.tokens());
+				case LedgerEntry.UsageRenewed ignored -> {
+					// Written once all of these are in the log.
+				}
 				case LedgerEntry.UpstreamFailed ignored -> {
 				}
 			}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
@@ -95,6 +95,46 @@
 		assertThat(this.site.storedBytes()).isEqualTo(2 * once);
 	}
 
+	// Guards against granting the budget of a long program again.
+	@Test
+	void usageOfALongProgramOutlivesALossOfAllRelays() {
+		for (int i = 0; i < 12; i++) {
+			this.site.runUnstoredTurn(i % 3, "t" + i);
+			this.site.advance(PAUSE);
+		}
+		this.site.restart(0, 1, 2);
+		assertThat(this.site.usedTokens(1)).isEqualTo(12 * RelayFixture.TOKENS_PER_EVENT);
+	}
+
+	@Test
+	void usageOfAnIdleProgramOutlivesRepeatedLossesOfAllRelays() {
+		this.site.runUnstoredTurn(0, "t1");
+		for (int i = 0; i < 4; i++) {
+			this.site.advance(Duration.ofSeconds(13));
+			this.site.restart(0, 1, 2);
+		}
+		assertThat(this.site.usedTokens(1)).isEqualTo(RelayFixture.TOKENS_PER_EVENT);
+	}
+
+	// A relay that ended in the middle of a turn has handed out an unknown number of its
+	// tokens.
+	@Test
+	void reservationOfAnInterruptedTurnOutlivesALossOfAllRelays() {
+		this.site.startUnstoredTurn(0, "t1");
+		this.site.advance(Duration.ofSeconds(30));
+		this.site.restart(0, 1, 2);
+		assertThat(this.site.usedTokens(1)).isEqualTo(RetentionSite.MAX_TOKENS);
+	}
+
+	@Test
+	void usageIsNotRenewedOnceItIsNotRetained() {
+		this.site.runUnstoredTurn(0, "t1");
+		this.site.advance(Duration.ofSeconds(100));
+		int entries = this.site.entryCount();
+		this.site.advance(Duration.ofSeconds(60));
+		assertThat(this.site.entryCount()).isEqualTo(entries);
+	}
+
 	private void runConversation(int turns, int step) {
 		runConversation(turns, step, 0);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
@@ -16,6 +16,8 @@
 
 	private static final String PROGRAM = "p";
 
+	static final int MAX_TOKENS = 100;
+
 	private final List<Node> nodes = new ArrayList<>();
 
 	private final List<Logged<LedgerEntry>> entries = new ArrayList<>();
@@ -62,9 +64,13 @@
 	 * @return the prefix that the upstream received; empty if the turn was not sent
 	 */
 	Optional<String> runTurn(int index, String request, String previous) {
+		return runTurn(index, "chat", request, previous);
+	}
+
+	private Optional<String> runTurn(int index, String route, String request, String previous) {
 		Node node = this.nodes.get(index);
 		List<RelayEffect> effects = new ArrayList<>(
-				node.relay.sendTurn(request, "chat", RelayFixture.turn(PROGRAM, 1_000_000, 10, previous)));
+				node.relay.sendTurn(request, route, RelayFixture.turn(PROGRAM, 1_000_000, MAX_TOKENS, previous)));
 		effects.addAll(apply(node, effects));
 		Optional<RelayEffect.SendRequest> sent = RelayFixture.ofType(effects, RelayEffect.SendRequest.class)
 			.stream()
@@ -77,6 +83,29 @@
 		return sent.map((send) -> new String(send.prefix()));
 	}
 
+	/**
+	 * Runs a turn that is not stored to its end.
+	 * @param index the relay
+	 * @param request the id of the turn
+	 */
+	void runUnstoredTurn(int index, String request) {
+		runTurn(index, "draft", request, null);
+	}
+
+	/**
+	 * Starts a turn that never ends.
+	 * @param index the relay
+	 * @param request the id of the turn
+	 */
+	void startUnstoredTurn(int index, String request) {
+		Node node = this.nodes.get(index);
+		apply(node, node.relay.sendTurn(request, "draft", RelayFixture.turn(PROGRAM, 1_000_000, MAX_TOKENS, null)));
+	}
+
+	int entryCount() {
+		return this.entries.size();
+	}
+
 	/**
 	 * Advances the time; relays read the log and renew turns meanwhile.
 	 * @param time the time
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -115,8 +115,8 @@
 	private static boolean needsImmediateFlush(LedgerEntry entry) {
 		return switch (entry) {
 			case LedgerEntry.Reserved reserved -> reserved.conditional();
-			case LedgerEntry.Settled settled ->
-				settled.textLocation().filter((location) -> !location.renewed()).isPresent();
+			case LedgerEntry.Settled settled -> settled.textLocation().isPresent() && !settled.renewal();
+			case LedgerEntry.UsageRenewed ignored -> false;
 			case LedgerEntry.UpstreamFailed ignored -> false;
 		};
 	}
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -18,6 +20,7 @@
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.core.relay.TurnTokens;
 import io.lentilslip.core.relay.UpstreamLoad;
 import io.lentilslip.wire.generated.RelayProtocol;
 import io.vavr.control.Either;
@@ -348,6 +351,7 @@
 		switch (entry) {
 			case LedgerEntry.Reserved reserved -> builder.setReservation(reservation(reserved));
 			case LedgerEntry.Settled settled -> builder.setSettlement(settlement(settled));
+			case LedgerEntry.UsageRenewed renewed -> builder.setUsage(usage(renewed));
 			case LedgerEntry.UpstreamFailed failed ->
 				builder.getBlameBuilder().setDigest(failed.digest()).setUpstream(failed.upstream());
 		}
@@ -375,6 +379,25 @@
 		return builder.build();
 	}
 
+	private static RelayProtocol.ProgramUsage usage(LedgerEntry.UsageRenewed renewed) {
+		RelayProtocol.ProgramUsage.Builder builder = RelayProtocol.ProgramUsage.newBuilder()
+			.setRetention(Math.max(0, renewed.retention().toMillis()));
+		renewed.turns()
+			.forEach((request, turn) -> builder.addTurnsBuilder()
+				.setRequest(request)
+				.setTokens(turn.tokens())
+				.setOpen(turn.open()));
+		return builder.build();
+	}
+
+	private static LedgerEntry usageRenewed(String program, RelayProtocol.ProgramUsage message) {
+		Map<String, TurnTokens> turns = new HashMap<>();
+		for (RelayProtocol.ProgramTurn turn : message.getTurnsList()) {
+			turns.put(turn.getRequest(), new TurnTokens(Math.max(0, turn.getTokens()), turn.getOpen()));
+		}
+		return new LedgerEntry.UsageRenewed(program, turns, Duration.ofMillis(Math.max(0, message.getRetention())));
+	}
+
 	private static Either<String, LedgerEntry> entry(RelayProtocol.RelayEntry message) {
 		if (message.getRequest().isEmpty()) {
 			return Either.left("entry has no request id");
@@ -382,6 +405,7 @@
 		return switch (message.getEntryCase()) {
 			case RESERVATION -> Either.right(reserved(message.getRequest(), message.getReservation()));
 			case SETTLEMENT -> Either.right(settled(message.getRequest(), message.getSettlement()));
+			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
 			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(message.getRequest(),
 					message.getBlame().getDigest(), message.getBlame().getUpstream()));
 			case ENTRY_NOT_SET -> Either.left("entry has no content");
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -17,6 +18,7 @@
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.core.relay.TurnTokens;
 import io.lentilslip.core.relay.UpstreamLoad;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -44,6 +46,14 @@
 		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
 	}
 
+	@Property(tries = 200)
+	void renewedUsageRoundTrips(@ForAll @IntRange(min = 0) int tokens, @ForAll boolean open,
+			@ForAll @IntRange(min = 0) int retention) {
+		LedgerEntry entry = new LedgerEntry.UsageRenewed("p", Map.of("r", new TurnTokens(tokens, open)),
+				Duration.ofMillis(retention));
+		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
+	}
+
 	@Property(tries = 200)
 	void textsRoundTrip(@ForAll byte[] input, @ForAll byte[] output, @ForAll boolean first) {
 		Optional<String> previous = first ? Optional.empty() : Optional.of("before");
