Split texts that exceed a record, and drop an invalid record alone

Cause: an append was repeated with any result but a success, so that a record that the store can never accept blocked all others of its queue, and relays that were asked to write the turn for another one as well.

Change: a text that exceeds a record is split into parts, which a reader joins; its turn counts as stored with the last part. A result that a repetition can't change is told apart: the records of the append are appended one by one, and the invalid one is dropped and counted. Parts of a text are dropped together.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -340,15 +340,18 @@
 	 *
 	 * @param now the time of the event
 	 * @param requests the turns of the texts
+	 * @param firstOffset the lowest offset of these texts
 	 * @param endOffset the end offset of this relay's text partition
 	 * @param latency the latency of the log
 	 */
-	record TextsStored(long now, Set<String> requests, long endOffset, Duration latency) implements RelayEvent {
+	record TextsStored(long now, Set<String> requests, long firstOffset, long endOffset,
+			Duration latency) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now the time of the event
 		 * @param requests the turns of the texts
+		 * @param firstOffset the lowest offset of these texts
 		 * @param endOffset the end offset of this relay's text partition
 		 * @param latency the latency of the log
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -11,8 +11,9 @@
  * @param weight its share of the processors of the site, relative to other weights
  * @param seed the seed of its random number generator
  * @param turnCacheBytes the maximum bytes of stored turns that it has in memory
- * @param maxInputBytes the maximum bytes of the input of a stored turn, so that input and
- * output fit into one record of the log
+ * @param maxInputBytes the maximum bytes of the input of a stored turn, so that it can be
+ * queued and sent to other relays
+ * @param maxRecordBytes the maximum bytes of a record of the log; longer texts are split
  * @param maxPrograms the maximum number of programs whose token usage it tracks
  * @param textPartition the partition of the log to which it writes texts
  * @param bootstrap whether the whole site starts for the first time, so that there are no
@@ -21,8 +22,9 @@
  * @param logRetention for how long the log keeps a record; zero if without limit
  * @param admission whether new programs are refused while their service has no room
  */
-public record RelaySettings(String zone, int weight, long seed, long turnCacheBytes, int maxInputBytes, int maxPrograms,
-		int textPartition, boolean bootstrap, QuotaTolerance quotaTolerance, Duration logRetention, boolean admission) {
+public record RelaySettings(String zone, int weight, long seed, long turnCacheBytes, int maxInputBytes,
+		int maxRecordBytes, int maxPrograms, int textPartition, boolean bootstrap, QuotaTolerance quotaTolerance,
+		Duration logRetention, boolean admission) {
 
 	/**
 	 * The fraction of a route's latency target after which a turn without its chain is
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -208,10 +208,9 @@
 	 * @param stored the stored texts
 	 */
 	void textsStored(RelayEvent.TextsStored stored) {
-		long firstOffset = stored.endOffset() - stored.requests().size();
 		for (String request : stored.requests()) {
 			if (this.pending.containsKey(request)) {
-				this.state.retainedTurns.find(request).ifPresent((turn) -> appendLocation(turn, firstOffset));
+				this.state.retainedTurns.find(request).ifPresent((turn) -> appendLocation(turn, stored.firstOffset()));
 			}
 		}
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -132,8 +132,9 @@
 	}
 
 	private boolean refuseTurn(Exchange exchange) {
-		// The end of a turn waits until the log has its text. A text that exceeds a log
-		// record would block this turn and the entries queued behind it.
+		// The end of a turn waits until the log has its text. A longer text might be
+		// dropped
+		// from the queue in an outage, or exceed a message to another relay.
 		if (exchange.route().storesTurns() && exchange.request().body().length > this.state.maxInputBytes) {
 			this.completion.refuse(exchange, Refusal.TOO_LONG, Optional.empty());
 			return true;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
@@ -207,7 +207,7 @@
 
 	private void start(int index) {
 		RelayInstance instance = new RelayInstance(index, new Relay(new RelaySettings("zone-a", 100, index, 1_000_000,
-				1000, 1000, 0, true, TOLERANCE, Duration.ZERO, true)));
+				1000, 1_000_000, 1000, 0, true, TOLERANCE, Duration.ZERO, true)));
 		this.relays.set(index, instance);
 		List<Member> members = new ArrayList<>();
 		for (int i = 0; i < this.relays.size(); i++) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -53,8 +53,8 @@
 	}
 
 	private RelayFixture(boolean bootstrap, long seed, boolean admission) {
-		this.relay = new Relay(new RelaySettings("zone-a", 100, seed, 1_000_000, 1000, 1000, TEXT_PARTITION, bootstrap,
-				QuotaTolerance.standard(), LOG_RETENTION, admission));
+		this.relay = new Relay(new RelaySettings("zone-a", 100, seed, 1_000_000, 1000, 1_000_000, 1000, TEXT_PARTITION,
+				bootstrap, QuotaTolerance.standard(), LOG_RETENTION, admission));
 	}
 
 	/**
@@ -131,7 +131,7 @@
 	}
 
 	static RelayEvent textOffsetKnown(long now) {
-		return new RelayEvent.TextsStored(now, Set.of(), 0, Duration.ZERO);
+		return new RelayEvent.TextsStored(now, Set.of(), 0, 0, Duration.ZERO);
 	}
 
 	static RelayFixture unconfiguredAfterRestart() {
@@ -357,7 +357,7 @@
 	}
 
 	List<RelayEffect> stored(String... requests) {
-		handle(new RelayEvent.TextsStored(this.now, Set.of(requests), 20, Duration.ofMillis(8)));
+		handle(new RelayEvent.TextsStored(this.now, Set.of(requests), 19, 20, Duration.ofMillis(8)));
 		return handle(new RelayEvent.SettlementsStored(this.now, Set.of(requests)));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
@@ -179,7 +179,7 @@
 					this.texts.add(new Logged<>(new TurnText(store.request(), store.text()), this.now));
 					this.storedBytes += store.text().size();
 					further.addAll(apply(node, node.relay.handle(new RelayEvent.TextsStored(node.relay.now(),
-							Set.of(store.request()), this.texts.size(), Duration.ZERO))));
+							Set.of(store.request()), this.texts.size() - 1, this.texts.size(), Duration.ZERO))));
 				}
 				case RelayEffect.ReadText read ->
 					further.addAll(apply(node, node.relay.handle(new RelayEvent.TextRead(node.relay.now(),
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -177,9 +177,9 @@
 	@Test
 	void relayWithASlowLogWritesNoTurnsForPeers() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, Duration.ofMillis(240)));
+		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, 20, Duration.ofMillis(240)));
 		assertThat(relay.handle(turnWriteRequested(relay, "t1"))).isEmpty();
-		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 21, Duration.ofMillis(9)));
+		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 21, 21, Duration.ofMillis(9)));
 		assertThat(relay.handle(turnWriteRequested(relay, "t1"))).isNotEmpty();
 	}
 
@@ -228,7 +228,7 @@
 			.contains(Refusal.NOT_READY);
 		assertThat(sends(relay.sendTurn("t2", "draft", RelayFixture.turn("p", 10_000, 100, null)))).hasSize(1);
 		assertThat(relay.handle(turnWriteRequested(relay, "t0"))).isEmpty();
-		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 0, Duration.ZERO));
+		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 0, 0, Duration.ZERO));
 		assertThat(RelayFixture.ofType(relay.all, RelayEffect.ReportReadiness.class))
 			.containsExactly(new RelayEffect.ReportReadiness(true));
 		assertThat(sends(relay.sendTurn("t3", "chat", RelayFixture.turn("p", 10_000, 100, null)))).hasSize(1);
@@ -269,7 +269,7 @@
 	@Test
 	void relayWhoseLogWasSlowLongAgoWritesTurnsForPeers() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, Duration.ofMillis(240)));
+		relay.handle(new RelayEvent.TextsStored(relay.now(), Set.of(), 20, 20, Duration.ofMillis(240)));
 		relay.advance(Duration.ofMinutes(5).toMillis());
 		assertThat(relay.handle(turnWriteRequested(relay, "t1"))).isNotEmpty();
 	}
@@ -326,7 +326,7 @@
 	}
 
 	private static RelayEvent.TextsStored textsStored(RelayFixture relay, String request) {
-		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 20, Duration.ofMillis(8));
+		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 19, 20, Duration.ofMillis(8));
 	}
 
 	private static List<RelayEffect.SendRequest> sends(List<RelayEffect> effects) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -170,7 +170,7 @@
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
 				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated);
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
-				this::textsStored, dropReporter::recordDropped);
+				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
 	}
 
@@ -411,8 +411,8 @@
 		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
 	}
 
-	private void textsStored(Set<String> requests, long endOffset, Duration latency) {
-		on(new RelayEvent.TextsStored(this.timers.now(), requests, endOffset, latency));
+	private void textsStored(Set<String> requests, long firstOffset, long endOffset, Duration latency) {
+		on(new RelayEvent.TextsStored(this.timers.now(), requests, firstOffset, endOffset, latency));
 	}
 
 	private void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/AppendQueue.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/AppendQueue.java
@@ -14,8 +14,9 @@
  * Queue of records for one partition of the store. Records are appended in order with at
  * most one call in flight; records added during a call form the next batch. An append
  * with an unknown outcome is retried, so the store may contain duplicates, which readers
- * tolerate. When the queue exceeds its size limit, the oldest records are dropped. Used
- * by the event loop's thread.
+ * tolerate. A record that the store can never accept is dropped alone, so that it does
+ * not block others. When the queue exceeds its size limit, the oldest records are
+ * dropped. Used by the event loop's thread.
  *
  * @param <T> the type of the item that a record represents
  */
@@ -44,12 +45,20 @@
 
 	private final IntConsumer dropListener;
 
+	private final Grouping<T> grouping;
+
 	private final Deque<QueuedRecord<T>> queue = new ArrayDeque<>();
 
 	private List<QueuedRecord<T>> inFlight = List.of();
 
 	private long queuedBytes;
 
+	/**
+	 * The number of records that are still to be appended one by one, to find an invalid
+	 * one.
+	 */
+	private int isolated;
+
 	/**
 	 * Creates an empty queue.
 	 * @param appender appends records to the partition
@@ -60,9 +69,11 @@
 	 * @param listener receives acknowledged records
 	 * @param callListener receives whether each call to the store succeeded
 	 * @param dropListener receives the number of records whenever some are dropped
+	 * @param grouping returns which records are useless without each other
 	 */
 	AppendQueue(Appender appender, RecordStamper stamper, Timers timers, RandomGenerator random, long maxQueuedBytes,
-			AppendListener<T> listener, Consumer<Boolean> callListener, IntConsumer dropListener) {
+			AppendListener<T> listener, Consumer<Boolean> callListener, IntConsumer dropListener,
+			Grouping<T> grouping) {
 		this.appender = appender;
 		this.stamper = stamper;
 		this.timers = timers;
@@ -71,6 +82,7 @@
 		this.listener = listener;
 		this.callListener = callListener;
 		this.dropListener = dropListener;
+		this.grouping = grouping;
 	}
 
 	/**
@@ -87,14 +99,24 @@
 	private void dropOldest() {
 		int dropped = 0;
 		while (this.queuedBytes > this.maxQueuedBytes) {
-			this.queuedBytes -= this.queue.pollFirst().encoded().length;
-			dropped++;
+			QueuedRecord<T> oldest = this.queue.pollFirst();
+			this.queuedBytes -= oldest.encoded().length;
+			dropped += 1 + dropRestOfGroup(oldest);
 		}
 		if (dropped > 0) {
 			this.dropListener.accept(dropped);
 		}
 	}
 
+	private int dropRestOfGroup(QueuedRecord<T> first) {
+		int dropped = 0;
+		while (!this.queue.isEmpty() && this.grouping.belongTogether(first.item(), this.queue.peekFirst().item())) {
+			this.queuedBytes -= this.queue.pollFirst().encoded().length;
+			dropped++;
+		}
+		return dropped;
+	}
+
 	int size() {
 		return this.queue.size();
 	}
@@ -120,7 +142,8 @@
 		}
 		List<QueuedRecord<T>> batch = new ArrayList<>();
 		int batchBytes = 0;
-		while (!this.queue.isEmpty() && batch.size() < MAX_CALL_RECORDS) {
+		int maxRecords = (this.isolated > 0) ? 1 : MAX_CALL_RECORDS;
+		while (!this.queue.isEmpty() && batch.size() < maxRecords) {
 			int recordBytes = this.queue.peekFirst().encoded().length;
 			if (!batch.isEmpty() && batchBytes + recordBytes > MAX_CALL_BYTES) {
 				break;
@@ -129,6 +152,7 @@
 			batch.add(this.queue.pollFirst());
 		}
 		this.queuedBytes -= batchBytes;
+		this.isolated = Math.max(0, this.isolated - 1);
 		this.inFlight = batch;
 		append();
 	}
@@ -145,10 +169,30 @@
 				appendSucceeded(success, Duration.ofMillis(this.timers.now() - startedAt));
 				return;
 			}
+			if (result instanceof Store.AppendResult.Invalid) {
+				appendInvalid();
+				return;
+			}
 			this.timers.schedule(this.backoff.nextDelay(), this::append);
 		});
 	}
 
+	private void appendInvalid() {
+		List<QueuedRecord<T>> records = this.inFlight;
+		this.inFlight = List.of();
+		if (records.size() == 1) {
+			this.dropListener.accept(1 + dropRestOfGroup(records.getFirst()));
+			flush();
+			return;
+		}
+		this.isolated = records.size();
+		for (QueuedRecord<T> next : records.reversed()) {
+			this.queue.addFirst(next);
+			this.queuedBytes += next.encoded().length;
+		}
+		flush();
+	}
+
 	private void appendSucceeded(Store.AppendResult.Success success, Duration latency) {
 		this.backoff.reset();
 		List<T> items = this.inFlight.stream().map(QueuedRecord::item).toList();
@@ -188,6 +232,25 @@
 
 	}
 
+	/**
+	 * Decides which records are useless without each other. Safe for use by several
+	 * threads.
+	 *
+	 * @param <T> the type of the item that a record represents
+	 */
+	@FunctionalInterface
+	interface Grouping<T> {
+
+		/**
+		 * Returns whether a record is useless without the one before it.
+		 * @param before the item of the record before
+		 * @param next the item of the record
+		 * @return whether it is
+		 */
+		boolean belongTogether(T before, T next);
+
+	}
+
 	/**
 	 * Receives acknowledged records. Used by the event loop's thread.
 	 *
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -73,7 +73,7 @@
 		this.conditionalReservationsStored = conditionalReservationsStored;
 		this.queue = new AppendQueue<>((records, callback) -> store.append(Topic.ENTRIES, records, callback),
 				EntryWriter::stampDelay, timers, random, MAX_QUEUED_BYTES,
-				(entries, offset, latency) -> stored(entries), callListener, dropListener);
+				(entries, offset, latency) -> stored(entries), callListener, dropListener, (before, next) -> false);
 	}
 
 	private static byte[] stampDelay(byte[] encoded, Duration delay) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
@@ -94,6 +94,16 @@
 
 		}
 
+		/**
+		 * The store can never accept these records together. One of them may be invalid,
+		 * or all may be too large for one call.
+		 *
+		 * @param reason the reason
+		 */
+		record Invalid(String reason) implements AppendResult {
+
+		}
+
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -1,15 +1,18 @@
 package io.lentilslip.relay.store;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.TextLocation;
-import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.RelayCodec;
+import io.lentilslip.wire.relay.TextPart;
 
 /**
  * Reads the text of single turns from the store, starting at the locations published by
@@ -61,6 +64,8 @@
 
 		private final Consumer<Optional<StoredTurn>> callback;
 
+		private final Map<Integer, TextPart> parts = new HashMap<>();
+
 		private int calls;
 
 		Search(String request, Deque<TextLocation> locations, Consumer<Optional<StoredTurn>> callback) {
@@ -110,12 +115,28 @@
 		}
 
 		private Optional<StoredTurn> find(List<Store.StoredRecord> records) {
-			return records.stream()
-				.flatMap((stored) -> stored.value().stream())
-				.flatMap((value) -> RelayCodec.decodeText(value).toJavaStream())
-				.filter((turn) -> turn.request().equals(this.request))
-				.map(TurnText::text)
-				.findFirst();
+			for (Store.StoredRecord stored : records) {
+				Optional<TextPart> part = stored.value()
+					.flatMap((value) -> RelayCodec.decodeTextPart(value).toJavaOptional())
+					.filter((found) -> found.turn().request().equals(this.request));
+				part.ifPresent((found) -> this.parts.put(found.index(), found));
+				if (part.isPresent() && this.parts.size() == part.get().count()) {
+					return Optional.of(join());
+				}
+			}
+			return Optional.empty();
+		}
+
+		private StoredTurn join() {
+			ByteArrayOutputStream input = new ByteArrayOutputStream();
+			ByteArrayOutputStream output = new ByteArrayOutputStream();
+			for (int i = 0; i < this.parts.size(); i++) {
+				StoredTurn part = this.parts.get(i).turn().text();
+				input.writeBytes(part.input());
+				output.writeBytes(part.output());
+			}
+			return new StoredTurn(this.parts.get(0).turn().text().previous(), input.toByteArray(),
+					output.toByteArray());
 		}
 
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -1,6 +1,8 @@
 package io.lentilslip.relay.store;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
@@ -31,7 +33,15 @@
 
 	private final RetryBackoff backoff;
 
-	private final AppendQueue<String> queue;
+	private final int maxRecordBytes;
+
+	private final AppendQueue<Part> queue;
+
+	/**
+	 * The lowest offset of the parts of a text whose last part is not stored; negative if
+	 * there is none.
+	 */
+	private long incompleteFrom = -1;
 
 	/**
 	 * Creates a writer.
@@ -39,23 +49,31 @@
 	 * @param timers schedules retries
 	 * @param random the source of retry jitter
 	 * @param partition the partition to which texts are appended
+	 * @param maxRecordBytes the maximum size of a record of the store
 	 * @param listener notified of stored texts
 	 * @param dropListener receives the number of texts whenever some are dropped
 	 */
-	public TextWriter(Store store, Timers timers, RandomGenerator random, int partition, Listener listener,
-			IntConsumer dropListener) {
+	public TextWriter(Store store, Timers timers, RandomGenerator random, int partition, int maxRecordBytes,
+			Listener listener, IntConsumer dropListener) {
 		this.store = store;
 		this.timers = timers;
 		this.partition = partition;
+		this.maxRecordBytes = maxRecordBytes;
 		this.listener = listener;
 		this.backoff = new RetryBackoff(random);
 		this.queue = new AppendQueue<>((records, callback) -> store.appendTexts(partition, records, callback),
-				(encoded, delay) -> encoded, timers, random, MAX_QUEUED_BYTES,
-				(turns, offset, latency) -> listener.stored(Set.copyOf(turns), offset + turns.size(), latency),
-				(succeeded) -> {
+				(encoded, delay) -> encoded, timers, random, MAX_QUEUED_BYTES, this::stored, (succeeded) -> {
 					// The availability of a text partition does not affect connectivity,
 					// which depends on the log alone.
-				}, dropListener);
+				}, dropListener, (before, next) -> next.index() > 0 && next.request().equals(before.request()));
+	}
+
+	private void stored(List<Part> parts, long offset, Duration latency) {
+		Set<String> complete = new HashSet<>();
+		parts.stream().filter(Part::last).forEach((part) -> complete.add(part.request()));
+		long from = (this.incompleteFrom >= 0) ? this.incompleteFrom : offset;
+		this.incompleteFrom = parts.getLast().last() ? -1 : from;
+		this.listener.stored(complete, from, offset + parts.size(), latency);
 	}
 
 	/**
@@ -70,7 +88,7 @@
 		this.store.readTexts(this.partition, minOffset, 0, (result) -> {
 			switch (result) {
 				case Store.ReadResult.Records records ->
-					this.listener.stored(Set.of(), records.endOffset(), Duration.ZERO);
+					this.listener.stored(Set.of(), records.endOffset(), records.endOffset(), Duration.ZERO);
 				case Store.ReadResult.Deleted deleted -> readEndOffset(deleted.firstOffset());
 				case Store.ReadResult.Failed ignored ->
 					this.timers.schedule(this.backoff.nextDelay(), () -> readEndOffset(minOffset));
@@ -83,7 +101,10 @@
 	 * @param turn the turn and its text
 	 */
 	public void write(TurnText turn) {
-		this.queue.add(turn.request(), RelayCodec.encode(turn));
+		List<byte[]> records = RelayCodec.encodeRecords(turn, this.maxRecordBytes);
+		for (int i = 0; i < records.size(); i++) {
+			this.queue.add(new Part(turn.request(), i, i == records.size() - 1), records.get(i));
+		}
 		this.queue.flush();
 	}
 
@@ -104,10 +125,22 @@
 		/**
 		 * Called when the store has acknowledged texts, and with the initial end offset.
 		 * @param requests the ids of the requests whose texts were stored
+		 * @param firstOffset the lowest offset of a part of these texts
 		 * @param endOffset the end offset of the partition
 		 * @param latency the latency of the append
 		 */
-		void stored(Set<String> requests, long endOffset, Duration latency);
+		void stored(Set<String> requests, long firstOffset, long endOffset, Duration latency);
+
+	}
+
+	/**
+	 * A record of a text. Immutable.
+	 *
+	 * @param request the id of the request
+	 * @param index the number of the part
+	 * @param last whether it is the last part
+	 */
+	private record Part(String request, int index, boolean last) {
 
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -101,6 +101,26 @@
 		assertThat(this.results).containsExactly(Optional.of("text of t"));
 	}
 
+	@Test
+	void textIsJoinedFromItsPartsInAnyReads() {
+		StoredTurn text = new StoredTurn(Optional.of("before"), "i".repeat(700).getBytes(), "o".repeat(700).getBytes());
+		List<byte[]> parts = RelayCodec.encodeRecords(new TurnText("t", text), 500);
+		List<Optional<StoredTurn>> found = new ArrayList<>();
+		this.reader.read("t", List.of(location(5)), found::add);
+		for (int i = 0; i < parts.size(); i++) {
+			assertThat(found).isEmpty();
+			this.store.readCallbacks.poll()
+				.accept(new Store.ReadResult.Records(
+						List.of(new StoredRecord(5 + i, Optional.empty(), Optional.of(parts.get(i)))), 6 + i, 100));
+		}
+		assertThat(parts).hasSizeGreaterThan(2);
+		assertThat(found.getFirst()).hasValueSatisfying((joined) -> {
+			assertThat(joined.previous()).contains("before");
+			assertThat(joined.input()).isEqualTo(text.input());
+			assertThat(joined.output()).isEqualTo(text.output());
+		});
+	}
+
 	@Test
 	void failedReadIsReportedAsNotFound() {
 		read(location(5));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
@@ -9,16 +9,21 @@
 
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.TurnText;
+import io.lentilslip.wire.relay.RelayCodec;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class TextWriterTests {
 
+	private static final int MAX_RECORD_BYTES = 2 * 1024 * 1024;
+
 	private final FakeStore store = new FakeStore();
 
 	private final Set<String> storedTurns = new HashSet<>();
 
+	private long firstOffset;
+
 	private long endOffset;
 
 	private Duration latency = Duration.ZERO;
@@ -26,7 +31,7 @@
 	private int dropped;
 
 	private final TextWriter writer = new TextWriter(this.store, this.store, new SplittableRandom(1), 3,
-			this::storedTurns, (count) -> this.dropped += count);
+			MAX_RECORD_BYTES, this::storedTurns, (count) -> this.dropped += count);
 
 	@Test
 	void textIsAppendedAtOnceAndReportedWithTheEndOffset() {
@@ -61,6 +66,58 @@
 		assertThat(this.store.appends.getLast()).isEqualTo(this.store.appends.getFirst());
 	}
 
+	// Guards against a text that no record can hold and that would be retried for ever.
+	@Test
+	void longTextIsSplitAndReportedOnceItsLastPartIsStored() {
+		this.writer.write(text("a", 3 * MAX_RECORD_BYTES));
+		this.writer.write(text("b", 10));
+		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(40));
+		assertThat(this.storedTurns).isEmpty();
+		long offset = 40 + this.store.appends.getLast().size();
+		while (!this.store.appendCallbacks.isEmpty()) {
+			long next = offset;
+			offset += this.store.appends.getLast().size();
+			this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(next));
+			assertThat(this.firstOffset).isEqualTo(40);
+		}
+		assertThat(this.store.appends.stream().flatMap(List::stream))
+			.allSatisfy((entry) -> assertThat(entry.length).isLessThanOrEqualTo(MAX_RECORD_BYTES));
+		assertThat(this.storedTurns).containsExactlyInAnyOrder("a", "b");
+	}
+
+	// Guards against reporting a text whose first parts were dropped in an outage.
+	@Test
+	void partsOfADroppedTextAreDroppedWithIt() {
+		this.writer.write(text("first", 10));
+		this.writer.write(text("long", 3 * MAX_RECORD_BYTES));
+		for (int i = 0; i < 6; i++) {
+			this.writer.write(text("t" + i, MAX_RECORD_BYTES - 100));
+		}
+		while (!this.store.appendCallbacks.isEmpty()) {
+			this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
+		}
+		assertThat(this.storedTurns).contains("first", "t5").doesNotContain("long");
+	}
+
+	// Guards against one record that blocks all others of the relay.
+	@Test
+	void invalidRecordDoesNotBlockOthers() {
+		this.writer.write(text("first", 10));
+		for (String request : List.of("a", "invalid", "b")) {
+			this.writer.write(text(request, 10));
+		}
+		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
+		while (!this.store.appendCallbacks.isEmpty()) {
+			boolean invalid = this.store.appends.getLast()
+				.stream()
+				.anyMatch((entry) -> RelayCodec.decodeText(entry).get().request().equals("invalid"));
+			this.store.appendCallbacks.poll()
+				.accept(invalid ? new Store.AppendResult.Invalid("status 413") : new Store.AppendResult.Success(1));
+		}
+		assertThat(this.storedTurns).containsExactlyInAnyOrder("first", "a", "b");
+		assertThat(this.dropped).isEqualTo(1);
+	}
+
 	// During a long outage the queue must stay within its limit and keep the latest
 	// texts, whose callers are still waiting.
 	@Test
@@ -95,7 +152,8 @@
 		assertThat(this.endOffset).isEqualTo(900);
 	}
 
-	private void storedTurns(Set<String> requests, long newEndOffset, Duration newLatency) {
+	private void storedTurns(Set<String> requests, long newFirstOffset, long newEndOffset, Duration newLatency) {
+		this.firstOffset = newFirstOffset;
 		this.storedTurns.addAll(requests);
 		this.endOffset = newEndOffset;
 		this.latency = newLatency;
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -32,6 +32,11 @@
  */
 public final class RelayCodec {
 
+	/**
+	 * The bytes of a record that are neither text nor names.
+	 */
+	private static final int PART_OVERHEAD_BYTES = 64;
+
 	private RelayCodec() {
 	}
 
@@ -95,6 +100,60 @@
 		return message(turn).toByteArray();
 	}
 
+	/**
+	 * Encodes the text of a turn for a store that limits the size of a record.
+	 * @param turn the turn
+	 * @param maxRecordBytes the maximum size of a record
+	 * @return the records, in order
+	 */
+	public static List<byte[]> encodeRecords(TurnText turn, int maxRecordBytes) {
+		byte[] whole = encode(turn);
+		if (whole.length <= maxRecordBytes) {
+			return List.of(whole);
+		}
+		byte[] input = turn.text().input();
+		byte[] output = turn.text().output();
+		byte[] empty = encode(
+				new TurnText(turn.request(), new StoredTurn(turn.text().previous(), new byte[0], new byte[0])));
+		int partBytes = maxRecordBytes - empty.length - PART_OVERHEAD_BYTES;
+		int parts = (input.length + output.length + partBytes - 1) / partBytes;
+		List<byte[]> records = new ArrayList<>();
+		for (int part = 0; part < parts; part++) {
+			int from = part * partBytes;
+			StoredTurn slice = new StoredTurn(turn.text().previous(), slice(input, from, partBytes),
+					slice(output, from - input.length, partBytes));
+			records.add(message(new TurnText(turn.request(), slice)).toBuilder()
+				.setPart(part)
+				.setParts(parts)
+				.build()
+				.toByteArray());
+		}
+		return records;
+	}
+
+	private static byte[] slice(byte[] bytes, int from, int count) {
+		int start = Math.clamp(from, 0, bytes.length);
+		int end = Math.clamp((long) from + count, start, bytes.length);
+		return Arrays.copyOfRange(bytes, start, end);
+	}
+
+	/**
+	 * Decodes the text of a turn, or a part of it.
+	 * @param bytes the bytes
+	 * @return the error on the left, or the part on the right
+	 */
+	public static Either<String, TextPart> decodeTextPart(byte[] bytes) {
+		return decodeText(bytes).flatMap((turn) -> {
+			try {
+				RelayProtocol.KeptText message = RelayProtocol.KeptText.parseFrom(bytes);
+				return Either.right(new TextPart(turn, message.getPart(), Math.max(1, message.getParts())));
+			}
+			catch (InvalidProtocolBufferException ex) {
+				return Either.left(ex.getMessage());
+			}
+		});
+	}
+
 	/**
 	 * Decodes the text of a turn.
 	 * @param bytes the bytes
