Correct the location of a text that others have pushed far behind it

Cause: the location of a text is published before its append: the end of the partition after this relay's own last append. If others have appended much since then, a search from there ends before the text.

Change: if the append shows that the text is more than 16 records behind its location, the exact one is appended as a renewal, and the end of the turn waits for it. The same holds for turns that are written for a peer.

Evidence: endOfATurnFarBehindItsLocationWaitsForTheCorrection fails without the change.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -77,6 +77,7 @@
 			}
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.SettlementsStored stored -> stored.requests().forEach(this.texts::entryStored);
+			case RelayEvent.RenewalsStored stored -> stored.requests().forEach(this.texts::correctionStored);
 			case RelayEvent.TextsStored stored -> {
 				this.texts.textsStored(stored);
 				this.renewals.textsStored(stored);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -155,6 +155,13 @@
 
 	}
 
+	/**
+	 * Append all queued ledger entries now.
+	 */
+	record FlushEntries() implements RelayEffect {
+
+	}
+
 	/**
 	 * Appends an entry to the log, and replicates it directly to relays that can't wait
 	 * for the log.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -248,6 +248,25 @@
 
 	}
 
+	/**
+	 * The log has settlements that repeat earlier ones.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param requests the turns
+	 */
+	record RenewalsStored(long now, Set<String> requests) implements RelayEvent {
+
+		/**
+		 * Creates an event.
+		 * @param now milliseconds of a monotonic clock
+		 * @param requests the turns
+		 */
+		public RenewalsStored {
+			requests = Set.copyOf(requests);
+		}
+
+	}
+
 	/**
 	 * The log has the attempts of streams that this relay sent.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -218,8 +218,7 @@
 	private void appendLocation(RetainedTurn turn, long minOffset) {
 		LedgerEntry.Settled settled = turn.settled();
 		Duration remaining = Duration.ofMillis(Math.max(0, turn.retainedUntil() - this.state.now));
-		TextLocation location = new TextLocation(turn.location().previous(), turn.location().bytes(),
-				this.state.textPartition, minOffset, turn.location().origin(), remaining, true);
+		TextLocation location = turn.location().renewedAt(this.state.textPartition, minOffset, remaining);
 		this.state.emit(new RelayEffect.AppendEntry(
 				new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)),
 				List.of()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextLocation.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextLocation.java
@@ -21,6 +21,17 @@
 public record TextLocation(Optional<String> previous, int bytes, int partition, long minOffset, Optional<String> origin,
 		Duration retention, boolean renewed) {
 
+	/**
+	 * Returns the location of another copy of the text, which replaces this one.
+	 * @param newPartition the partition of the copy
+	 * @param offset the lowest offset that the copy can have
+	 * @param remaining for how long after the append the turn is retained
+	 * @return the location
+	 */
+	TextLocation renewedAt(int newPartition, long offset, Duration remaining) {
+		return new TextLocation(this.previous, this.bytes, newPartition, offset, this.origin, remaining, true);
+	}
+
 	/**
 	 * Creates a location without a retention.
 	 * @param previous the turn that this one continues; empty for the first turn of a
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -67,6 +67,13 @@
 	 */
 	private static final int EXTENDED_WAIT_DIVISOR = 3;
 
+	/**
+	 * The maximum number of records between the published location of a text and the
+	 * text. Other relays append to the same partition. A search finds the text behind as
+	 * many records of the largest size.
+	 */
+	private static final int MAX_LOCATION_GAP = 16;
+
 	private final RelayState state;
 
 	private final ExchangeCompletion completion;
@@ -89,8 +96,10 @@
 		exchange.transitionTo(Phase.STORING);
 		this.state.turnCache.add(exchange.id(), text);
 		this.state.turnCache.recordLocation(exchange.id(), location, Optional.empty());
-		this.state.pendingTurns.put(exchange.id(), new PendingTurn(exchange.number(), text));
+		PendingTurn pendingTurn = new PendingTurn(exchange.number(), text);
+		this.state.pendingTurns.put(exchange.id(), pendingTurn);
 		this.state.emit(new RelayEffect.StoreText(exchange.id(), text));
+		pendingTurn.publish(this.completion.settlement(exchange, Optional.of(location)));
 		this.completion.settle(exchange, Optional.of(location));
 		Duration timeout = (this.state.connectivity == Connectivity.LOG) ? RelaySettings.TURN_WRITE_TIMEOUT
 				: RelaySettings.REPLICATION_DELAY;
@@ -111,11 +120,41 @@
 		boolean slow = stored.latency().compareTo(RelaySettings.TURN_WRITE_TIMEOUT) > 0;
 		this.state.logSlowAt = slow ? stored.now() : RelayState.NEVER;
 		for (String request : stored.requests()) {
-			pendingStores(request).forEach((turn) -> turn.textStored = true);
+			pendingStores(request).forEach((turn) -> {
+				turn.textStored = true;
+				correctLocation(turn, stored.firstOffset());
+			});
 			finishIfStored(request);
 		}
 	}
 
+	// The published location is the end of the partition after this relay's last append.
+	// If
+	// others have appended much since then, a search from it would end before the text.
+	private void correctLocation(PendingStore turn, long firstOffset) {
+		Optional<TextLocation> published = turn.settlement.flatMap(LedgerEntry.Settled::textLocation);
+		if (published.isEmpty() || firstOffset - published.get().minOffset() <= MAX_LOCATION_GAP) {
+			return;
+		}
+		LedgerEntry.Settled settled = turn.settlement.get();
+		TextLocation location = published.get()
+			.renewedAt(this.state.textPartition, firstOffset, published.get().retention());
+		turn.awaitsCorrection = true;
+		this.state.emit(new RelayEffect.AppendEntry(
+				new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)),
+				List.of()));
+		this.state.emit(new RelayEffect.FlushEntries());
+	}
+
+	/**
+	 * Records that the log has the corrected location of a turn's text.
+	 * @param request the turn
+	 */
+	void correctionStored(String request) {
+		pendingStores(request).forEach((turn) -> turn.awaitsCorrection = false);
+		finishIfStored(request);
+	}
+
 	/**
 	 * Records that the log has the settlement of a turn that this relay appended.
 	 * @param request the turn
@@ -186,10 +225,13 @@
 		TextLocation location = newLocation(received.text(), received.peer(),
 				this.state.routeTable.map(RouteTable::longestRetention).orElse(Duration.ZERO));
 		this.state.turnCache.recordLocation(request, location, Optional.of(received.peer()));
-		this.state.peerTurns.put(request, new PeerTurn(received.peer()));
+		PeerTurn peerTurn = new PeerTurn(received.peer());
+		this.state.peerTurns.put(request, peerTurn);
 		this.state.emit(new RelayEffect.StoreText(request, received.text()));
-		this.state.writeAndReplicate(new LedgerEntry.Settled(request, received.settlement().program(),
-				received.settlement().tokens(), Optional.of(location)), received.settlement().program());
+		LedgerEntry.Settled settled = new LedgerEntry.Settled(request, received.settlement().program(),
+				received.settlement().tokens(), Optional.of(location));
+		peerTurn.publish(settled);
+		this.state.writeAndReplicate(settled, settled.program());
 	}
 
 	/**
@@ -356,8 +398,16 @@
 
 		private boolean entryStored;
 
+		private boolean awaitsCorrection;
+
+		private Optional<LedgerEntry.Settled> settlement = Optional.empty();
+
+		void publish(LedgerEntry.Settled published) {
+			this.settlement = Optional.of(published);
+		}
+
 		boolean complete() {
-			return this.textStored && this.entryStored;
+			return this.textStored && this.entryStored && !this.awaitsCorrection;
 		}
 
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -357,7 +357,7 @@
 	}
 
 	List<RelayEffect> stored(String... requests) {
-		handle(new RelayEvent.TextsStored(this.now, Set.of(requests), 19, 20, Duration.ofMillis(8)));
+		handle(new RelayEvent.TextsStored(this.now, Set.of(requests), 5, 20, Duration.ofMillis(8)));
 		return handle(new RelayEvent.SettlementsStored(this.now, Set.of(requests)));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -120,6 +120,26 @@
 		assertThat(streamEnds(relay.handle(textsStored(relay, "t1")))).hasSize(1);
 	}
 
+	// Guards against losing a turn that follows a quiet time of its relay: others have
+	// appended to the partition, and a search from the published location would end
+	// before
+	// the text.
+	@Test
+	void endOfATurnFarBehindItsLocationWaitsForTheCorrection() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		relay.end(1);
+		relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1")));
+		List<RelayEffect> stored = relay
+			.handle(new RelayEvent.TextsStored(relay.now(), Set.of("t1"), 500, 501, Duration.ofMillis(8)));
+		assertThat(streamEnds(stored)).isEmpty();
+		assertThat(RelayFixture.settled(stored).textLocation())
+			.hasValueSatisfying((location) -> assertThat(location.minOffset()).isEqualTo(500));
+		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1"))))).isEmpty();
+		assertThat(streamEnds(relay.handle(new RelayEvent.RenewalsStored(relay.now(), Set.of("t1"))))).hasSize(1);
+	}
+
 	@Test
 	void endOfAStoredTurnWaitsForItsSettlement() {
 		RelayFixture relay = RelayFixture.ready();
@@ -326,7 +346,7 @@
 	}
 
 	private static RelayEvent.TextsStored textsStored(RelayFixture relay, String request) {
-		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 19, 20, Duration.ofMillis(8));
+		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 5, 20, Duration.ofMillis(8));
 	}
 
 	private static List<RelayEffect.SendRequest> sends(List<RelayEffect> effects) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -164,7 +164,7 @@
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
-		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored,
+		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored, this::renewalsStored,
 				this::streamAttemptsStored, this::conditionalReservationsStored,
 				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
@@ -339,6 +339,7 @@
 				this.peers.replicate(append.replicas(), append.entry());
 				this.writer.write(append.entry());
 			}
+			case RelayEffect.FlushEntries ignored -> this.writer.flush();
 			case RelayEffect.StoreText storeText ->
 				this.textWriter.write(new TurnText(storeText.request(), storeText.text()));
 			case RelayEffect.ReadText read -> this.textReader.read(read.request(), read.locations(),
@@ -407,6 +408,10 @@
 		on(new RelayEvent.SettlementsStored(this.timers.now(), requests));
 	}
 
+	private void renewalsStored(Set<String> requests) {
+		on(new RelayEvent.RenewalsStored(this.timers.now(), requests));
+	}
+
 	private void streamAttemptsStored(Map<String, Integer> attempts) {
 		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -43,6 +43,8 @@
 
 	private final Consumer<Set<String>> turnsStored;
 
+	private final Consumer<Set<String>> renewalsStored;
+
 	private final Consumer<Map<String, Integer>> streamAttemptsStored;
 
 	private final Runnable conditionalReservationsStored;
@@ -57,6 +59,8 @@
 	 * @param timers schedules appends
 	 * @param random the source of retry jitter
 	 * @param turnsStored receives the stored turns whose settlements were acknowledged
+	 * @param renewalsStored receives the stored turns whose repeated settlements were
+	 * acknowledged
 	 * @param streamAttemptsStored receives the number of the last acknowledged attempt of
 	 * each stream
 	 * @param conditionalReservationsStored runs when conditional reservations were
@@ -65,10 +69,11 @@
 	 * @param dropListener receives the number of entries whenever some are dropped
 	 */
 	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
-			Consumer<Map<String, Integer>> streamAttemptsStored, Runnable conditionalReservationsStored,
-			Consumer<Boolean> callListener, IntConsumer dropListener) {
+			Consumer<Set<String>> renewalsStored, Consumer<Map<String, Integer>> streamAttemptsStored,
+			Runnable conditionalReservationsStored, Consumer<Boolean> callListener, IntConsumer dropListener) {
 		this.timers = timers;
 		this.turnsStored = turnsStored;
+		this.renewalsStored = renewalsStored;
 		this.streamAttemptsStored = streamAttemptsStored;
 		this.conditionalReservationsStored = conditionalReservationsStored;
 		this.queue = new AppendQueue<>((records, callback) -> store.append(Topic.ENTRIES, records, callback),
@@ -96,6 +101,13 @@
 		scheduleFlush();
 	}
 
+	/**
+	 * Appends the queued entries now, unless an append is in flight.
+	 */
+	public void flush() {
+		this.queue.flush();
+	}
+
 	/**
 	 * Returns the number of queued entries.
 	 * @return the number
@@ -133,10 +145,12 @@
 
 	private void stored(List<LedgerEntry> entries) {
 		Set<String> turns = new HashSet<>();
+		Set<String> renewals = new HashSet<>();
 		boolean conditionalReservations = false;
 		Map<String, Integer> attempts = new HashMap<>();
 		for (LedgerEntry written : entries) {
 			switch (written) {
+				case LedgerEntry.Settled settled when settled.renewal() -> renewals.add(settled.request());
 				case LedgerEntry.Settled settled when settled.textLocation().isPresent() ->
 					turns.add(settled.request());
 				case LedgerEntry.Reserved reserved when reserved.conditional() -> conditionalReservations = true;
@@ -149,6 +163,9 @@
 		if (!turns.isEmpty()) {
 			this.turnsStored.accept(turns);
 		}
+		if (!renewals.isEmpty()) {
+			this.renewalsStored.accept(renewals);
+		}
 		if (!attempts.isEmpty()) {
 			this.streamAttemptsStored.accept(attempts);
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -29,13 +29,15 @@
 
 	private final List<Integer> dropped = new ArrayList<>();
 
+	private final Set<String> storedRenewals = new HashSet<>();
+
 	private final Map<String, Integer> storedAttempts = new HashMap<>();
 
 	private int conditionalReservations;
 
 	private final EntryWriter writer = new EntryWriter(this.store, this.store, new SplittableRandom(1),
-			this.storedTurns::addAll, this.storedAttempts::putAll, () -> this.conditionalReservations++,
-			(succeeded) -> {
+			this.storedTurns::addAll, this.storedRenewals::addAll, this.storedAttempts::putAll,
+			() -> this.conditionalReservations++, (succeeded) -> {
 			}, this.dropped::add);
 
 	@Test
@@ -47,6 +49,19 @@
 		assertThat(this.store.appends.getFirst()).hasSize(2);
 	}
 
+	// Guards against taking the acknowledgement of a repeated settlement for that of the
+	// first one.
+	@Test
+	void renewalsAreBatchedAndReportedApart() {
+		TextLocation renewed = new TextLocation(Optional.empty(), 1, 2, 3, Optional.empty(), Duration.ZERO, true);
+		this.writer.write(settled("a", Optional.of(renewed)));
+		assertThat(this.store.appends).isEmpty();
+		this.writer.flush();
+		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
+		assertThat(this.storedTurns).isEmpty();
+		assertThat(this.storedRenewals).containsExactly("a");
+	}
+
 	@Test
 	void lastStoredAttemptOfAStreamIsReported() {
 		this.writer.write(sent("a", 1));
