Don't renew the usage of an evicted program, nor replace an ended upstream

A replica that has evicted a program would write an empty renewal, and the other replicas would take the program for renewed. A stream whose end waits for the log has no upstream that could be idle. Both found by reading; no test shows them: the second needs a route with three attempts.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -153,11 +153,16 @@
 			if (entries == MAX_ROUND_PROGRAMS || !due || this.pendingPrograms.containsKey(program)) {
 				continue;
 			}
+			Map<String, TurnTokens> turns = this.state.tokens.turns(program);
+			if (turns.isEmpty()) {
+				// Evicted here. Another replica has the usage.
+				continue;
+			}
 			this.pendingPrograms.put(program, now);
 			entries++;
 			Duration remaining = Duration.ofMillis(next.getValue().retainedUntil() - now);
-			this.state.emit(new RelayEffect.AppendEntry(
-					new LedgerEntry.UsageRenewed(program, this.state.tokens.turns(program), remaining), List.of()));
+			this.state
+				.emit(new RelayEffect.AppendEntry(new LedgerEntry.UsageRenewed(program, turns, remaining), List.of()));
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -195,7 +195,7 @@
 	 * @param exchange the exchange
 	 */
 	void checkIdle(Exchange exchange) {
-		if (exchange.phase() != Phase.RUNNING) {
+		if (exchange.phase() != Phase.RUNNING || exchange.endHeld()) {
 			return;
 		}
 		if (exchange.callerBlocked()) {
