Report texts that the log does not have (E4027)

A turn whose chain can't be read was refused as uncertain without a sign of which text was missing, whether its location was wrong or its record had expired. The notice names the turn, the number of its known locations and the age of its newest record.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -479,6 +479,13 @@
 			FieldName.GROUP, FieldName.ROUTE, FieldName.PRIORITY, FieldName.LIMIT, FieldName.WAIT,
 			FieldName.RETRY_AFTER, FieldName.MILLISECONDS),
 
+	/**
+	 * The text of a turn was not found.
+	 */
+	TEXT_NOT_FOUND(4027, Level.WARN, "The log does not have the text of a turn at any of its locations.",
+			"Compare the age of its newest record with the retention of the log; a turn that continues it is refused.",
+			FieldName.REQUEST, FieldName.COUNT, FieldName.MILLISECONDS),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayNotices.java
@@ -83,6 +83,18 @@
 				field(FieldName.MILLISECONDS, event.duration().toMillis()));
 	}
 
+	/**
+	 * Returns the notice of a text that the log does not have.
+	 * @param request the turn
+	 * @param locations the number of its known locations
+	 * @param age the age of its newest record
+	 * @return the notice
+	 */
+	static Notice textNotFound(String request, int locations, Duration age) {
+		return notice(NoticeCode.TEXT_NOT_FOUND, field(FieldName.REQUEST, request), field(FieldName.COUNT, locations),
+				field(FieldName.MILLISECONDS, age.toMillis()));
+	}
+
 	static Notice entriesAdopted(int entries) {
 		return notice(NoticeCode.ENTRIES_ADOPTED, field(FieldName.COUNT, entries));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -386,7 +386,16 @@
 
 	void textRead(RelayEvent.TextRead read) {
 		this.state.pendingReads.remove(read.request());
-		read.text().ifPresent((text) -> this.state.turnCache.add(read.request(), text));
+		read.text()
+			.ifPresentOrElse((text) -> this.state.turnCache.add(read.request(), text),
+					() -> this.state.report(RelayNotices.textNotFound(read.request(),
+							this.state.turnCache.locations(read.request()).size(), recordAge(read.request()))));
+	}
+
+	private Duration recordAge(String request) {
+		return this.state.retainedTurns.find(request)
+			.map((turn) -> Duration.ofMillis(this.state.now - turn.writtenAt()))
+			.orElse(Duration.ZERO);
 	}
 
 	/**
