Keep usage that is read from the log before the configuration

The retention of a program was taken from the routes when its entries were read. A relay that reads the log before the routes took it for zero and forgot the program at the first round of renewals. The retention is looked up at each round now, and no round runs before the routes are known. Found by reading; the test reads entries before the routes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -74,10 +74,10 @@
 			return;
 		}
 		switch (entry) {
-			case LedgerEntry.Reserved reserved -> turnRead(reserved.program(), writtenAt);
+			case LedgerEntry.Reserved reserved -> this.state.retainedPrograms.recordTurn(reserved.program(), writtenAt);
 			case LedgerEntry.Settled settled -> {
 				if (!settled.renewal()) {
-					turnRead(settled.program(), writtenAt);
+					this.state.retainedPrograms.recordTurn(settled.program(), writtenAt);
 				}
 				settled.textLocation().ifPresent((location) -> textRead(settled, location, writtenAt));
 			}
@@ -92,10 +92,6 @@
 		}
 	}
 
-	private void turnRead(String program, long writtenAt) {
-		this.state.retainedPrograms.recordTurn(program, writtenAt, writtenAt + longestRetention().toMillis());
-	}
-
 	private void textRead(LedgerEntry.Settled settled, TextLocation location, long writtenAt) {
 		this.state.retainedTurns.record(settled, location, writtenAt, retention(location).toMillis());
 		if (location.renewed()) {
@@ -117,7 +113,7 @@
 	 */
 	void renewDue() {
 		boolean logUsable = this.state.connectivity == Connectivity.LOG && this.state.caughtUp && !this.state.logStale;
-		if (this.state.logRetention.isZero() || !logUsable) {
+		if (this.state.logRetention.isZero() || !logUsable || this.state.routeTable.isEmpty()) {
 			return;
 		}
 		long now = this.state.now;
@@ -146,7 +142,9 @@
 	// Only replicas of a program know all of its turns.
 	private void renewUsage(long now) {
 		int entries = 0;
-		for (Map.Entry<String, Activity> next : this.state.retainedPrograms.olderThan(now - step() * FIRST_STEP, now)
+		long retention = longestRetention().toMillis();
+		for (Map.Entry<String, Activity> next : this.state.retainedPrograms
+			.olderThan(now - step() * FIRST_STEP, now, retention)
 			.entrySet()) {
 			String program = next.getKey();
 			boolean due = now - next.getValue().oldestAt() >= usageRenewalAge(program);
@@ -160,7 +158,7 @@
 			}
 			this.pendingPrograms.put(program, now);
 			entries++;
-			Duration remaining = Duration.ofMillis(next.getValue().retainedUntil() - now);
+			Duration remaining = Duration.ofMillis(next.getValue().retainedUntil(retention) - now);
 			this.state
 				.emit(new RelayEffect.AppendEntry(new LedgerEntry.UsageRenewed(program, turns, remaining), List.of()));
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedPrograms.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedPrograms.java
@@ -10,6 +10,11 @@
  */
 final class RetainedPrograms {
 
+	/**
+	 * The time of the last turn if only renewals of it were read.
+	 */
+	private static final long UNKNOWN = Long.MIN_VALUE / 2;
+
 	private final int maxPrograms;
 
 	private final Map<String, Activity> programs = new LinkedHashMap<>();
@@ -22,10 +27,9 @@
 	 * Records an entry of a turn.
 	 * @param program the program
 	 * @param writtenAt when the entry was written, by the monotonic clock
-	 * @param retainedUntil until when the usage is retained
 	 */
-	void recordTurn(String program, long writtenAt, long retainedUntil) {
-		Activity entry = new Activity(writtenAt, retainedUntil);
+	void recordTurn(String program, long writtenAt) {
+		Activity entry = new Activity(writtenAt, writtenAt, writtenAt);
 		Activity before = this.programs.remove(program);
 		this.programs.put(program, (before != null) ? before.extend(entry) : entry);
 		if (this.programs.size() > this.maxPrograms) {
@@ -40,7 +44,7 @@
 	 * @param retainedUntil until when the usage is retained
 	 */
 	void recordRenewal(String program, long oldestAt, long retainedUntil) {
-		this.programs.merge(program, new Activity(oldestAt, retainedUntil), Activity::renew);
+		this.programs.merge(program, new Activity(oldestAt, UNKNOWN, retainedUntil), Activity::renew);
 	}
 
 	/**
@@ -48,10 +52,12 @@
 	 * are not retained any more.
 	 * @param writtenBefore the latest time at which the oldest entry was written
 	 * @param now the current time
+	 * @param retention for how long after its last turn the usage of a program is
+	 * retained
 	 * @return the programs
 	 */
-	Map<String, Activity> olderThan(long writtenBefore, long now) {
-		this.programs.values().removeIf((activity) -> activity.retainedUntil() < now);
+	Map<String, Activity> olderThan(long writtenBefore, long now, long retention) {
+		this.programs.values().removeIf((activity) -> activity.retainedUntil(retention) < now);
 		Map<String, Activity> old = new LinkedHashMap<>();
 		this.programs.forEach((program, activity) -> {
 			if (activity.oldestAt() <= writtenBefore) {
@@ -73,18 +79,28 @@
 	 * Immutable times of the entries of a program.
 	 *
 	 * @param oldestAt when the oldest entry was written that has not been renewed
-	 * @param retainedUntil until when the usage is retained
+	 * @param lastAt when the last entry of a turn was written
+	 * @param renewedUntil until when the usage is retained by its renewals
 	 */
-	record Activity(long oldestAt, long retainedUntil) {
+	record Activity(long oldestAt, long lastAt, long renewedUntil) {
+
+		/**
+		 * Returns until when the usage is retained.
+		 * @param retention for how long after the last turn it is
+		 * @return the time
+		 */
+		long retainedUntil(long retention) {
+			return Math.max(this.lastAt + retention, this.renewedUntil);
+		}
 
 		private Activity extend(Activity entry) {
-			return new Activity(Math.min(this.oldestAt, entry.oldestAt),
-					Math.max(this.retainedUntil, entry.retainedUntil));
+			return new Activity(Math.min(this.oldestAt, entry.oldestAt), Math.max(this.lastAt, entry.lastAt),
+					this.renewedUntil);
 		}
 
 		private Activity renew(Activity renewal) {
-			return new Activity(Math.max(this.oldestAt, renewal.oldestAt),
-					Math.max(this.retainedUntil, renewal.retainedUntil));
+			return new Activity(Math.max(this.oldestAt, renewal.oldestAt), this.lastAt,
+					Math.max(this.renewedUntil, renewal.renewedUntil));
 		}
 
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
@@ -126,6 +128,23 @@
 		assertThat(this.site.usedTokens(1)).isEqualTo(RetentionSite.MAX_TOKENS);
 	}
 
+	// Guards against forgetting usage that is read from the log before the configuration.
+	@Test
+	void usageThatIsReadBeforeTheRoutesIsRenewed() {
+		RelayFixture relay = RelayFixture.unconfiguredAfterRestart();
+		relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t1", "p", 10, Optional.empty()));
+		relay.handle(RelayFixture.caughtUp(relay.now()));
+		relay.advance(500);
+		assertThat(renewed(relay)).isEmpty();
+		relay.handle(new RelayEvent.RouteTableUpdated(relay.now(), RelayFixture.table()));
+		assertThat(renewed(relay)).containsExactly(new LedgerEntry.UsageRenewed("p",
+				Map.of("t1", new TurnTokens(10, false)), Duration.ofMillis(60_000 - 12_500)));
+	}
+
+	private static List<LedgerEntry> renewed(RelayFixture relay) {
+		return RelayFixture.written(relay.handle(new RelayEvent.RenewalRoundStarted(relay.now())));
+	}
+
 	@Test
 	void usageIsNotRenewedOnceItIsNotRetained() {
 		this.site.runUnstoredTurn(0, "t1");
