--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -127,8 +127,8 @@
 	}
 
 	/**
-	 * Checks bytes that were received before they are decoded. A faulty upstream may
-	 * send bytes without end, of which the decoder may make nothing.
+	 * Checks bytes that were received before they are decoded. A faulty upstream may send
+	 * bytes without end, of which the decoder may make nothing.
 	 * @param count the number of bytes
 	 * @return whether they may be decoded
 	 */
