Pace renewals after a start, and bound the texts they read

Suspected cause: a relay that starts renewed everything older than half of the log's retention at once, and read the texts on the connections on which the chains of resumed conversations wait.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -45,6 +45,12 @@
 	 */
 	private static final int MAX_ROUND_BYTES = 512 * 1024;
 
+	/**
+	 * The maximum number of texts that a relay reads from the log for renewals in one
+	 * round. Turns whose chains are not in memory wait for the same connections.
+	 */
+	private static final int MAX_ROUND_READS = 4;
+
 	/**
 	 * The maximum number of programs whose usage a relay renews in one round.
 	 */
@@ -117,6 +123,10 @@
 			return;
 		}
 		long now = this.state.now;
+		// After a full restart callers resume all conversations at once.
+		if (now - this.state.caughtUpAt < step()) {
+			return;
+		}
 		this.pending.values().removeIf((startedAt) -> now - startedAt > step() * RETRY_STEPS);
 		this.pendingPrograms.values().removeIf((startedAt) -> now - startedAt > step() * RETRY_STEPS);
 		renewTurns(now);
@@ -125,16 +135,17 @@
 
 	private void renewTurns(long now) {
 		int bytes = 0;
+		int reads = 0;
 		for (RetainedTurn turn : this.state.retainedTurns.olderThan(now, step() * FIRST_STEP,
 				this.state.logRetention.toMillis())) {
-			if (bytes >= MAX_ROUND_BYTES) {
+			if (bytes >= MAX_ROUND_BYTES || reads >= MAX_ROUND_READS) {
 				return;
 			}
 			String request = turn.settled().request();
 			if (now - turn.writtenAt() >= renewalAge(turn) && !this.pending.containsKey(request)) {
 				this.pending.put(request, now);
 				bytes += turn.location().bytes();
-				renew(request);
+				reads += renew(request) ? 0 : 1;
 			}
 		}
 	}
@@ -184,15 +195,21 @@
 		return (rank < 0) ? Long.MAX_VALUE : step() * (FIRST_STEP + 1 + rank);
 	}
 
-	private void renew(String request) {
+	/**
+	 * Renews the text of a turn, or reads it first.
+	 * @param request the turn
+	 * @return whether the text was in memory
+	 */
+	private boolean renew(String request) {
 		Optional<StoredTurn> text = this.state.turnCache.text(request);
 		if (text.isPresent()) {
 			this.state.emit(new RelayEffect.StoreText(request, text.get()));
-			return;
+			return true;
 		}
 		if (this.state.pendingReads.add(request)) {
 			this.state.emit(new RelayEffect.ReadText(request, this.state.turnCache.locations(request)));
 		}
+		return false;
 	}
 
 	/**
