--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -37,7 +37,7 @@
 	/**
 	 * The steps after which a renewal that has not been read from the log is retried.
 	 */
-	private static final int RETRY_STEPS = 2;
+	private static final int RETRY_STEPS = 4;
 
 	/**
 	 * The maximum size of the texts that a relay renews in one round. Other texts of the
@@ -51,6 +51,12 @@
 	 */
 	private static final int MAX_ROUND_READS = 4;
 
+	/**
+	 * The maximum number of renewals of texts that have not been read from the log. While
+	 * texts can't be appended, further copies would displace the texts of running turns.
+	 */
+	private static final int MAX_PENDING = 256;
+
 	/**
 	 * The maximum number of programs whose usage a relay renews in one round.
 	 */
@@ -138,7 +144,7 @@
 		int reads = 0;
 		for (RetainedTurn turn : this.state.retainedTurns.olderThan(now, step() * FIRST_STEP,
 				this.state.logRetention.toMillis())) {
-			if (bytes >= MAX_ROUND_BYTES || reads >= MAX_ROUND_READS) {
+			if (bytes >= MAX_ROUND_BYTES || reads >= MAX_ROUND_READS || this.pending.size() >= MAX_PENDING) {
 				return;
 			}
 			String request = turn.settled().request();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedPrograms.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedPrograms.java
@@ -32,9 +32,7 @@
 		Activity entry = new Activity(writtenAt, writtenAt, writtenAt);
 		Activity before = this.programs.remove(program);
 		this.programs.put(program, (before != null) ? before.extend(entry) : entry);
-		if (this.programs.size() > this.maxPrograms) {
-			this.programs.remove(this.programs.keySet().iterator().next());
-		}
+		removeExcess();
 	}
 
 	/**
@@ -45,6 +43,13 @@
 	 */
 	void recordRenewal(String program, long oldestAt, long retainedUntil) {
 		this.programs.merge(program, new Activity(oldestAt, UNKNOWN, retainedUntil), Activity::renew);
+		removeExcess();
+	}
+
+	private void removeExcess() {
+		if (this.programs.size() > this.maxPrograms) {
+			this.programs.remove(this.programs.keySet().iterator().next());
+		}
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
@@ -93,6 +93,27 @@
 		assertThat(reads(relay)).isEqualTo(4);
 	}
 
+	// Guards against copies that displace the texts of running turns while none can be
+	// appended.
+	@Test
+	void textsThatAreNotStoredAreNotQueuedWithoutLimit() {
+		RelayFixture relay = RelayFixture.ready();
+		for (int i = 0; i < 600; i++) {
+			relay.handle(new RelayEvent.TextsReceived(relay.now(),
+					List.of(RelayFixture.turnText("t" + i, null, "in;", "out;"))));
+			relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t" + i, "p", 10, Optional
+				.of(new TextLocation(Optional.empty(), 7, 5, 17, Optional.empty(), Duration.ofSeconds(60), false))));
+		}
+		int queued = 0;
+		for (int round = 0; round < 10; round++) {
+			relay.advance(600);
+			queued += RelayFixture
+				.ofType(relay.handle(new RelayEvent.RenewalRoundStarted(relay.now())), RelayEffect.StoreText.class)
+				.size();
+		}
+		assertThat(queued).isEqualTo(256);
+	}
+
 	private static int reads(RelayFixture relay) {
 		return RelayFixture
 			.ofType(relay.handle(new RelayEvent.RenewalRoundStarted(relay.now())), RelayEffect.ReadText.class)
