Split the renewed usage of a program with many turns

Found on reading the change again: the usage of a program was one entry, however many turns it has. Beyond some thousand turns it would exceed a record of the log, be dropped as invalid, and the usage would expire. The new test needs the change.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,6 +63,11 @@
 	 */
 	private static final int MAX_ROUND_PROGRAMS = 256;
 
+	/**
+	 * The maximum number of turns in one entry.
+	 */
+	private static final int MAX_ENTRY_TURNS = 1_000;
+
 	private final RelayState state;
 
 	/**
@@ -175,12 +181,29 @@
 			}
 			this.pendingPrograms.put(program, now);
 			entries++;
-			Duration remaining = Duration.ofMillis(next.getValue().retainedUntil(retention) - now);
-			this.state
-				.emit(new RelayEffect.AppendEntry(new LedgerEntry.UsageRenewed(program, turns, remaining), List.of()));
+			appendUsage(program, turns, Duration.ofMillis(next.getValue().retainedUntil(retention) - now));
+		}
+	}
+
+	// An entry that exceeds a record of the log would never be stored.
+	private void appendUsage(String program, Map<String, TurnTokens> turns, Duration remaining) {
+		Map<String, TurnTokens> part = new HashMap<>();
+		for (Map.Entry<String, TurnTokens> turn : turns.entrySet()) {
+			part.put(turn.getKey(), turn.getValue());
+			if (part.size() == MAX_ENTRY_TURNS) {
+				append(new LedgerEntry.UsageRenewed(program, part, remaining));
+				part.clear();
+			}
+		}
+		if (!part.isEmpty()) {
+			append(new LedgerEntry.UsageRenewed(program, part, remaining));
 		}
 	}
 
+	private void append(LedgerEntry entry) {
+		this.state.emit(new RelayEffect.AppendEntry(entry, List.of()));
+	}
+
 	private long usageRenewalAge(String program) {
 		List<String> replicas = this.state.replicas.replicasOf(program);
 		int rank = replicas.isEmpty() ? 0 : replicas.indexOf(this.state.name);
@@ -245,9 +268,7 @@
 		LedgerEntry.Settled settled = turn.settled();
 		Duration remaining = Duration.ofMillis(Math.max(0, turn.retainedUntil() - this.state.now));
 		TextLocation location = turn.location().renewedAt(this.state.textPartition, minOffset, remaining);
-		this.state.emit(new RelayEffect.AppendEntry(
-				new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)),
-				List.of()));
+		append(new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)));
 		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.TurnRenewed(turn.location().bytes())));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -132,9 +132,8 @@
 	}
 
 	private boolean refuseTurn(Exchange exchange) {
-		// The end of a turn waits until the log has its text. A longer text might be
-		// dropped
-		// from the queue in an outage, or exceed a message to another relay.
+		// A longer text might be dropped from the queue in an outage, or exceed a message
+		// to another relay, and the end of its turn would wait in vain.
 		if (exchange.route().storesTurns() && exchange.request().body().length > this.state.maxInputBytes) {
 			this.completion.refuse(exchange, Refusal.TOO_LONG, Optional.empty());
 			return true;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
@@ -183,6 +183,21 @@
 				Map.of("t1", new TurnTokens(10, false)), Duration.ofMillis(60_000 - 14_500)));
 	}
 
+	// Guards against an entry of a long program that no record of the log can hold.
+	@Test
+	void usageOfManyTurnsIsRenewedInSeveralEntries() {
+		RelayFixture relay = RelayFixture.ready();
+		for (int i = 0; i < 2_500; i++) {
+			relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t" + i, "p", 1, Optional.empty()));
+		}
+		relay.advance(2_500);
+		List<Integer> turns = renewed(relay).stream()
+			.map(LedgerEntry.UsageRenewed.class::cast)
+			.map((entry) -> entry.turns().size())
+			.toList();
+		assertThat(turns).containsExactly(1_000, 1_000, 500);
+	}
+
 	private static List<LedgerEntry> renewed(RelayFixture relay) {
 		return RelayFixture.written(relay.handle(new RelayEvent.RenewalRoundStarted(relay.now())));
 	}
