--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
@@ -9,9 +9,11 @@
 import java.util.function.Consumer;
 
 import io.lentilslip.relay.net.Sockets;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -19,7 +21,9 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
@@ -36,6 +40,11 @@
 	 */
 	private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+	/**
+	 * The maximum size of what precedes the body of a response, in bytes.
+	 */
+	private static final int MAX_HEAD_BYTES = 64 * 1024;
+
 	private final EventLoop loop;
 
 	private final InetSocketAddress address;
@@ -89,7 +98,8 @@
 		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
 			Sockets.reportOrderlyEnd(created);
 			created.pipeline()
-				.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler());
+				.addLast(new ReadLimiter(), new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+						new ResponseHandler());
 		});
 		future.addListener((done) -> {
 			if (!isCurrent(call)) {
@@ -141,6 +151,33 @@
 
 	}
 
+	/**
+	 * Closes a connection that receives bytes without a call, or more than any response
+	 * has. Used by the event loop's thread.
+	 */
+	private final class ReadLimiter extends ChannelInboundHandlerAdapter {
+
+		private Optional<Call> call = Optional.empty();
+
+		private long received;
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+			if (!this.call.equals(SerialHttpClient.this.current)) {
+				this.call = SerialHttpClient.this.current;
+				this.received = 0;
+			}
+			this.received += (message instanceof ByteBuf bytes) ? bytes.readableBytes() : 0;
+			if (this.call.isEmpty() || this.received > MAX_RESPONSE_BYTES + MAX_HEAD_BYTES) {
+				ReferenceCountUtil.release(message);
+				context.close();
+				return;
+			}
+			super.channelRead(context, message);
+		}
+
+	}
+
 	/**
 	 * Handles the responses of one connection. Used by the event loop's thread.
 	 */
@@ -148,7 +185,8 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-			if (isCurrentChannel(context)) {
+			boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			if (isCurrentChannel(context) && !informational) {
 				// If the channel is closed, the decoder has ended a response without a
 				// length that may lack its last part.
 				boolean whole = response.decoderResult().isSuccess() && context.channel().isActive();
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -78,6 +78,53 @@
 		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("whole");
 	}
 
+	// Guards against matching a response that nobody asked for to the next call, and
+	// against reading bytes without end.
+	@Test
+	void connectionThatReceivesBytesWithoutACallIsClosed() throws Exception {
+		call(0);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("whole");
+			connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"));
+			assertThat(endOf(connection)).isTrue();
+		}
+	}
+
+	@Test
+	void callFailsWhoseResponseHasNoEnd() throws Exception {
+		call(0);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			byte[] block = bytes("HTTP/1.1 102 Processing\r\n\r\n".repeat(1024));
+			long written = 0;
+			try {
+				while (written < 16L * LARGE_BODY_BYTES) {
+					connection.getOutputStream().write(block);
+					written += block.length;
+				}
+			}
+			catch (IOException ex) {
+				// Closed by the client.
+			}
+			assertThat(written).isLessThan(16L * LARGE_BODY_BYTES);
+		}
+		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).isEmpty();
+	}
+
+	private static boolean endOf(Socket connection) {
+		try {
+			return connection.getInputStream().read() < 0;
+		}
+		catch (IOException ex) {
+			return ex.getMessage().contains("reset");
+		}
+	}
+
 	private void call(int bodyBytes) throws Exception {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
 				Unpooled.wrappedBuffer(new byte[bodyBytes]));
