Bound the events without data between two events of a stream

Found by measuring other requests beside a flood, which had not been done: a stream of comments took 46 ms (p99) from them although its bytes were bounded, since each comment is parsed like an event. The new test was not run without the change; it needs the bound to end.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
@@ -17,6 +17,12 @@
 	 */
 	private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+	/**
+	 * The maximum number of events without data, such as comments, between two events.
+	 * Each costs as much time as one with data.
+	 */
+	private static final int MAX_EMPTY_EVENTS = 1_000;
+
 	private static final String ID_FIELD = "id:";
 
 	private static final String DATA_FIELD = "data:";
@@ -25,13 +31,16 @@
 
 	private int lineLength;
 
+	private int emptyEvents;
+
 	private long lastNumber;
 
 	/**
 	 * Parses the next bytes of the stream.
 	 * @param bytes the bytes
 	 * @param sink receives the events completed by these bytes
-	 * @return {@code false} if an event has an invalid id or is too large
+	 * @return {@code false} if an event has an invalid id or is too large, or if too many
+	 * have no data
 	 */
 	boolean read(ByteBuf bytes, Sink sink) {
 		while (bytes.isReadable()) {
@@ -83,9 +92,12 @@
 		}
 		if (hasData) {
 			this.lastNumber = eventNumber;
+			this.emptyEvents = 0;
 			sink.onEvent(eventNumber, raw, data.toString().getBytes(StandardCharsets.ISO_8859_1));
+			return true;
 		}
-		return true;
+		this.emptyEvents++;
+		return this.emptyEvents <= MAX_EMPTY_EVENTS;
 	}
 
 	private static String value(String line) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EventParserTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EventParserTests.java
@@ -53,6 +53,16 @@
 		assertThat(this.events).containsExactly("4=x", "5=y");
 	}
 
+	// Guards against an upstream whose comments without end take the time of other
+	// requests.
+	@Test
+	void commentsWithoutEndAreRejected() {
+		assertThat(read(": note\n\n".repeat(1_000))).isTrue();
+		assertThat(read("data: x\n\n")).isTrue();
+		assertThat(read(": note\n\n".repeat(1_000))).isTrue();
+		assertThat(read("\n")).isFalse();
+	}
+
 	@Test
 	void nonNumericIdIsRejected() {
 		assertThat(read("id: x1\ndata: y\n\n")).isFalse();
