Find the turns that are due for renewal without walking all chains

Found on reading the change again: each round walked the chains of all known turns, 32 times in the retention of the log, on the event loop.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedTurns.java
@@ -1,19 +1,19 @@
 package io.lentilslip.core.relay;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Index of the turns that the log has, by the age of their newest records. A turn is
  * retained with its whole chain, so an old turn is needed as long as any turn that
- * continues it. Bounded in number; the turns with the oldest records are removed first.
- * Used by one thread.
+ * continues it. How long a turn is needed is passed on to the turns before it when a turn
+ * is recorded, and not again for small differences, so that a long chain is walked
+ * rarely. Bounded in number; the turns with the oldest records are removed first. Used by
+ * one thread.
  */
 final class RetainedTurns {
 
@@ -28,8 +28,34 @@
 	 */
 	private static final long CLOCK_TOLERANCE_MS = 5_000;
 
+	/**
+	 * The difference in how long a turn is needed up to which the turns before it are not
+	 * updated.
+	 */
+	private static final long GRANULARITY_MS = 5_000;
+
+	/**
+	 * By how much later a record may have been written than one that was read after it:
+	 * more than the delay of an append.
+	 */
+	private static final long MAX_DISORDER_MS = 2_000;
+
+	/**
+	 * The turns in the order in which their newest records were read.
+	 */
 	private final Map<String, RetainedTurn> turns = new LinkedHashMap<>();
 
+	/**
+	 * Until when turns are needed that have not been read yet: the record of a turn may
+	 * have been renewed after that of a turn that continues it.
+	 */
+	private final Map<String, Long> unread = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_TURNS;
+		}
+	};
+
 	/**
 	 * Records that the log has a turn.
 	 * @param settled its settlement
@@ -39,13 +65,35 @@
 	 * continued
 	 */
 	void record(LedgerEntry.Settled settled, TextLocation location, long writtenAt, long retention) {
-		RetainedTurn before = this.turns.remove(settled.request());
+		String request = settled.request();
+		RetainedTurn before = this.turns.remove(request);
 		long retainedUntil = writtenAt + retention;
-		RetainedTurn turn = new RetainedTurn(settled, location, writtenAt, retainedUntil);
-		this.turns.put(settled.request(), (before != null) ? turn.merge(before) : turn);
+		Long needed = this.unread.remove(request);
+		RetainedTurn turn = new RetainedTurn(settled, location, writtenAt, retainedUntil,
+				(needed != null) ? Math.max(needed, retainedUntil) : retainedUntil);
+		RetainedTurn merged = (before != null) ? turn.merge(before) : turn;
+		this.turns.put(request, merged);
 		if (this.turns.size() > MAX_TURNS) {
 			this.turns.remove(this.turns.keySet().iterator().next());
 		}
+		retainChain(location.previous(), merged.neededUntil());
+	}
+
+	private void retainChain(Optional<String> last, long until) {
+		Optional<String> next = last;
+		while (next.isPresent()) {
+			String request = next.get();
+			RetainedTurn turn = this.turns.get(request);
+			if (turn == null) {
+				this.unread.merge(request, until, Math::max);
+				return;
+			}
+			if (turn.neededUntil() >= until - GRANULARITY_MS) {
+				return;
+			}
+			this.turns.put(request, turn.neededUntil(until));
+			next = turn.location().previous();
+		}
 	}
 
 	/**
@@ -54,38 +102,26 @@
 	 * @param now the current time
 	 * @param minAge the age in milliseconds
 	 * @param logRetention the retention of the log in milliseconds
-	 * @return the turns, those with the oldest records first
+	 * @return the turns, those whose records were read first in front
 	 */
 	List<RetainedTurn> olderThan(long now, long minAge, long logRetention) {
-		Set<String> needed = needed(now);
-		this.turns.values()
-			.removeIf((turn) -> now - turn.writtenAt() > logRetention && !needed.contains(turn.settled().request()));
 		List<RetainedTurn> old = new ArrayList<>();
-		for (String request : needed) {
-			RetainedTurn turn = this.turns.get(request);
-			if (now - turn.writtenAt() >= minAge) {
+		Iterator<RetainedTurn> oldestFirst = this.turns.values().iterator();
+		while (oldestFirst.hasNext()) {
+			RetainedTurn turn = oldestFirst.next();
+			long age = now - turn.writtenAt();
+			if (age < minAge - MAX_DISORDER_MS) {
+				return old;
+			}
+			boolean needed = turn.neededUntil() + GRANULARITY_MS + CLOCK_TOLERANCE_MS > now;
+			if (needed && age >= minAge) {
 				old.add(turn);
 			}
-		}
-		old.sort(Comparator.comparingLong(RetainedTurn::writtenAt));
-		return old;
-	}
-
-	private Set<String> needed(long now) {
-		Set<String> needed = new HashSet<>();
-		for (RetainedTurn turn : this.turns.values()) {
-			if (turn.retainedUntil() + CLOCK_TOLERANCE_MS > now) {
-				addChain(turn.settled().request(), needed);
+			if (!needed && age > logRetention) {
+				oldestFirst.remove();
 			}
 		}
-		return needed;
-	}
-
-	private void addChain(String last, Set<String> needed) {
-		Optional<String> next = Optional.of(last);
-		while (next.isPresent() && this.turns.containsKey(next.get()) && needed.add(next.get())) {
-			next = this.turns.get(next.get()).location().previous();
-		}
+		return old;
 	}
 
 	Optional<RetainedTurn> find(String request) {
@@ -103,14 +139,20 @@
 	 * @param location the location of its text
 	 * @param writtenAt when the records were written, by the monotonic clock
 	 * @param retainedUntil until when it is retained without being continued
+	 * @param neededUntil until when it or a turn that continues it is retained
 	 */
-	record RetainedTurn(LedgerEntry.Settled settled, TextLocation location, long writtenAt, long retainedUntil) {
+	record RetainedTurn(LedgerEntry.Settled settled, TextLocation location, long writtenAt, long retainedUntil,
+			long neededUntil) {
+
+		private RetainedTurn neededUntil(long until) {
+			return new RetainedTurn(this.settled, this.location, this.writtenAt, this.retainedUntil, until);
+		}
 
 		// Records may be read in any order, for example if a peer has written the turn.
 		private RetainedTurn merge(RetainedTurn other) {
 			RetainedTurn newer = (other.writtenAt > this.writtenAt) ? other : this;
 			return new RetainedTurn(newer.settled, newer.location, newer.writtenAt,
-					Math.max(this.retainedUntil, other.retainedUntil));
+					Math.max(this.retainedUntil, other.retainedUntil), Math.max(this.neededUntil, other.neededUntil));
 		}
 
 	}
