Raise the location of texts with those that other relays publish

The location of a text is the end of the partition after this relay's own last append. All relays read the locations of all texts, and one in the same partition bounds later appends as well, so that locations are rarely far behind and need no correction. The new test fails without the change (it needs the raised location).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -160,8 +160,10 @@
 
 	private void settled(LedgerEntry.Settled settled, Optional<String> sender) {
 		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
-		settled.textLocation()
-			.ifPresent((location) -> this.state.turnCache.recordLocation(settled.request(), location, sender));
+		settled.textLocation().ifPresent((location) -> {
+			this.state.turnCache.recordLocation(settled.request(), location, sender);
+			this.state.raiseTextOffset(location);
+		});
 		this.state.upstreams.requestEnded(settled.request());
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -382,6 +382,17 @@
 				|| this.servicesWithHistory.contains(service);
 	}
 
+	/**
+	 * Raises the known end offset of the text partition to a location in it. A location
+	 * is never beyond the end of its partition, so it bounds later appends as well.
+	 * @param location the location of a text of any relay
+	 */
+	void raiseTextOffset(TextLocation location) {
+		if (location.partition() == this.textPartition && this.textEndOffset >= 0) {
+			this.textEndOffset = Math.max(this.textEndOffset, location.minOffset());
+		}
+	}
+
 	void recordStreamAttempt(String request, StreamAttempt attempt) {
 		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
 		this.upstreams.recordVersion(attempt.version(), this.now);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -140,6 +140,20 @@
 		assertThat(streamEnds(relay.handle(new RelayEvent.RenewalsStored(relay.now(), Set.of("t1"))))).hasSize(1);
 	}
 
+	// Guards against searching all texts that other relays have appended to the partition
+	// since this relay's last one.
+	@Test
+	void locationFollowsThoseOfOtherRelaysInItsPartition() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.readFromLog(new LedgerEntry.Settled("other", "q", 10,
+				Optional.of(new TextLocation(Optional.empty(), 9, RelayFixture.TEXT_PARTITION, 400))));
+		relay.readFromLog(new LedgerEntry.Settled("elsewhere", "q", 10,
+				Optional.of(new TextLocation(Optional.empty(), 9, RelayFixture.TEXT_PARTITION + 1, 900))));
+		relay.sendTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
+		relay.open(1);
+		assertThat(RelayFixture.settled(relay.end(1)).textLocation().map(TextLocation::minOffset)).contains(400L);
+	}
+
 	@Test
 	void endOfAStoredTurnWaitsForItsSettlement() {
 		RelayFixture relay = RelayFixture.ready();
