Report data of upstreams that belongs to no request in flight

A response that was skipped, a second response in the same read and bytes on an idle connection left no trace, so the logs could not tell whether an upstream had responded twice. E4028 names both requests, the status, the upstream and how many requests the connection has carried; a counter has the rate of each kind. The notice is limited like all others.

The test double of the dialect now matches by id if a response bears one.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -732,6 +732,55 @@
 
 	}
 
+	/**
+	 * A relay received data from an upstream that belongs to no request in flight.
+	 *
+	 * @param kind the kind of data
+	 */
+	record ResponseUnmatched(Kind kind) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind the kind of data
+		 */
+		public ResponseUnmatched {
+			Objects.requireNonNull(kind, "kind");
+		}
+
+		/**
+		 * The kind of data. Safe for use by several threads.
+		 */
+		public enum Kind implements Label {
+
+			/**
+			 * A response to an earlier request of the connection.
+			 */
+			REPEATED,
+
+			/**
+			 * A response to a request that the connection has not carried.
+			 */
+			OTHER_REQUEST,
+
+			/**
+			 * A response that names no request.
+			 */
+			NO_REQUEST,
+
+			/**
+			 * Bytes that were read together with the end of a response.
+			 */
+			AFTER_RESPONSE,
+
+			/**
+			 * Bytes on an idle connection.
+			 */
+			IDLE
+
+		}
+
+	}
+
 	/**
 	 * A relay dropped entries that were queued for the store.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -486,6 +486,15 @@
 			"Compare the age of its newest record with the retention of the log; a turn that continues it is refused.",
 			FieldName.REQUEST, FieldName.COUNT, FieldName.MILLISECONDS),
 
+	/**
+	 * {@code REQUEST} is the request that the response names, {@code EXPECTED} the one in
+	 * flight or the last one of the connection, {@code STATUS} the status of the response
+	 * and {@code COUNT} the number of requests that the connection has carried.
+	 */
+	RESPONSE_UNMATCHED(4028, Level.WARN, "An upstream sent a response, or bytes, that belong to no request in flight.",
+			"If it is frequent, examine the upstream: it responds more than once or to no request.", FieldName.REQUEST,
+			FieldName.EXPECTED, FieldName.UPSTREAM, FieldName.REASON, FieldName.STATUS, FieldName.COUNT),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
@@ -50,13 +50,22 @@
 	 */
 	void writeTimeout(Duration timeout, HttpHeaders headers);
 
+	/**
+	 * Returns the id of the request that a response names.
+	 * @param response the response
+	 * @return the id, or empty if the response names no request
+	 */
+	Optional<String> requestId(HttpResponse response);
+
 	/**
 	 * Returns whether a response belongs to the request with the given id.
 	 * @param response the response
 	 * @param id the request id
 	 * @return whether it belongs to the request, as far as its headers show
 	 */
-	boolean isResponseTo(HttpResponse response, String id);
+	default boolean isResponseTo(HttpResponse response, String id) {
+		return requestId(response).filter(id::equals).isPresent();
+	}
 
 	/**
 	 * Decodes the head of an upstream's response.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -54,6 +55,7 @@
 import io.lentilslip.relay.store.TextWriter;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.relay.store.Topic;
+import io.lentilslip.relay.upstream.UnmatchedResponse;
 import io.lentilslip.relay.upstream.UpstreamClient;
 import io.lentilslip.telemetry.Notices;
 import io.lentilslip.wire.relay.PeerMessage;
@@ -88,6 +90,8 @@
 
 	private static final String ROLE = "relay";
 
+	private static final String NONE = "none";
+
 	private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayProcess.class);
@@ -158,7 +162,8 @@
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
-		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes());
+		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes(),
+				this::responseUnmatched);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes());
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
@@ -432,6 +437,17 @@
 		on(new RelayEvent.CaughtUp(this.timers.now(), offset, duration, idle));
 	}
 
+	private void responseUnmatched(UnmatchedResponse unmatched) {
+		this.setup.measurements().accept(new Measurement.ResponseUnmatched(unmatched.kind()));
+		OptionalInt status = unmatched.status();
+		this.notices.write(NoticeCode.RESPONSE_UNMATCHED.with(FieldName.REQUEST, unmatched.named().orElse(NONE))
+			.with(FieldName.EXPECTED, unmatched.expected().orElse(NONE))
+			.with(FieldName.UPSTREAM, unmatched.upstream())
+			.with(FieldName.REASON, unmatched.kind())
+			.with(FieldName.STATUS, status.isPresent() ? status.getAsInt() : NONE)
+			.with(FieldName.COUNT, unmatched.requestCount()));
+	}
+
 	private void beginDrain() {
 		this.draining = true;
 		this.callers.drain();
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
@@ -35,6 +36,8 @@
 
 	private final HeldBytes heldBytes;
 
+	private final Consumer<UnmatchedResponse> unmatchedResponses;
+
 	private final Map<String, UpstreamPool> pools = new HashMap<>();
 
 	private final Map<AttemptKey, UpstreamPool.Attempt> attempts = new HashMap<>();
@@ -45,12 +48,15 @@
 	 * @param dialect the upstreams' header names and formats
 	 * @param timers the clock
 	 * @param heldBytes bounds the bytes of responses that are not complete
+	 * @param unmatchedResponses receives data that belongs to no request in flight
 	 */
-	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes) {
+	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes,
+			Consumer<UnmatchedResponse> unmatchedResponses) {
 		this.loop = loop;
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
+		this.unmatchedResponses = unmatchedResponses;
 	}
 
 	/**
@@ -127,7 +133,8 @@
 			return existing;
 		}
 		removeUpstream(upstream.id());
-		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes);
+		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes,
+				this.unmatchedResponses);
 		this.pools.put(upstream.id(), pool);
 		return pool;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -2,15 +2,21 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
+import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -62,6 +68,10 @@
 	 */
 	private static final int SMALL_RESPONSE_BYTES = 64 * 1024;
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] (\\d{3})");
+
+	private static final int STATUS_LINE_LENGTH = "HTTP/1.1 200".length();
+
 	private final Dialect dialect;
 
 	private final Listener listener;
@@ -88,7 +98,9 @@
 
 	private long unproductiveBytes;
 
-	private BooleanSupplier unreadBytes = () -> false;
+	private Supplier<ByteBuf> unreadBytes = () -> Unpooled.EMPTY_BUFFER;
+
+	private final CarriedRequests carried = new CarriedRequests();
 
 	private ChannelHandlerContext context;
 
@@ -107,6 +119,7 @@
 
 	void send(OutgoingRequest outgoing) {
 		this.current = Optional.of(outgoing);
+		this.carried.add(outgoing.id());
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
 		this.informationalResponses = 0;
@@ -119,26 +132,27 @@
 	}
 
 	/**
-	 * Sets what returns whether the decoder has bytes that it has not decoded yet.
-	 * @param decoderHasBytes the supplier
+	 * Sets what returns the bytes that the decoder has not decoded yet.
+	 * @param decoderBytes the supplier
 	 */
-	void setUnreadBytes(BooleanSupplier decoderHasBytes) {
-		this.unreadBytes = decoderHasBytes;
+	void setUnreadBytes(Supplier<ByteBuf> decoderBytes) {
+		this.unreadBytes = decoderBytes;
 	}
 
 	/**
 	 * Checks bytes that were received before they are decoded. A faulty upstream may send
 	 * bytes without end, of which the decoder may make nothing.
-	 * @param count the number of bytes
+	 * @param bytes the bytes
 	 * @return whether they may be decoded
 	 */
-	boolean accept(int count) {
+	boolean accept(ByteBuf bytes) {
 		if (this.current.isEmpty()) {
 			// Unsolicited data: the framing of later responses can't be trusted.
+			report(Kind.IDLE, Optional.empty(), statusOf(bytes));
 			this.context.close();
 			return false;
 		}
-		this.unproductiveBytes += count;
+		this.unproductiveBytes += bytes.readableBytes();
 		if (this.unproductiveBytes > MAX_UNPRODUCTIVE_BYTES) {
 			fail(FailureCause.UNREADABLE);
 			return false;
@@ -229,7 +243,7 @@
 		}
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		if (!this.dialect.isResponseTo(response, outgoing.id())) {
-			skipResponse();
+			skipResponse(response);
 			return;
 		}
 		if (!expectsNoBody() && HttpUtil.getContentLength(response, 0L) > MAX_RESPONSE_BYTES) {
@@ -246,7 +260,11 @@
 		}
 	}
 
-	private void skipResponse() {
+	private void skipResponse(HttpResponse response) {
+		Optional<String> named = this.dialect.requestId(response);
+		Kind other = named.map((id) -> this.carried.contains(id) ? Kind.REPEATED : Kind.OTHER_REQUEST)
+			.orElse(Kind.NO_REQUEST);
+		report(other, named, OptionalInt.of(response.status().code()));
 		this.skipping = true;
 		this.skippedResponses++;
 		if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
@@ -254,6 +272,16 @@
 		}
 	}
 
+	private void report(Kind kind, Optional<String> named, OptionalInt status) {
+		this.listener.onUnmatched(kind, named, status, this.carried);
+	}
+
+	private static OptionalInt statusOf(ByteBuf bytes) {
+		Matcher line = STATUS_LINE.matcher(bytes.toString(bytes.readerIndex(),
+				Math.min(bytes.readableBytes(), STATUS_LINE_LENGTH), StandardCharsets.ISO_8859_1));
+		return line.matches() ? OptionalInt.of(Integer.parseInt(line.group(1))) : OptionalInt.empty();
+	}
+
 	private void addContent(HttpContent content) {
 		if (content.decoderResult().isFailure()) {
 			fail(FailureCause.UNREADABLE);
@@ -341,9 +369,13 @@
 
 	private void returnToPool(HttpResponse response) {
 		boolean sent = this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
+		ByteBuf unread = this.unreadBytes.get();
+		if (unread.isReadable()) {
+			report(Kind.AFTER_RESPONSE, Optional.empty(), statusOf(unread));
+		}
 		// If the request is not fully written, the upstream would read the next request
 		// as the rest of its body. Bytes that follow the response belong to no request.
-		if (!isFramed(response) || !sent || this.unreadBytes.getAsBoolean() || !HttpUtil.isKeepAlive(response)
+		if (!isFramed(response) || !sent || unread.isReadable() || !HttpUtil.isKeepAlive(response)
 				|| response.headers().contains(HttpHeaderNames.UPGRADE)) {
 			this.context.close();
 			return;
@@ -399,6 +431,15 @@
 		 */
 		void onClosed(UpstreamConnection connection);
 
+		/**
+		 * Called when the upstream has sent data that belongs to no request in flight.
+		 * @param kind the kind of data
+		 * @param named the id of the request that the data names
+		 * @param status the status code, if the data begins with one
+		 * @param carried the requests that the connection has carried
+		 */
+		void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried);
+
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -5,7 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
 
+import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
@@ -49,6 +52,8 @@
 
 	private final EventLoop loop;
 
+	private final String upstreamId;
+
 	private final String incarnationId;
 
 	private final InetSocketAddress address;
@@ -59,6 +64,8 @@
 
 	private final HeldBytes heldBytes;
 
+	private final Consumer<UnmatchedResponse> unmatchedResponses;
+
 	private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
 	private final UpstreamConnection.Listener connectionListener = new IdleConnectionListener();
@@ -69,13 +76,16 @@
 	 */
 	private Optional<Duration> announcedTimeout = Optional.empty();
 
-	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes) {
+	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes,
+			Consumer<UnmatchedResponse> unmatchedResponses) {
 		this.loop = loop;
+		this.upstreamId = upstream.id();
 		this.incarnationId = upstream.incarnationId();
 		this.address = new InetSocketAddress(upstream.host(), upstream.port());
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
+		this.unmatchedResponses = unmatchedResponses;
 	}
 
 	/**
@@ -167,8 +177,8 @@
 	}
 
 	/**
-	 * Returns idle connections to the pool and removes closed ones. Used by the event
-	 * loop's thread.
+	 * Returns idle connections to the pool, removes closed ones and reports unmatched
+	 * data. Used by the event loop's thread.
 	 */
 	private final class IdleConnectionListener implements UpstreamConnection.Listener {
 
@@ -191,6 +201,12 @@
 			UpstreamPool.this.idle.removeIf((kept) -> kept.connection() == connection);
 		}
 
+		@Override
+		public void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried) {
+			UpstreamPool.this.unmatchedResponses.accept(new UnmatchedResponse(kind, UpstreamPool.this.upstreamId, named,
+					carried.last(), status, carried.count()));
+		}
+
 	}
 
 	/**
@@ -213,12 +229,12 @@
 
 		ResponseDecoder(UpstreamConnection connection) {
 			this.connection = connection;
-			connection.setUnreadBytes(() -> actualReadableBytes() > 0);
+			connection.setUnreadBytes(this::internalBuffer);
 		}
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-			if (message instanceof ByteBuf bytes && !this.connection.accept(bytes.readableBytes())) {
+			if (message instanceof ByteBuf bytes && !this.connection.accept(bytes)) {
 				bytes.release();
 				return;
 			}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
@@ -49,7 +49,8 @@
 	private final HeldBytes heldBytes = new HeldBytes(24 * 1024 * 1024);
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, new UpstreamClientTests.PlainDialect(),
-			new FixedClock(), this.heldBytes);
+			new FixedClock(), this.heldBytes, (unmatched) -> {
+			});
 
 	private final BlockingQueue<FailureCause> failures = new LinkedBlockingQueue<>();
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -51,6 +51,8 @@
 
 	private static final String TIMEOUT = "timeout-ms";
 
+	static final String REQUEST_ID = "request-id";
+
 	static final String OTHER_REQUEST = "other-request";
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -60,7 +62,8 @@
 	private final FakeTimers timers = new FakeTimers();
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers,
-			new HeldBytes(1_000_000));
+			new HeldBytes(1_000_000), (unmatched) -> {
+			});
 
 	private final BlockingQueue<FailureCause> failures = new LinkedBlockingQueue<>();
 
@@ -320,9 +323,15 @@
 			headers.set(TIMEOUT, timeout.toMillis());
 		}
 
+		@Override
+		public Optional<String> requestId(HttpResponse response) {
+			return Optional.ofNullable(response.headers().get(REQUEST_ID));
+		}
+
+		// Most tests of this package have no second request.
 		@Override
 		public boolean isResponseTo(HttpResponse response, String id) {
-			return !response.headers().contains(OTHER_REQUEST);
+			return requestId(response).map(id::equals).orElse(!response.headers().contains(OTHER_REQUEST));
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 
+import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.relay.net.HeldBytes;
@@ -116,6 +119,11 @@
 	public void onClosed(UpstreamConnection closed) {
 	}
 
+	@Override
+	public void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried) {
+		this.outcomes.add("unmatched " + kind);
+	}
+
 	private void send(String id) {
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.connection
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -131,6 +131,9 @@
 	private final Counter streamsResumed = counter("lentilslip_relay_streams_resumed_total",
 			"Streams that callers resumed, by how their software version was known.", "source");
 
+	private final Counter responsesUnmatched = counter("lentilslip_relay_responses_unmatched_total",
+			"Responses and bytes of upstreams that belong to no request in flight.", "kind");
+
 	private final BoundedLabels services = new BoundedLabels(ROUTE_LIMIT);
 
 	private final Gauge admittedFraction = gauge("lentilslip_service_admitted_fraction",
@@ -230,6 +233,8 @@
 			}
 			case Measurement.StreamResumed(Measurement.StreamResumed.Source source) ->
 				this.streamsResumed.labelValues(source.label()).inc();
+			case Measurement.ResponseUnmatched(Measurement.ResponseUnmatched.Kind kind) ->
+				this.responsesUnmatched.labelValues(kind.label()).inc();
 			case Measurement.ServiceAdmission admission -> apply(admission);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.RequestWritten(Duration delay) -> this.writeDelay.observe(seconds(delay));
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -53,6 +53,7 @@
 			new Measurement.RouteRequestRefused("chat", "overloaded"),
 			new Measurement.ServiceAdmission("engine", 0.5, Duration.ofMillis(1)), new Measurement.TurnRenewed(1),
 			new Measurement.StreamResumed(Measurement.StreamResumed.Source.LEDGER),
+			new Measurement.ResponseUnmatched(Measurement.ResponseUnmatched.Kind.IDLE),
 			new Measurement.TimerRan(Duration.ofMillis(1)), new Measurement.RequestWritten(Duration.ofMillis(1)),
 			new Measurement.EntriesGivenUp(1),
 			new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_IN, 1, 1),
