Carry each request id once on a connection to an upstream

Callers could get a success where the upstream had answered otherwise, and a promise that a request had not run although it did. An id identifies a request, not an attempt: when a caller sent a request again, the pool preferred the connection that had carried it, and a late second response to the first attempt was taken for the response to the second one.

A connection now keeps the ids that it has carried, as hash codes, and is not chosen for any of them again; after 1,024 requests it is closed, so no id is forgotten while its connection is used. HEAD and other methods do not share a connection, since a response that is skipped is framed by the method of the request in flight. A response with the id of the attempt, on this connection, can then only be a response to this attempt.

Seven cases of RepeatedResponseTests fail before: callers got 200 or 503 of the late response in place of 500, a late response to HEAD swallowed the next one, and one to GET made the attempt to HEAD fail. Nothing changes for requests with ids of their own, nor for retries of the relay, which go to other upstreams.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -36,8 +36,10 @@
 /**
  * Connection to an upstream with at most one attempt in flight. The connection is reused
  * only after a complete response that matched the attempt and had no trailing data. A
- * response to another request is skipped, since an upstream may send it late. Used by the
- * event loop's thread.
+ * response to another request is skipped, since an upstream may send it late. An id
+ * identifies a request, not an attempt, so a connection carries each id once: a response
+ * with the id of the attempt is a response to the attempt. Used by the event loop's
+ * thread.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -119,7 +121,7 @@
 
 	void send(OutgoingRequest outgoing) {
 		this.current = Optional.of(outgoing);
-		this.carried.add(outgoing.id());
+		this.carried.add(outgoing.id(), outgoing.request().method());
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
 		this.informationalResponses = 0;
@@ -168,6 +170,16 @@
 		return this.current.isEmpty() && this.context.channel().isActive();
 	}
 
+	/**
+	 * Returns whether a late response to an earlier request can't be taken for the
+	 * response to the given one.
+	 * @param outgoing the request
+	 * @return whether the connection may carry it
+	 */
+	boolean mayCarry(OutgoingRequest outgoing) {
+		return this.carried.isDistinctFrom(outgoing.id(), outgoing.request().method());
+	}
+
 	boolean expectsNoBody() {
 		return this.current.isPresent() && this.current.get().request().method().equals(HttpMethod.HEAD);
 	}
@@ -376,7 +388,7 @@
 		// If the request is not fully written, the upstream would read the next request
 		// as the rest of its body. Bytes that follow the response belong to no request.
 		if (!isFramed(response) || !sent || unread.isReadable() || !HttpUtil.isKeepAlive(response)
-				|| response.headers().contains(HttpHeaderNames.UPGRADE)) {
+				|| this.carried.isFull() || response.headers().contains(HttpHeaderNames.UPGRADE)) {
 			this.context.close();
 			return;
 		}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -98,7 +98,8 @@
 			expire(outgoing);
 			return;
 		}
-		acquire().ifPresentOrElse((reused) -> write(outgoing, reused, attempt), () -> connect(outgoing, attempt));
+		acquire(outgoing).ifPresentOrElse((reused) -> write(outgoing, reused, attempt),
+				() -> connect(outgoing, attempt));
 	}
 
 	private boolean isExpired(UpstreamConnection.OutgoingRequest outgoing) {
@@ -138,16 +139,24 @@
 		}
 	}
 
-	private Optional<UpstreamConnection> acquire() {
+	private Optional<UpstreamConnection> acquire(UpstreamConnection.OutgoingRequest outgoing) {
 		long now = this.timers.now();
-		while (!this.idle.isEmpty()) {
+		Deque<IdleConnection> unsuitable = new ArrayDeque<>();
+		Optional<UpstreamConnection> found = Optional.empty();
+		while (found.isEmpty() && !this.idle.isEmpty()) {
 			IdleConnection next = this.idle.pollFirst();
-			if (next.expiresAt() > now && next.connection().isReusable()) {
-				return Optional.of(next.connection());
+			if (next.expiresAt() <= now || !next.connection().isReusable()) {
+				next.connection().cancel();
+			}
+			else if (next.connection().mayCarry(outgoing)) {
+				found = Optional.of(next.connection());
+			}
+			else {
+				unsuitable.addFirst(next);
 			}
-			next.connection().cancel();
 		}
-		return Optional.empty();
+		unsuitable.forEach(this.idle::addFirst);
+		return found;
 	}
 
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -23,14 +23,21 @@
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,7 +45,7 @@
  * Tests of an upstream that responds twice to a request, the second time late. The test
  * plays the upstream, so that it decides where the second response arrives.
  */
-class RepeatedResponseTests implements AttemptListener {
+class RepeatedResponseTests implements AttemptListener, UpstreamConnection.Listener {
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
@@ -106,14 +113,139 @@
 		}
 	}
 
+	// The caller sends a request again that was rejected or failed. Guards against taking
+	// the late response to the first attempt, which may be a success or say that the
+	// request was not run, for the response to the second one.
+	@ParameterizedTest
+	@CsvSource({ "503, 200", "500, 200", "503, 503", "200, 503", "200, 200" })
+	void responseToAnEarlierAttemptWithTheSameIdIsNotTaken(int first, int late) throws Exception {
+		send("a", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("a", first, "first"));
+			assertThat(outcome()).isEqualTo(first + " first");
+			respondOnTheNextConnection(response("a", 500, "second"));
+			send("a", HttpMethod.GET);
+			connection.write(response("a", late, "late"));
+			assertThat(outcome()).isEqualTo("500 second");
+		}
+	}
+
+	// Guards against remembering the last request of a connection only.
+	@Test
+	void connectionIsNotUsedForAnIdThatItCarriedBefore() throws Exception {
+		send("a", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("a", 503, "first"));
+			assertThat(outcome()).isEqualTo("503 first");
+			send("b", HttpMethod.GET);
+			connection.readHead();
+			connection.write(response("b", 200, "between"));
+			assertThat(outcome()).isEqualTo("200 between");
+			send("a", HttpMethod.GET);
+			try (Server other = accept()) {
+				other.write(response("a", 200, "second"));
+				assertThat(outcome()).isEqualTo("200 second");
+				send("b", HttpMethod.GET);
+				other.readHead();
+				other.write(response("b", 200, "third"));
+				assertThat(outcome()).isEqualTo("200 third");
+			}
+		}
+	}
+
+	// Guards against an id that is forgotten while its connection is still used.
+	@Test
+	void connectionIsClosedAfterItsLastRequest() throws Exception {
+		send("first", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("first", 503, ""));
+			outcome();
+			for (int i = 2; i <= 1024; i++) {
+				send("r" + i, HttpMethod.GET);
+				connection.readHead();
+				connection.write(response("r" + i, 200, ""));
+				assertThat(outcome()).isEqualTo("200 ");
+			}
+			assertThat(connection.isClosedByClient()).isTrue();
+		}
+	}
+
+	// A response to HEAD has a length but no body. Guards against a late one that takes
+	// in
+	// the response that follows, and against a late body that is decoded as a response.
+	@ParameterizedTest
+	@CsvSource({ "HEAD, GET", "GET, HEAD" })
+	void lateResponseToAnotherMethodDoesNotMoveTheNextResponse(String first, String second) throws Exception {
+		send("a", HttpMethod.valueOf(first));
+		try (Server connection = accept()) {
+			String late = first.equals("HEAD") ? head("a", 200, 300) : response("a", 200, "late");
+			connection.write(late);
+			assertThat(outcome()).startsWith("200 ");
+			String due = second.equals("HEAD") ? head("b", 500, 300) : response("b", 500, "");
+			respondOnTheNextConnection(due);
+			send("b", HttpMethod.valueOf(second));
+			connection.write(late + due);
+			assertThat(outcome()).isEqualTo("500 ");
+		}
+	}
+
+	// Guards against a part of a late response, cut at any byte, that reaches the request
+	// in flight.
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "Content-Length: 4\r\n\r\nlate", "Transfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n",
+					"Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: no\n\n\r\n0\r\n\r\n" })
+	void lateResponseIsSkippedHoweverItIsFramedAndRead(String rest) {
+		String late = "HTTP/1.1 200 OK\r\n" + UpstreamClientTests.REQUEST_ID + ": a\r\n" + rest;
+		String due = response("b", 200, "id: 1\ndata: own\n\n");
+		for (int cut = 1; cut < late.length() + due.length(); cut++) {
+			UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
+					new HeldBytes(1_000_000));
+			EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), connection);
+			connection.send(outgoing("a", false));
+			channel.writeInbound(bytes(response("a", 503, "")));
+			connection.send(outgoing("b", true));
+			channel.writeInbound(bytes((late + due).substring(0, cut)));
+			channel.writeInbound(bytes((late + due).substring(cut)));
+			channel.finishAndReleaseAll();
+			assertThat(this.outcomes).containsExactly("503 ", "event own", "end");
+			this.outcomes.clear();
+		}
+	}
+
+	private UpstreamConnection.OutgoingRequest outgoing(String id, boolean stream) {
+		return new UpstreamConnection.OutgoingRequest(id,
+				new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE, stream, this);
+	}
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+	}
+
+	private void respondOnTheNextConnection(String response) {
+		Thread.startVirtualThread(() -> {
+			try (Server next = accept()) {
+				next.write(response);
+				next.readHead();
+			}
+			catch (IOException ex) {
+				// The test has ended.
+			}
+		});
+	}
+
+	private static String head(String id, int status, int length) {
+		return "HTTP/1.1 " + status + " Status\r\n" + UpstreamClientTests.REQUEST_ID + ": " + id
+				+ "\r\nContent-Length: " + length + "\r\n\r\n";
+	}
+
 	private static UnmatchedResponse expected(Kind kind, Optional<String> named, String request, int status,
 			int requests) {
 		return new UnmatchedResponse(kind, "u", named, Optional.of(request), OptionalInt.of(status), requests);
 	}
 
 	private static String response(String id, int status, String body) {
-		return "HTTP/1.1 " + status + " Status\r\n" + UpstreamClientTests.REQUEST_ID + ": " + id
-				+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+		return head(id, status, body.length()) + body;
 	}
 
 	private Server accept() throws IOException {
@@ -157,10 +289,24 @@
 
 	@Override
 	public void onEvent(long number, byte[] raw, byte[] data) {
+		this.outcomes.add("event " + new String(data, StandardCharsets.ISO_8859_1));
 	}
 
 	@Override
 	public void onStreamEnd() {
+		this.outcomes.add("end");
+	}
+
+	@Override
+	public void onIdle(UpstreamConnection connection) {
+	}
+
+	@Override
+	public void onClosed(UpstreamConnection connection) {
+	}
+
+	@Override
+	public void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried) {
 	}
 
 	@Override
