Skip late responses to several requests of a connection

When the late responses to three or more requests of a connection arrived in front of a response, the attempt failed as one that may have run, so an unsafe request was lost. Only responses to requests that the connection has not carried count towards the limit of two now; bytes without progress stay bounded. The test got UNREADABLE in place of the response before.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -44,7 +44,8 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * The number of mismatched responses to skip before the connection is closed.
+	 * The number of responses to requests that the connection has not carried to skip
+	 * before it is closed.
 	 */
 	private static final int MAX_SKIPPED_RESPONSES = 2;
 
@@ -278,7 +279,9 @@
 			.orElse(Kind.NO_REQUEST);
 		report(other, named, OptionalInt.of(response.status().code()));
 		this.skipping = true;
-		this.skippedResponses++;
+		// Late responses to several requests may arrive at once; bytes without progress
+		// are bounded.
+		this.skippedResponses += (other == Kind.REPEATED) ? 0 : 1;
 		if (this.skippedResponses > MAX_SKIPPED_RESPONSES) {
 			fail(FailureCause.UNREADABLE);
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -170,6 +170,25 @@
 		}
 	}
 
+	// Guards against an attempt that fails, as one that may have run, because the late
+	// responses to several earlier requests arrive at once.
+	@Test
+	void lateResponsesToSeveralRequestsAreSkipped() throws Exception {
+		String late = "";
+		send("r0", HttpMethod.GET);
+		try (Server connection = accept()) {
+			for (int i = 0; i < 5; i++) {
+				connection.write(response("r" + i, 200, "first"));
+				assertThat(outcome()).isEqualTo("200 first");
+				late += response("r" + i, 503, "late");
+				send("r" + (i + 1), HttpMethod.GET);
+				connection.readHead();
+			}
+			connection.write(late + response("r5", 200, "last"));
+			assertThat(outcome()).isEqualTo("200 last");
+		}
+	}
+
 	// A response to HEAD has a length but no body. Guards against a late one that takes
 	// in
 	// the response that follows, and against a late body that is decoded as a response.
