Close the store's connection when bytes follow a response

Responses of the store name no call. A second response that was read together with the first was decoded right after the next call had been written, and was taken for its response: the test got the second response to the first call before. A late response that arrives while a call is in flight still can't be told, since nothing in it names the call.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
@@ -19,17 +19,18 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * HTTP client that sends one request at a time on a persistent connection. The connection
- * is closed when a request times out, so that a late response is not matched to the next
- * request. Used by the event loop's thread.
+ * HTTP client that sends one request at a time on a persistent connection, without HEAD.
+ * Responses name no request, so the connection is closed when a request times out and
+ * when bytes follow a response. Used by the event loop's thread.
  */
 public final class SerialHttpClient {
 
@@ -97,9 +98,10 @@
 	private void connect(Call call) {
 		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
 			Sockets.reportOrderlyEnd(created);
+			ResponseDecoder decoder = new ResponseDecoder();
 			created.pipeline()
-				.addLast(new ReadLimiter(), new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-						new ResponseHandler());
+				.addLast(new ReadLimiter(), new HttpRequestEncoder(), decoder,
+						new HttpObjectAggregator(MAX_RESPONSE_BYTES), new ResponseHandler(decoder));
 		});
 		future.addListener((done) -> {
 			if (!isCurrent(call)) {
@@ -178,11 +180,29 @@
 
 	}
 
+	/**
+	 * Response decoder that knows whether bytes follow a response. Used by one
+	 * connection.
+	 */
+	private static final class ResponseDecoder extends HttpResponseDecoder {
+
+		boolean hasUnreadBytes() {
+			return actualReadableBytes() > 0;
+		}
+
+	}
+
 	/**
 	 * Handles the responses of one connection. Used by the event loop's thread.
 	 */
 	private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+		private final ResponseDecoder decoder;
+
+		ResponseHandler(ResponseDecoder decoder) {
+			this.decoder = decoder;
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
 			boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -190,6 +210,11 @@
 				// If the channel is closed, the decoder has ended a response without a
 				// length that may lack its last part.
 				boolean whole = response.decoderResult().isSuccess() && context.channel().isActive();
+				if (this.decoder.hasUnreadBytes()) {
+					// Matched to the next call, they would answer it before it was sent.
+					SerialHttpClient.this.channel = Optional.empty();
+					context.close();
+				}
 				complete(whole ? Optional.of(response) : Optional.empty());
 			}
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -38,10 +38,13 @@
 
 	private ServerSocket server;
 
+	private SerialHttpClient client;
+
 	@BeforeEach
 	void listen() throws IOException {
 		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
 		this.server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+		this.client = new SerialHttpClient(this.loop, (InetSocketAddress) this.server.getLocalSocketAddress());
 	}
 
 	@AfterEach
@@ -94,6 +97,38 @@
 		}
 	}
 
+	// Guards against a second response to one call that is taken for the response to the
+	// next one: the next call may be queued while both are read.
+	@Test
+	void responseReadTogetherWithTheFirstIsNotMatchedToTheNextCall() throws Exception {
+		call(0);
+		call(0);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			String response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+			respondOnTheNextConnection(response + "other");
+			connection.getOutputStream().write(bytes(response + "first" + response + "extra"));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("first");
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("other");
+		}
+	}
+
+	private void respondOnTheNextConnection(String response) {
+		Thread.startVirtualThread(() -> {
+			try (Socket connection = this.server.accept()) {
+				byte[] request = new byte[1024];
+				if (connection.getInputStream().read(request) > 0) {
+					connection.getOutputStream().write(bytes(response));
+					connection.getInputStream().read(request);
+				}
+			}
+			catch (IOException ex) {
+				// The test has ended.
+			}
+		});
+	}
+
 	@Test
 	void callFailsWhoseResponseHasNoEnd() throws Exception {
 		call(0);
@@ -129,10 +164,8 @@
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
 				Unpooled.wrappedBuffer(new byte[bodyBytes]));
 		HttpUtil.setContentLength(request, bodyBytes);
-		SerialHttpClient client = new SerialHttpClient(this.loop,
-				(InetSocketAddress) this.server.getLocalSocketAddress());
 		this.loop
-			.submit(() -> client.call(request, Duration.ofSeconds(60),
+			.submit(() -> this.client.call(request, Duration.ofSeconds(60),
 					(response) -> this.responses
 						.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)))))
 			.get(60, TimeUnit.SECONDS);
