List a second response that is given to the next call of the client library

The HTTP library keeps the bytes that follow a response, and reads them as the response to the next call on the connection. Responses of engines and services name no request, and the library does not show these bytes, so this is not fixed.

--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.client.http;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -119,6 +120,43 @@
 		assertThat(((Exchange.Unanswered) exchange).reason()).startsWith("answer cut off");
 	}
 
+	// Guards against a second response to one request that is taken for the response to
+	// the next one.
+	@Test
+	void responseReadTogetherWithTheFirstIsNotMatchedToTheNextRequest() throws Exception {
+		String response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+			Thread.startVirtualThread(() -> {
+				respondOnce(upstream, response + "first" + response + "extra");
+				respondOnce(upstream, response + "other");
+			});
+			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/x");
+			assertThat(text(url)).isEqualTo("first");
+			assertThat(text(url)).isNotEqualTo("extra");
+		}
+	}
+
+	private String text(HttpUrl url) throws Exception {
+		return this.sender.send(new Request.Builder().url(url))
+			.toCompletableFuture()
+			.thenApply((exchange) -> (exchange instanceof Exchange.Answered answer) ? answer.text() : "")
+			.get(60, TimeUnit.SECONDS);
+	}
+
+	private static void respondOnce(ServerSocket upstream, String response) {
+		try (Socket connection = upstream.accept()) {
+			byte[] request = new byte[4096];
+			if (connection.getInputStream().read(request) > 0) {
+				connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+				// The next request or the end of the connection.
+				connection.getInputStream().read(request);
+			}
+		}
+		catch (IOException ex) {
+			// The test has ended.
+		}
+	}
+
 	// Guards against taking the first part of a response without a length for the whole:
 	// the library reads on after a write of the request has failed, and the failed write
 	// has consumed the report of the reset.
