--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -28,6 +28,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -208,14 +209,15 @@
 		}
 	}
 
-	// Guards against a part of a late response, cut at any byte, that reaches the request
-	// in flight.
+	// Guards against a part of a late response, cut at any byte and behind an
+	// informational response, that reaches the request in flight.
 	@ParameterizedTest
 	@ValueSource(
 			strings = { "Content-Length: 4\r\n\r\nlate", "Transfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n",
 					"Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: no\n\n\r\n0\r\n\r\n" })
 	void lateResponseIsSkippedHoweverItIsFramedAndRead(String rest) {
-		String late = "HTTP/1.1 200 OK\r\n" + UpstreamClientTests.REQUEST_ID + ": a\r\n" + rest;
+		String late = "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + UpstreamClientTests.REQUEST_ID + ": a\r\n"
+				+ rest;
 		String due = response("b", 200, "id: 1\ndata: own\n\n");
 		for (int cut = 1; cut < late.length() + due.length(); cut++) {
 			UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
@@ -232,6 +234,23 @@
 		}
 	}
 
+	// A late response without a length takes in the response that follows. Guards against
+	// passing on any part of either.
+	@Test
+	void lateResponseWithoutALengthFailsTheAttempt() {
+		UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
+				new HeldBytes(1_000_000));
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), connection);
+		connection.send(outgoing("a", false));
+		channel.writeInbound(bytes(response("a", 503, "")));
+		connection.send(outgoing("b", false));
+		channel.writeInbound(bytes("HTTP/1.1 200 OK\r\n" + UpstreamClientTests.REQUEST_ID + ": a\r\n\r\nlate"
+				+ response("b", 200, "own")));
+		channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		channel.finishAndReleaseAll();
+		assertThat(this.outcomes).containsExactly("503 ", "failure BROKEN");
+	}
+
 	private UpstreamConnection.OutgoingRequest outgoing(String id, boolean stream) {
 		return new UpstreamConnection.OutgoingRequest(id,
 				new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE, stream, this);
