Treat a success without a length and without content as cut off

What callers saw: a 200 with an empty body, or a stream that ended without an event, both framed as whole, after an upstream had stopped behind its response head and closed the connection in an orderly way.

Cause: a response without a length ends with its connection. The kernel ends the connections of a process that dies in an orderly way too, so for a head that was followed by nothing the end of the connection says nothing.

Evidence: CutResponseTests. Cutting responses with a length, in chunks and without either at every byte, after interim and skipped responses and on reused connections, with and without an orderly end, gave a broken connection before as well. Only headWithoutALengthAndWithoutContentIsABrokenConnection failed before ("end of stream" in place of "failure BROKEN").

Why the fix works: a success that may have content, has no length and brought none fails its attempt as one that may have run. An upstream that really has no content says so with a length of 0, an empty chunked body or status 204. An end within content without a length can't be told from its end and stays open.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -80,6 +80,11 @@
 
 	private Optional<ChannelFuture> writeFuture = Optional.empty();
 
+	/**
+	 * Whether an event of the current response was passed on.
+	 */
+	private boolean eventForwarded;
+
 	private boolean skipping;
 
 	private int skippedResponses;
@@ -239,6 +244,7 @@
 		this.skipping = false;
 		this.unproductiveBytes = 0;
 		this.head = Optional.of(response);
+		this.eventForwarded = false;
 		boolean stream = outgoing.stream() && response.status().equals(HttpResponseStatus.OK);
 		this.eventParser = stream ? Optional.of(new EventParser()) : Optional.empty();
 		if (stream) {
@@ -263,7 +269,7 @@
 			consume(content.content());
 		}
 		if (content instanceof LastHttpContent && this.current.isPresent() && !this.skipping) {
-			if (endedByClose()) {
+			if (endedByClose() || lacksContent()) {
 				fail(FailureCause.BROKEN);
 				return;
 			}
@@ -279,6 +285,15 @@
 		return !isFramed(this.head.orElseThrow()) && !this.context.channel().isActive();
 	}
 
+	// An upstream that stops after the head of a response without a length ends its
+	// connection as one whose response is empty. Only content shows that it went on.
+	private boolean lacksContent() {
+		HttpResponse response = this.head.orElseThrow();
+		boolean contentExpected = response.status().codeClass() == HttpStatusClass.SUCCESS
+				&& !response.status().equals(HttpResponseStatus.NO_CONTENT) && !expectsNoBody();
+		return contentExpected && !isFramed(response) && !this.eventForwarded && this.body.size() == 0;
+	}
+
 	private static boolean isFramed(HttpResponse response) {
 		return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 	}
@@ -318,6 +333,7 @@
 
 	private void forward(OutgoingRequest outgoing, long number, byte[] raw, byte[] data) {
 		this.unproductiveBytes = 0;
+		this.eventForwarded = true;
 		outgoing.listener().onEvent(number, raw, data);
 	}
 
