Test messages that are cut at every byte at the other readers of HTTP

The store's client, the connections of callers and the client of the own interface get responses or requests that end at each byte position. All pass on the code as it is: the store's client and OkHttp look at the decoder's result, and a caller's request without its end is not passed on.

--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -138,6 +139,33 @@
 		}
 	}
 
+	// Guards against taking a response for whole whose upstream stopped within it.
+	@Test
+	void cutResponseIsUnanswered() throws Exception {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+		for (String response : List.of(head + "Content-Length: 4\r\n\r\ntext", "HTTP/1.1 103 Early Hints\r\n\r\n" + head
+				+ "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n")) {
+			for (int length = 0; length < response.length(); length++) {
+				assertUnanswered(cut(response.substring(0, length)), Transmission.MAY_HAVE_BEEN_SENT,
+						Verdict.MAY_HAVE_RUN);
+			}
+		}
+	}
+
+	private Exchange cut(String response) throws Exception {
+		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/cut");
+			CompletableFuture<Exchange> outcome = this.sender.send(new Request.Builder().url(url))
+				.toCompletableFuture();
+			try (Socket connection = upstream.accept()) {
+				byte[] request = new byte[1024];
+				assertThat(connection.getInputStream().read(request)).isPositive();
+				connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+			}
+			return outcome.get(60, TimeUnit.SECONDS);
+		}
+	}
+
 	// The server holds the answer back until the read has timed out. The
 	// request has left, so running out of time does not mean that it never ran.
 	@Test
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.http;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -121,6 +123,24 @@
 		assertThat(this.heldBytes.held()).isZero();
 	}
 
+	// Guards against running a request whose caller stopped within it.
+	@Test
+	void cutRequestIsNotPassedOn() {
+		String head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Lentilslip-Request-Id: r\r\n";
+		for (String whole : List.of(head + "Content-Length: 4\r\n\r\nbody",
+				head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")) {
+			for (int length = 0; length <= whole.length(); length++) {
+				this.listener.headTimes.clear();
+				EmbeddedChannel decoding = new EmbeddedChannel(new StrictRequestDecoder(RouteTable.Limits.defaults()),
+						new HttpResponseEncoder(), new CallerConnection(this.listener, this.timers,
+								RouteTable.Limits::defaults, () -> false, this.heldBytes));
+				decoding.writeInbound(Unpooled.copiedBuffer(whole.substring(0, length), StandardCharsets.ISO_8859_1));
+				decoding.finishAndReleaseAll();
+				assertThat(this.listener.headTimes).as("%d bytes", length).hasSize((length < whole.length()) ? 0 : 1);
+			}
+		}
+	}
+
 	// Guards against buffering the whole stream of a caller that does not read.
 	@Test
 	void listenerIsNotifiedWhenACallerDoesNotRead() {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -78,6 +78,37 @@
 		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("whole");
 	}
 
+	// Guards against taking an append for stored, or a list for empty, because the store
+	// stopped within its response.
+	@Test
+	void cutResponseFails() {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+		String interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+		for (String response : new String[] { head + "Content-Length: 12\r\n\r\n{\"Offset\":1}",
+				interim + head + "Transfer-Encoding: chunked\r\n\r\nc\r\n{\"Offset\":1}\r\n0\r\n\r\n" }) {
+			for (int length = 0; length < response.length(); length++) {
+				assertThat(cut(response.substring(0, length), true)).as("%d bytes", length).isEmpty();
+				assertThat(cut(response.substring(0, length), false)).as("%d bytes, reset", length).isEmpty();
+			}
+		}
+	}
+
+	private Optional<String> cut(String response, boolean orderly) {
+		try {
+			call(0);
+			try (Socket connection = this.server.accept()) {
+				byte[] request = new byte[1024];
+				assertThat(connection.getInputStream().read(request)).isPositive();
+				connection.getOutputStream().write(bytes(response));
+				connection.setSoLinger(!orderly, 0);
+			}
+			return this.responses.poll(60, TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
 	// Guards against matching a response that nobody asked for to the next call, and
 	// against reading bytes without end.
 	@Test
