Receive a response whatever keep-alive timeout its upstream announces

What callers saw: no response until their deadline (LOST), for a response that had arrived, if its Keep-Alive header has a timeout beyond 292 million years.

Cause: the connection is returned to its pool before the response is passed on, and the pool's time arithmetic overflowed there. The exception closed the connection, which no longer had a request in flight, so no outcome followed.

Evidence: responseIsReceivedWhateverItsKeepAliveTimeout failed before with Long.MAX_VALUE seconds: no response.

Why the fix works: the pool bounds an announced timeout before it calculates with it, for every dialect.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -45,6 +45,12 @@
 	 */
 	private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofMillis(2500);
 
+	/**
+	 * The maximum time for which an idle connection is kept, whatever the upstream
+	 * announces. Keeps odd values out of the arithmetic.
+	 */
+	private static final Duration MAX_IDLE_TIMEOUT = Duration.ofHours(1);
+
 	private static final int MAX_IDLE_CONNECTIONS = 64;
 
 	private final EventLoop loop;
@@ -140,6 +146,13 @@
 		return Optional.empty();
 	}
 
+	private static Duration idleTimeout(Duration announced) {
+		if (announced.isNegative()) {
+			return announced;
+		}
+		return (announced.compareTo(MAX_IDLE_TIMEOUT) > 0) ? MAX_IDLE_TIMEOUT : announced.minus(IDLE_TIMEOUT_MARGIN);
+	}
+
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
 		UpstreamConnection connection = new UpstreamConnection(this.dialect, this.connectionListener, this.heldBytes);
 		ChannelFuture future = Sockets.connect(this.loop, this.address, CONNECT_TIMEOUT, (created) -> {
@@ -176,7 +189,7 @@
 		public void onIdle(UpstreamConnection connection) {
 			UpstreamPool.this.announcedTimeout = connection.keepAliveTimeout()
 				.or(() -> UpstreamPool.this.announcedTimeout);
-			Duration timeout = UpstreamPool.this.announcedTimeout.map((known) -> known.minus(IDLE_TIMEOUT_MARGIN))
+			Duration timeout = UpstreamPool.this.announcedTimeout.map(UpstreamPool::idleTimeout)
 				.orElse(DEFAULT_IDLE_TIMEOUT);
 			if (timeout.isNegative() || UpstreamPool.this.idle.size() >= MAX_IDLE_CONNECTIONS) {
 				connection.cancel();
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -193,6 +193,23 @@
 		}
 	}
 
+	// Guards against losing a whole response because of the time for which its upstream
+	// keeps the connection.
+	@Test
+	void responseIsReceivedWhateverItsKeepAliveTimeout() throws Exception {
+		for (long timeout : new long[] { Long.MAX_VALUE, Long.MAX_VALUE / 1000, 0, -1, Long.MIN_VALUE }) {
+			onLoop(() -> send(1, 60_000));
+			try (Socket connection = this.server.accept()) {
+				readHead(connection);
+				connection.getOutputStream()
+					.write(("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=" + timeout + "\r\n\r\n")
+						.getBytes(StandardCharsets.ISO_8859_1));
+				assertThat(this.responses.poll(60, TimeUnit.SECONDS)).as("timeout %d", timeout).isNotNull();
+				onLoop(() -> this.client.removeUpstream("u"));
+			}
+		}
+	}
+
 	private static void readHead(Socket connection) throws IOException {
 		connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
 		BufferedReader reader = new BufferedReader(
@@ -332,7 +349,8 @@
 
 		@Override
 		public Optional<Duration> keepAliveTimeout(HttpResponse response) {
-			return response.headers().contains("Keep-Alive") ? Optional.of(Duration.ofSeconds(1)) : Optional.empty();
+			return Optional.ofNullable(response.headers().get("Keep-Alive"))
+				.map((value) -> Duration.ofSeconds(Long.parseLong(value.substring("timeout=".length()))));
 		}
 
 		@Override
