Join only parts of a text that were divided in the same way

What callers could see: a turn that continued from a text put together from parts of two writers with different record limits, or that waited without an outcome because a number of a part was missing.

Cause: the reader counted the parts that it had, whatever division they were of, and took the count for completeness.

Evidence: partsOfDifferentDivisionsAreNotJoined failed before with a wrong text.

Why the fix works: parts are collected for each number of parts, and a number out of its range is unreadable, so as many parts as the number says are all.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -64,7 +64,11 @@
 
 		private final Consumer<Optional<StoredTurn>> callback;
 
-		private final Map<Integer, TextPart> parts = new HashMap<>();
+		/**
+		 * The parts by their number, for each number of parts. Writers with other limits
+		 * divide the same text in another way.
+		 */
+		private final Map<Integer, Map<Integer, TextPart>> parts = new HashMap<>();
 
 		private int calls;
 
@@ -118,25 +122,29 @@
 			for (Store.StoredRecord stored : records) {
 				Optional<TextPart> part = stored.value()
 					.flatMap((value) -> RelayCodec.decodeTextPart(value).toJavaOptional())
-					.filter((found) -> found.turn().request().equals(this.request));
-				part.ifPresent((found) -> this.parts.put(found.index(), found));
-				if (part.isPresent() && this.parts.size() == part.get().count()) {
-					return Optional.of(join());
+					.filter((decoded) -> decoded.turn().request().equals(this.request));
+				if (part.isEmpty()) {
+					continue;
+				}
+				Map<Integer, TextPart> found = this.parts.computeIfAbsent(part.get().count(),
+						(count) -> new HashMap<>());
+				found.put(part.get().index(), part.get());
+				if (found.size() == part.get().count()) {
+					return Optional.of(join(found));
 				}
 			}
 			return Optional.empty();
 		}
 
-		private StoredTurn join() {
+		private static StoredTurn join(Map<Integer, TextPart> parts) {
 			ByteArrayOutputStream input = new ByteArrayOutputStream();
 			ByteArrayOutputStream output = new ByteArrayOutputStream();
-			for (int i = 0; i < this.parts.size(); i++) {
-				StoredTurn part = this.parts.get(i).turn().text();
+			for (int i = 0; i < parts.size(); i++) {
+				StoredTurn part = parts.get(i).turn().text();
 				input.writeBytes(part.input());
 				output.writeBytes(part.output());
 			}
-			return new StoredTurn(this.parts.get(0).turn().text().previous(), input.toByteArray(),
-					output.toByteArray());
+			return new StoredTurn(parts.get(0).turn().text().previous(), input.toByteArray(), output.toByteArray());
 		}
 
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -121,6 +121,25 @@
 		});
 	}
 
+	// Guards against joining parts of two writers that divide texts in different ways.
+	@Test
+	void partsOfDifferentDivisionsAreNotJoined() {
+		StoredTurn text = new StoredTurn(Optional.of("before"), "i".repeat(700).getBytes(), "o".repeat(700).getBytes());
+		TurnText turn = new TurnText("t", text);
+		List<byte[]> records = new ArrayList<>(RelayCodec.encodeRecords(turn, 500).subList(0, 2));
+		records.addAll(RelayCodec.encodeRecords(turn, 900));
+		List<Optional<StoredTurn>> found = new ArrayList<>();
+		this.reader.read("t", List.of(location(5)), found::add);
+		this.store.readCallbacks.poll()
+			.accept(new Store.ReadResult.Records(
+					records.stream().map((part) -> new StoredRecord(5, Optional.empty(), Optional.of(part))).toList(),
+					100, 100));
+		assertThat(found.getFirst()).hasValueSatisfying((joined) -> {
+			assertThat(joined.input()).isEqualTo(text.input());
+			assertThat(joined.output()).isEqualTo(text.output());
+		});
+	}
+
 	@Test
 	void failedReadIsReportedAsNotFound() {
 		read(location(5));
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -146,7 +146,10 @@
 		return decodeText(bytes).flatMap((turn) -> {
 			try {
 				RelayProtocol.KeptText message = RelayProtocol.KeptText.parseFrom(bytes);
-				return Either.right(new TextPart(turn, message.getPart(), Math.max(1, message.getParts())));
+				int count = Math.max(1, message.getParts());
+				return (message.getPart() >= 0 && message.getPart() < count)
+						? Either.right(new TextPart(turn, message.getPart(), count))
+						: Either.left("number of the part is out of range");
 			}
 			catch (InvalidProtocolBufferException ex) {
 				return Either.left(ex.getMessage());
