Accept only literal addresses in the list of relays

What could be seen: a relay that stood still while it resolved a host name, if another writer's key or a greeting was a name with a port.

Cause: the address was constructed with a lookup, on the event loop.

Evidence: recordWithoutTheAddressOfAHostIsIgnored failed before: the name, an empty host and port 0 became members.

Why the fix works: a host is parsed as a literal IP address, as relays write it; whatever else is ignored like other invalid keys.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.peer;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +20,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.NetUtil;
 import io.vavr.control.Try;
 
 /**
@@ -28,6 +30,8 @@
  */
 public final class Peers implements CompactedTopicConsumer.Listener {
 
+	private static final int MAX_PORT = 65_535;
+
 	/**
 	 * The number of relays that are requested to write a turn, since one of them may not
 	 * reach the store either.
@@ -271,12 +275,18 @@
 		return created;
 	}
 
+	// Host names are rejected, since resolving them would block the event loop.
 	private static Optional<InetSocketAddress> parseAddress(String address) {
 		int colon = address.lastIndexOf(':');
-		return Try
-			.of(() -> new InetSocketAddress(address.substring(0, colon),
-					Integer.parseInt(address.substring(colon + 1))))
-			.toJavaOptional();
+		if (colon < 0) {
+			return Optional.empty();
+		}
+		Optional<InetAddress> host = Optional
+			.ofNullable(NetUtil.createInetAddressFromIpAddressString(address.substring(0, colon)));
+		return Try.of(() -> Integer.parseInt(address.substring(colon + 1)))
+			.filter((port) -> port > 0 && port <= MAX_PORT)
+			.toJavaOptional()
+			.flatMap((port) -> host.map((known) -> new InetSocketAddress(known, port)));
 	}
 
 	// A draining relay leaves the list while it still sends requests for its turns in
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -202,6 +202,15 @@
 		assertThat(onLoop(this.peers::knownCount)).isZero();
 	}
 
+	// Guards against an event loop that is blocked while a name is resolved.
+	@Test
+	void recordWithoutTheAddressOfAHostIsIgnored() throws Exception {
+		onLoop(() -> this.peers.setLocalAddress(LOCAL_ADDRESS));
+		onLoop(() -> this.peers.snapshotRead(Map.of(LOCAL_ADDRESS, MEMBER_RECORD, "localhost:1", MEMBER_RECORD, ":1",
+				MEMBER_RECORD, "10.0.0.1:0", MEMBER_RECORD)));
+		assertThat(onLoop(() -> this.members)).containsExactly(Member.of(LOCAL_ADDRESS));
+	}
+
 	@Test
 	void trafficOfALinkIsCounted() throws Exception {
 		bind();
