Send the calls in the queue of a client after a callback has failed

What could be seen: calls of the store that were queued behind one whose callback threw were not sent until another call was made.

Cause: the next call was sent after the callback had returned.

Evidence: queuedCallIsSentAfterACallbackFails failed before.

Why the fix works: the next call is sent however the callback ends.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
@@ -136,8 +136,13 @@
 			this.channel.ifPresent(Channel::close);
 			this.channel = Optional.empty();
 		}
-		call.callback().accept(response);
-		sendNext();
+		try {
+			call.callback().accept(response);
+		}
+		finally {
+			// The calls in the queue must not depend on the outcome of this one.
+			sendNext();
+		}
 	}
 
 	/**
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -17,6 +17,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -125,6 +126,26 @@
 		}
 	}
 
+	// Guards against calls that wait without end because an earlier one's callback
+	// failed.
+	@Test
+	void queuedCallIsSentAfterACallbackFails() throws Exception {
+		SerialHttpClient client = new SerialHttpClient(this.loop,
+				(InetSocketAddress) this.server.getLocalSocketAddress());
+		this.loop.submit(() -> {
+			client.call(request(0), Duration.ofSeconds(60), (response) -> {
+				throw new IllegalStateException("callback of the first call");
+			});
+			client.call(request(0), Duration.ofSeconds(60), this::add);
+		}).get(60, TimeUnit.SECONDS);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).isNotNull();
+		}
+	}
+
 	@Test
 	void callFailsWhoseResponseHasNoEnd() throws Exception {
 		call(0);
@@ -157,16 +178,21 @@
 	}
 
 	private void call(int bodyBytes) throws Exception {
+		FullHttpRequest request = request(bodyBytes);
+		SerialHttpClient client = new SerialHttpClient(this.loop,
+				(InetSocketAddress) this.server.getLocalSocketAddress());
+		this.loop.submit(() -> client.call(request, Duration.ofSeconds(60), this::add)).get(60, TimeUnit.SECONDS);
+	}
+
+	private void add(Optional<FullHttpResponse> response) {
+		this.responses.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)));
+	}
+
+	private static FullHttpRequest request(int bodyBytes) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
 				Unpooled.wrappedBuffer(new byte[bodyBytes]));
 		HttpUtil.setContentLength(request, bodyBytes);
-		SerialHttpClient client = new SerialHttpClient(this.loop,
-				(InetSocketAddress) this.server.getLocalSocketAddress());
-		this.loop
-			.submit(() -> client.call(request, Duration.ofSeconds(60),
-					(response) -> this.responses
-						.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)))))
-			.get(60, TimeUnit.SECONDS);
+		return request;
 	}
 
 	private static byte[] bytes(String text) {
