Follow the store whatever a record makes a listener throw

What could be seen: a relay that stayed up and ready, and no longer noticed upstreams that joined or left, or no longer read the log. An exception of one record ended the reading for good, without a notice, in all relays at once and again after each restart.

Cause: the next read follows in the same call as the handling of the last one. No record is known that makes this relay throw there: decoders return errors, and the reducer's exceptions are caught; but nothing else kept the reading up.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -168,7 +168,8 @@
 				this::streamAttemptsStored, this::conditionalReservationsStored,
 				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
 		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
-				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated);
+				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated,
+				(ex) -> reportFailure(Topic.ENTRIES, ex));
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
@@ -240,10 +241,17 @@
 
 	private void consume(Topic topic, CompactedTopicConsumer.Listener listener) {
 		new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
-				this.connectivityMonitor::storeCallCompleted)
+				this.connectivityMonitor::storeCallCompleted, (ex) -> reportFailure(topic, ex))
 			.start();
 	}
 
+	// Without the stack trace: another writer may repeat the record at any rate, and only
+	// notices have a rate limit.
+	private void reportFailure(Topic topic, Throwable cause) {
+		this.notices.write(NoticeCode.DECISION_FAILED.with(FieldName.CALL, topic.name()).with(FieldName.REASON, cause));
+		logger.debug("Failed to handle records of topic {}", topic, cause);
+	}
+
 	/**
 	 * Writes this relay's address to the store, retrying until it succeeds.
 	 * @param callback runs after success
@@ -561,8 +569,15 @@
 			on(new RelayEvent.UpstreamInvalid(RelayProcess.this.timers.now(), key, error));
 		}
 
+		// A record that makes the decoder fail must not hide the others of a snapshot.
 		private Either<UpstreamRecordError, Upstream> decode(String key, byte[] value) {
-			return RelayProcess.this.setup.storeDecoder().decodeUpstream(key, value);
+			try {
+				return RelayProcess.this.setup.storeDecoder().decodeUpstream(key, value);
+			}
+			catch (RuntimeException | StackOverflowError ex) {
+				logger.debug("Failed to decode the record of upstream {}", key, ex);
+				return Either.left(UpstreamRecordError.UNREADABLE);
+			}
 		}
 
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/CompactedTopicConsumer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/CompactedTopicConsumer.java
@@ -12,7 +12,7 @@
  * polls for changes. After a failed read or deleted records it starts over with a new
  * snapshot, since a change may have been deleted before it was read. Stale responses are
  * ignored: the end offset never decreases, and a record replaces only one with a lower
- * offset. Used by the event loop's thread.
+ * offset. Reading continues after a listener has failed. Used by the event loop's thread.
  */
 public final class CompactedTopicConsumer {
 
@@ -33,6 +33,8 @@
 
 	private final Consumer<Boolean> callListener;
 
+	private final Consumer<Throwable> errorListener;
+
 	private final RetryBackoff backoff;
 
 	private final Map<String, Long> offsets = new HashMap<>();
@@ -47,9 +49,11 @@
 	 * @param topic a compacted topic
 	 * @param listener receives snapshots and changes
 	 * @param callListener receives whether each call to the store succeeded
+	 * @param errorListener receives what the listener throws
 	 */
 	public CompactedTopicConsumer(Store store, Timers timers, RandomGenerator random, Topic topic, Listener listener,
-			Consumer<Boolean> callListener) {
+			Consumer<Boolean> callListener, Consumer<Throwable> errorListener) {
+		this.errorListener = errorListener;
 		this.store = store;
 		this.timers = timers;
 		this.topic = topic;
@@ -91,7 +95,7 @@
 			});
 		}
 		this.offsets.keySet().retainAll(values.keySet());
-		this.listener.snapshotRead(values);
+		notifyListener(() -> this.listener.snapshotRead(values));
 	}
 
 	private void read() {
@@ -120,7 +124,17 @@
 			return;
 		}
 		this.offsets.put(key, item.offset());
-		this.listener.recordChanged(key, item.value());
+		notifyListener(() -> this.listener.recordChanged(key, item.value()));
+	}
+
+	// The records are another writer's, and an exception would end the reading for good.
+	private void notifyListener(Runnable notification) {
+		try {
+			notification.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.errorListener.accept(ex);
+		}
 	}
 
 	private void restartAfterBackoff() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -58,6 +58,8 @@
 
 	private final BooleanSupplier isolated;
 
+	private final Consumer<Throwable> errorListener;
+
 	private final RetryBackoff backoff;
 
 	private long nextOffset;
@@ -92,9 +94,12 @@
 	 * again after each {@link #catchUp()}
 	 * @param callListener receives whether each call to the store succeeded
 	 * @param isolated returns whether most links to other relays are down
+	 * @param errorListener receives what is thrown while entries are handled
 	 */
 	public EntryReader(Store store, Timers timers, RandomGenerator random, EntryListener entryListener,
-			CaughtUpListener caughtUpListener, Consumer<Boolean> callListener, BooleanSupplier isolated) {
+			CaughtUpListener caughtUpListener, Consumer<Boolean> callListener, BooleanSupplier isolated,
+			Consumer<Throwable> errorListener) {
+		this.errorListener = errorListener;
 		this.store = store;
 		this.timers = timers;
 		this.entryListener = entryListener;
@@ -146,7 +151,7 @@
 	private void handleRecords(Store.ReadResult.Records records) {
 		this.backoff.reset();
 		this.nextOffset = records.nextOffset();
-		decode(records.records());
+		handleEntries(records.records());
 		boolean atEnd = this.nextOffset >= records.endOffset();
 		if (atEnd && !this.reachedEnd && !this.readAgain) {
 			this.reachedEnd = true;
@@ -161,6 +166,16 @@
 		scheduleRead(this.isolated.getAsBoolean() ? ISOLATED_POLL_INTERVAL : POLL_INTERVAL);
 	}
 
+	// The log is read on whatever an entry does, since nothing else would read it.
+	private void handleEntries(List<Store.StoredRecord> records) {
+		try {
+			decode(records);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.errorListener.accept(ex);
+		}
+	}
+
 	// After a loss of all relays, entries of those that restarted first are recent. The
 	// write gap before them still shows the outage.
 	private void recordTimestamp(EntryTimestamp timestamp) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/CompactedTopicConsumerTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/CompactedTopicConsumerTests.java
@@ -1,6 +1,7 @@
 package io.lentilslip.relay.store;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,13 +14,19 @@
 
 class CompactedTopicConsumerTests {
 
+	private static final String FAILING = "failing";
+
+	private static final String OVERFLOWING = "overflowing";
+
 	private final FakeStore store = new FakeStore();
 
 	private final Map<String, String> values = new TreeMap<>();
 
+	private final List<Throwable> errors = new ArrayList<>();
+
 	private final CompactedTopicConsumer consumer = new CompactedTopicConsumer(this.store, this.store,
 			new SplittableRandom(1), Topic.UPSTREAMS, new RecordingListener(), (succeeded) -> {
-			});
+			}, this.errors::add);
 
 	@Test
 	void changesAfterTheSnapshotAreApplied() {
@@ -63,6 +70,17 @@
 		assertThat(this.store.readOffsets).containsExactly(5L, 5L);
 	}
 
+	// Guards against a relay that stops following the upstreams because of one record.
+	@Test
+	void readingContinuesAfterAListenerFails() {
+		answerSnapshot(3, storedRecord(0, "a", "1"), storedRecord(2, "b", FAILING));
+		answerRead(6, storedRecord(3, "c", FAILING), storedRecord(4, "d", OVERFLOWING), storedRecord(5, "e", "2"));
+		answerRead(7, storedRecord(6, "f", "3"));
+		assertThat(this.values).containsEntry("e", "2").containsEntry("f", "3");
+		assertThat(this.store.readOffsets).containsExactly(3L, 6L, 7L);
+		assertThat(this.errors).hasSize(3);
+	}
+
 	private void answerSnapshot(long endOffset, Store.StoredRecord... records) {
 		if (this.store.latestCallbacks.isEmpty()) {
 			this.consumer.start();
@@ -96,6 +114,13 @@
 		@Override
 		public void recordChanged(String key, Optional<byte[]> value) {
 			CompactedTopicConsumerTests.this.values.remove(key);
+			String text = value.map((bytes) -> new String(bytes, StandardCharsets.UTF_8)).orElse("");
+			if (text.equals(FAILING)) {
+				throw new ArithmeticException();
+			}
+			if (text.equals(OVERFLOWING)) {
+				throw new StackOverflowError();
+			}
 			value.ifPresent((bytes) -> CompactedTopicConsumerTests.this.values.put(key,
 					new String(bytes, StandardCharsets.UTF_8)));
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
@@ -25,12 +25,21 @@
 
 	private boolean isolated;
 
+	private boolean failing;
+
+	private final List<Throwable> errors = new ArrayList<>();
+
 	private final EntryReader reader = new EntryReader(this.store, this.store, new SplittableRandom(1),
-			(read, ages) -> this.entries.addAll(read), (offset, duration, idleTime) -> {
+			(read, ages) -> {
+				if (this.failing) {
+					throw new ArithmeticException();
+				}
+				this.entries.addAll(read);
+			}, (offset, duration, idleTime) -> {
 				this.caughtUpCount++;
 				this.idle = idleTime;
 			}, (succeeded) -> {
-			}, () -> this.isolated);
+			}, () -> this.isolated, this.errors::add);
 
 	@Test
 	void entriesAreReadUpToTheEndWithoutDelay() {
@@ -113,6 +122,21 @@
 		assertThat(this.idle).contains(Duration.ofMillis(700));
 	}
 
+	// Guards against a log that is never read again because of one entry.
+	@Test
+	void readingContinuesAfterAListenerFails() {
+		this.failing = true;
+		this.reader.read();
+		answer(1, 2, settled("r1"));
+		answer(2, 2, settled("r2"));
+		this.failing = false;
+		this.store.advance(1000);
+		answer(3, 3, settled("r3"));
+		assertThat(this.store.readOffsets).containsExactly(0L, 1L, 2L);
+		assertThat(this.entries).extracting(LedgerEntry::request).containsExactly("r3");
+		assertThat(this.errors).hasSize(2);
+	}
+
 	@Test
 	void deletedEntriesAreSkipped() {
 		this.reader.read();
