--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -142,6 +142,26 @@
 		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
 	}
 
+	// Guards against passing on a response head that is cut off, or that nothing follows,
+	// while the request is still being written.
+	@Test
+	void headThatEndsDuringAnUploadIsABrokenConnection() throws Exception {
+		for (String head : List.of("HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+				"HTTP/1.1 200 OK\r\n\r\n")) {
+			for (boolean stream : new boolean[] { true, false }) {
+				onLoop(() -> send(1, 60_000, new byte[16 * 1024 * 1024], stream));
+				try (Socket connection = this.server.accept()) {
+					assertThat(connection.getInputStream().read()).isPositive();
+					connection.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+					connection.shutdownOutput();
+					assertThat(this.failures.poll(60, TimeUnit.SECONDS)).as(head).isEqualTo(FailureCause.BROKEN);
+				}
+			}
+		}
+		assertThat(this.responses).isEmpty();
+		assertThat(this.streamEnds).isEmpty();
+	}
+
 	// Guards against ending a stream as complete that was reset between two events.
 	@Test
 	void streamWithoutALengthThatIsResetIsABrokenConnection() throws Exception {
@@ -196,6 +216,23 @@
 		}
 	}
 
+	// Guards against losing a whole response because of the time for which its upstream
+	// keeps the connection.
+	@Test
+	void responseIsReceivedWhateverItsKeepAliveTimeout() throws Exception {
+		for (long timeout : new long[] { Long.MAX_VALUE, Long.MAX_VALUE / 1000, 0, -1, Long.MIN_VALUE }) {
+			onLoop(() -> send(1, 60_000));
+			try (Socket connection = this.server.accept()) {
+				readHead(connection);
+				connection.getOutputStream()
+					.write(("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=" + timeout + "\r\n\r\n")
+						.getBytes(StandardCharsets.ISO_8859_1));
+				assertThat(this.responses.poll(60, TimeUnit.SECONDS)).as("timeout %d", timeout).isNotNull();
+				onLoop(() -> this.client.removeUpstream("u"));
+			}
+		}
+	}
+
 	private static void readHead(Socket connection) throws IOException {
 		connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
 		BufferedReader reader = new BufferedReader(
@@ -341,7 +378,8 @@
 
 		@Override
 		public Optional<Duration> keepAliveTimeout(HttpResponse response) {
-			return response.headers().contains("Keep-Alive") ? Optional.of(Duration.ofSeconds(1)) : Optional.empty();
+			return Optional.ofNullable(response.headers().get("Keep-Alive"))
+				.map((value) -> Duration.ofSeconds(Long.parseLong(value.substring("timeout=".length()))));
 		}
 
 		@Override
