Count a broken connection only if its upstream has ended

Callers got 503 "blamed" for a turn whose conversation had lost connections to three upstreams by resets, at every relay that had not answered the conversation itself. Each break was recorded as a failure of the incarnation and shared with all relays, although the upstreams went on to serve under the same incarnation.

A break now makes the request a suspect only. It counts once the incarnation has ended without a drain: the upstream refuses a connection that is opened to find that out, or it is replaced in the list or gone from it, within 10 s. A response to a request that was sent after the break clears it. The refused connection keeps the time until a crash is known as short as before.

FailureRulesTests fails if breaks are recorded as before: the test of living upstreams, of refused connections, of repeated probes, of drains and of the incarnation that is gone. Existing tests: those that took a broken connection for a recorded failure (the second failure that is sent to all relays, the entries of target and content) now let the upstream refuse the probe; what they assert is unchanged. UnansweredAttemptsTests passes the moment and reason of each attempt, with the same results.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -76,6 +76,8 @@
 
 	private long lastActivityAt;
 
+	private long sentAt;
+
 	private long nextIdleCheck;
 
 	private boolean written;
@@ -288,6 +290,7 @@
 	}
 
 	void recordSend(Upstream next, long now) {
+		this.sentAt = now;
 		this.lastActivityAt = now;
 		this.graceGranted = false;
 		this.written = false;
@@ -329,7 +332,7 @@
 	}
 
 	/**
-	 * Returns whether the upstream of the current attempt has ended unplanned.
+	 * Returns whether the upstream of the current attempt has ended without a drain.
 	 * @return {@code true} if it has
 	 */
 	boolean upstreamEnded() {
@@ -401,6 +404,14 @@
 		return (this.eventCount > 0) ? Optional.of(Duration.ofMillis(now - this.firstEventAt)) : Optional.empty();
 	}
 
+	/**
+	 * Returns when the current attempt was sent.
+	 * @return milliseconds of a monotonic clock
+	 */
+	long sentAt() {
+		return this.sentAt;
+	}
+
 	/**
 	 * Returns when the upstream last sent an event, or when the request was written or,
 	 * before that, the upstream selected.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -1,7 +1,6 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -152,21 +151,12 @@
 	 */
 	void cancelAttempt(Exchange exchange) {
 		if (exchange.written()) {
-			recordUnanswered(exchange);
+			this.state.failureRules.attemptAbandoned(exchange);
 		}
 		this.state.emit(new RelayEffect.CancelAttempt(exchange.number(), exchange.attempt()));
 		this.state.upstreams.requestEnded(exchange.id());
 	}
 
-	private void recordUnanswered(Exchange exchange) {
-		List<LedgerEntry.UpstreamFailed> failures = this.state.failuresOf(exchange);
-		if (exchange.upstreamEnded()) {
-			failures.forEach(this.state::upstreamFailed);
-			return;
-		}
-		failures.forEach(this.state.unansweredAttempts::add);
-	}
-
 	void budgetUndecided(Exchange exchange) {
 		exchange.markReserved();
 		giveUp(exchange, Refusal.LOG_LOST);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -134,6 +134,7 @@
 			case RelayEvent.UpstreamUpdated updated -> this.site.upstreamUpdated(updated.upstream());
 			case RelayEvent.UpstreamInvalid invalid -> this.site.upstreamInvalid(invalid.id(), invalid.error());
 			case RelayEvent.UpstreamRemoved removed -> this.site.upstreamRemoved(removed.id());
+			case RelayEvent.UpstreamProbed probed -> this.state.failureRules.upstreamProbed(probed);
 		}
 		this.site.updateReadiness();
 		return this.state.drainEffects();
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -440,6 +440,17 @@
 
 	}
 
+	/**
+	 * Connects to an upstream to find out whether it still accepts connections, and
+	 * reports that in an {@link RelayEvent.UpstreamProbed} event.
+	 *
+	 * @param upstream the upstream
+	 * @param delay the time to wait before
+	 */
+	record ProbeUpstream(Upstream upstream, Duration delay) implements RelayEffect {
+
+	}
+
 	/**
 	 * Reads the log up to its current end, and reports when that is reached.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -713,6 +713,18 @@
 
 	}
 
+	/**
+	 * An upstream was probed for whether it still accepts connections.
+	 *
+	 * @param now the time of the event
+	 * @param upstream the upstream
+	 * @param refused whether it refused the connection, so that its process has ended;
+	 * false if it accepted or could not be reached
+	 */
+	record UpstreamProbed(long now, Upstream upstream, boolean refused) implements RelayEvent {
+
+	}
+
 	/**
 	 * An upstream was removed from the list.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -54,7 +54,7 @@
 	 */
 	final RetainedPrograms retainedPrograms;
 
-	final UnansweredAttempts unansweredAttempts = new UnansweredAttempts();
+	final FailureRules failureRules = new FailureRules(this);
 
 	final Upstreams upstreams = new Upstreams();
 
@@ -307,22 +307,6 @@
 		write(failed, (failures > 1) ? otherRelays() : List.copyOf(this.linkedPeers));
 	}
 
-	/**
-	 * Returns the failures to record if the upstream of the current attempt fails. The
-	 * request may return with other content, for example after further turns of another
-	 * program, so the failure counts for its target as well.
-	 * @param exchange the exchange
-	 * @return the failures; empty if the request is not a likely cause
-	 */
-	List<LedgerEntry.UpstreamFailed> failuresOf(Exchange exchange) {
-		if (exchange.upstream().isEmpty() || exchange.progressed()) {
-			return List.of();
-		}
-		String incarnation = exchange.upstream().get().incarnationId();
-		return List.of(new LedgerEntry.UpstreamFailed(exchange.id(), exchange.targetDigest(), incarnation),
-				new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(), incarnation));
-	}
-
 	/**
 	 * Returns whether a request is treated as the cause of failures of upstreams.
 	 * @param exchange the exchange of the request
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -68,12 +68,12 @@
 				misdirected(exchange);
 			}
 			else {
-				recordResponse(exchange);
+				this.state.failureRules.responded(exchange);
 			}
 			this.requests.retry(exchange);
 			return;
 		}
-		recordResponse(exchange);
+		this.state.failureRules.responded(exchange);
 		exchange.markMayHaveRun();
 		if (head.successful() && !head.signed()) {
 			attemptFailed(exchange, FailureCause.UNREADABLE);
@@ -115,7 +115,7 @@
 
 	private void streamOpened(Exchange exchange, RelayEvent.StreamOpened opened) {
 		exchange.markMayHaveRun();
-		recordResponse(exchange);
+		this.state.failureRules.responded(exchange);
 		recordLoad(exchange, opened.head());
 		if (!opened.head().signed()) {
 			attemptFailed(exchange, FailureCause.UNREADABLE);
@@ -166,12 +166,8 @@
 		}
 	}
 
-	private void recordResponse(Exchange exchange) {
-		exchange.upstream().map(Upstream::incarnationId).ifPresent(this.state.unansweredAttempts::responded);
-	}
-
 	private void streamEnded(Exchange exchange) {
-		recordResponse(exchange);
+		this.state.failureRules.responded(exchange);
 		this.state.upstreams.requestEnded(exchange.id());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
 		this.state.requestAnswered(exchange);
@@ -218,17 +214,13 @@
 		}
 		else {
 			exchange.markMayHaveRun();
-			recordPoisonFailure(exchange, cause);
+			if (cause == FailureCause.BROKEN) {
+				this.state.failureRules.connectionBroken(exchange);
+			}
 			this.state.emit(new RelayEffect.CancelAttempt(exchange.number(), exchange.attempt()));
 		}
 		this.state.report(RelayNotices.attemptFailed(exchange, cause, this.state));
 		this.requests.retry(exchange);
 	}
 
-	private void recordPoisonFailure(Exchange exchange, FailureCause cause) {
-		if (cause == FailureCause.BROKEN) {
-			this.state.failuresOf(exchange).forEach(this.state::upstreamFailed);
-		}
-	}
-
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -112,15 +112,8 @@
 		recordFailuresOfEnded();
 	}
 
-	// An upstream that was draining has ended as planned.
 	private void recordFailuresOfEnded() {
-		for (Upstream ended : this.state.upstreams.drainEnded()) {
-			if (ended.draining()) {
-				continue;
-			}
-			this.state.unansweredAttempts.incarnationEnded(ended.incarnationId()).forEach(this.state::upstreamFailed);
-			this.state.exchanges.values().forEach((exchange) -> exchange.recordUpstreamEnd(ended.incarnationId()));
-		}
+		this.state.upstreams.drainEnded().forEach(this.state.failureRules::incarnationEnded);
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
@@ -5,11 +5,9 @@
 import java.util.List;
 
 /**
- * Attempts that were abandoned without a response, by the incarnation of their upstream.
- * An upstream that ends without closing its connections looks like a slow one. If its
- * incarnation then disappears, such an attempt may have been the cause, unless the
- * upstream has responded since. Bounded: the oldest incarnations are evicted first. Not
- * thread-safe.
+ * Attempts that ended without a response, by the incarnation of their upstream. If the
+ * incarnation then ends, such an attempt may have been the cause, unless the upstream has
+ * responded since. Bounded: the oldest incarnations are evicted first. Not thread-safe.
  */
 final class UnansweredAttempts {
 
@@ -19,38 +17,65 @@
 	 */
 	private static final int MAX_ATTEMPTS = 8192;
 
-	private final LinkedHashMap<String, List<LedgerEntry.UpstreamFailed>> byIncarnation = new LinkedHashMap<>();
+	private final LinkedHashMap<String, List<Suspect>> byIncarnation = new LinkedHashMap<>();
 
 	private int attemptCount;
 
 	/**
-	 * Adds an abandoned attempt.
+	 * Adds an attempt.
 	 * @param failure the failure to record if the incarnation ends
+	 * @param suspicion when and why the attempt is suspected
 	 */
-	void add(LedgerEntry.UpstreamFailed failure) {
-		this.byIncarnation.computeIfAbsent(failure.upstream(), (incarnation) -> new ArrayList<>()).add(failure);
+	void add(LedgerEntry.UpstreamFailed failure, Suspicion suspicion) {
+		this.byIncarnation.computeIfAbsent(failure.upstream(), (incarnation) -> new ArrayList<>())
+			.add(new Suspect(failure, suspicion));
 		this.attemptCount++;
 		while (this.attemptCount > MAX_ATTEMPTS) {
-			incarnationEnded(this.byIncarnation.firstEntry().getKey());
+			remove(this.byIncarnation.firstEntry().getKey());
 		}
 	}
 
+	/**
+	 * Returns whether an attempt at an incarnation is suspected.
+	 * @param incarnation the incarnation
+	 * @return whether one is
+	 */
+	boolean contains(String incarnation) {
+		return this.byIncarnation.containsKey(incarnation);
+	}
+
 	/**
 	 * Records that an upstream has responded, so that it has survived the earlier
-	 * attempts.
+	 * attempts. Bytes that it sent before it ended may arrive after a connection broke,
+	 * so after a break only the response to a later request shows that.
 	 * @param incarnation its incarnation
+	 * @param sentAt when the request was sent that it has responded to
 	 */
-	void responded(String incarnation) {
-		incarnationEnded(incarnation);
+	void responded(String incarnation, long sentAt) {
+		List<Suspect> remaining = remove(incarnation).stream()
+			.filter((suspect) -> suspect.suspicion().broken() && suspect.suspicion().since() >= sentAt)
+			.toList();
+		if (!remaining.isEmpty()) {
+			this.byIncarnation.put(incarnation, new ArrayList<>(remaining));
+			this.attemptCount += remaining.size();
+		}
 	}
 
 	/**
 	 * Removes and returns the attempts that may have ended an upstream.
 	 * @param incarnation its incarnation
+	 * @param now the current time
 	 * @return the failures to record
 	 */
-	List<LedgerEntry.UpstreamFailed> incarnationEnded(String incarnation) {
-		List<LedgerEntry.UpstreamFailed> removed = this.byIncarnation.remove(incarnation);
+	List<LedgerEntry.UpstreamFailed> incarnationEnded(String incarnation, long now) {
+		return remove(incarnation).stream()
+			.filter((suspect) -> now <= suspect.suspicion().until())
+			.map(Suspect::failure)
+			.toList();
+	}
+
+	private List<Suspect> remove(String incarnation) {
+		List<Suspect> removed = this.byIncarnation.remove(incarnation);
 		if (removed == null) {
 			return List.of();
 		}
@@ -58,4 +83,25 @@
 		return removed;
 	}
 
+	/**
+	 * When and why an attempt is suspected. Immutable.
+	 *
+	 * @param since when it ended
+	 * @param until until when the end of the incarnation counts
+	 * @param broken whether its connection broke
+	 */
+	record Suspicion(long since, long until, boolean broken) {
+
+	}
+
+	/**
+	 * A suspected attempt. Immutable.
+	 *
+	 * @param failure the failure to record if the incarnation ends
+	 * @param suspicion when and why it is suspected
+	 */
+	private record Suspect(LedgerEntry.UpstreamFailed failure, Suspicion suspicion) {
+
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -323,6 +323,24 @@
 		return handle(new RelayEvent.AttemptFailed(this.now, this.exchange, attempt, cause));
 	}
 
+	/**
+	 * Breaks the connection of an attempt whose upstream has ended and refuses
+	 * connections.
+	 * @param attempt the attempt
+	 * @return the effects
+	 */
+	List<RelayEffect> crash(int attempt) {
+		List<RelayEffect> effects = new ArrayList<>(fail(attempt, RelayEvent.FailureCause.BROKEN));
+		for (RelayEffect.ProbeUpstream probe : ofType(List.copyOf(effects), RelayEffect.ProbeUpstream.class)) {
+			effects.addAll(probed(probe.upstream(), true));
+		}
+		return effects;
+	}
+
+	List<RelayEffect> probed(Upstream upstream, boolean refused) {
+		return handle(new RelayEvent.UpstreamProbed(this.now, upstream, refused));
+	}
+
 	List<RelayEffect> fireTimer(RelayEvent.TimerKind timer) {
 		return handle(new RelayEvent.TimerFired(this.now, this.exchange, timer));
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -85,14 +85,15 @@
 	}
 
 	/**
-	 * Runs an effect if it applies to an exchange.
+	 * Runs an effect if it applies to an exchange or an upstream.
 	 * @param effect the effect
-	 * @return whether it applies to an exchange
+	 * @return whether it does
 	 */
 	boolean run(RelayEffect effect) {
 		switch (effect) {
 			case RelayEffect.SendRequest send -> find(send.exchange()).ifPresent((exchange) -> send(exchange, send));
 			case RelayEffect.CancelAttempt cancel -> this.upstreams.cancel(cancel.exchange(), cancel.attempt());
+			case RelayEffect.ProbeUpstream probe -> probe(probe);
 			case RelayEffect.SendResponse response -> remove(response.exchange())
 				.ifPresent((exchange) -> exchange.connection().respond(response.head(), response.body()));
 			case RelayEffect.OpenStream opening ->
@@ -111,6 +112,11 @@
 		return true;
 	}
 
+	private void probe(RelayEffect.ProbeUpstream probe) {
+		this.timers.schedule(probe.delay(), () -> this.upstreams.probe(probe.upstream(), (refused) -> this.events
+			.on(new RelayEvent.UpstreamProbed(this.timers.now(), probe.upstream(), refused))));
+	}
+
 	private void send(OpenExchange exchange, RelayEffect.SendRequest send) {
 		this.upstreams.send(send, exchange.id(), exchange.request(), exchange.body(),
 				new Attempt(send.exchange(), send.attempt()));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -1,9 +1,12 @@
 package io.lentilslip.relay.upstream;
 
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
@@ -11,8 +14,11 @@
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.net.HeldBytes;
+import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -77,6 +83,22 @@
 				new AttemptTracker(key, listener)), attempt);
 	}
 
+	/**
+	 * Connects to an upstream without sending a request.
+	 * @param upstream the upstream
+	 * @param listener receives whether the upstream refused the connection
+	 */
+	public void probe(Upstream upstream, Consumer<Boolean> listener) {
+		InetSocketAddress address = new InetSocketAddress(upstream.host(), upstream.port());
+		ChannelFuture future = Sockets.connect(this.loop, address, UpstreamPool.CONNECT_TIMEOUT, (created) -> {
+		});
+		future.addListener((done) -> {
+			future.channel().close();
+			listener
+				.accept(done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException));
+		});
+	}
+
 	/**
 	 * Cancels an attempt. Has no effect if the attempt has completed.
 	 * @param exchange the exchange
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -32,7 +32,7 @@
 	 * The connect timeout. Shorter than a TCP retransmission, since retrying on another
 	 * upstream is faster.
 	 */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+	static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
 	/**
 	 * How long before the upstream's keep-alive timeout an idle connection expires.
