Count a crash against a request that has brought events

A request that crashes each of its upstreams after the first events was sent on without end: on a resumable route an attempt with an event was never recorded, neither for the content nor for the target. A request runs from its first token, so its events show only that the upstream lived until then.

Every attempt counts now whose incarnation has ended. What clears a request is a whole answer, or the proven cause of the same crash.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -66,8 +66,6 @@
 
 	private int eventCount;
 
-	private int eventCountAtSend;
-
 	private boolean mayHaveRun;
 
 	private boolean reserved;
@@ -164,16 +162,6 @@
 		return PoisonRequests.targetDigest(((host.getValue() << Integer.SIZE) | path.getValue()) ^ teamDigest);
 	}
 
-	/**
-	 * Returns whether the current attempt has brought the response further. Its upstream
-	 * has then survived the start of the request, so that another request is more likely
-	 * the cause if it fails.
-	 * @return {@code true} if the caller received an event of the attempt
-	 */
-	boolean progressed() {
-		return this.route.resumable() && this.eventCount > this.eventCountAtSend;
-	}
-
 	/**
 	 * Returns the stream that the request resumes.
 	 * @return the stream, or empty if the request starts one or the route has none
@@ -295,7 +283,6 @@
 		this.graceGranted = false;
 		this.written = false;
 		this.upstreamEnded = false;
-		this.eventCountAtSend = this.eventCount;
 		this.attempt++;
 		this.sendCount++;
 		this.triedUpstreams.add(next.id());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
@@ -69,10 +69,13 @@
 	 * @param exchange the exchange
 	 */
 	void attemptAbandoned(Exchange exchange) {
-		if (!recordUnlessListed(exchange)) {
-			failuresOf(exchange).forEach((failure) -> this.suspects.add(failure,
-					new UnansweredAttempts.Suspicion(this.state.now, Long.MAX_VALUE, false)));
+		if (recordUnlessListed(exchange)) {
+			return;
 		}
+		// Callers often leave a stream that they have begun to read.
+		long until = (exchange.eventCount() > 0) ? expiry() : Long.MAX_VALUE;
+		failuresOf(exchange).forEach((failure) -> this.suspects.add(failure,
+				new UnansweredAttempts.Suspicion(this.state.now, until, false)));
 	}
 
 	/**
@@ -96,15 +99,13 @@
 	/**
 	 * Returns the failures to record if the upstream of the current attempt has ended.
 	 * The request may return with other content, for example after further turns of
-	 * another program, so the failure counts for its target as well.
+	 * another program, so the failure counts for its target as well. A request runs from
+	 * its first event, so events do not show that it is harmless.
 	 * @param exchange the exchange
-	 * @return the failures; empty if the request is not a likely cause
+	 * @return the failures
 	 */
 	private List<LedgerEntry.UpstreamFailed> failuresOf(Exchange exchange) {
-		if (exchange.upstream().isEmpty() || exchange.progressed()) {
-			return List.of();
-		}
-		String incarnation = exchange.upstream().get().incarnationId();
+		String incarnation = exchange.upstream().orElseThrow().incarnationId();
 		return List.of(new LedgerEntry.UpstreamFailed(exchange.id(), exchange.targetDigest(), incarnation),
 				new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(), incarnation));
 	}
