Test that a stream cut off in a chunk is a broken connection

An upstream that ends in the middle of a chunk or an event must count as one whose connection broke, not as one that sent a malformed response, which is never counted against a request. The test passes on the code as it is: a related path that was ruled out.

--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -39,6 +39,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -154,6 +156,23 @@
 		assertThat(this.streamEnds).isEmpty();
 	}
 
+	// Guards against not counting an upstream that ends in the middle of a chunk or an
+	// event, which is no malformed response.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void streamThatIsCutOffInAChunkIsABrokenConnection(boolean reset) throws Exception {
+		onLoop(() -> send(1, 60_000, new byte[0], true));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nid: 1\ndata: a\n\nid: 2\nda"
+					.getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(this.events.poll(60, TimeUnit.SECONDS)).isEqualTo(1);
+			connection.setSoLinger(reset, 0);
+		}
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
+	}
+
 	// Guards against taking a connection that was reset for the end of its upstream.
 	@Test
 	void probeTellsAnUpstreamThatAcceptsFromOneThatHasEnded() throws Exception {
