--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -39,6 +39,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -177,6 +179,35 @@
 		assertThat(this.streamEnds).isEmpty();
 	}
 
+	// Guards against not counting an upstream that ends in the middle of a chunk or an
+	// event, which is no malformed response.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void streamThatIsCutOffInAChunkIsABrokenConnection(boolean reset) throws Exception {
+		onLoop(() -> send(1, 60_000, new byte[0], true));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nid: 1\ndata: a\n\nid: 2\nda"
+					.getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(this.events.poll(60, TimeUnit.SECONDS)).isEqualTo(1);
+			connection.setSoLinger(reset, 0);
+		}
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
+	}
+
+	// Guards against taking a connection that was reset for the end of its upstream.
+	@Test
+	void probeTellsAnUpstreamThatAcceptsFromOneThatHasEnded() throws Exception {
+		BlockingQueue<Boolean> refused = new LinkedBlockingQueue<>();
+		Upstream upstream = upstream();
+		onLoop(() -> this.client.probe(upstream, refused::add));
+		assertThat(refused.poll(60, TimeUnit.SECONDS)).isFalse();
+		this.server.close();
+		onLoop(() -> this.client.probe(upstream, refused::add));
+		assertThat(refused.poll(60, TimeUnit.SECONDS)).isTrue();
+	}
+
 	@Test
 	void streamWithoutALengthEndsWithItsConnection() throws Exception {
 		onLoop(() -> send(1, 60_000, new byte[0], true));
@@ -255,12 +286,15 @@
 		send(exchange, timeoutMillis, body, false);
 	}
 
+	private Upstream upstream() {
+		return new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false, OptionalLong.empty(),
+				"v1");
+	}
+
 	private void send(long exchange, long timeoutMillis, byte[] body, boolean stream) {
-		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
-				OptionalLong.empty(), "v1");
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.client.send(
-				new RelayEffect.SendRequest(exchange, 1, upstream, new byte[0], this.timers.now + timeoutMillis,
+				new RelayEffect.SendRequest(exchange, 1, upstream(), new byte[0], this.timers.now + timeoutMillis,
 						OptionalLong.empty(), stream, new CallerIdentity.Unchecked()),
 				"r", request, body, new FailureListener());
 	}
