Read the list of upstreams before a version counts as the only one, or as gone

What callers saw: during a release a stream that had begun at an upstream of the new version broke, was taken up at a relay that was out of step, and went on at an upstream of the old version (ORDER). The opposite happened as well: a relay that knew the version from the log or a peer, but had not read its upstreams yet, refused the stream as gone, without Retry-After.

Cause: a relay concluded from what it had not seen. It asked how its connection to the store was, not as of when its list of upstreams was complete. A silent cut counts only after 1.5 s, a pause only from 0.65 s, the first successful call of any kind ends an outage, and after a pause only the log of entries was read.

Now such a conclusion needs a read of the list that the relay sends after the request has arrived and that reaches the end: the store is linearizable, and what began the stream was listed before, so no clock and no state of a connection decides. The read doesn't wait for changes and has a connection of its own; requests that come meanwhile share the next one; without it within 250 ms the request is refused as unknown with Retry-After. The list is followed without a gap: a failed read is repeated at its offset, and if records were deleted, nothing counts as the only version for as long as streams can be resumed.

Evidence: StreamVersionTests.streamIsNotJoinedAtARelayWithAnOldList failed on the code before (200 with events 3 and 4 of v1 after 1 and 2 of v2). Ten tests of StreamRulesTests and StreamsAtARelayOutOfStepTests failed with the decision as it was before put back, among them the one that draws the order of joins, reads, cuts, pauses and answers. streamIsNotJoinedAtARelayThatIsCutOff passed before on a loaded machine: there it takes 1.5 s and more until the streams are taken up, and the cut counts by then.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -76,6 +76,7 @@
 		this.state.exchanges.remove(exchange.number());
 		this.state.awaitingChain.remove(exchange.number());
 		this.state.awaitingVersion.remove(exchange.number());
+		this.state.awaitingUpstreams.remove(exchange.number());
 		this.state.awaitingStreamRecord.remove(exchange.id());
 		this.state.pendingTurns.remove(exchange.id());
 		this.state.conditionalReservations.remove(exchange.id());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -131,6 +131,8 @@
 				this.requests.admissions().routeTableUpdated();
 			}
 			case RelayEvent.UpstreamsReplaced replaced -> this.site.upstreamsReplaced(replaced.upstreams());
+			case RelayEvent.UpstreamsConfirmed confirmed -> this.requests.upstreamsConfirmed(confirmed.confirmation());
+			case RelayEvent.UpstreamChangesMissed ignored -> this.state.upstreamChangesMissed();
 			case RelayEvent.UpstreamUpdated updated -> this.site.upstreamUpdated(updated.upstream());
 			case RelayEvent.UpstreamInvalid invalid -> this.site.upstreamInvalid(invalid.id(), invalid.error());
 			case RelayEvent.UpstreamRemoved removed -> this.site.upstreamRemoved(removed.id());
@@ -178,6 +180,7 @@
 		switch (timer) {
 			case DEADLINE -> this.completion.deadlineExceeded(exchange);
 			case STREAM_VERSION -> this.requests.versionTimedOut(exchange);
+			case UPSTREAM_CONFIRMATION -> this.requests.streams().confirmationTimedOut(exchange);
 			case CHAIN_LOOKUP -> this.texts.chainTimedOut(exchange);
 			case TEXT_FETCH -> this.texts.textsTimedOut(exchange);
 			case BUDGET_DECISION -> this.budgets.decisionTimedOut(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -64,6 +64,16 @@
 
 	}
 
+	/**
+	 * Reads the list of upstreams up to its current end, and reports when that is
+	 * reached. Nothing is reported if the read fails.
+	 *
+	 * @param confirmation the number of the request
+	 */
+	record ConfirmUpstreams(long confirmation) implements RelayEffect {
+
+	}
+
 	/**
 	 * Requests permits of a team from another relay.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -317,6 +317,26 @@
 
 	}
 
+	/**
+	 * The list of upstreams is complete as of a time after it was requested.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param confirmation the number of the request
+	 */
+	record UpstreamsConfirmed(long now, long confirmation) implements RelayEvent {
+
+	}
+
+	/**
+	 * Changes of the list of upstreams were deleted before they were read, so that
+	 * upstreams may have joined and left in the meantime. The complete list follows.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 */
+	record UpstreamChangesMissed(long now) implements RelayEvent {
+
+	}
+
 	/**
 	 * This process resumed after it was frozen, suspended or starved of processor time.
 	 * Its state may be stale by the length of that pause.
@@ -771,6 +791,11 @@
 		 */
 		STREAM_VERSION,
 
+		/**
+		 * The wait for a complete list of upstreams.
+		 */
+		UPSTREAM_CONFIRMATION,
+
 		/**
 		 * Timeout of the fetch of the chain's texts.
 		 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelaySettings.java
@@ -52,6 +52,13 @@
 	 */
 	static final Duration LOG_DECISION_TIMEOUT = Duration.ofMillis(100);
 
+	/**
+	 * The time to wait for a complete list of upstreams. Longer than a slow response of
+	 * the store takes, since the next attempt would need another one; short enough for an
+	 * attempt at another relay, which may be in step.
+	 */
+	static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(250);
+
 	/**
 	 * The time to wait for responses of a majority of relays.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -115,6 +115,12 @@
 	 */
 	final Map<Long, Exchange> awaitingVersion = new LinkedHashMap<>();
 
+	/**
+	 * The requests for a complete list of upstreams, by the number of the exchange that
+	 * waits for it.
+	 */
+	final Map<Long, StreamRules.PendingConfirmation> awaitingUpstreams = new LinkedHashMap<>();
+
 	/**
 	 * The exchanges whose events wait until the log has the attempts that brought them,
 	 * by request.
@@ -231,6 +237,12 @@
 
 	private boolean started;
 
+	/**
+	 * Since when this relay has followed the list of upstreams without a gap; the start
+	 * of time if the whole site started with it.
+	 */
+	private long upstreamsFollowedSince;
+
 	long lastLogReadAt;
 
 	private List<RelayEffect> effects = new ArrayList<>();
@@ -247,6 +259,7 @@
 		this.ledgerComplete = settings.bootstrap();
 		this.started = settings.bootstrap();
 		this.startedAt = NEVER;
+		this.upstreamsFollowedSince = settings.bootstrap() ? NEVER : Long.MAX_VALUE;
 		this.random = new SplittableRandom(settings.seed());
 		this.uncommitted = new UncommittedEntries(this.random.nextLong(RelaySettings.ADOPTION_JITTER.toMillis()));
 		this.upstreamSelector = new UpstreamSelector(settings.zone(), this.random);
@@ -369,6 +382,22 @@
 		}
 	}
 
+	/**
+	 * Records that the complete list of upstreams was read.
+	 */
+	void upstreamsListed() {
+		this.upstreamsFollowedSince = Math.min(this.upstreamsFollowedSince, this.now);
+	}
+
+	/**
+	 * Records that upstreams may have joined and left unseen. The log does not show the
+	 * versions of streams that are no turn, so what it has shown no longer counts.
+	 */
+	void upstreamChangesMissed() {
+		this.upstreamsFollowedSince = Long.MAX_VALUE;
+		this.servicesWithHistory.clear();
+	}
+
 	/**
 	 * Returns whether this relay knows the software versions that a service has had since
 	 * the oldest stream that callers may resume. A relay that has just started knows only
@@ -378,7 +407,7 @@
 	 * @return whether it does
 	 */
 	boolean knowsVersionHistory(String service) {
-		return this.startedAt < this.now - this.streamRetention.toMillis()
+		return this.upstreamsFollowedSince < this.now - this.streamRetention.toMillis()
 				|| this.servicesWithHistory.contains(service);
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -104,6 +104,14 @@
 		}
 	}
 
+	/**
+	 * Continues the requests that wait for a complete list of upstreams.
+	 * @param confirmation the number of the last request for it that has been met
+	 */
+	void upstreamsConfirmed(long confirmation) {
+		this.streams.takeConfirmed(confirmation).forEach(this::resolved);
+	}
+
 	private void admitted(Exchange exchange) {
 		if (this.streams.resolve(exchange)) {
 			resolved(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -72,6 +72,7 @@
 
 	void upstreamsReplaced(List<Upstream> upstreams) {
 		this.state.upstreams.replace(upstreams, this.state.now);
+		this.state.upstreamsListed();
 		recordFailuresOfEnded();
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -17,9 +17,12 @@
  * has the version of each turn that is sent. If it does not have one, for example during
  * an outage of the log, the other relays are asked. Without an answer the stream
  * continues only if its service is known to have had a single version since before the
- * stream can have started; otherwise its caller has to start it again. A retry at another
- * version holds its events until the ledger has it, so that an earlier attempt never
- * stands for them. Used by one thread.
+ * stream can have started; otherwise its caller has to start it again. A relay may be out
+ * of step without knowing it, so that the versions that it has seen and those that are
+ * gone count only once a read of the list of upstreams that began after the request has
+ * reached the end: what began the stream was listed before. A retry at another version
+ * holds its events until the ledger has it, so that an earlier attempt never stands for
+ * them. Used by one thread.
  */
 final class StreamRules {
 
@@ -27,6 +30,8 @@
 
 	private final ExchangeCompletion completion;
 
+	private long lastConfirmation;
+
 	StreamRules(RelayState state, ExchangeCompletion completion) {
 		this.state = state;
 		this.completion = completion;
@@ -69,7 +74,7 @@
 		}
 		return List.copyOf(this.state.awaitingVersion.values())
 			.stream()
-			.filter((exchange) -> this.state.streamVersions.find(request(exchange))
+			.filter((exchange) -> request(exchange).flatMap(this.state.streamVersions::find)
 				.filter((attempt) -> continueAt(exchange, attempt.version(), source))
 				.isPresent())
 			.toList();
@@ -81,7 +86,28 @@
 	 * @return whether the request can be handled further; otherwise it is refused
 	 */
 	boolean timedOut(Exchange exchange) {
-		return exchange.phase() == Phase.WAITING_FOR_VERSION && continueAtOnlyVersion(exchange);
+		return exchange.phase() == Phase.WAITING_FOR_VERSION
+				&& !this.state.awaitingUpstreams.containsKey(exchange.number()) && continueAtOnlyVersion(exchange);
+	}
+
+	/**
+	 * Decides about the requests that waited for a complete list of upstreams.
+	 * @param confirmation the number of the last request for it that has been met
+	 * @return the exchanges that can be handled further; others are refused
+	 */
+	List<Exchange> takeConfirmed(long confirmation) {
+		return List.copyOf(this.state.awaitingUpstreams.entrySet())
+			.stream()
+			.filter((waiting) -> waiting.getValue().number() <= confirmation)
+			.filter((waiting) -> confirmed(this.state.exchanges.get(waiting.getKey()), waiting.getValue().source()))
+			.map((waiting) -> this.state.exchanges.get(waiting.getKey()))
+			.toList();
+	}
+
+	void confirmationTimedOut(Exchange exchange) {
+		if (this.state.awaitingUpstreams.containsKey(exchange.number())) {
+			refuseUnknown(exchange);
+		}
 	}
 
 	/**
@@ -167,41 +193,73 @@
 		return routed ? this.state.upstreams.available(version, this.state.now).stream() : Stream.empty();
 	}
 
-	private static String request(Exchange exchange) {
-		return exchange.resumption().flatMap(Resumption::request).orElseThrow();
+	private static Optional<String> request(Exchange exchange) {
+		return exchange.resumption().flatMap(Resumption::request);
 	}
 
 	private boolean continueAt(Exchange exchange, SoftwareVersion version, Source source) {
-		this.state.awaitingVersion.remove(exchange.number());
 		exchange.continueAt(version);
 		if (!this.state.upstreams.initialized()) {
 			return refuseUnknown(exchange);
 		}
-		if (isVersionGone(exchange)) {
-			recordSource(Source.GONE);
-			this.completion.refuse(exchange, Refusal.VERSION_GONE, Optional.empty());
-			return false;
-		}
-		recordSource(source);
-		return true;
+		return isVersionGone(exchange) ? awaitUpstreams(exchange, source) : accept(exchange, source);
 	}
 
 	private boolean continueAtOnlyVersion(Exchange exchange) {
-		this.state.awaitingVersion.remove(exchange.number());
+		return onlyVersion(exchange).isPresent() ? awaitUpstreams(exchange, Source.ONLY_VERSION)
+				: refuseUnknown(exchange);
+	}
+
+	private Optional<SoftwareVersion> onlyVersion(Exchange exchange) {
 		// The log has the attempts of all relays, so that a relay knows the versions from
 		// before its start once it has read it.
 		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp && !this.state.logStale
 				&& this.state.upstreams.initialized();
-		Optional<SoftwareVersion> only = Optional.of(exchange.route().services())
+		return Optional.of(exchange.route().services())
 			.filter((services) -> listCurrent && services.size() == 1)
 			.map((services) -> services.getFirst().service())
 			.filter(this.state::knowsVersionHistory)
 			.flatMap((service) -> this.state.upstreams.onlyVersion(service,
 					this.state.now - this.state.streamRetention.toMillis()));
-		if (only.isPresent()) {
-			return continueAt(exchange, only.get(), Source.ONLY_VERSION);
+	}
+
+	private boolean awaitUpstreams(Exchange exchange, Source source) {
+		if (this.state.connectivity != Connectivity.LOG) {
+			return refuseUnknown(exchange);
 		}
-		return refuseUnknown(exchange);
+		PendingConfirmation pending = this.state.awaitingUpstreams.get(exchange.number());
+		if (pending != null) {
+			this.state.awaitingUpstreams.put(exchange.number(), new PendingConfirmation(pending.number(), source));
+			return false;
+		}
+		exchange.transitionTo(Phase.WAITING_FOR_VERSION);
+		this.lastConfirmation++;
+		this.state.awaitingVersion.put(exchange.number(), exchange);
+		this.state.awaitingUpstreams.put(exchange.number(), new PendingConfirmation(this.lastConfirmation, source));
+		this.state.emit(new RelayEffect.ConfirmUpstreams(this.lastConfirmation));
+		this.state.startTimer(exchange, RelaySettings.CONFIRMATION_TIMEOUT, TimerKind.UPSTREAM_CONFIRMATION);
+		return false;
+	}
+
+	private boolean confirmed(Exchange exchange, Source source) {
+		Optional<SoftwareVersion> version = exchange.softwareVersion().or(() -> onlyVersion(exchange));
+		if (version.isEmpty()) {
+			return refuseUnknown(exchange);
+		}
+		exchange.continueAt(version.get());
+		if (isVersionGone(exchange)) {
+			recordSource(Source.GONE);
+			this.completion.refuse(exchange, Refusal.VERSION_GONE, Optional.empty());
+			return false;
+		}
+		return accept(exchange, source);
+	}
+
+	private boolean accept(Exchange exchange, Source source) {
+		this.state.awaitingVersion.remove(exchange.number());
+		this.state.awaitingUpstreams.remove(exchange.number());
+		recordSource(source);
+		return true;
 	}
 
 	private boolean refuseUnknown(Exchange exchange) {
@@ -214,4 +272,14 @@
 		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.StreamResumed(source)));
 	}
 
+	/**
+	 * Immutable request for a complete list of upstreams.
+	 *
+	 * @param number its number
+	 * @param source how the version became known
+	 */
+	record PendingConfirmation(long number, Source source) {
+
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -335,6 +335,22 @@
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entry), Optional.empty(), List.of(age)));
 	}
 
+	/**
+	 * Answers a request for a complete list of upstreams, to which nothing was added.
+	 * @param effects the effects that may have the request
+	 * @return these effects and those of the answer
+	 */
+	List<RelayEffect> confirmed(List<RelayEffect> effects) {
+		List<RelayEffect> both = new ArrayList<>(effects);
+		ofType(effects, RelayEffect.ConfirmUpstreams.class)
+			.forEach((request) -> both.addAll(confirm(request.confirmation())));
+		return both;
+	}
+
+	List<RelayEffect> confirm(long confirmation) {
+		return handle(new RelayEvent.UpstreamsConfirmed(this.now, confirmation));
+	}
+
 	List<RelayEffect> streamStored(String request, int attempt) {
 		return handle(new RelayEvent.StreamAttemptsStored(this.now, Map.of(request, attempt)));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -434,7 +434,7 @@
 	}
 
 	private static List<RelayEffect> resume(RelayFixture relay, String id, String origin) {
-		return relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body");
+		return relay.confirmed(relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body"));
 	}
 
 	private void start(String id, String version) {
@@ -455,7 +455,7 @@
 	}
 
 	private List<RelayEffect> resume(String id, String origin) {
-		return this.relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body");
+		return resume(this.relay, id, origin);
 	}
 
 	private void connectPeers() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -127,6 +127,8 @@
 
 	private final Peers peers;
 
+	private final CompactedTopicConsumer upstreamConsumer;
+
 	private final ConnectivityMonitor connectivityMonitor;
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
@@ -172,6 +174,7 @@
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
+		this.upstreamConsumer = consumer(Topic.UPSTREAMS, new UpstreamListener());
 	}
 
 	/**
@@ -220,11 +223,11 @@
 	}
 
 	private void consume() {
-		consume(Topic.ROUTES, new RouteTableListener());
-		consume(Topic.UPSTREAMS, new UpstreamListener());
+		consumer(Topic.ROUTES, new RouteTableListener()).start();
+		this.upstreamConsumer.start();
 		this.reader.read();
 		this.textWriter.start();
-		register(() -> consume(Topic.RELAYS, this.peers));
+		register(() -> consumer(Topic.RELAYS, this.peers).start());
 		checkConnectivity();
 		if (this.setup.settings().logRetention().isPositive()) {
 			startRenewalRounds();
@@ -238,10 +241,9 @@
 		});
 	}
 
-	private void consume(Topic topic, CompactedTopicConsumer.Listener listener) {
-		new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
-				this.connectivityMonitor::storeCallCompleted)
-			.start();
+	private CompactedTopicConsumer consumer(Topic topic, CompactedTopicConsumer.Listener listener) {
+		return new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
+				this.connectivityMonitor::storeCallCompleted);
 	}
 
 	/**
@@ -383,6 +385,8 @@
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
+			case RelayEffect.ConfirmUpstreams confirm -> this.upstreamConsumer
+				.confirm(() -> on(new RelayEvent.UpstreamsConfirmed(this.timers.now(), confirm.confirmation())));
 			case RelayEffect.StartTimer start -> this.timers.schedule(start.delay(),
 					() -> on(new RelayEvent.TimerFired(this.timers.now(), start.exchange(), start.timer())));
 			case RelayEffect.ReportReadiness report -> this.ready = report.ready();
@@ -556,6 +560,11 @@
 				.peekLeft((error) -> invalid(key, error));
 		}
 
+		@Override
+		public void changesMissed() {
+			on(new RelayEvent.UpstreamChangesMissed(RelayProcess.this.timers.now()));
+		}
+
 		private void invalid(String key, UpstreamRecordError error) {
 			RelayProcess.this.upstreams.removeUpstream(key);
 			on(new RelayEvent.UpstreamInvalid(RelayProcess.this.timers.now(), key, error));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/CompactedTopicConsumer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/CompactedTopicConsumer.java
@@ -1,7 +1,9 @@
 package io.lentilslip.relay.store;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -9,10 +11,11 @@
 
 /**
  * Consumes a compacted topic: reads a snapshot of the latest record of each key, then
- * polls for changes. After a failed read or deleted records it starts over with a new
- * snapshot, since a change may have been deleted before it was read. Stale responses are
- * ignored: the end offset never decreases, and a record replaces only one with a lower
- * offset. Used by the event loop's thread.
+ * polls for changes. A failed read is repeated, so that no change is missed. After
+ * deleted records it starts over with a new snapshot, since a change may have been
+ * deleted before it was read, and after many failed reads as well, in case one offset
+ * can't be read. Stale responses are ignored: the end offset never decreases, and a
+ * record replaces only one with a lower offset. Used by the event loop's thread.
  */
 public final class CompactedTopicConsumer {
 
@@ -23,6 +26,12 @@
 	 */
 	private static final Duration READ_WAIT = Duration.ofMillis(1000);
 
+	/**
+	 * The number of consecutive failed reads after which a snapshot is read. More than a
+	 * short outage causes, since a snapshot may hide changes.
+	 */
+	private static final int MAX_FAILED_READS = 8;
+
 	private final Store store;
 
 	private final Timers timers;
@@ -39,6 +48,12 @@
 
 	private long nextOffset = -1;
 
+	private int failedReads;
+
+	private List<Runnable> confirmations = new ArrayList<>();
+
+	private boolean confirming;
+
 	/**
 	 * Creates a consumer.
 	 * @param store the store
@@ -68,13 +83,17 @@
 	private void handleLatest(Store.LatestResult result) {
 		this.callListener.accept(result instanceof Store.LatestResult.Records);
 		switch (result) {
-			case Store.LatestResult.Failed ignored -> restartAfterBackoff();
+			case Store.LatestResult.Failed ignored -> snapshotFailed();
 			case Store.LatestResult.Records records -> {
 				if (records.endOffset() < this.nextOffset) {
 					restartAfterBackoff();
 					return;
 				}
 				this.backoff.reset();
+				this.failedReads = 0;
+				if (this.nextOffset >= 0) {
+					this.listener.changesMissed();
+				}
 				applySnapshot(records);
 				this.nextOffset = records.endOffset();
 				read();
@@ -101,16 +120,60 @@
 	private void handle(Store.ReadResult result) {
 		this.callListener.accept(!(result instanceof Store.ReadResult.Failed));
 		switch (result) {
-			case Store.ReadResult.Failed ignored -> restartAfterBackoff();
+			case Store.ReadResult.Failed ignored -> readAfterBackoff();
 			case Store.ReadResult.Deleted ignored -> start();
 			case Store.ReadResult.Records records -> {
-				records.records().forEach(this::handle);
-				this.nextOffset = records.nextOffset();
+				this.backoff.reset();
+				this.failedReads = 0;
+				apply(records);
 				read();
 			}
 		}
 	}
 
+	private void apply(Store.ReadResult.Records records) {
+		records.records().forEach(this::handle);
+		this.nextOffset = Math.max(this.nextOffset, records.nextOffset());
+	}
+
+	/**
+	 * Reads up to the current end without waiting for changes. The read in flight does
+	 * not count, since its response may date from before this call.
+	 * @param callback runs once all changes before this call have been handled; never if
+	 * the read fails
+	 */
+	public void confirm(Runnable callback) {
+		this.confirmations.add(callback);
+		confirmPending();
+	}
+
+	private void confirmPending() {
+		if (this.confirming || this.confirmations.isEmpty()) {
+			return;
+		}
+		List<Runnable> covered = this.confirmations;
+		this.confirmations = new ArrayList<>();
+		if (this.nextOffset >= 0) {
+			this.confirming = true;
+			this.store.read(this.topic, this.nextOffset, Duration.ZERO, (result) -> confirm(result, covered));
+		}
+	}
+
+	private void confirm(Store.ReadResult result, List<Runnable> covered) {
+		this.confirming = false;
+		this.callListener.accept(!(result instanceof Store.ReadResult.Failed));
+		if (result instanceof Store.ReadResult.Records records) {
+			apply(records);
+			if (records.nextOffset() >= records.endOffset()) {
+				covered.forEach(Runnable::run);
+			}
+			else {
+				this.confirmations.addAll(covered);
+			}
+		}
+		confirmPending();
+	}
+
 	private void handle(Store.StoredRecord item) {
 		if (item.key().isEmpty()) {
 			return;
@@ -123,6 +186,20 @@
 		this.listener.recordChanged(key, item.value());
 	}
 
+	private void readAfterBackoff() {
+		this.failedReads++;
+		boolean snapshot = this.failedReads % MAX_FAILED_READS == 0;
+		this.timers.schedule(this.backoff.nextDelay(), snapshot ? this::start : this::read);
+	}
+
+	private void snapshotFailed() {
+		if (this.failedReads > 0) {
+			readAfterBackoff();
+			return;
+		}
+		restartAfterBackoff();
+	}
+
 	private void restartAfterBackoff() {
 		this.timers.schedule(this.backoff.nextDelay(), this::start);
 	}
@@ -145,6 +222,12 @@
 		 */
 		void recordChanged(String key, Optional<byte[]> value);
 
+		/**
+		 * Called before a snapshot if changes before it may have been missed.
+		 */
+		default void changesMissed() {
+		}
+
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/Store.java
@@ -47,7 +47,8 @@
 	void put(Topic topic, String key, Optional<byte[]> value, Consumer<AppendResult> callback);
 
 	/**
-	 * Reads records in order.
+	 * Reads records in order. A read that does not wait is not delayed by one of the same
+	 * topic that does.
 	 * @param topic the topic
 	 * @param from the offset of the first record
 	 * @param maxWait how long to wait for a record if there is none
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/CompactedTopicConsumerTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/CompactedTopicConsumerTests.java
@@ -1,11 +1,13 @@
 package io.lentilslip.relay.store;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
 
@@ -17,6 +19,12 @@
 
 	private final Map<String, String> values = new TreeMap<>();
 
+	private final List<String> changedKeys = new ArrayList<>();
+
+	private final List<String> confirmed = new ArrayList<>();
+
+	private int gaps;
+
 	private final CompactedTopicConsumer consumer = new CompactedTopicConsumer(this.store, this.store,
 			new SplittableRandom(1), Topic.UPSTREAMS, new RecordingListener(), (succeeded) -> {
 			});
@@ -54,8 +62,7 @@
 	@Test
 	void staleResponseIsIgnored() {
 		answerSnapshot(5, storedRecord(4, "a", "new"));
-		this.store.readCallbacks.poll().accept(new Store.ReadResult.Failed("no response"));
-		this.store.advance(1000);
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Deleted(5));
 		answerSnapshot(3, storedRecord(2, "a", "old"));
 		assertThat(this.values).containsExactly(Map.entry("a", "new"));
 		this.store.advance(1000);
@@ -63,6 +70,94 @@
 		assertThat(this.store.readOffsets).containsExactly(5L, 5L);
 	}
 
+	// Guards against changes during an outage that a snapshot does not show: a key that
+	// was set and deleted again.
+	@Test
+	void changesDuringAFailedReadAreNotSkipped() {
+		answerSnapshot(5, storedRecord(4, "a", "1"));
+		failRead();
+		assertThat(this.store.readOffsets).containsExactly(5L, 5L);
+		answerRead(7, storedRecord(5, "b", "1"), tombstone(6, "b"));
+		assertThat(this.changedKeys).containsExactly("a", "b", "b");
+		assertThat(this.gaps).isZero();
+	}
+
+	// Guards against an offset that can't be read, at which the consumer would stop.
+	@Test
+	void snapshotIsReadAfterManyFailedReads() {
+		answerSnapshot(5, storedRecord(4, "a", "1"));
+		while (this.store.latestCallbacks.isEmpty()) {
+			failRead();
+		}
+		assertThat(this.store.readOffsets).hasSizeGreaterThan(4);
+		this.store.latestCallbacks.poll().accept(new Store.LatestResult.Failed("no response"));
+		this.store.advance(1000);
+		failRead();
+		while (this.store.latestCallbacks.isEmpty()) {
+			failRead();
+		}
+		answerSnapshot(9, storedRecord(8, "a", "2"));
+		assertThat(this.values).containsExactly(Map.entry("a", "2"));
+		assertThat(this.gaps).isOne();
+	}
+
+	@Test
+	void missedChangesAreReportedBeforeTheSnapshot() {
+		answerSnapshot(1, storedRecord(0, "a", "1"));
+		assertThat(this.gaps).isZero();
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Deleted(9));
+		answerSnapshot(9, storedRecord(8, "a", "2"));
+		assertThat(this.gaps).isOne();
+	}
+
+	// Guards against a response that dates from before the request for it.
+	@Test
+	void confirmationFollowsAReadThatBeganAfterIt() {
+		answerSnapshot(1, storedRecord(0, "a", "1"));
+		confirm("first");
+		confirm("second");
+		Consumer<Store.ReadResult> waiting = this.store.readCallbacks.poll();
+		answerRead(2, storedRecord(1, "a", "2"));
+		assertThat(this.confirmed).containsExactly("first");
+		assertThat(this.values).containsExactly(Map.entry("a", "2"));
+		answerRead(2);
+		assertThat(this.confirmed).containsExactly("first", "second");
+		waiting.accept(new Store.ReadResult.Records(List.of(storedRecord(1, "a", "2")), 2, 2));
+		assertThat(this.store.readOffsets).containsExactly(1L, 1L, 2L, 2L);
+	}
+
+	@Test
+	void confirmationFollowsTheLastOfSeveralReads() {
+		answerSnapshot(1, storedRecord(0, "a", "1"));
+		this.store.readCallbacks.poll();
+		confirm("first");
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Records(List.of(storedRecord(1, "a", "2")), 2, 3));
+		assertThat(this.confirmed).isEmpty();
+		answerRead(3, storedRecord(2, "b", "1"));
+		assertThat(this.confirmed).containsExactly("first");
+	}
+
+	@Test
+	void failedConfirmationIsDropped() {
+		confirm("before the snapshot");
+		answerSnapshot(1, storedRecord(0, "a", "1"));
+		this.store.readCallbacks.poll();
+		confirm("first");
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Failed("no response"));
+		confirm("second");
+		answerRead(1);
+		assertThat(this.confirmed).containsExactly("second");
+	}
+
+	private void confirm(String name) {
+		this.consumer.confirm(() -> this.confirmed.add(name));
+	}
+
+	private void failRead() {
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Failed("no response"));
+		this.store.advance(1000);
+	}
+
 	private void answerSnapshot(long endOffset, Store.StoredRecord... records) {
 		if (this.store.latestCallbacks.isEmpty()) {
 			this.consumer.start();
@@ -95,11 +190,17 @@
 
 		@Override
 		public void recordChanged(String key, Optional<byte[]> value) {
+			CompactedTopicConsumerTests.this.changedKeys.add(key);
 			CompactedTopicConsumerTests.this.values.remove(key);
 			value.ifPresent((bytes) -> CompactedTopicConsumerTests.this.values.put(key,
 					new String(bytes, StandardCharsets.UTF_8)));
 		}
 
+		@Override
+		public void changesMissed() {
+			CompactedTopicConsumerTests.this.gaps++;
+		}
+
 	}
 
 }
