Read the log again before an attempt in it counts as the last one

What callers saw: a turn's first attempt went to an upstream of one version and brought no event, its relay retried at another version, and the stream broke after some events. A relay that had read the first attempt only, or was answered first by one that had, took the stream up at the first version (ORDER). No cut is needed: relays read the log every 0.5 s, and the events of such a retry wait until the log has its record, not until others have read it. A relay that is out of step knows the first attempt only for longer.

Cause: the last attempt that is known was taken for the last one there is; the same class as a version that is taken for the only one.

An attempt counts now if the relay sent it itself, or has it from the relay that did; otherwise once the log was read to its end by a read that was sent after the caller's attempt arrived, or so long after the record that the attempt can't be retried any more, so that streams from before an outage of the log continue in it. A version-changing retry is in the log before its first event, so such a read has it. Relays answer others only with attempts that count.

Evidence: earlierAttemptInTheLogIsNotTakenForTheLast, attemptInTheLogIsUnknownIfTheLogIsNotRead, attemptThatMayNotBeTheLastIsNotSentToOtherRelays and the test that draws the order of steps fail if every known attempt counts, as before. Not shown over sockets.

Changed tests: waitingRequestContinuesWhenTheLogHasTheVersion continues at the read of the end of the log that follows its entries, no longer at the entries; resume() of StreamRulesTests answers the read of the log as one that finds nothing new.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -75,6 +75,10 @@
 				this.quotas.processResumed();
 				this.site.processResumed(resumed.pause());
 			}
+			case RelayEvent.LogEndRead read -> {
+				this.requests.streams().logEndRead(read.sentAt());
+				this.requests.resumeWaiting(Source.LEDGER);
+			}
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.SettlementsStored stored -> stored.requests().forEach(this.texts::entryStored);
 			case RelayEvent.RenewalsStored stored -> stored.requests().forEach(this.texts::correctionStored);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -311,12 +311,22 @@
 	 *
 	 * @param now milliseconds of a monotonic clock
 	 * @param request the request that started the stream
-	 * @param attempt its last attempt that the other relay knows
+	 * @param attempt its last attempt
 	 */
 	record StreamVersionReceived(long now, String request, StreamAttempt attempt) implements RelayEvent {
 
 	}
 
+	/**
+	 * A read of the log has reached its end. Its entries were received before.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param sentAt when the read was sent
+	 */
+	record LogEndRead(long now, long sentAt) implements RelayEvent {
+
+	}
+
 	/**
 	 * The list of upstreams is complete as of a time after it was requested.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -245,6 +245,11 @@
 
 	long lastLogReadAt;
 
+	/**
+	 * When the last read that reached the end of the log was sent.
+	 */
+	long logEndReadAt = NEVER;
+
 	private List<RelayEffect> effects = new ArrayList<>();
 
 	RelayState(RelaySettings settings) {
@@ -427,6 +432,16 @@
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
+	void recordFinalAttempt(String request, StreamAttempt attempt) {
+		this.streamVersions.recordFinal(request, attempt, this.now, this.streamRetention);
+		this.upstreams.recordVersion(attempt.version(), this.now);
+	}
+
+	Optional<StreamAttempt> findFinalAttempt(String request) {
+		return this.streamVersions.findFinal(request, this.logEndReadAt,
+				this.streamRetention.dividedBy(RelaySettings.STREAM_ATTEMPTS));
+	}
+
 	/**
 	 * Records an entry as uncommitted. A conditional reservation is not counted until it
 	 * is read from the log, whose order decides on it.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -21,7 +21,8 @@
  * of step without knowing it, so that the versions that it has seen and those that are
  * gone count only once a read of the list of upstreams that began after the request has
  * reached the end: what began the stream was listed before. A retry at another version
- * holds its events until the ledger has it, so that an earlier attempt never stands for
+ * holds its events until the log has it, and an attempt that was read from the log counts
+ * once it is read again after the request, so that an earlier attempt never stands for
  * them. Used by one thread.
  */
 final class StreamRules {
@@ -48,21 +49,42 @@
 		if (resumption.isEmpty() || exchange.softwareVersion().isPresent()) {
 			return true;
 		}
-		Optional<StreamAttempt> known = resumption.get().request().flatMap(this.state.streamVersions::find);
+		Optional<StreamAttempt> known = request(exchange).flatMap(this.state::findFinalAttempt);
 		if (known.isPresent()) {
 			return continueAt(exchange, known.get().version(), Source.LEDGER);
 		}
-		if (resumption.get().request().isEmpty() || this.state.linkedPeers.isEmpty()) {
+		boolean inLog = request(exchange).flatMap(this.state.streamVersions::find).isPresent()
+				&& this.state.connectivity == Connectivity.LOG;
+		if (request(exchange).isEmpty() || (this.state.linkedPeers.isEmpty() && !inLog)) {
 			return continueAtOnlyVersion(exchange);
 		}
 		exchange.transitionTo(Phase.WAITING_FOR_VERSION);
 		this.state.awaitingVersion.put(exchange.number(), exchange);
-		this.state.emit(new RelayEffect.RequestStreamVersion(List.copyOf(this.state.linkedPeers),
-				resumption.get().request().get()));
-		this.state.startTimer(exchange, RelaySettings.REPLICA_TIMEOUT, TimerKind.STREAM_VERSION);
+		if (!this.state.linkedPeers.isEmpty()) {
+			this.state.emit(
+					new RelayEffect.RequestStreamVersion(List.copyOf(this.state.linkedPeers), request(exchange).get()));
+		}
+		this.state.emit(new RelayEffect.ReadLog());
+		this.state.startTimer(exchange, inLog ? RelaySettings.CONFIRMATION_TIMEOUT : RelaySettings.REPLICA_TIMEOUT,
+				TimerKind.STREAM_VERSION);
 		return false;
 	}
 
+	/**
+	 * Handles a read that reached the end of the log. A retry at another version is in
+	 * the log before its events are forwarded, so that a read that began after the
+	 * caller's attempt has it.
+	 * @param sentAt when the read was sent
+	 */
+	void logEndRead(long sentAt) {
+		this.state.logEndReadAt = Math.max(this.state.logEndReadAt, sentAt);
+		this.state.awaitingVersion.values()
+			.stream()
+			.filter((exchange) -> exchange.request().now() <= sentAt)
+			.flatMap((exchange) -> request(exchange).stream())
+			.forEach(this.state.streamVersions::markFinal);
+	}
+
 	/**
 	 * Returns the waiting requests whose streams can continue now.
 	 * @param source how their versions became known
@@ -74,7 +96,7 @@
 		}
 		return List.copyOf(this.state.awaitingVersion.values())
 			.stream()
-			.filter((exchange) -> request(exchange).flatMap(this.state.streamVersions::find)
+			.filter((exchange) -> request(exchange).flatMap(this.state::findFinalAttempt)
 				.filter((attempt) -> continueAt(exchange, attempt.version(), source))
 				.isPresent())
 			.toList();
@@ -111,15 +133,19 @@
 	}
 
 	/**
-	 * Records an attempt that another relay knows of.
+	 * Records an attempt that another relay knows to be the last one.
 	 * @param received the event
 	 */
 	void versionReceived(RelayEvent.StreamVersionReceived received) {
-		this.state.recordStreamAttempt(received.request(), received.attempt());
+		this.state.recordFinalAttempt(received.request(), received.attempt());
 	}
 
+	/**
+	 * Answers another relay, unless there may be an attempt that this one does not know.
+	 * @param requested the event
+	 */
 	void versionRequested(RelayEvent.StreamVersionRequested requested) {
-		this.state.streamVersions.find(requested.request())
+		this.state.findFinalAttempt(requested.request())
 			.ifPresent((attempt) -> this.state
 				.emit(new RelayEffect.SendStreamVersion(requested.peer(), requested.request(), attempt)));
 	}
@@ -135,7 +161,7 @@
 			return Optional.empty();
 		}
 		StreamAttempt attempt = new StreamAttempt(SoftwareVersion.of(upstream), exchange.attempt());
-		this.state.recordStreamAttempt(exchange.id(), attempt);
+		this.state.recordFinalAttempt(exchange.id(), attempt);
 		return Optional.of(attempt);
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
@@ -7,7 +7,10 @@
 
 /**
  * The software versions of the streams that callers may still resume, whichever relay
- * started them. Bounded in number and age. Used by one thread.
+ * started them. An attempt that was read from the log may not be the last one: its relay
+ * may have retried at another version since. It is final if this relay sent it or has it
+ * from the relay that did, or once the log was read to its end after the first event.
+ * Bounded in number and age. Used by one thread.
  */
 final class StreamVersions {
 
@@ -31,25 +34,71 @@
 	};
 
 	/**
-	 * Records an attempt. Attempts may be recorded in any order.
+	 * Records an attempt of another relay. Attempts may be recorded in any order.
 	 * @param request the request that it belongs to
 	 * @param attempt the attempt
 	 * @param now the current time
 	 * @param retention for how long callers may resume a stream
 	 */
 	void record(String request, StreamAttempt attempt, long now, Duration retention) {
+		record(request, attempt, false, now, retention);
+	}
+
+	/**
+	 * Records an attempt after which there is none at another version, except of this
+	 * relay.
+	 * @param request the request that it belongs to
+	 * @param attempt the attempt
+	 * @param now the current time
+	 * @param retention for how long callers may resume a stream
+	 */
+	void recordFinal(String request, StreamAttempt attempt, long now, Duration retention) {
+		record(request, attempt, true, now, retention);
+	}
+
+	private void record(String request, StreamAttempt attempt, boolean last, long now, Duration retention) {
 		removeExpired(now - retention.toMillis());
 		KnownAttempt known = this.byRequest.get(request);
 		if (known != null && !attempt.supersedes(known.attempt())) {
+			if (last && attempt.number() == known.attempt().number()) {
+				known.last = true;
+			}
 			return;
 		}
+		boolean sameVersion = known != null && known.last && known.attempt().version().equals(attempt.version());
 		this.byRequest.remove(request);
-		this.byRequest.put(request, new KnownAttempt(this.shared.computeIfAbsent(attempt, (key) -> key), now));
+		this.byRequest.put(request,
+				new KnownAttempt(this.shared.computeIfAbsent(attempt, (key) -> key), now, last || sameVersion));
 		if (this.byRequest.size() > MAX_STREAMS) {
 			this.byRequest.remove(this.byRequest.keySet().iterator().next());
 		}
 	}
 
+	/**
+	 * Records that the log was read to its end after the first event of a stream.
+	 * @param request the request that started it
+	 */
+	void markFinal(String request) {
+		KnownAttempt known = this.byRequest.get(request);
+		if (known != null) {
+			known.last = true;
+		}
+	}
+
+	/**
+	 * Finds the last attempt of a stream, if it is certain to be the last one. An attempt
+	 * is retried before its timeout only.
+	 * @param request the request that started it
+	 * @param logReadAt when the last read that reached the end of the log was sent
+	 * @param timeout the longest time for which an attempt may be retried
+	 * @return the attempt, or empty if it is unknown or there may be a later one
+	 */
+	Optional<StreamAttempt> findFinal(String request, long logReadAt, Duration timeout) {
+		return Optional.ofNullable(this.byRequest.get(request))
+			.filter((known) -> known.last || logReadAt - timeout.toMillis() >= known.recordedAt())
+			.map(KnownAttempt::attempt);
+	}
+
 	private void removeExpired(long before) {
 		while (!this.byRequest.isEmpty()) {
 			Map.Entry<String, KnownAttempt> oldest = this.byRequest.entrySet().iterator().next();
@@ -69,12 +118,29 @@
 	}
 
 	/**
-	 * Immutable attempt with the time at which it was recorded.
-	 *
-	 * @param attempt the attempt
-	 * @param recordedAt milliseconds of a monotonic clock
+	 * An attempt with the time at which it was recorded. Used by one thread.
 	 */
-	private record KnownAttempt(StreamAttempt attempt, long recordedAt) {
+	private static final class KnownAttempt {
+
+		private final StreamAttempt attempt;
+
+		private final long recordedAt;
+
+		private boolean last;
+
+		KnownAttempt(StreamAttempt attempt, long recordedAt, boolean last) {
+			this.attempt = attempt;
+			this.recordedAt = recordedAt;
+			this.last = last;
+		}
+
+		StreamAttempt attempt() {
+			return this.attempt;
+		}
+
+		long recordedAt() {
+			return this.recordedAt;
+		}
 
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -336,15 +336,26 @@
 	}
 
 	/**
-	 * Answers a request for a complete list of upstreams, to which nothing was added.
-	 * @param effects the effects that may have the request
-	 * @return these effects and those of the answer
+	 * Answers requests to read the log and the list of upstreams, to which nothing was
+	 * added.
+	 * @param effects the effects that may have the requests
+	 * @return these effects and those of the answers
 	 */
 	List<RelayEffect> confirmed(List<RelayEffect> effects) {
-		List<RelayEffect> both = new ArrayList<>(effects);
-		ofType(effects, RelayEffect.ConfirmUpstreams.class)
-			.forEach((request) -> both.addAll(confirm(request.confirmation())));
-		return both;
+		List<RelayEffect> all = new ArrayList<>(effects);
+		for (int i = 0; i < all.size(); i++) {
+			switch (all.get(i)) {
+				case RelayEffect.ReadLog ignored -> all.addAll(logEndRead());
+				case RelayEffect.ConfirmUpstreams request -> all.addAll(confirm(request.confirmation()));
+				default -> {
+				}
+			}
+		}
+		return all;
+	}
+
+	List<RelayEffect> logEndRead() {
+		return handle(new RelayEvent.LogEndRead(this.now, this.now));
 	}
 
 	List<RelayEffect> confirm(long confirmation) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -150,7 +150,8 @@
 		list(engine("c", "v1"), engine("d", "v2"));
 		connectPeers();
 		resume("u1", "t1");
-		assertThat(sent(this.relay.readFromLog(reserved("t1", "c", "v1", 1))).version()).isEqualTo("v1");
+		this.relay.readFromLog(reserved("t1", "c", "v1", 1));
+		assertThat(sent(this.relay.logEndRead()).version()).isEqualTo("v1");
 	}
 
 	@Test
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
@@ -128,7 +128,8 @@
 	void versionIsNotGoneBeforeTheListIsComplete() {
 		listOneVersion();
 		this.relay.readFromLog(reserved("t1", "v2", 1));
-		long confirmation = confirmation(resume("u1", "t1"));
+		resume("u1", "t1");
+		long confirmation = confirmation(this.relay.logEndRead());
 		this.relay.handle(new RelayEvent.UpstreamUpdated(this.relay.now(), engine("d", "v2")));
 		assertThat(sends(this.relay.confirm(confirmation))).singleElement().extracting(Upstream::id).isEqualTo("d");
 	}
@@ -137,12 +138,57 @@
 	void versionIsNotGoneIfTheListIsNotRead() {
 		listOneVersion();
 		this.relay.readFromLog(reserved("t1", "v2", 1));
-		confirmation(resume("u1", "t1"));
+		resume("u1", "t1");
+		confirmation(this.relay.logEndRead());
 		assertRefusedAsUnknown(this.relay.fireTimer(TimerKind.UPSTREAM_CONFIRMATION));
 		this.relay.handle(new RelayEvent.ConnectivityChanged(this.relay.now(), Connectivity.RELAYS));
 		assertRefusedAsUnknown(resume("u2", "t1"));
 	}
 
+	// Guards against the version of an attempt that brought no event: its relay has
+	// retried at another version since this one read the log.
+	@Test
+	void earlierAttemptInTheLogIsNotTakenForTheLast() {
+		list(engine("c", "v1"), engine("d", "v2"));
+		this.relay.readFromLog(reserved("t1", "v1", 1));
+		assertThat(sends(resume("u1", "t1"))).isEmpty();
+		this.relay.readFromLog(reserved("t1", "v2", 2));
+		assertThat(sends(this.relay.logEndRead())).singleElement().extracting(Upstream::version).isEqualTo("v2");
+	}
+
+	@Test
+	void attemptInTheLogIsUnknownIfTheLogIsNotRead() {
+		list(engine("c", "v1"), engine("d", "v2"));
+		this.relay.readFromLog(reserved("t1", "v1", 1));
+		resume("u1", "t1");
+		assertThat(sends(this.relay.handle(new RelayEvent.LogEndRead(this.relay.now(), this.relay.now() - 1))))
+			.isEmpty();
+		assertRefusedAsUnknown(this.relay.fireTimer(TimerKind.STREAM_VERSION));
+	}
+
+	// Guards against a peer that answers first and knows an earlier attempt only.
+	@Test
+	void attemptThatMayNotBeTheLastIsNotSentToOtherRelays() {
+		this.relay.readFromLog(reserved("t1", "v1", 1));
+		RelayEvent request = new RelayEvent.StreamVersionRequested(this.relay.now(), "relay-2", "t1");
+		assertThat(this.relay.handle(request)).isEmpty();
+		this.relay.advance(4_000);
+		this.relay.logEndRead();
+		assertThat(this.relay.handle(request))
+			.containsExactly(new RelayEffect.SendStreamVersion("relay-2", "t1", attempt("v1", 1)));
+	}
+
+	// Guards against refusing all streams during an outage of the log.
+	@Test
+	void attemptIsFinalOnceItsRetriesHaveTimedOut() {
+		list(engine("c", "v1"), engine("d", "v2"));
+		this.relay.readFromLog(reserved("t1", "v1", 1));
+		this.relay.advance(4_000);
+		this.relay.logEndRead();
+		this.relay.handle(new RelayEvent.ConnectivityChanged(this.relay.now(), Connectivity.RELAYS));
+		assertThat(sends(resume("u1", "t1"))).singleElement().extracting(Upstream::version).isEqualTo("v1");
+	}
+
 	// Guards against any order of changes, cuts, pauses, losses and late answers in which
 	// a stream continues at another version.
 	@Test
@@ -217,6 +263,8 @@
 
 		private final Deque<RelayEvent> unread = new ArrayDeque<>();
 
+		private final Deque<LedgerEntry> unreadLog = new ArrayDeque<>();
+
 		private final List<String> streams = new ArrayList<>();
 
 		private final Map<String, String> versions = new TreeMap<>();
@@ -236,7 +284,7 @@
 		}
 
 		void step() {
-			switch (this.random.nextInt(12)) {
+			switch (this.random.nextInt(13)) {
 				case 0 -> join("v" + (1 + this.random.nextInt(2)));
 				case 1 -> leave();
 				case 2 -> readOne();
@@ -250,6 +298,7 @@
 					.handle(this.random.nextBoolean() ? new RelayEvent.PeerConnected(this.relay.now(), "relay-2")
 							: new RelayEvent.PeerDisconnected(this.relay.now(), "relay-2"));
 				case 9 -> begin();
+				case 10 -> readLog();
 				default -> resume();
 			}
 		}
@@ -307,8 +356,19 @@
 			this.begunAt = this.relay.now();
 			this.streams.add(stream);
 			this.versions.put(stream, version);
-			if (this.random.nextInt(3) == 0) {
-				this.relay.readFromLog(Duration.ofSeconds(this.random.nextInt(4)), reserved(stream, version, 1));
+			if (this.random.nextBoolean()) {
+				String first = upstreams.get(this.random.nextInt(upstreams.size())).version();
+				this.unreadLog.add(reserved(stream, first, 1));
+				this.unreadLog.add(reserved(stream, version, 2));
+			}
+		}
+
+		private void readLog() {
+			if (!this.unreadLog.isEmpty()) {
+				this.relay.readFromLog(Duration.ofSeconds(this.random.nextInt(4)), this.unreadLog.removeFirst());
+			}
+			if (this.unreadLog.isEmpty()) {
+				this.relay.logEndRead();
 			}
 		}
 
@@ -320,17 +380,24 @@
 			String origin = (this.random.nextInt(4) > 0) ? stream : null;
 			List<RelayEffect> effects = new ArrayList<>(
 					this.relay.sendRequest(RelayFixture.resuming("u" + this.created++, origin, 1), "body"));
+			for (int i = this.random.nextInt(3); i > 0 && !this.unreadLog.isEmpty(); i--) {
+				effects.addAll(this.relay.readFromLog(this.unreadLog.removeFirst()));
+			}
+			if (this.unreadLog.isEmpty()) {
+				effects.addAll(this.relay.logEndRead());
+			}
 			int delayed = this.unread.size();
 			if (this.random.nextBoolean()) {
 				effects.addAll(this.relay.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), stream,
-						attempt(this.versions.get(stream), 1))));
+						attempt(this.versions.get(stream), 2))));
 			}
 			effects.addAll(this.relay.fireTimer(TimerKind.STREAM_VERSION));
 			for (int i = this.random.nextInt(2); i < delayed; i++) {
 				readOne();
 			}
 			if (this.unread.isEmpty()) {
-				effects.addAll(this.relay.confirmed(effects));
+				RelayFixture.ofType(List.copyOf(effects), RelayEffect.ConfirmUpstreams.class)
+					.forEach((request) -> effects.addAll(this.relay.confirm(request.confirmation())));
 			}
 			this.relay.fireTimer(TimerKind.UPSTREAM_CONFIRMATION);
 			for (Upstream upstream : sends(effects)) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -169,7 +169,7 @@
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored, this::renewalsStored,
 				this::streamAttemptsStored, this::conditionalReservationsStored,
 				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
-		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
+		this.reader = new EntryReader(this.store, this.timers, this.random, new LogListener(), this::caughtUp,
 				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated);
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
@@ -424,10 +424,6 @@
 		on(new RelayEvent.TextsStored(this.timers.now(), requests, firstOffset, endOffset, latency));
 	}
 
-	private void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
-		on(new RelayEvent.EntriesReceived(this.timers.now(), entries, Optional.empty(), ages));
-	}
-
 	private void conditionalReservationsStored() {
 		this.reader.read();
 	}
@@ -507,6 +503,23 @@
 
 	}
 
+	/**
+	 * Handles reads of the log. Used by the event loop's thread.
+	 */
+	private final class LogListener implements EntryReader.EntryListener {
+
+		@Override
+		public void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
+			on(new RelayEvent.EntriesReceived(RelayProcess.this.timers.now(), entries, Optional.empty(), ages));
+		}
+
+		@Override
+		public void endRead(long sentAt) {
+			on(new RelayEvent.LogEndRead(RelayProcess.this.timers.now(), sentAt));
+		}
+
+	}
+
 	/**
 	 * Handles changes of the route table. Used by the event loop's thread.
 	 */
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -82,6 +82,8 @@
 
 	private long readNumber;
 
+	private long sentAt;
+
 	/**
 	 * Creates a reader.
 	 * @param store the store
@@ -116,6 +118,7 @@
 		}
 		this.callInFlight = true;
 		this.readNumber++;
+		this.sentAt = this.timers.now();
 		this.store.read(Topic.ENTRIES, this.nextOffset, Duration.ZERO, this::handleResult);
 	}
 
@@ -153,6 +156,9 @@
 			this.caughtUpListener.caughtUp(this.nextOffset,
 					Duration.ofMillis(this.timers.now() - this.catchUpStartedAt), idleTime());
 		}
+		if (atEnd) {
+			this.entryListener.endRead(this.sentAt);
+		}
 		if (!atEnd || this.readAgain) {
 			this.readAgain = false;
 			read();
@@ -238,6 +244,13 @@
 		 */
 		void entriesRead(List<LedgerEntry> entries, List<Duration> ages);
 
+		/**
+		 * Called after each read that reached the end of the log.
+		 * @param sentAt when the read was sent, by the monotonic clock
+		 */
+		default void endRead(long sentAt) {
+		}
+
 	}
 
 	/**
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
@@ -25,8 +25,10 @@
 
 	private boolean isolated;
 
+	private final List<Long> endReads = new ArrayList<>();
+
 	private final EntryReader reader = new EntryReader(this.store, this.store, new SplittableRandom(1),
-			(read, ages) -> this.entries.addAll(read), (offset, duration, idleTime) -> {
+			new RecordingListener(), (offset, duration, idleTime) -> {
 				this.caughtUpCount++;
 				this.idle = idleTime;
 			}, (succeeded) -> {
@@ -43,6 +45,22 @@
 		assertThat(this.store.readOffsets).containsExactly(0L, 1L);
 	}
 
+	// Guards against an end that a read reached that was sent before what it is to show.
+	@Test
+	void endOfTheLogIsReportedWithTheTimeOfTheReadThatReachedIt() {
+		this.store.advance(10);
+		this.reader.read();
+		this.store.advance(20);
+		answer(1, 2, settled("r1"));
+		assertThat(this.endReads).isEmpty();
+		this.reader.read();
+		this.store.advance(20);
+		answer(2, 2, settled("r2"));
+		assertThat(this.endReads).containsExactly(30L);
+		answer(2, 2);
+		assertThat(this.endReads).containsExactly(30L, 50L);
+	}
+
 	// While most links are down, the log is the only source of other relays' entries and
 	// must be polled more often.
 	@Test
@@ -153,4 +171,21 @@
 		return new LedgerEntry.Settled(request, "p", 1, Optional.empty());
 	}
 
+	/**
+	 * Records what the listener receives. Used by one thread.
+	 */
+	private final class RecordingListener implements EntryReader.EntryListener {
+
+		@Override
+		public void entriesRead(List<LedgerEntry> read, List<Duration> ages) {
+			EntryReaderTests.this.entries.addAll(read);
+		}
+
+		@Override
+		public void endRead(long sentAt) {
+			EntryReaderTests.this.endReads.add(sentAt);
+		}
+
+	}
+
 }
