Merge the fixes of streams resumed at a relay out of step

A read whose entries could not be handled does not count as a read to the end of the log: EntryReaderTests.readingContinuesAfterAListenerFails asks for it.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -311,12 +311,42 @@
 	 *
 	 * @param now milliseconds of a monotonic clock
 	 * @param request the request that started the stream
-	 * @param attempt its last attempt that the other relay knows
+	 * @param attempt its last attempt
 	 */
 	record StreamVersionReceived(long now, String request, StreamAttempt attempt) implements RelayEvent {
 
 	}
 
+	/**
+	 * A read of the log has reached its end. Its entries were received before.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param sentAt when the read was sent
+	 */
+	record LogEndRead(long now, long sentAt) implements RelayEvent {
+
+	}
+
+	/**
+	 * The list of upstreams is complete as of a time after it was requested.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 * @param confirmation the number of the request
+	 */
+	record UpstreamsConfirmed(long now, long confirmation) implements RelayEvent {
+
+	}
+
+	/**
+	 * Changes of the list of upstreams were deleted before they were read, so that
+	 * upstreams may have joined and left in the meantime. The complete list follows.
+	 *
+	 * @param now milliseconds of a monotonic clock
+	 */
+	record UpstreamChangesMissed(long now) implements RelayEvent {
+
+	}
+
 	/**
 	 * This process resumed after it was frozen, suspended or starved of processor time.
 	 * Its state may be stale by the length of that pause.
@@ -783,6 +813,11 @@
 		 */
 		STREAM_VERSION,
 
+		/**
+		 * The wait for a complete list of upstreams.
+		 */
+		UPSTREAM_CONFIRMATION,
+
 		/**
 		 * Timeout of the fetch of the chain's texts.
 		 */
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -353,6 +353,33 @@
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entry), Optional.empty(), List.of(age)));
 	}
 
+	/**
+	 * Answers requests to read the log and the list of upstreams, to which nothing was
+	 * added.
+	 * @param effects the effects that may have the requests
+	 * @return these effects and those of the answers
+	 */
+	List<RelayEffect> confirmed(List<RelayEffect> effects) {
+		List<RelayEffect> all = new ArrayList<>(effects);
+		for (int i = 0; i < all.size(); i++) {
+			switch (all.get(i)) {
+				case RelayEffect.ReadLog ignored -> all.addAll(logEndRead());
+				case RelayEffect.ConfirmUpstreams request -> all.addAll(confirm(request.confirmation()));
+				default -> {
+				}
+			}
+		}
+		return all;
+	}
+
+	List<RelayEffect> logEndRead() {
+		return handle(new RelayEvent.LogEndRead(this.now, this.now));
+	}
+
+	List<RelayEffect> confirm(long confirmation) {
+		return handle(new RelayEvent.UpstreamsConfirmed(this.now, confirmation));
+	}
+
 	List<RelayEffect> streamStored(String request, int attempt) {
 		return handle(new RelayEvent.StreamAttemptsStored(this.now, Map.of(request, attempt)));
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -150,7 +150,8 @@
 		list(engine("c", "v1"), engine("d", "v2"));
 		connectPeers();
 		resume("u1", "t1");
-		assertThat(sent(this.relay.readFromLog(reserved("t1", "c", "v1", 1))).version()).isEqualTo("v1");
+		this.relay.readFromLog(reserved("t1", "c", "v1", 1));
+		assertThat(sent(this.relay.logEndRead()).version()).isEqualTo("v1");
 	}
 
 	@Test
@@ -434,7 +435,7 @@
 	}
 
 	private static List<RelayEffect> resume(RelayFixture relay, String id, String origin) {
-		return relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body");
+		return relay.confirmed(relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body"));
 	}
 
 	private void start(String id, String version) {
@@ -455,7 +456,7 @@
 	}
 
 	private List<RelayEffect> resume(String id, String origin) {
-		return this.relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body");
+		return resume(this.relay, id, origin);
 	}
 
 	private void connectPeers() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -131,6 +131,8 @@
 
 	private final Peers peers;
 
+	private final CompactedTopicConsumer upstreamConsumer;
+
 	private final ConnectivityMonitor connectivityMonitor;
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
@@ -172,12 +174,13 @@
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored, this::renewalsStored,
 				this::streamAttemptsStored, this::conditionalReservationsStored,
 				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
-		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
+		this.reader = new EntryReader(this.store, this.timers, this.random, new LogListener(), this::caughtUp,
 				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated,
 				(ex) -> reportFailure(Topic.ENTRIES, ex));
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
+		this.upstreamConsumer = consumer(Topic.UPSTREAMS, new UpstreamListener());
 	}
 
 	/**
@@ -226,11 +229,11 @@
 	}
 
 	private void consume() {
-		consume(Topic.ROUTES, new RouteTableListener());
-		consume(Topic.UPSTREAMS, new UpstreamListener());
+		consumer(Topic.ROUTES, new RouteTableListener()).start();
+		this.upstreamConsumer.start();
 		this.reader.read();
 		this.textWriter.start();
-		register(() -> consume(Topic.RELAYS, this.peers));
+		register(() -> consumer(Topic.RELAYS, this.peers).start());
 		checkConnectivity();
 		if (this.setup.settings().logRetention().isPositive()) {
 			startRenewalRounds();
@@ -244,10 +247,9 @@
 		});
 	}
 
-	private void consume(Topic topic, CompactedTopicConsumer.Listener listener) {
-		new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
-				this.connectivityMonitor::storeCallCompleted, (ex) -> reportFailure(topic, ex))
-			.start();
+	private CompactedTopicConsumer consumer(Topic topic, CompactedTopicConsumer.Listener listener) {
+		return new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
+				this.connectivityMonitor::storeCallCompleted, (ex) -> reportFailure(topic, ex));
 	}
 
 	// Without the stack trace: another writer may repeat the record at any rate, and only
@@ -396,6 +398,8 @@
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
+			case RelayEffect.ConfirmUpstreams confirm -> this.upstreamConsumer
+				.confirm(() -> on(new RelayEvent.UpstreamsConfirmed(this.timers.now(), confirm.confirmation())));
 			case RelayEffect.StartTimer start -> this.timers.schedule(start.delay(),
 					() -> on(new RelayEvent.TimerFired(this.timers.now(), start.exchange(), start.timer())));
 			case RelayEffect.ReportReadiness report -> this.ready = report.ready();
@@ -433,10 +437,6 @@
 		on(new RelayEvent.TextsStored(this.timers.now(), requests, firstOffset, endOffset, latency));
 	}
 
-	private void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
-		on(new RelayEvent.EntriesReceived(this.timers.now(), entries, Optional.empty(), ages));
-	}
-
 	private void conditionalReservationsStored() {
 		this.reader.read();
 	}
@@ -527,6 +527,23 @@
 
 	}
 
+	/**
+	 * Handles reads of the log. Used by the event loop's thread.
+	 */
+	private final class LogListener implements EntryReader.EntryListener {
+
+		@Override
+		public void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
+			on(new RelayEvent.EntriesReceived(RelayProcess.this.timers.now(), entries, Optional.empty(), ages));
+		}
+
+		@Override
+		public void endRead(long sentAt) {
+			on(new RelayEvent.LogEndRead(RelayProcess.this.timers.now(), sentAt));
+		}
+
+	}
+
 	/**
 	 * Handles changes of the route table. Used by the event loop's thread.
 	 */
@@ -580,6 +597,11 @@
 				.peekLeft((error) -> invalid(key, error));
 		}
 
+		@Override
+		public void changesMissed() {
+			on(new RelayEvent.UpstreamChangesMissed(RelayProcess.this.timers.now()));
+		}
+
 		private void invalid(String key, UpstreamRecordError error) {
 			RelayProcess.this.upstreams.removeUpstream(key);
 			on(new RelayEvent.UpstreamInvalid(RelayProcess.this.timers.now(), key, error));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -84,6 +84,8 @@
 
 	private long readNumber;
 
+	private long sentAt;
+
 	/**
 	 * Creates a reader.
 	 * @param store the store
@@ -121,6 +123,7 @@
 		}
 		this.callInFlight = true;
 		this.readNumber++;
+		this.sentAt = this.timers.now();
 		this.store.read(Topic.ENTRIES, this.nextOffset, Duration.ZERO, this::handleResult);
 	}
 
@@ -151,13 +154,16 @@
 	private void handleRecords(Store.ReadResult.Records records) {
 		this.backoff.reset();
 		this.nextOffset = records.nextOffset();
-		handleEntries(records.records());
+		boolean handled = handleEntries(records.records());
 		boolean atEnd = this.nextOffset >= records.endOffset();
 		if (atEnd && !this.reachedEnd && !this.readAgain) {
 			this.reachedEnd = true;
 			this.caughtUpListener.caughtUp(this.nextOffset,
 					Duration.ofMillis(this.timers.now() - this.catchUpStartedAt), idleTime());
 		}
+		if (atEnd && handled) {
+			this.entryListener.endRead(this.sentAt);
+		}
 		if (!atEnd || this.readAgain) {
 			this.readAgain = false;
 			read();
@@ -167,12 +173,14 @@
 	}
 
 	// The log is read on whatever an entry does, since nothing else would read it.
-	private void handleEntries(List<Store.StoredRecord> records) {
+	private boolean handleEntries(List<Store.StoredRecord> records) {
 		try {
 			decode(records);
+			return true;
 		}
 		catch (RuntimeException | StackOverflowError ex) {
 			this.errorListener.accept(ex);
+			return false;
 		}
 	}
 
@@ -253,6 +261,13 @@
 		 */
 		void entriesRead(List<LedgerEntry> entries, List<Duration> ages);
 
+		/**
+		 * Called after each read that reached the end of the log.
+		 * @param sentAt when the read was sent, by the monotonic clock
+		 */
+		default void endRead(long sentAt) {
+		}
+
 	}
 
 	/**
