Discard the bucket of a team that another relay coordinates

Callers saw more requests of a team run in five seconds than its quota and the tolerance allow, after a relay joined and left (or left and came back).

Cause: a relay kept the bucket of a team when a membership change made another relay its first coordinator. When it became the first again, the bucket had refilled for the time in which the other one granted permits, so the team had its burst and the accrued rate a second time.

The bucket is now discarded with the role. A relay that regains it starts with the initial permits and what the rate has added since the change, as every new first coordinator does.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBuckets.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/TeamBuckets.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Token buckets of the teams that one relay coordinates. Grants of other coordinators are
@@ -79,11 +80,15 @@
 	}
 
 	/**
-	 * Records a change of the membership.
+	 * Records a change of the membership, and discards the buckets of teams that this
+	 * relay no longer coordinates first: if it does so again, another relay has granted
+	 * permits in the meantime.
+	 * @param isPrimary whether this relay is the first coordinator of a team
 	 * @param now milliseconds of a monotonic clock
 	 */
-	public void membershipUpdated(long now) {
+	public void membershipUpdated(Predicate<String> isPrimary, long now) {
 		this.membershipChangedAt = now;
+		this.buckets.entrySet().removeIf((entry) -> entry.getValue().primary() && !isPrimary.test(entry.getKey()));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -372,7 +372,7 @@
 	 * Handles a membership change, which may change the coordinators of teams.
 	 */
 	void membershipUpdated() {
-		this.buckets.membershipUpdated(this.state.now);
+		this.buckets.membershipUpdated((team) -> coordinators(team).getFirst().equals(this.state.name), this.state.now);
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaSite.java
@@ -2,13 +2,17 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Supplier;
 
 import io.lentilslip.core.quota.Quota;
 import io.lentilslip.core.quota.QuotaTolerance;
@@ -34,13 +38,21 @@
 
 	private final Map<String, List<Long>> completed = new HashMap<>();
 
+	private final Map<String, List<Run>> runs = new HashMap<>();
+
 	private final Map<String, List<Long>> rejected = new HashMap<>();
 
+	private final List<Disturbance> disturbances = new ArrayList<>();
+
+	private final Set<Integer> excluded = new HashSet<>();
+
 	private final Map<String, Integer> completedByProgram = new HashMap<>();
 
 	private final Map<Long, Program> programs = new HashMap<>();
 
-	private final RouteTable table;
+	private final Map<Long, Long> sentAt = new HashMap<>();
+
+	private RouteTable table;
 
 	private final Random random;
 
@@ -58,11 +70,7 @@
 
 	private QuotaSite(int count, Map<String, Quota> quotas, Random random) {
 		this.random = random;
-		Map<KeyDigest, Team> teams = new HashMap<>();
-		quotas.forEach((name, quota) -> teams.put(KeyDigest.of(name),
-				new Team(name, OptionalInt.empty(), Optional.of(quota))));
-		RouteTable plain = RelayFixture.table();
-		this.table = new RouteTable(1, plain.routes(), plain.services(), plain.limits(), Optional.of(new Teams(teams)));
+		this.table = table(1, quotas);
 		for (int i = 0; i < count; i++) {
 			this.relays.add(null);
 		}
@@ -71,6 +79,14 @@
 		}
 	}
 
+	private static RouteTable table(long version, Map<String, Quota> quotas) {
+		Map<KeyDigest, Team> teams = new HashMap<>();
+		quotas.forEach((name, quota) -> teams.put(KeyDigest.of(name),
+				new Team(name, OptionalInt.empty(), Optional.of(quota))));
+		RouteTable plain = RelayFixture.table();
+		return new RouteTable(version, plain.routes(), plain.services(), plain.limits(), Optional.of(new Teams(teams)));
+	}
+
 	static QuotaSite of(int count, Map<String, Quota> quotas, Random random) {
 		QuotaSite site = new QuotaSite(count, quotas, random);
 		// Relays start before the first request.
@@ -129,6 +145,40 @@
 		return max;
 	}
 
+	/**
+	 * Returns the maximum number of requests of a team that were both sent and run in one
+	 * window.
+	 * @param team the team
+	 * @return the maximum
+	 */
+	int maxSentAndRunInWindow(String team) {
+		List<Run> sorted = this.runs.getOrDefault(team, List.of())
+			.stream()
+			.sorted(Comparator.comparingLong(Run::sentAt))
+			.toList();
+		int max = 0;
+		for (int from = 0; from < sorted.size(); from++) {
+			long until = sorted.get(from).sentAt() + TOLERANCE.window().toMillis();
+			int count = 0;
+			for (int to = from; to < sorted.size() && sorted.get(to).sentAt() <= until; to++) {
+				count += (sorted.get(to).runAt() <= until) ? 1 : 0;
+			}
+			max = Math.max(max, count);
+		}
+		return max;
+	}
+
+	/**
+	 * Returns the first coordinator of a team.
+	 * @param team the team
+	 * @return the index of the relay
+	 */
+	int coordinator(String team) {
+		ProgramReplicas replicas = new ProgramReplicas();
+		replicas.update(members());
+		return Integer.parseInt(replicas.replicasOf(team).getFirst());
+	}
+
 	void request(String team, String program, Duration after) {
 		scheduleAfter(after, () -> {
 			this.exchanges++;
@@ -195,6 +245,77 @@
 		});
 	}
 
+	/**
+	 * Delays and loses messages from and to a relay.
+	 * @param relay the relay
+	 * @param after the time until the first disturbed message
+	 * @param duration the time for which messages are disturbed
+	 * @param maxDelay the maximum additional delay
+	 * @param loss the fraction of lost messages
+	 */
+	void disturb(int relay, Duration after, Duration duration, Duration maxDelay, double loss) {
+		scheduleAfter(after, () -> {
+			Disturbance disturbance = new Disturbance(Integer.toString(relay), (int) maxDelay.toMillis(), loss);
+			this.disturbances.add(disturbance);
+			scheduleAfter(duration, () -> this.disturbances.remove(disturbance));
+		});
+	}
+
+	/**
+	 * Removes a relay from the membership that all relays know.
+	 * @param relay the relay
+	 * @param after the time until its removal
+	 * @param duration the time until it is a member again
+	 */
+	void exclude(int relay, Duration after, Duration duration) {
+		scheduleAfter(after, () -> this.excluded.add(relay));
+		scheduleAfter(duration.plus(after), () -> this.excluded.remove(relay));
+		for (Duration change : List.of(after, after.plus(duration))) {
+			updateAll(change, 20, () -> new RelayEvent.MembershipUpdated(this.now, members()));
+		}
+	}
+
+	/**
+	 * Changes the quotas at all relays.
+	 * @param quotas the quotas of all teams
+	 * @param after the time until the change
+	 */
+	void change(Map<String, Quota> quotas, Duration after) {
+		scheduleAfter(after, () -> this.table = table(this.table.version() + 1, quotas));
+		updateAll(after, 500, () -> new RelayEvent.RouteTableUpdated(this.now, this.table));
+	}
+
+	/**
+	 * Stops or starts all upstreams, without which requests are rejected after they were
+	 * admitted.
+	 * @param available whether there are upstreams
+	 * @param after the time until the change
+	 */
+	void upstreams(boolean available, Duration after) {
+		updateAll(after, 1, () -> new RelayEvent.UpstreamsReplaced(this.now,
+				available ? List.of(RelayFixture.upstream("s1", RelayFixture.SHOP)) : List.of()));
+	}
+
+	private void updateAll(Duration after, int maxDelay, Supplier<RelayEvent> event) {
+		for (int i = 0; i < this.relays.size(); i++) {
+			int relay = i;
+			scheduleAfter(after.plusMillis(this.random.nextInt(maxDelay)), () -> {
+				RelayInstance instance = this.relays.get(relay);
+				runWhenResumed(instance, () -> instance.handle(event.get()));
+			});
+		}
+	}
+
+	private List<Member> members() {
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < this.relays.size(); i++) {
+			if (!this.excluded.contains(i)) {
+				members.add(new Member(Integer.toString(i), "zone-" + i % 4, 100));
+			}
+		}
+		return members;
+	}
+
 	void run(Duration time) {
 		long until = this.now + time.toMillis();
 		while (!this.schedule.isEmpty() && this.schedule.peek().at() <= until) {
@@ -209,15 +330,11 @@
 		RelayInstance instance = new RelayInstance(index, new Relay(new RelaySettings("zone-a", 100, index, 1_000_000,
 				1000, 1_000_000, 1000, 0, true, TOLERANCE, Duration.ZERO, true)));
 		this.relays.set(index, instance);
-		List<Member> members = new ArrayList<>();
-		for (int i = 0; i < this.relays.size(); i++) {
-			members.add(new Member(Integer.toString(i), "zone-" + i % 4, 100));
-		}
 		instance.handle(new RelayEvent.ListenerStarted(this.now, Integer.toString(index)));
 		instance.handle(new RelayEvent.RouteTableUpdated(this.now, this.table));
 		instance.handle(
 				new RelayEvent.UpstreamsReplaced(this.now, List.of(RelayFixture.upstream("s1", RelayFixture.SHOP))));
-		instance.handle(new RelayEvent.MembershipUpdated(this.now, members));
+		instance.handle(new RelayEvent.MembershipUpdated(this.now, members()));
 	}
 
 	private void sendRequest(int index, String team, String program, long exchange) {
@@ -226,6 +343,7 @@
 			return;
 		}
 		this.requests++;
+		this.sentAt.put(exchange, this.now);
 		RequestHead head = new RequestHead("r" + exchange, "host", "/order/x", Optional.of(Duration.ofSeconds(3)),
 				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
 				new RequestHead.Origin(Optional.of(program), Optional.of(KeyDigest.of(team))));
@@ -267,6 +385,8 @@
 		if (origin != null) {
 			times.computeIfAbsent(origin.getFirst(), (key) -> new ArrayList<>()).add(this.now);
 			if (times == this.completed) {
+				this.runs.computeIfAbsent(origin.getFirst(), (key) -> new ArrayList<>())
+					.add(new Run(this.sentAt.get(exchange), this.now));
 				this.completedByProgram.merge(origin.getLast(), 1, Integer::sum);
 			}
 		}
@@ -275,6 +395,14 @@
 	private void send(RelayInstance from, String to, Message message) {
 		this.messages++;
 		long arrives = this.now + MIN_LATENCY_MS + this.random.nextInt(LATENCY_JITTER_MS);
+		for (Disturbance next : this.disturbances) {
+			if (next.relay().equals(to) || next.relay().equals(Integer.toString(from.index))) {
+				if (this.random.nextDouble() < next.loss()) {
+					return;
+				}
+				arrives += this.random.nextInt(next.maxDelay() + 1);
+			}
+		}
 		schedule(arrives, () -> {
 			RelayInstance instance = this.relays.get(Integer.parseInt(to));
 			runWhenResumed(instance, () -> applyEffects(instance, instance.relay.handle(message.to(instance))));
@@ -347,6 +475,27 @@
 
 	}
 
+	/**
+	 * Immutable times of a request.
+	 *
+	 * @param sentAt the time at which the caller sent it
+	 * @param runAt the time at which it was sent to an upstream
+	 */
+	private record Run(long sentAt, long runAt) {
+
+	}
+
+	/**
+	 * Immutable disturbance of the messages of a relay.
+	 *
+	 * @param relay the relay
+	 * @param maxDelay the maximum additional delay in milliseconds
+	 * @param loss the fraction of lost messages
+	 */
+	private record Disturbance(String relay, int maxDelay, double loss) {
+
+	}
+
 	/**
 	 * Immutable scheduled step.
 	 *
