Don't refund permits that expired long ago

Callers saw more requests of a team run in a window than its quota and the tolerance allow, after relays had answered late.

Cause: a relay reports permits that expired unused with its next request for the team, however much later. In the meantime the bucket may have been full, so that the charge had no effect, or the refund adds permits of an earlier window to a later one. The total is bounded by the number of relays only.

A relay now reports a permit only within 250 ms of its expiry. What is not refunded costs a team nothing while its bucket is at least half full, which is when permits are prefetched.

Evidence: QuotaRulesTests.permitThatExpiredLongAgoIsNotRefunded fails without the fix.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long RECENT_USE_MS = 1000;
 
+	/**
+	 * The time after which an expired permit is not refunded. A refund counts in a later
+	 * window than the grant, as a permit that is used late does.
+	 */
+	private static final long REFUND_TIMEOUT_MS = 250;
+
 	private static final int MAX_PROGRAMS = 512;
 
 	private final Deque<Long> expiries = new ArrayDeque<>();
@@ -45,6 +51,8 @@
 
 	private int expiredUnused;
 
+	private long lastExpiredAt = Long.MIN_VALUE / 2;
+
 	/**
 	 * Adds permits.
 	 * @param from the relay that granted the permits
@@ -73,8 +81,8 @@
 
 	private void expire(long now) {
 		while (!this.expiries.isEmpty() && this.expiries.peekFirst() <= now) {
-			this.expiries.pollFirst();
-			this.expiredUnused++;
+			this.lastExpiredAt = this.expiries.pollFirst();
+			this.expiredUnused += (now - this.lastExpiredAt < REFUND_TIMEOUT_MS) ? 1 : 0;
 		}
 	}
 
@@ -87,15 +95,16 @@
 	}
 
 	/**
-	 * Returns the number of permits of a relay that expired unused since the last call,
-	 * and resets the count.
+	 * Returns the number of permits of a relay that expired unused shortly before this
+	 * call, and resets the count.
 	 * @param from the relay
 	 * @param now milliseconds of a monotonic clock
 	 * @return the number; zero if another relay granted the permits
 	 */
 	public int takeExpired(String from, long now) {
 		expire(now);
-		int expired = from.equals(this.grantor) ? this.expiredUnused : 0;
+		boolean recent = now - this.lastExpiredAt < REFUND_TIMEOUT_MS;
+		int expired = (recent && from.equals(this.grantor)) ? this.expiredUnused : 0;
 		this.expiredUnused = 0;
 		return expired;
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -81,6 +81,20 @@
 		assertThat(permitRequests()).hasSize(1);
 	}
 
+	// Guards against refunds to a bucket that has been full since the grant.
+	@Test
+	void permitThatExpiredLongAgoIsNotRefunded() {
+		sendRequest("r1", "p");
+		grant(permitRequests().getFirst(), 1, true);
+		this.relay.advance(1200);
+		sendRequest("r2", "p");
+		assertThat(permitRequests().getLast().expired()).isOne();
+		grant(permitRequests().getLast(), 2);
+		this.relay.advance(1300);
+		sendRequest("r3", "p");
+		assertThat(permitRequests().getLast().expired()).isZero();
+	}
+
 	private List<RelayEffect> sendRequest(String id, String program) {
 		return this.relay.sendRequest(new RequestHead(id, "host", "/look/x", Optional.of(Duration.ofSeconds(3)),
 				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
