Let the permit of a request that was not sent expire on time

Callers saw more requests of a team run in a window than its quota and the tolerance allow, after a time in which many requests were admitted and then not sent (no upstream, a chain that could not be read, callers that left).

Cause: the permit of such a request was released with a new expiry, so it could move on by a second each time, and nothing bounds how many there are.

A released permit can now be reused for 250 ms from the request for it, and is refunded only shortly after. Its request knows when it expires.

Evidence: QuotaOvershootProperties.requestsThatWereNotSentDoNotExceedTheQuota removes all upstreams for a while during a flood.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -1,10 +1,11 @@
 package io.lentilslip.core.quota;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Queue;
 
 /**
  * Unused permits of one team at one relay, and the team's programs that are known to be
@@ -34,9 +35,15 @@
 	 */
 	private static final long REFUND_TIMEOUT_MS = 250;
 
+	/**
+	 * The time after the request for a permit in which it can be reused if its request
+	 * was not sent.
+	 */
+	private static final long REUSE_TIMEOUT_MS = 250;
+
 	private static final int MAX_PROGRAMS = 512;
 
-	private final Deque<Long> expiries = new ArrayDeque<>();
+	private final Queue<Long> expiries = new PriorityQueue<>();
 
 	private final Map<Integer, Boolean> admittedPrograms = new LinkedHashMap<>(16, 0.75f, true) {
 		@Override
@@ -65,33 +72,50 @@
 			this.grantor = from;
 		}
 		for (int i = 0; i < permits; i++) {
-			this.expiries.addLast(now + EXPIRY.toMillis());
+			this.expiries.add(now + EXPIRY.toMillis());
 		}
 	}
 
 	/**
 	 * Acquires a permit if one is available.
 	 * @param now milliseconds of a monotonic clock
-	 * @return whether a permit was acquired
+	 * @return the time at which the permit expires; empty if none was acquired
 	 */
-	public boolean tryAcquire(long now) {
+	public OptionalLong acquire(long now) {
 		expire(now);
-		return this.expiries.pollFirst() != null;
+		Long expiry = this.expiries.poll();
+		return (expiry != null) ? OptionalLong.of(expiry) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns the expiry of permits.
+	 * @param requestedAt the time at which they were requested, in milliseconds of a
+	 * monotonic clock
+	 * @return the time at which they expire
+	 */
+	public static long expiry(long requestedAt) {
+		return requestedAt + EXPIRY.toMillis();
 	}
 
 	private void expire(long now) {
-		while (!this.expiries.isEmpty() && this.expiries.peekFirst() <= now) {
-			this.lastExpiredAt = this.expiries.pollFirst();
+		while (!this.expiries.isEmpty() && this.expiries.peek() <= now) {
+			this.lastExpiredAt = this.expiries.poll();
 			this.expiredUnused += (now - this.lastExpiredAt < REFUND_TIMEOUT_MS) ? 1 : 0;
 		}
 	}
 
 	/**
-	 * Releases a permit whose request was not sent.
+	 * Releases a permit whose request was not sent. It can be reused for a short time
+	 * only, because nothing bounds the number of such permits.
+	 * @param expiresAt the time at which it would have expired, in milliseconds of a
+	 * monotonic clock
 	 * @param now milliseconds of a monotonic clock
 	 */
-	public void release(long now) {
-		this.expiries.addLast(now + EXPIRY.toMillis());
+	public void release(long expiresAt, long now) {
+		long reusableUntil = expiresAt - EXPIRY.toMillis() + REUSE_TIMEOUT_MS;
+		if (reusableUntil > now) {
+			this.expiries.add(reusableUntil);
+		}
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -92,7 +92,7 @@
 
 	private boolean reservedOnAll;
 
-	private boolean permitted;
+	private OptionalLong permitExpiry = OptionalLong.empty();
 
 	private boolean callerBlocked;
 
@@ -195,13 +195,18 @@
 
 	/**
 	 * Records that the quota of the team admits the request.
+	 * @param expiresAt the time at which the permit expires if the request is not sent
 	 */
-	void markPermitted() {
-		this.permitted = true;
+	void permit(long expiresAt) {
+		this.permitExpiry = OptionalLong.of(expiresAt);
 	}
 
-	boolean permitted() {
-		return this.permitted;
+	/**
+	 * Returns the expiry of the permit from the quota of the team.
+	 * @return the time; empty if the request has no permit
+	 */
+	OptionalLong permitExpiry() {
+		return this.permitExpiry;
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.lentilslip.core.quota.PermitReply;
@@ -101,9 +102,10 @@
 		TeamQueue queue = this.queues.computeIfAbsent(team.get().name(), TeamQueue::new);
 		// Permits are prefetched only while the quota has capacity for new
 		// programs, so this program can be admitted.
-		if (queue.permits.tryAcquire(this.state.now)) {
+		OptionalLong expiry = queue.permits.acquire(this.state.now);
+		if (expiry.isPresent()) {
 			exchange.head().program().ifPresent((program) -> queue.permits.markAdmitted(program.hashCode()));
-			exchange.markPermitted();
+			exchange.permit(expiry.getAsLong());
 			return true;
 		}
 		exchange.transitionTo(Phase.WAITING_FOR_PERMIT);
@@ -177,8 +179,13 @@
 		all.forEach(this::admitted);
 	}
 
+	private void admitted(TeamQueue queue, Exchange exchange, long permitExpiry) {
+		queue.waiting.remove(exchange.number());
+		exchange.permit(permitExpiry);
+		admitted(exchange);
+	}
+
 	private void admitted(Exchange exchange) {
-		exchange.markPermitted();
 		exchange.transitionTo(Phase.WAITING_FOR_CHAIN);
 		this.admitted.accept(exchange);
 	}
@@ -272,7 +279,8 @@
 		queue.pending = Optional.empty();
 		queue.permits.add(peer, reply.permits(), this.state.now);
 		for (int i = 0; i < Math.min(answered.starting().size(), reply.admissions().size()); i++) {
-			resolveNewProgram(queue, answered.starting().get(i), peer, reply.admissions().get(i), reply.retryAfter());
+			resolveNewProgram(queue, answered.starting().get(i), answered, reply.admissions().get(i),
+					reply.retryAfter());
 		}
 		for (Exchange exchange : answered.active()) {
 			if (queue.waiting.containsKey(exchange.number())) {
@@ -282,27 +290,26 @@
 		requestPermitsForArrivals(queue, answered);
 	}
 
-	private void resolveNewProgram(TeamQueue queue, Exchange exchange, String peer, boolean admitted,
+	private void resolveNewProgram(TeamQueue queue, Exchange exchange, PendingRequest answered, boolean admitted,
 			Duration retryAfter) {
 		if (admitted) {
 			queue.permits.markAdmitted(exchange.head().program().orElseThrow().hashCode());
 		}
 		if (!queue.waiting.containsKey(exchange.number())) {
-			queue.permits.add(peer, admitted ? 1 : 0, this.state.now);
+			queue.permits.add(answered.peer(), admitted ? 1 : 0, this.state.now);
 			return;
 		}
 		if (!admitted) {
 			refuse(queue, exchange, Refusal.QUOTA_SPENT, retryAfter);
 			return;
 		}
-		queue.waiting.remove(exchange.number());
-		admitted(exchange);
+		admitted(queue, exchange, Permits.expiry(answered.sentAt()));
 	}
 
 	private void resolveActiveProgram(TeamQueue queue, Exchange exchange, Duration retryAfter) {
-		if (queue.permits.tryAcquire(this.state.now)) {
-			queue.waiting.remove(exchange.number());
-			admitted(exchange);
+		OptionalLong expiry = queue.permits.acquire(this.state.now);
+		if (expiry.isPresent()) {
+			admitted(queue, exchange, expiry.getAsLong());
 			return;
 		}
 		long heldMillis = this.state.now - exchange.request().now();
@@ -363,8 +370,8 @@
 		}
 		queue.waiting.remove(exchange.number());
 		boolean sent = exchange.phase() == Phase.RUNNING || exchange.phase() == Phase.STORING;
-		if (exchange.permitted() && !sent) {
-			queue.permits.release(this.state.now);
+		if (!sent) {
+			exchange.permitExpiry().ifPresent((expiry) -> queue.permits.release(expiry, this.state.now));
 		}
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaOvershootProperties.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaOvershootProperties.java
@@ -36,6 +36,14 @@
 		trial.assertWithinQuota();
 	}
 
+	// Guards against unused permits of requests that were not sent.
+	@Property(tries = 60, seed = "6414")
+	void requestsThatWereNotSentDoNotExceedTheQuota(@ForAll long seed) {
+		Trial trial = new Trial(seed);
+		trial.stopUpstreams();
+		trial.assertWithinQuota();
+	}
+
 	@Property(tries = 60, seed = "6415")
 	void changeOfTheQuotaDoesNotExceedTheLargerOne(@ForAll long seed) {
 		Trial trial = new Trial(seed);
@@ -78,6 +86,12 @@
 			this.site.exclude(relay(), start(), duration());
 		}
 
+		void stopUpstreams() {
+			Duration from = start();
+			this.site.upstreams(false, from);
+			this.site.upstreams(true, from.plus(duration()));
+		}
+
 		void changeQuota() {
 			Quota lower = new Quota(this.quota.ratePerSecond() / 2, this.quota.burst() / 2);
 			Duration from = start();
