--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -81,6 +81,18 @@
 		assertThat(permitRequests()).hasSize(1);
 	}
 
+	// Guards against a permit that is used in a later window than it was granted in,
+	// because its reply came late.
+	@Test
+	void permitOfALateReplyIsNotUsed() {
+		sendRequest("r1", "p");
+		PermitRequest request = permitRequests().getFirst();
+		this.relay.handle(new RelayEvent.CallerDisconnected(this.relay.now(), this.relay.exchange()));
+		this.relay.advance(1500);
+		grant(request, 2, true);
+		assertThat(RelayFixture.ofType(sendRequest("r2", "p"), RelayEffect.SendRequest.class)).isEmpty();
+	}
+
 	private List<RelayEffect> sendRequest(String id, String program) {
 		return this.relay.sendRequest(new RequestHead(id, "host", "/look/x", Optional.of(Duration.ofSeconds(3)),
 				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
--- /dev/null
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
@@ -0,0 +1,100 @@
+package io.lentilslip.core.relay;
+
+import java.util.List;
+
+import io.lentilslip.core.relay.RelayEvent.FailureCause;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of requests whose id was used by an earlier attempt of their caller.
+ */
+class RepeatedRequestTests {
+
+	private static final int EVENTS = 5;
+
+	private final RelayFixture relay = RelayFixture.ready();
+
+	// Guards against a turn that is not counted since an attempt that did not run was
+	// settled.
+	@Test
+	void turnIsCountedAfterAnAttemptThatDidNotRun() {
+		this.relay.sendTurn("t1", "draft", turn());
+		this.relay.respond(1, RelayFixture.FULL);
+		this.relay.respond(2, RelayFixture.FULL);
+		assertThat(this.relay.usedTokens("p")).isZero();
+		this.relay.sendTurn("t1", "draft", turn());
+		stream("b");
+		assertThat(this.relay.usedTokens("p")).isEqualTo(EVENTS * RelayFixture.TOKENS_PER_EVENT);
+	}
+
+	// Guards against a reservation that covers two running turns.
+	@Test
+	void concurrentTurnsAreBothCounted() {
+		this.relay.sendTurn("t1", "draft", turn());
+		this.relay.sendTurn("t1", "draft", turn());
+		assertThat(RelayFixture.ofType(this.relay.all, RelayEffect.SendRequest.class)).hasSize(2);
+		assertThat(this.relay.usedTokens("p")).isEqualTo(200);
+	}
+
+	// Guards against a turn that continues an answer which its caller did not get.
+	@Test
+	void chainHasTheAnswerOfTheAttemptThatTheCallerGot() {
+		this.relay.sendTurn("t1", "chat", turn());
+		stream("a");
+		this.relay.handle(new RelayEvent.CallerDisconnected(this.relay.now(), this.relay.exchange()));
+		this.relay.sendTurn("t1", "chat", turn());
+		stream("b");
+		List<RelayEffect> stored = this.relay.stored("t1");
+		assertThat(RelayFixture.ofType(stored, RelayEffect.EndStream.class)).hasSize(1);
+		List<RelayEffect> next = this.relay.sendTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
+		assertThat(new String(RelayFixture.ofType(next, RelayEffect.SendRequest.class).getFirst().prefix()))
+			.doesNotContain("a1")
+			.contains("b1");
+	}
+
+	// Guards against a stream that is continued at the version of an earlier attempt of
+	// the caller.
+	@Test
+	void resumedStreamHasTheVersionOfTheLastAttempt() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "draft", turn());
+		list(engine("a", "v1"), engine("b", "v2"));
+		this.relay.fail(1, FailureCause.BROKEN);
+		this.relay.fail(2, FailureCause.BROKEN);
+		list(engine("c", "v1"));
+		this.relay.sendTurn("t1", "draft", turn());
+		this.relay.open(1);
+		this.relay.event(1, 1);
+		this.relay.fail(1, FailureCause.BROKEN);
+		list(engine("e", "v1"), engine("f", "v2"));
+		List<RelayEffect> resumed = this.relay.sendRequest(RelayFixture.resuming("t2", "t1", 1), "body");
+		assertThat(RelayFixture.ofType(resumed, RelayEffect.SendRequest.class).getFirst().upstream().version())
+			.isEqualTo("v1");
+	}
+
+	private void stream(String text) {
+		int attempt = RelayFixture.ofType(this.relay.all, RelayEffect.SendRequest.class).getLast().attempt();
+		this.relay.open(attempt);
+		for (int i = 1; i <= EVENTS; i++) {
+			byte[] data = (text + i).getBytes();
+			this.relay.handle(new RelayEvent.StreamEventReceived(this.relay.now(), this.relay.exchange(), attempt, i,
+					data, data));
+		}
+		this.relay.end(attempt);
+	}
+
+	private void list(Upstream... upstreams) {
+		this.relay.handle(new RelayEvent.UpstreamsReplaced(this.relay.now(), List.of(upstreams)));
+	}
+
+	private static Upstream engine(String id, String version) {
+		return RelayFixture.engine(id, version, false);
+	}
+
+	private static RequestHead.Turn turn() {
+		return RelayFixture.turn("p", 10_000, 100, null);
+	}
+
+}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -190,6 +190,21 @@
 		}
 	}
 
+	// Guards against an attempt that fails because of the size of a late response.
+	@Test
+	void largeLateResponseIsSkipped() throws Exception {
+		String large = "x".repeat(1_200_000);
+		send("a", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("a", 503, ""));
+			assertThat(outcome()).isEqualTo("503 ");
+			send("b", HttpMethod.GET);
+			connection.readHead();
+			connection.write(response("a", 200, large) + response("b", 200, "own"));
+			assertThat(outcome()).isEqualTo("200 own");
+		}
+	}
+
 	// A response to HEAD has a length but no body. Guards against a late one that takes
 	// in
 	// the response that follows, and against a late body that is decoded as a response.
