Skip late responses of any size that a response may have

Callers of requests that may run once got an error that promises nothing, although their response followed: the body of a late response to an earlier request counted as bytes without progress, of which 1.06 MB were allowed, while a response may have 8 MB.

The body of a response to an earlier request of the connection now has the bound of a response. RepeatedResponseTests.largeLateResponseIsSkipped failed before.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -95,6 +95,13 @@
 
 	private boolean skipping;
 
+	private boolean skippingRepeated;
+
+	/**
+	 * The bytes of the bodies of late responses since the request was sent.
+	 */
+	private long repeatedBytes;
+
 	private int skippedResponses;
 
 	private int informationalResponses;
@@ -127,6 +134,7 @@
 		this.skippedResponses = 0;
 		this.informationalResponses = 0;
 		this.unproductiveBytes = 0;
+		this.repeatedBytes = 0;
 		// The end of the previous response may have been read together with the data that
 		// paused the reading.
 		setReading(true);
@@ -248,6 +256,7 @@
 		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
+			this.skippingRepeated = false;
 			this.informationalResponses++;
 			if (this.informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
 				fail(FailureCause.UNREADABLE);
@@ -279,6 +288,7 @@
 			.orElse(Kind.NO_REQUEST);
 		report(other, named, OptionalInt.of(response.status().code()));
 		this.skipping = true;
+		this.skippingRepeated = other == Kind.REPEATED;
 		// Late responses to several requests may arrive at once; bytes without progress
 		// are bounded.
 		this.skippedResponses += (other == Kind.REPEATED) ? 0 : 1;
@@ -302,7 +312,10 @@
 			fail(FailureCause.UNREADABLE);
 			return;
 		}
-		if (!this.skipping) {
+		if (this.skipping) {
+			skipContent(content.content().readableBytes());
+		}
+		else {
 			consume(content.content());
 		}
 		if (content instanceof LastHttpContent && this.current.isPresent() && !this.skipping) {
@@ -314,6 +327,14 @@
 		}
 	}
 
+	// A late response may be as large as any other; together they have the same bound.
+	private void skipContent(int bytes) {
+		if (this.skippingRepeated && this.repeatedBytes + bytes <= MAX_RESPONSE_BYTES) {
+			this.repeatedBytes += bytes;
+			this.unproductiveBytes -= bytes;
+		}
+	}
+
 	// The decoder ends a response without a length however the connection ends. A write
 	// that
 	// fails after a reset closes the channel before a read could fail, so only an orderly
