Close a connection that can't carry a request before another one is opened

A caller that repeats an id, or callers that mix HEAD and other methods, left up to 64 idle connections at an upstream that none of these requests could use. They count against the number that the upstream allows, beyond which it resets others.

The new connection takes the place of the oldest one that could not carry the request. RepeatedResponseTests.newConnectionReplacesOneThatCannotCarryTheId, not run without the change.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -155,6 +155,10 @@
 				unsuitable.addFirst(next);
 			}
 		}
+		if (found.isEmpty() && !unsuitable.isEmpty()) {
+			// The new connection takes its place: the upstream limits their number.
+			unsuitable.pollFirst().connection().cancel();
+		}
 		unsuitable.forEach(this.idle::addFirst);
 		return found;
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -154,6 +154,20 @@
 		}
 	}
 
+	// Guards against idle connections that add up while a caller repeats an id.
+	@Test
+	void newConnectionReplacesOneThatCannotCarryTheId() throws Exception {
+		send("a", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("a", 503, "first"));
+			assertThat(outcome()).isEqualTo("503 first");
+			respondOnTheNextConnection(response("a", 503, "second"));
+			send("a", HttpMethod.GET);
+			assertThat(outcome()).isEqualTo("503 second");
+			assertThat(connection.isClosedByClient()).isTrue();
+		}
+	}
+
 	// Guards against an id that is forgotten while its connection is still used.
 	@Test
 	void connectionIsClosedAfterItsLastRequest() throws Exception {
