Refund expired permits to the relay that granted them only

A team could get more than its quota: permits had no grantor, so those of one coordinator that expired after another one had granted were refunded to the bucket of the latter, which had not charged them.

Each permit now names its grantor. A permit that was released is not refunded, since its grantor is not known any more. The properties of quotas pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -1,8 +1,10 @@
 package io.lentilslip.core.quota;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Queue;
@@ -43,7 +45,7 @@
 
 	private static final int MAX_PROGRAMS = 512;
 
-	private final Queue<Long> expiries = new PriorityQueue<>();
+	private final Queue<Permit> permits = new PriorityQueue<>(Comparator.comparingLong(Permit::expiresAt));
 
 	private final Map<Integer, Boolean> admittedPrograms = new LinkedHashMap<>(16, 0.75f, true) {
 		@Override
@@ -74,7 +76,7 @@
 			this.grantor = from;
 		}
 		for (int i = 0; i < permits; i++) {
-			this.expiries.add(expiry(requestedAt));
+			this.permits.add(new Permit(expiry(requestedAt), Optional.of(from)));
 		}
 	}
 
@@ -85,8 +87,8 @@
 	 */
 	public OptionalLong acquire(long now) {
 		expire(now);
-		Long expiry = this.expiries.poll();
-		return (expiry != null) ? OptionalLong.of(expiry) : OptionalLong.empty();
+		Permit next = this.permits.poll();
+		return (next != null) ? OptionalLong.of(next.expiresAt()) : OptionalLong.empty();
 	}
 
 	/**
@@ -100,10 +102,11 @@
 	}
 
 	private void expire(long now) {
-		while (!this.expiries.isEmpty() && this.expiries.peek() <= now) {
-			long expiredAt = this.expiries.poll();
-			this.expiredUnused += (now - expiredAt < REFUND_TIMEOUT_MS) ? 1 : 0;
-			this.lastExpiredAt = expiredAt;
+		while (!this.permits.isEmpty() && this.permits.peek().expiresAt() <= now) {
+			Permit expired = this.permits.poll();
+			boolean refundable = expired.grantor().filter(this.grantor::equals).isPresent();
+			this.expiredUnused += (refundable && now - expired.expiresAt() < REFUND_TIMEOUT_MS) ? 1 : 0;
+			this.lastExpiredAt = expired.expiresAt();
 		}
 	}
 
@@ -117,7 +120,7 @@
 	public void release(long expiresAt, long now) {
 		long reusableUntil = expiresAt - EXPIRY.toMillis() + REUSE_TIMEOUT_MS;
 		if (reusableUntil > now) {
-			this.expiries.add(reusableUntil);
+			this.permits.add(new Permit(reusableUntil, Optional.empty()));
 		}
 	}
 
@@ -169,8 +172,19 @@
 	 * Discards all permits, which may have expired while the process was paused.
 	 */
 	public void clear() {
-		this.expiries.clear();
+		this.permits.clear();
 		this.expiredUnused = 0;
 	}
 
+	/**
+	 * An unused permit. Immutable.
+	 *
+	 * @param expiresAt the time at which it expires, in milliseconds of a monotonic clock
+	 * @param grantor the relay that granted it; empty if it was released, since its
+	 * grantor is not known any more
+	 */
+	private record Permit(long expiresAt, Optional<String> grantor) {
+
+	}
+
 }
