--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -1,10 +1,13 @@
 package io.lentilslip.core.quota;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Queue;
 
 /**
  * Unused permits of one team at one relay, and the team's programs that are known to be
@@ -28,9 +31,21 @@
 	 */
 	private static final long RECENT_USE_MS = 1000;
 
+	/**
+	 * The time after which an expired permit is not refunded. A refund counts in a later
+	 * window than the grant, as a permit that is used late does.
+	 */
+	private static final long REFUND_TIMEOUT_MS = 250;
+
+	/**
+	 * The time after the request for a permit in which it can be reused if its request
+	 * was not sent.
+	 */
+	private static final long REUSE_TIMEOUT_MS = 250;
+
 	private static final int MAX_PROGRAMS = 512;
 
-	private final Deque<Long> expiries = new ArrayDeque<>();
+	private final Queue<Permit> permits = new PriorityQueue<>(Comparator.comparingLong(Permit::expiresAt));
 
 	private final Map<Integer, Boolean> admittedPrograms = new LinkedHashMap<>(16, 0.75f, true) {
 		@Override
@@ -45,57 +60,81 @@
 
 	private int expiredUnused;
 
+	private long lastExpiredAt = Long.MIN_VALUE / 2;
+
 	/**
-	 * Adds permits.
+	 * Adds permits. They are as old as the request for them, because the time of the
+	 * grant is unknown.
 	 * @param from the relay that granted the permits
 	 * @param permits the number of permits
-	 * @param now milliseconds of a monotonic clock
+	 * @param requestedAt the time at which they were requested, in milliseconds of a
+	 * monotonic clock
 	 */
-	public void add(String from, int permits, long now) {
+	public void add(String from, int permits, long requestedAt) {
 		if (!from.equals(this.grantor)) {
 			this.expiredUnused = 0;
 			this.grantor = from;
 		}
 		for (int i = 0; i < permits; i++) {
-			this.expiries.addLast(now + EXPIRY.toMillis());
+			this.permits.add(new Permit(expiry(requestedAt), Optional.of(from)));
 		}
 	}
 
 	/**
 	 * Acquires a permit if one is available.
 	 * @param now milliseconds of a monotonic clock
-	 * @return whether a permit was acquired
+	 * @return the time at which the permit expires; empty if none was acquired
 	 */
-	public boolean tryAcquire(long now) {
+	public OptionalLong acquire(long now) {
 		expire(now);
-		return this.expiries.pollFirst() != null;
+		Permit next = this.permits.poll();
+		return (next != null) ? OptionalLong.of(next.expiresAt()) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns the expiry of permits.
+	 * @param requestedAt the time at which they were requested, in milliseconds of a
+	 * monotonic clock
+	 * @return the time at which they expire
+	 */
+	public static long expiry(long requestedAt) {
+		return requestedAt + EXPIRY.toMillis();
 	}
 
 	private void expire(long now) {
-		while (!this.expiries.isEmpty() && this.expiries.peekFirst() <= now) {
-			this.expiries.pollFirst();
-			this.expiredUnused++;
+		while (!this.permits.isEmpty() && this.permits.peek().expiresAt() <= now) {
+			Permit expired = this.permits.poll();
+			boolean refundable = expired.grantor().filter(this.grantor::equals).isPresent();
+			this.expiredUnused += (refundable && now - expired.expiresAt() < REFUND_TIMEOUT_MS) ? 1 : 0;
+			this.lastExpiredAt = expired.expiresAt();
 		}
 	}
 
 	/**
-	 * Releases a permit whose request was not sent.
+	 * Releases a permit whose request was not sent. It can be reused for a short time
+	 * only, because nothing bounds the number of such permits.
+	 * @param expiresAt the time at which it would have expired, in milliseconds of a
+	 * monotonic clock
 	 * @param now milliseconds of a monotonic clock
 	 */
-	public void release(long now) {
-		this.expiries.addLast(now + EXPIRY.toMillis());
+	public void release(long expiresAt, long now) {
+		long reusableUntil = expiresAt - EXPIRY.toMillis() + REUSE_TIMEOUT_MS;
+		if (reusableUntil > now) {
+			this.permits.add(new Permit(reusableUntil, Optional.empty()));
+		}
 	}
 
 	/**
-	 * Returns the number of permits of a relay that expired unused since the last call,
-	 * and resets the count.
+	 * Returns the number of permits of a relay that expired unused shortly before this
+	 * call, and resets the count.
 	 * @param from the relay
 	 * @param now milliseconds of a monotonic clock
 	 * @return the number; zero if another relay granted the permits
 	 */
 	public int takeExpired(String from, long now) {
 		expire(now);
-		int expired = from.equals(this.grantor) ? this.expiredUnused : 0;
+		boolean recent = now - this.lastExpiredAt < REFUND_TIMEOUT_MS;
+		int expired = (recent && from.equals(this.grantor)) ? this.expiredUnused : 0;
 		this.expiredUnused = 0;
 		return expired;
 	}
@@ -133,8 +172,19 @@
 	 * Discards all permits, which may have expired while the process was paused.
 	 */
 	public void clear() {
-		this.expiries.clear();
+		this.permits.clear();
 		this.expiredUnused = 0;
 	}
 
+	/**
+	 * An unused permit. Immutable.
+	 *
+	 * @param expiresAt the time at which it expires, in milliseconds of a monotonic clock
+	 * @param grantor the relay that granted it; empty if it was released, since its
+	 * grantor is not known any more
+	 */
+	private record Permit(long expiresAt, Optional<String> grantor) {
+
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -66,8 +66,6 @@
 
 	private int eventCount;
 
-	private int eventCountAtSend;
-
 	private boolean mayHaveRun;
 
 	private boolean reserved;
@@ -76,6 +74,8 @@
 
 	private long lastActivityAt;
 
+	private long sentAt;
+
 	private long nextIdleCheck;
 
 	private boolean written;
@@ -92,7 +92,7 @@
 
 	private boolean reservedOnAll;
 
-	private boolean permitted;
+	private OptionalLong permitExpiry = OptionalLong.empty();
 
 	private boolean callerBlocked;
 
@@ -162,16 +162,6 @@
 		return PoisonRequests.targetDigest(((host.getValue() << Integer.SIZE) | path.getValue()) ^ teamDigest);
 	}
 
-	/**
-	 * Returns whether the current attempt has brought the response further. Its upstream
-	 * has then survived the start of the request, so that another request is more likely
-	 * the cause if it fails.
-	 * @return {@code true} if the caller received an event of the attempt
-	 */
-	boolean progressed() {
-		return this.route.resumable() && this.eventCount > this.eventCountAtSend;
-	}
-
 	/**
 	 * Returns the stream that the request resumes.
 	 * @return the stream, or empty if the request starts one or the route has none
@@ -195,13 +185,18 @@
 
 	/**
 	 * Records that the quota of the team admits the request.
+	 * @param expiresAt the time at which the permit expires if the request is not sent
 	 */
-	void markPermitted() {
-		this.permitted = true;
+	void permit(long expiresAt) {
+		this.permitExpiry = OptionalLong.of(expiresAt);
 	}
 
-	boolean permitted() {
-		return this.permitted;
+	/**
+	 * Returns the expiry of the permit from the quota of the team.
+	 * @return the time; empty if the request has no permit
+	 */
+	OptionalLong permitExpiry() {
+		return this.permitExpiry;
 	}
 
 	/**
@@ -288,11 +283,11 @@
 	}
 
 	void recordSend(Upstream next, long now) {
+		this.sentAt = now;
 		this.lastActivityAt = now;
 		this.graceGranted = false;
 		this.written = false;
 		this.upstreamEnded = false;
-		this.eventCountAtSend = this.eventCount;
 		this.attempt++;
 		this.sendCount++;
 		this.triedUpstreams.add(next.id());
@@ -329,7 +324,7 @@
 	}
 
 	/**
-	 * Returns whether the upstream of the current attempt has ended unplanned.
+	 * Returns whether the upstream of the current attempt has ended without a drain.
 	 * @return {@code true} if it has
 	 */
 	boolean upstreamEnded() {
@@ -401,6 +396,14 @@
 		return (this.eventCount > 0) ? Optional.of(Duration.ofMillis(now - this.firstEventAt)) : Optional.empty();
 	}
 
+	/**
+	 * Returns when the current attempt was sent.
+	 * @return milliseconds of a monotonic clock
+	 */
+	long sentAt() {
+		return this.sentAt;
+	}
+
 	/**
 	 * Returns when the upstream last sent an event, or when the request was written or,
 	 * before that, the upstream selected.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -75,6 +75,10 @@
 				this.quotas.processResumed();
 				this.site.processResumed(resumed.pause());
 			}
+			case RelayEvent.LogEndRead read -> {
+				this.requests.streams().logEndRead(read.sentAt());
+				this.requests.resumeWaiting(Source.LEDGER);
+			}
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
 			case RelayEvent.SettlementsStored stored -> stored.requests().forEach(this.texts::entryStored);
 			case RelayEvent.RenewalsStored stored -> stored.requests().forEach(this.texts::correctionStored);
@@ -123,7 +127,10 @@
 			case RelayEvent.SyncCompleted completed ->
 				this.site.syncReceived(completed.peer(), completed.otherRelays());
 			case RelayEvent.ListenerStarted started -> this.state.name = started.name();
-			case RelayEvent.PeerDisconnected disconnected -> this.site.peerDisconnected(disconnected.peer());
+			case RelayEvent.PeerDisconnected disconnected -> {
+				this.site.peerDisconnected(disconnected.peer());
+				this.quotas.peerDisconnected(disconnected.peer());
+			}
 			case RelayEvent.TurnWriteRequested request -> this.texts.storeForPeer(request);
 			case RelayEvent.ConnectivityChanged changed -> this.site.connectivityChanged(changed.connectivity());
 			case RelayEvent.RouteTableUpdated updated -> {
@@ -131,9 +138,12 @@
 				this.requests.admissions().routeTableUpdated();
 			}
 			case RelayEvent.UpstreamsReplaced replaced -> this.site.upstreamsReplaced(replaced.upstreams());
+			case RelayEvent.UpstreamsConfirmed confirmed -> this.requests.upstreamsConfirmed(confirmed.confirmation());
+			case RelayEvent.UpstreamChangesMissed ignored -> this.state.upstreamChangesMissed();
 			case RelayEvent.UpstreamUpdated updated -> this.site.upstreamUpdated(updated.upstream());
 			case RelayEvent.UpstreamInvalid invalid -> this.site.upstreamInvalid(invalid.id(), invalid.error());
 			case RelayEvent.UpstreamRemoved removed -> this.site.upstreamRemoved(removed.id());
+			case RelayEvent.UpstreamProbed probed -> this.state.failureRules.upstreamProbed(probed);
 		}
 		this.site.updateReadiness();
 		return this.state.drainEffects();
@@ -178,6 +188,7 @@
 		switch (timer) {
 			case DEADLINE -> this.completion.deadlineExceeded(exchange);
 			case STREAM_VERSION -> this.requests.versionTimedOut(exchange);
+			case UPSTREAM_CONFIRMATION -> this.requests.streams().confirmationTimedOut(exchange);
 			case CHAIN_LOOKUP -> this.texts.chainTimedOut(exchange);
 			case TEXT_FETCH -> this.texts.textsTimedOut(exchange);
 			case BUDGET_DECISION -> this.budgets.decisionTimedOut(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -64,6 +64,16 @@
 
 	}
 
+	/**
+	 * Reads the list of upstreams up to its current end, and reports when that is
+	 * reached. Nothing is reported if the read fails.
+	 *
+	 * @param confirmation the number of the request
+	 */
+	record ConfirmUpstreams(long confirmation) implements RelayEffect {
+
+	}
+
 	/**
 	 * Requests permits of a team from another relay.
 	 *
@@ -440,6 +450,17 @@
 
 	}
 
+	/**
+	 * Connects to an upstream to find out whether it still accepts connections, and
+	 * reports that in an {@link RelayEvent.UpstreamProbed} event.
+	 *
+	 * @param upstream the upstream
+	 * @param delay the time to wait before
+	 */
+	record ProbeUpstream(Upstream upstream, Duration delay) implements RelayEffect {
+
+	}
+
 	/**
 	 * Reads the log up to its current end, and reports when that is reached.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -72,6 +72,7 @@
 
 	void upstreamsReplaced(List<Upstream> upstreams) {
 		this.state.upstreams.replace(upstreams, this.state.now);
+		this.state.upstreamsListed();
 		recordFailuresOfEnded();
 	}
 
@@ -112,15 +113,8 @@
 		recordFailuresOfEnded();
 	}
 
-	// An upstream that was draining has ended as planned.
 	private void recordFailuresOfEnded() {
-		for (Upstream ended : this.state.upstreams.drainEnded()) {
-			if (ended.draining()) {
-				continue;
-			}
-			this.state.unansweredAttempts.incarnationEnded(ended.incarnationId()).forEach(this.state::upstreamFailed);
-			this.state.exchanges.values().forEach((exchange) -> exchange.recordUpstreamEnd(ended.incarnationId()));
-		}
+		this.state.upstreams.drainEnded().forEach(this.state.failureRules::incarnationEnded);
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -54,6 +55,7 @@
 import io.lentilslip.relay.store.TextWriter;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.relay.store.Topic;
+import io.lentilslip.relay.upstream.UnmatchedResponse;
 import io.lentilslip.relay.upstream.UpstreamClient;
 import io.lentilslip.telemetry.Notices;
 import io.lentilslip.wire.relay.PeerMessage;
@@ -88,6 +90,8 @@
 
 	private static final String ROLE = "relay";
 
+	private static final String NONE = "none";
+
 	private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayProcess.class);
@@ -127,6 +131,8 @@
 
 	private final Peers peers;
 
+	private final CompactedTopicConsumer upstreamConsumer;
+
 	private final ConnectivityMonitor connectivityMonitor;
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
@@ -158,7 +164,8 @@
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
-		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes());
+		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes(),
+				this::responseUnmatched);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes());
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
@@ -167,11 +174,13 @@
 		this.writer = new EntryWriter(this.store, this.timers, this.random, this::turnsStored, this::renewalsStored,
 				this::streamAttemptsStored, this::conditionalReservationsStored,
 				this.connectivityMonitor::storeCallCompleted, dropReporter::recordDropped);
-		this.reader = new EntryReader(this.store, this.timers, this.random, this::entriesRead, this::caughtUp,
-				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated);
+		this.reader = new EntryReader(this.store, this.timers, this.random, new LogListener(), this::caughtUp,
+				this.connectivityMonitor::storeCallCompleted, this.connectivityMonitor::isolated,
+				(ex) -> reportFailure(Topic.ENTRIES, ex));
 		this.textWriter = new TextWriter(this.store, this.timers, this.random, setup.settings().textPartition(),
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
+		this.upstreamConsumer = consumer(Topic.UPSTREAMS, new UpstreamListener());
 	}
 
 	/**
@@ -220,11 +229,11 @@
 	}
 
 	private void consume() {
-		consume(Topic.ROUTES, new RouteTableListener());
-		consume(Topic.UPSTREAMS, new UpstreamListener());
+		consumer(Topic.ROUTES, new RouteTableListener()).start();
+		this.upstreamConsumer.start();
 		this.reader.read();
 		this.textWriter.start();
-		register(() -> consume(Topic.RELAYS, this.peers));
+		register(() -> consumer(Topic.RELAYS, this.peers).start());
 		checkConnectivity();
 		if (this.setup.settings().logRetention().isPositive()) {
 			startRenewalRounds();
@@ -238,10 +247,16 @@
 		});
 	}
 
-	private void consume(Topic topic, CompactedTopicConsumer.Listener listener) {
-		new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
-				this.connectivityMonitor::storeCallCompleted)
-			.start();
+	private CompactedTopicConsumer consumer(Topic topic, CompactedTopicConsumer.Listener listener) {
+		return new CompactedTopicConsumer(this.store, this.timers, this.random, topic, listener,
+				this.connectivityMonitor::storeCallCompleted, (ex) -> reportFailure(topic, ex));
+	}
+
+	// Without the stack trace: another writer may repeat the record at any rate, and only
+	// notices have a rate limit.
+	private void reportFailure(Topic topic, Throwable cause) {
+		this.notices.write(NoticeCode.DECISION_FAILED.with(FieldName.CALL, topic.name()).with(FieldName.REASON, cause));
+		logger.debug("Failed to handle records of topic {}", topic, cause);
 	}
 
 	/**
@@ -383,6 +398,8 @@
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
+			case RelayEffect.ConfirmUpstreams confirm -> this.upstreamConsumer
+				.confirm(() -> on(new RelayEvent.UpstreamsConfirmed(this.timers.now(), confirm.confirmation())));
 			case RelayEffect.StartTimer start -> this.timers.schedule(start.delay(),
 					() -> on(new RelayEvent.TimerFired(this.timers.now(), start.exchange(), start.timer())));
 			case RelayEffect.ReportReadiness report -> this.ready = report.ready();
@@ -420,10 +437,6 @@
 		on(new RelayEvent.TextsStored(this.timers.now(), requests, firstOffset, endOffset, latency));
 	}
 
-	private void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
-		on(new RelayEvent.EntriesReceived(this.timers.now(), entries, Optional.empty(), ages));
-	}
-
 	private void conditionalReservationsStored() {
 		this.reader.read();
 	}
@@ -432,6 +445,17 @@
 		on(new RelayEvent.CaughtUp(this.timers.now(), offset, duration, idle));
 	}
 
+	private void responseUnmatched(UnmatchedResponse unmatched) {
+		this.setup.measurements().accept(new Measurement.ResponseUnmatched(unmatched.kind()));
+		OptionalInt status = unmatched.status();
+		this.notices.write(NoticeCode.RESPONSE_UNMATCHED.with(FieldName.REQUEST, unmatched.named().orElse(NONE))
+			.with(FieldName.EXPECTED, unmatched.expected().orElse(NONE))
+			.with(FieldName.UPSTREAM, unmatched.upstream())
+			.with(FieldName.REASON, unmatched.kind())
+			.with(FieldName.STATUS, status.isPresent() ? status.getAsInt() : NONE)
+			.with(FieldName.COUNT, unmatched.requestCount()));
+	}
+
 	private void beginDrain() {
 		this.draining = true;
 		this.callers.drain();
@@ -503,6 +527,23 @@
 
 	}
 
+	/**
+	 * Handles reads of the log. Used by the event loop's thread.
+	 */
+	private final class LogListener implements EntryReader.EntryListener {
+
+		@Override
+		public void entriesRead(List<LedgerEntry> entries, List<Duration> ages) {
+			on(new RelayEvent.EntriesReceived(RelayProcess.this.timers.now(), entries, Optional.empty(), ages));
+		}
+
+		@Override
+		public void endRead(long sentAt) {
+			on(new RelayEvent.LogEndRead(RelayProcess.this.timers.now(), sentAt));
+		}
+
+	}
+
 	/**
 	 * Handles changes of the route table. Used by the event loop's thread.
 	 */
@@ -556,13 +597,25 @@
 				.peekLeft((error) -> invalid(key, error));
 		}
 
+		@Override
+		public void changesMissed() {
+			on(new RelayEvent.UpstreamChangesMissed(RelayProcess.this.timers.now()));
+		}
+
 		private void invalid(String key, UpstreamRecordError error) {
 			RelayProcess.this.upstreams.removeUpstream(key);
 			on(new RelayEvent.UpstreamInvalid(RelayProcess.this.timers.now(), key, error));
 		}
 
+		// A record that makes the decoder fail must not hide the others of a snapshot.
 		private Either<UpstreamRecordError, Upstream> decode(String key, byte[] value) {
-			return RelayProcess.this.setup.storeDecoder().decodeUpstream(key, value);
+			try {
+				return RelayProcess.this.setup.storeDecoder().decodeUpstream(key, value);
+			}
+			catch (RuntimeException | StackOverflowError ex) {
+				logger.debug("Failed to decode the record of upstream {}", key, ex);
+				return Either.left(UpstreamRecordError.UNREADABLE);
+			}
 		}
 
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryReader.java
@@ -58,6 +58,8 @@
 
 	private final BooleanSupplier isolated;
 
+	private final Consumer<Throwable> errorListener;
+
 	private final RetryBackoff backoff;
 
 	private long nextOffset;
@@ -82,6 +84,8 @@
 
 	private long readNumber;
 
+	private long sentAt;
+
 	/**
 	 * Creates a reader.
 	 * @param store the store
@@ -92,9 +96,12 @@
 	 * again after each {@link #catchUp()}
 	 * @param callListener receives whether each call to the store succeeded
 	 * @param isolated returns whether most links to other relays are down
+	 * @param errorListener receives what is thrown while entries are handled
 	 */
 	public EntryReader(Store store, Timers timers, RandomGenerator random, EntryListener entryListener,
-			CaughtUpListener caughtUpListener, Consumer<Boolean> callListener, BooleanSupplier isolated) {
+			CaughtUpListener caughtUpListener, Consumer<Boolean> callListener, BooleanSupplier isolated,
+			Consumer<Throwable> errorListener) {
+		this.errorListener = errorListener;
 		this.store = store;
 		this.timers = timers;
 		this.entryListener = entryListener;
@@ -116,6 +123,7 @@
 		}
 		this.callInFlight = true;
 		this.readNumber++;
+		this.sentAt = this.timers.now();
 		this.store.read(Topic.ENTRIES, this.nextOffset, Duration.ZERO, this::handleResult);
 	}
 
@@ -146,13 +154,16 @@
 	private void handleRecords(Store.ReadResult.Records records) {
 		this.backoff.reset();
 		this.nextOffset = records.nextOffset();
-		decode(records.records());
+		boolean handled = handleEntries(records.records());
 		boolean atEnd = this.nextOffset >= records.endOffset();
 		if (atEnd && !this.reachedEnd && !this.readAgain) {
 			this.reachedEnd = true;
 			this.caughtUpListener.caughtUp(this.nextOffset,
 					Duration.ofMillis(this.timers.now() - this.catchUpStartedAt), idleTime());
 		}
+		if (atEnd && handled) {
+			this.entryListener.endRead(this.sentAt);
+		}
 		if (!atEnd || this.readAgain) {
 			this.readAgain = false;
 			read();
@@ -161,6 +172,18 @@
 		scheduleRead(this.isolated.getAsBoolean() ? ISOLATED_POLL_INTERVAL : POLL_INTERVAL);
 	}
 
+	// The log is read on whatever an entry does, since nothing else would read it.
+	private boolean handleEntries(List<Store.StoredRecord> records) {
+		try {
+			decode(records);
+			return true;
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.errorListener.accept(ex);
+			return false;
+		}
+	}
+
 	// After a loss of all relays, entries of those that restarted first are recent. The
 	// write gap before them still shows the outage.
 	private void recordTimestamp(EntryTimestamp timestamp) {
@@ -238,6 +261,13 @@
 		 */
 		void entriesRead(List<LedgerEntry> entries, List<Duration> ages);
 
+		/**
+		 * Called after each read that reached the end of the log.
+		 * @param sentAt when the read was sent, by the monotonic clock
+		 */
+		default void endRead(long sentAt) {
+		}
+
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -1,9 +1,12 @@
 package io.lentilslip.relay.upstream;
 
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
@@ -11,8 +14,11 @@
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
 import io.lentilslip.relay.net.HeldBytes;
+import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -35,6 +41,8 @@
 
 	private final HeldBytes heldBytes;
 
+	private final Consumer<UnmatchedResponse> unmatchedResponses;
+
 	private final Map<String, UpstreamPool> pools = new HashMap<>();
 
 	private final Map<AttemptKey, UpstreamPool.Attempt> attempts = new HashMap<>();
@@ -45,12 +53,15 @@
 	 * @param dialect the upstreams' header names and formats
 	 * @param timers the clock
 	 * @param heldBytes bounds the bytes of responses that are not complete
+	 * @param unmatchedResponses receives data that belongs to no request in flight
 	 */
-	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes) {
+	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes,
+			Consumer<UnmatchedResponse> unmatchedResponses) {
 		this.loop = loop;
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
+		this.unmatchedResponses = unmatchedResponses;
 	}
 
 	/**
@@ -77,6 +88,22 @@
 				new AttemptTracker(key, listener)), attempt);
 	}
 
+	/**
+	 * Connects to an upstream without sending a request.
+	 * @param upstream the upstream
+	 * @param listener receives whether the upstream refused the connection
+	 */
+	public void probe(Upstream upstream, Consumer<Boolean> listener) {
+		InetSocketAddress address = new InetSocketAddress(upstream.host(), upstream.port());
+		ChannelFuture future = Sockets.connect(this.loop, address, UpstreamPool.CONNECT_TIMEOUT, (created) -> {
+		});
+		future.addListener((done) -> {
+			future.channel().close();
+			listener
+				.accept(done.cause() instanceof ConnectException && !(done.cause() instanceof ConnectTimeoutException));
+		});
+	}
+
 	/**
 	 * Cancels an attempt. Has no effect if the attempt has completed.
 	 * @param exchange the exchange
@@ -127,7 +154,8 @@
 			return existing;
 		}
 		removeUpstream(upstream.id());
-		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes);
+		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes,
+				this.unmatchedResponses);
 		this.pools.put(upstream.id(), pool);
 		return pool;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -5,7 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
 
+import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
@@ -32,7 +35,7 @@
 	 * The connect timeout. Shorter than a TCP retransmission, since retrying on another
 	 * upstream is faster.
 	 */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+	static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
 	/**
 	 * How long before the upstream's keep-alive timeout an idle connection expires.
@@ -45,10 +48,18 @@
 	 */
 	private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofMillis(2500);
 
+	/**
+	 * The maximum time for which an idle connection is kept, whatever the upstream
+	 * announces. Keeps odd values out of the arithmetic.
+	 */
+	private static final Duration MAX_IDLE_TIMEOUT = Duration.ofHours(1);
+
 	private static final int MAX_IDLE_CONNECTIONS = 64;
 
 	private final EventLoop loop;
 
+	private final String upstreamId;
+
 	private final String incarnationId;
 
 	private final InetSocketAddress address;
@@ -59,6 +70,8 @@
 
 	private final HeldBytes heldBytes;
 
+	private final Consumer<UnmatchedResponse> unmatchedResponses;
+
 	private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
 	private final UpstreamConnection.Listener connectionListener = new IdleConnectionListener();
@@ -69,13 +82,16 @@
 	 */
 	private Optional<Duration> announcedTimeout = Optional.empty();
 
-	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes) {
+	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes,
+			Consumer<UnmatchedResponse> unmatchedResponses) {
 		this.loop = loop;
+		this.upstreamId = upstream.id();
 		this.incarnationId = upstream.incarnationId();
 		this.address = new InetSocketAddress(upstream.host(), upstream.port());
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
+		this.unmatchedResponses = unmatchedResponses;
 	}
 
 	/**
@@ -88,7 +104,8 @@
 			expire(outgoing);
 			return;
 		}
-		acquire().ifPresentOrElse((reused) -> write(outgoing, reused, attempt), () -> connect(outgoing, attempt));
+		acquire(outgoing).ifPresentOrElse((reused) -> write(outgoing, reused, attempt),
+				() -> connect(outgoing, attempt));
 	}
 
 	private boolean isExpired(UpstreamConnection.OutgoingRequest outgoing) {
@@ -128,16 +145,35 @@
 		}
 	}
 
-	private Optional<UpstreamConnection> acquire() {
+	private Optional<UpstreamConnection> acquire(UpstreamConnection.OutgoingRequest outgoing) {
 		long now = this.timers.now();
-		while (!this.idle.isEmpty()) {
+		Deque<IdleConnection> unsuitable = new ArrayDeque<>();
+		Optional<UpstreamConnection> found = Optional.empty();
+		while (found.isEmpty() && !this.idle.isEmpty()) {
 			IdleConnection next = this.idle.pollFirst();
-			if (next.expiresAt() > now && next.connection().isReusable()) {
-				return Optional.of(next.connection());
+			if (next.expiresAt() <= now || !next.connection().isReusable()) {
+				next.connection().cancel();
+			}
+			else if (next.connection().mayCarry(outgoing)) {
+				found = Optional.of(next.connection());
+			}
+			else {
+				unsuitable.addFirst(next);
 			}
-			next.connection().cancel();
 		}
-		return Optional.empty();
+		if (found.isEmpty() && !unsuitable.isEmpty()) {
+			// The new connection takes its place: the upstream limits their number.
+			unsuitable.pollFirst().connection().cancel();
+		}
+		unsuitable.forEach(this.idle::addFirst);
+		return found;
+	}
+
+	private static Duration idleTimeout(Duration announced) {
+		if (announced.isNegative()) {
+			return announced;
+		}
+		return (announced.compareTo(MAX_IDLE_TIMEOUT) > 0) ? MAX_IDLE_TIMEOUT : announced.minus(IDLE_TIMEOUT_MARGIN);
 	}
 
 	private void connect(UpstreamConnection.OutgoingRequest outgoing, Attempt attempt) {
@@ -167,8 +203,8 @@
 	}
 
 	/**
-	 * Returns idle connections to the pool and removes closed ones. Used by the event
-	 * loop's thread.
+	 * Returns idle connections to the pool, removes closed ones and reports unmatched
+	 * data. Used by the event loop's thread.
 	 */
 	private final class IdleConnectionListener implements UpstreamConnection.Listener {
 
@@ -176,7 +212,7 @@
 		public void onIdle(UpstreamConnection connection) {
 			UpstreamPool.this.announcedTimeout = connection.keepAliveTimeout()
 				.or(() -> UpstreamPool.this.announcedTimeout);
-			Duration timeout = UpstreamPool.this.announcedTimeout.map((known) -> known.minus(IDLE_TIMEOUT_MARGIN))
+			Duration timeout = UpstreamPool.this.announcedTimeout.map(UpstreamPool::idleTimeout)
 				.orElse(DEFAULT_IDLE_TIMEOUT);
 			if (timeout.isNegative() || UpstreamPool.this.idle.size() >= MAX_IDLE_CONNECTIONS) {
 				connection.cancel();
@@ -191,6 +227,12 @@
 			UpstreamPool.this.idle.removeIf((kept) -> kept.connection() == connection);
 		}
 
+		@Override
+		public void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried) {
+			UpstreamPool.this.unmatchedResponses.accept(new UnmatchedResponse(kind, UpstreamPool.this.upstreamId, named,
+					carried.last(), status, carried.count()));
+		}
+
 	}
 
 	/**
@@ -213,12 +255,12 @@
 
 		ResponseDecoder(UpstreamConnection connection) {
 			this.connection = connection;
-			connection.setUnreadBytes(() -> actualReadableBytes() > 0);
+			connection.setUnreadBytes(this::internalBuffer);
 		}
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-			if (message instanceof ByteBuf bytes && !this.connection.accept(bytes.readableBytes())) {
+			if (message instanceof ByteBuf bytes && !this.connection.accept(bytes)) {
 				bytes.release();
 				return;
 			}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -17,6 +17,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -38,10 +39,13 @@
 
 	private ServerSocket server;
 
+	private SerialHttpClient client;
+
 	@BeforeEach
 	void listen() throws IOException {
 		this.server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
 		this.server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
+		this.client = new SerialHttpClient(this.loop, (InetSocketAddress) this.server.getLocalSocketAddress());
 	}
 
 	@AfterEach
@@ -78,6 +82,37 @@
 		assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("whole");
 	}
 
+	// Guards against taking an append for stored, or a list for empty, because the store
+	// stopped within its response.
+	@Test
+	void cutResponseFails() {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+		String interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+		for (String response : new String[] { head + "Content-Length: 12\r\n\r\n{\"Offset\":1}",
+				interim + head + "Transfer-Encoding: chunked\r\n\r\nc\r\n{\"Offset\":1}\r\n0\r\n\r\n" }) {
+			for (int length = 0; length < response.length(); length++) {
+				assertThat(cut(response.substring(0, length), true)).as("%d bytes", length).isEmpty();
+				assertThat(cut(response.substring(0, length), false)).as("%d bytes, reset", length).isEmpty();
+			}
+		}
+	}
+
+	private Optional<String> cut(String response, boolean orderly) {
+		try {
+			call(0);
+			try (Socket connection = this.server.accept()) {
+				byte[] request = new byte[1024];
+				assertThat(connection.getInputStream().read(request)).isPositive();
+				connection.getOutputStream().write(bytes(response));
+				connection.setSoLinger(!orderly, 0);
+			}
+			return this.responses.poll(60, TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
 	// Guards against matching a response that nobody asked for to the next call, and
 	// against reading bytes without end.
 	@Test
@@ -94,6 +129,56 @@
 		}
 	}
 
+	// Guards against a second response to one call that is taken for the response to the
+	// next one: the next call may be queued while both are read.
+	@Test
+	void responseReadTogetherWithTheFirstIsNotMatchedToTheNextCall() throws Exception {
+		call(0);
+		call(0);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			String response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+			respondOnTheNextConnection(response + "other");
+			connection.getOutputStream().write(bytes(response + "first" + response + "extra"));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("first");
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).contains("other");
+		}
+	}
+
+	private void respondOnTheNextConnection(String response) {
+		Thread.startVirtualThread(() -> {
+			try (Socket connection = this.server.accept()) {
+				byte[] request = new byte[1024];
+				if (connection.getInputStream().read(request) > 0) {
+					connection.getOutputStream().write(bytes(response));
+					connection.getInputStream().read(request);
+				}
+			}
+			catch (IOException ex) {
+				// The test has ended.
+			}
+		});
+	}
+
+	// Guards against calls that wait without end because an earlier one's callback
+	// failed.
+	@Test
+	void queuedCallIsSentAfterACallbackFails() throws Exception {
+		this.loop.submit(() -> {
+			this.client.call(request(0), Duration.ofSeconds(60), (response) -> {
+				throw new IllegalStateException("callback of the first call");
+			});
+			this.client.call(request(0), Duration.ofSeconds(60), this::add);
+		}).get(60, TimeUnit.SECONDS);
+		try (Socket connection = this.server.accept()) {
+			byte[] request = new byte[1024];
+			assertThat(connection.getInputStream().read(request)).isPositive();
+			connection.getOutputStream().write(bytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).isNotNull();
+		}
+	}
+
 	@Test
 	void callFailsWhoseResponseHasNoEnd() throws Exception {
 		call(0);
@@ -126,16 +211,19 @@
 	}
 
 	private void call(int bodyBytes) throws Exception {
+		FullHttpRequest request = request(bodyBytes);
+		this.loop.submit(() -> this.client.call(request, Duration.ofSeconds(60), this::add)).get(60, TimeUnit.SECONDS);
+	}
+
+	private void add(Optional<FullHttpResponse> response) {
+		this.responses.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)));
+	}
+
+	private static FullHttpRequest request(int bodyBytes) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
 				Unpooled.wrappedBuffer(new byte[bodyBytes]));
 		HttpUtil.setContentLength(request, bodyBytes);
-		SerialHttpClient client = new SerialHttpClient(this.loop,
-				(InetSocketAddress) this.server.getLocalSocketAddress());
-		this.loop
-			.submit(() -> client.call(request, Duration.ofSeconds(60),
-					(response) -> this.responses
-						.add(response.map((whole) -> whole.content().toString(StandardCharsets.ISO_8859_1)))))
-			.get(60, TimeUnit.SECONDS);
+		return request;
 	}
 
 	private static byte[] bytes(String text) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamClientTests.java
@@ -39,6 +39,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -51,6 +53,8 @@
 
 	private static final String TIMEOUT = "timeout-ms";
 
+	static final String REQUEST_ID = "request-id";
+
 	static final String OTHER_REQUEST = "other-request";
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -60,7 +64,8 @@
 	private final FakeTimers timers = new FakeTimers();
 
 	private final UpstreamClient client = new UpstreamClient(this.loop, new PlainDialect(), this.timers,
-			new HeldBytes(1_000_000));
+			new HeldBytes(1_000_000), (unmatched) -> {
+			});
 
 	private final BlockingQueue<FailureCause> failures = new LinkedBlockingQueue<>();
 
@@ -139,6 +144,26 @@
 		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
 	}
 
+	// Guards against passing on a response head that is cut off, or that nothing follows,
+	// while the request is still being written.
+	@Test
+	void headThatEndsDuringAnUploadIsABrokenConnection() throws Exception {
+		for (String head : List.of("HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+				"HTTP/1.1 200 OK\r\n\r\n")) {
+			for (boolean stream : new boolean[] { true, false }) {
+				onLoop(() -> send(1, 60_000, new byte[16 * 1024 * 1024], stream));
+				try (Socket connection = this.server.accept()) {
+					assertThat(connection.getInputStream().read()).isPositive();
+					connection.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+					connection.shutdownOutput();
+					assertThat(this.failures.poll(60, TimeUnit.SECONDS)).as(head).isEqualTo(FailureCause.BROKEN);
+				}
+			}
+		}
+		assertThat(this.responses).isEmpty();
+		assertThat(this.streamEnds).isEmpty();
+	}
+
 	// Guards against ending a stream as complete that was reset between two events.
 	@Test
 	void streamWithoutALengthThatIsResetIsABrokenConnection() throws Exception {
@@ -154,6 +179,35 @@
 		assertThat(this.streamEnds).isEmpty();
 	}
 
+	// Guards against not counting an upstream that ends in the middle of a chunk or an
+	// event, which is no malformed response.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void streamThatIsCutOffInAChunkIsABrokenConnection(boolean reset) throws Exception {
+		onLoop(() -> send(1, 60_000, new byte[0], true));
+		try (Socket connection = this.server.accept()) {
+			readHead(connection);
+			connection.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nid: 1\ndata: a\n\nid: 2\nda"
+					.getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(this.events.poll(60, TimeUnit.SECONDS)).isEqualTo(1);
+			connection.setSoLinger(reset, 0);
+		}
+		assertThat(this.failures.poll(60, TimeUnit.SECONDS)).isEqualTo(FailureCause.BROKEN);
+	}
+
+	// Guards against taking a connection that was reset for the end of its upstream.
+	@Test
+	void probeTellsAnUpstreamThatAcceptsFromOneThatHasEnded() throws Exception {
+		BlockingQueue<Boolean> refused = new LinkedBlockingQueue<>();
+		Upstream upstream = upstream();
+		onLoop(() -> this.client.probe(upstream, refused::add));
+		assertThat(refused.poll(60, TimeUnit.SECONDS)).isFalse();
+		this.server.close();
+		onLoop(() -> this.client.probe(upstream, refused::add));
+		assertThat(refused.poll(60, TimeUnit.SECONDS)).isTrue();
+	}
+
 	@Test
 	void streamWithoutALengthEndsWithItsConnection() throws Exception {
 		onLoop(() -> send(1, 60_000, new byte[0], true));
@@ -193,6 +247,23 @@
 		}
 	}
 
+	// Guards against losing a whole response because of the time for which its upstream
+	// keeps the connection.
+	@Test
+	void responseIsReceivedWhateverItsKeepAliveTimeout() throws Exception {
+		for (long timeout : new long[] { Long.MAX_VALUE, Long.MAX_VALUE / 1000, 0, -1, Long.MIN_VALUE }) {
+			onLoop(() -> send(1, 60_000));
+			try (Socket connection = this.server.accept()) {
+				readHead(connection);
+				connection.getOutputStream()
+					.write(("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=" + timeout + "\r\n\r\n")
+						.getBytes(StandardCharsets.ISO_8859_1));
+				assertThat(this.responses.poll(60, TimeUnit.SECONDS)).as("timeout %d", timeout).isNotNull();
+				onLoop(() -> this.client.removeUpstream("u"));
+			}
+		}
+	}
+
 	private static void readHead(Socket connection) throws IOException {
 		connection.setSoTimeout((int) TimeUnit.SECONDS.toMillis(60));
 		BufferedReader reader = new BufferedReader(
@@ -215,12 +286,15 @@
 		send(exchange, timeoutMillis, body, false);
 	}
 
+	private Upstream upstream() {
+		return new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false, OptionalLong.empty(),
+				"v1");
+	}
+
 	private void send(long exchange, long timeoutMillis, byte[] body, boolean stream) {
-		Upstream upstream = new Upstream("u", "s", "127.0.0.1", this.server.getLocalPort(), "z", 1, false,
-				OptionalLong.empty(), "v1");
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.client.send(
-				new RelayEffect.SendRequest(exchange, 1, upstream, new byte[0], this.timers.now + timeoutMillis,
+				new RelayEffect.SendRequest(exchange, 1, upstream(), new byte[0], this.timers.now + timeoutMillis,
 						OptionalLong.empty(), stream, new CallerIdentity.Unchecked()),
 				"r", request, body, new FailureListener());
 	}
@@ -320,9 +394,15 @@
 			headers.set(TIMEOUT, timeout.toMillis());
 		}
 
+		@Override
+		public Optional<String> requestId(HttpResponse response) {
+			return Optional.ofNullable(response.headers().get(REQUEST_ID));
+		}
+
+		// Most tests of this package have no second request.
 		@Override
 		public boolean isResponseTo(HttpResponse response, String id) {
-			return !response.headers().contains(OTHER_REQUEST);
+			return requestId(response).map(id::equals).orElse(!response.headers().contains(OTHER_REQUEST));
 		}
 
 		@Override
@@ -332,7 +412,8 @@
 
 		@Override
 		public Optional<Duration> keepAliveTimeout(HttpResponse response) {
-			return response.headers().contains("Keep-Alive") ? Optional.of(Duration.ofSeconds(1)) : Optional.empty();
+			return Optional.ofNullable(response.headers().get("Keep-Alive"))
+				.map((value) -> Duration.ofSeconds(Long.parseLong(value.substring("timeout=".length()))));
 		}
 
 		@Override
