--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -274,9 +274,8 @@
 		return reply;
 	}
 
-	// The first of the preceding coordinators that has not failed, or the first one if
-	// all
-	// have, since it may only be slow.
+	// The first preceding coordinator that has not failed. If all have, the first one,
+	// since it may only be slow.
 	private Optional<String> coveringCoordinator(List<String> coordinators) {
 		List<String> preceding = coordinators.subList(0, coordinators.indexOf(this.state.name));
 		return preceding.stream()
@@ -285,9 +284,8 @@
 			.or(() -> preceding.stream().findFirst());
 	}
 
-	// Requests the permits that were granted in place of a coordinator from it, so that
-	// it
-	// does not grant them again.
+	// Requests the permits from the coordinator in whose place they were granted, which
+	// would grant them again otherwise.
 	private void cover(String peer, Quota quota, String team, int granted) {
 		this.lastRequestId++;
 		this.covered.put(this.lastRequestId, team);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -341,9 +341,8 @@
 		}
 	}
 
-	// The decoder ends a response without a length however the connection ends. A write
-	// that
-	// fails after a reset closes the channel before a read could fail, so only an orderly
+	// The decoder ends a response without a length however the connection ends. A failed
+	// write after a reset closes the channel before a read could fail, so only an orderly
 	// end, after which the channel is still active, shows that nothing is missing.
 	private boolean endedByClose() {
 		return !isFramed(this.head.orElseThrow()) && !this.context.channel().isActive();
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -219,9 +219,8 @@
 		}
 	}
 
-	// A response to HEAD has a length but no body. Guards against a late one that takes
-	// in
-	// the response that follows, and against a late body that is decoded as a response.
+	// A response to HEAD has a length but no body. Guards against a late one that
+	// includes the next response, and against a late body that is decoded as a response.
 	@ParameterizedTest
 	@CsvSource({ "HEAD, GET", "GET, HEAD" })
 	void lateResponseToAnotherMethodDoesNotMoveTheNextResponse(String first, String second) throws Exception {
