Find the uncommitted entries of a program without scanning those of all

Cause: each turn with a budget asks its program's replicas for the usage that is not in the log. Each of them went through all entries that the log had not shown (up to 20,000). While a relay is cut off from the store these accumulate, so a turn costs more and more until the relay has no time for its links.

Change: the keys of the pending entries are indexed by program.

Evidence: the new test failed before: 641,648 bytes allocated for the usage of a program with one entry beside 10,000 of others, where it may be 13,296.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -6,10 +6,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Function;
-import java.util.stream.Stream;
 
 /**
  * Ledger entries that have not been read from the log yet: replicated by other relays, or
@@ -39,6 +39,11 @@
 
 	private final Map<Key, PendingEntry> pending = new LinkedHashMap<>();
 
+	/**
+	 * The keys of the pending entries of each program, in the same order.
+	 */
+	private final Map<String, Set<Key>> keysByProgram = new HashMap<>();
+
 	private final LinkedHashSet<Key> committed = new LinkedHashSet<>();
 
 	/**
@@ -55,19 +60,55 @@
 		if (this.committed.contains(key)) {
 			return;
 		}
-		this.pending.merge(key, new PendingEntry(entry, sender, now, INITIAL_WRITERS), PendingEntry::latest);
+		PendingEntry added = new PendingEntry(entry, sender, now, INITIAL_WRITERS);
+		PendingEntry known = this.pending.get(key);
+		put(key, (known != null) ? known.latest(added) : added);
 		if (this.pending.size() > MAX_ENTRIES) {
-			this.pending.remove(this.pending.keySet().iterator().next());
+			remove(this.pending.keySet().iterator().next());
+		}
+	}
+
+	private void put(Key key, PendingEntry entry) {
+		PendingEntry previous = this.pending.put(key, entry);
+		if (previous != null && previous.program().equals(entry.program())) {
+			return;
+		}
+		if (previous != null) {
+			removeFromProgram(key, previous);
+		}
+		entry.program().ifPresent((program) -> {
+			Set<Key> keys = this.keysByProgram.computeIfAbsent(program, (added) -> new LinkedHashSet<>());
+			keys.add(key);
+		});
+	}
+
+	private void remove(Key key) {
+		PendingEntry removed = this.pending.remove(key);
+		if (removed != null) {
+			removeFromProgram(key, removed);
 		}
 	}
 
+	private void removeFromProgram(Key key, PendingEntry entry) {
+		entry.program().ifPresent((program) -> {
+			Set<Key> keys = this.keysByProgram.get(program);
+			keys.remove(key);
+			if (keys.isEmpty()) {
+				this.keysByProgram.remove(program);
+			}
+		});
+	}
+
 	/**
 	 * Returns the entries of a program.
 	 * @param program the program
 	 * @return the entries, oldest first
 	 */
 	List<LedgerEntry> entriesOf(String program) {
-		return entries().filter((entry) -> entry.findProgram().filter(program::equals).isPresent()).toList();
+		return this.keysByProgram.getOrDefault(program, Set.of())
+			.stream()
+			.map((key) -> this.pending.get(key).entry())
+			.toList();
 	}
 
 	/**
@@ -97,11 +138,7 @@
 	 * @return the entries, oldest first
 	 */
 	List<LedgerEntry> all() {
-		return entries().toList();
-	}
-
-	private Stream<LedgerEntry> entries() {
-		return this.pending.values().stream().map(PendingEntry::entry);
+		return this.pending.values().stream().map(PendingEntry::entry).toList();
 	}
 
 	/**
@@ -111,11 +148,11 @@
 	 */
 	boolean committed(LedgerEntry entry) {
 		Key key = Key.of(entry);
-		this.pending.remove(key);
+		remove(key);
 		// The reservation of a settled turn may never have been in the log. Appended
 		// after the settlement it would never be released.
 		if (entry instanceof LedgerEntry.Settled settled) {
-			this.pending.remove(new Key(settled.request(), LedgerEntry.Reserved.class, "", 0));
+			remove(new Key(settled.request(), LedgerEntry.Reserved.class, "", 0));
 		}
 		boolean first = this.committed.add(key);
 		if (this.committed.size() > MAX_ENTRIES) {
@@ -145,9 +182,9 @@
 		}
 		List<LedgerEntry> overdue = new ArrayList<>();
 		for (PendingEntry next : due) {
-			this.pending.remove(Key.of(next.entry()));
+			remove(Key.of(next.entry()));
 			if (next.sender().equals(self)) {
-				this.pending.put(Key.of(next.entry()), next.reschedule(now));
+				put(Key.of(next.entry()), next.reschedule(now));
 				continue;
 			}
 			List<String> holders = replicas.apply(next.entry());
@@ -156,7 +193,7 @@
 				overdue.add(next.entry());
 				continue;
 			}
-			this.pending.put(Key.of(next.entry()), next.reschedule(now));
+			put(Key.of(next.entry()), next.reschedule(now));
 		}
 		return overdue;
 	}
@@ -200,6 +237,10 @@
 	 */
 	private record PendingEntry(LedgerEntry entry, String sender, long since, int writers) {
 
+		Optional<String> program() {
+			return this.entry.findProgram();
+		}
+
 		// The reservation of a turn has no attempt before it is sent.
 		PendingEntry latest(PendingEntry next) {
 			boolean sent = next.entry instanceof LedgerEntry.Reserved reserved && reserved.stream().isPresent();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.lang.management.ManagementFactory;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import com.sun.management.ThreadMXBean;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -66,6 +68,41 @@
 		assertThat(this.entries.all()).containsExactly(reserved, settledWithText, settled, other);
 	}
 
+	// Callers choose the ids of requests, and two programs may use the same one.
+	@Test
+	void entryWhoseIdAnotherProgramUsesIsFoundByItsLatestProgramOnly() {
+		StreamAttempt attempt = new StreamAttempt(new SoftwareVersion("engine", "v1"), 1);
+		LedgerEntry first = new LedgerEntry.Reserved("r", "p", 7, "", List.of(), false);
+		LedgerEntry second = new LedgerEntry.Reserved("r", "q", 5, "", List.of(), false, Optional.of(attempt));
+		this.entries.add(first, "x", 0);
+		this.entries.add(second, "x", 0);
+		assertThat(this.entries.entriesOf("p")).isEmpty();
+		assertThat(this.entries.entriesOf("q")).containsExactly(second);
+		this.entries.committed(second);
+		assertThat(this.entries.entriesOf("q")).isEmpty();
+		assertThat(this.entries.size()).isZero();
+	}
+
+	// Each turn with a budget asks for the usage of its program. While the log can't be
+	// read, entries of all programs accumulate, and turns would become slower and slower.
+	@Test
+	void usageOfAProgramDoesNotDependOnEntriesOfOtherPrograms() {
+		this.entries.add(new LedgerEntry.Reserved("r", "p", 7, "", List.of(), false), "x", 0);
+		usageBytes();
+		long alone = usageBytes();
+		for (int i = 0; i < 10_000; i++) {
+			this.entries.add(new LedgerEntry.Reserved("r" + i, "q" + i, 7, "", List.of(), false), "x", 0);
+		}
+		assertThat(usageBytes()).isLessThan(2 * alone + 10_000);
+	}
+
+	private long usageBytes() {
+		ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+		long before = threads.getCurrentThreadAllocatedBytes();
+		assertThat(this.entries.tokensOf("p") + this.entries.entriesOf("p").size()).isEqualTo(8);
+		return threads.getCurrentThreadAllocatedBytes() - before;
+	}
+
 	@Test
 	void localEntryIsNeverOverdueButCounts() {
 		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 100, "", List.of(), false);
