Name the event that made a relay late, and count the time of each kind

Cause: E3017 says that a relay is late, not what it did. Pauses of seconds could not be told apart by cause: a long event, the collector, or too little processor.

Change: the event loop counts its events and their time by type (lentilslip_relay_events_total, lentilslip_relay_event_seconds_total), and processes count collections (lentilslip_collector_seconds_total). E3017 names the event that took the longest in the interval of the late timer and, from a delay of one second on, the time of collections.

The cost of the counters is two readings of the clock an event; it was not measured on its own.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -714,6 +714,30 @@
 
 	}
 
+	/**
+	 * A relay has handled events of one kind.
+	 *
+	 * @param kind the name of the type of the events
+	 * @param count the number of events
+	 * @param time the time that they took
+	 */
+	record EventsHandled(String kind, long count, Duration time) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param kind the name of the type of the events
+		 * @param count the number of events
+		 * @param time the time that they took
+		 * @throws IllegalArgumentException if the number or the duration is negative
+		 */
+		public EventsHandled {
+			Objects.requireNonNull(kind, "kind");
+			requireNotNegative(count, "count");
+			requireNotNegative(time, "time");
+		}
+
+	}
+
 	/**
 	 * A relay wrote a request to an upstream.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/FieldName.java
@@ -153,6 +153,21 @@
 	 */
 	MILLISECONDS,
 
+	/**
+	 * A kind of event of a relay.
+	 */
+	EVENT,
+
+	/**
+	 * How long an event took, in milliseconds.
+	 */
+	EVENT_MILLISECONDS,
+
+	/**
+	 * The time of garbage collections in milliseconds.
+	 */
+	COLLECTOR_MILLISECONDS,
+
 	/**
 	 * A request, by the id that its caller assigned.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -269,12 +269,14 @@
 
 	/**
 	 * Written at most once a second; {@code MILLISECONDS} is the longest timer delay
-	 * since the previous event.
+	 * since the previous notice, {@code EVENT} the event that took the longest in the
+	 * interval of that timer. {@code COLLECTOR_MILLISECONDS} is the time of collections
+	 * since it was last written, and omitted if the delay is short.
 	 */
 	RELAY_LATE(3017, Level.WARN,
 			"The timers of a relay run late, so delays that it attributes to other processes may originate in the relay.",
-			"If it repeats, find out what uses the processor of its VM, or give the relay more processor time.",
-			FieldName.MILLISECONDS),
+			"If it repeats, compare the delay with the longest event and the time of collections; if both are short, find out what uses the processor of its VM, or give the relay more processor time.",
+			FieldName.MILLISECONDS, FieldName.EVENT, FieldName.EVENT_MILLISECONDS, FieldName.COLLECTOR_MILLISECONDS),
 
 	/**
 	 * Written when the claim is read back from the log as valid.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -137,6 +137,8 @@
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
 
+	private final EventTimes eventTimes = new EventTimes();
+
 	private final TimerDelayMonitor timerDelayMonitor;
 
 	private final TrafficCounter traffic = new TrafficCounter();
@@ -160,7 +162,8 @@
 	public RelayProcess(Setup setup) {
 		this.setup = setup;
 		this.notices = setup.notices();
-		this.timerDelayMonitor = new TimerDelayMonitor(setup.measurements(), this.notices);
+		this.timerDelayMonitor = new TimerDelayMonitor(setup.measurements(), this.notices, this.eventTimes::takeLongest,
+				new CollectorTime()::takeElapsed);
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
@@ -298,6 +301,7 @@
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.connectedCount(),
 					this.peers.connectedCount() + this.peers.unreachableCount()));
 		this.traffic.publish(this.setup.measurements());
+		this.eventTimes.publish(this.setup.measurements());
 		this.setup.measurements()
 			.accept(new Measurement.CollectionSize(CollectionName.HELD_BYTES, this.setup.heldBytes().held(),
 					this.setup.heldBytes().limit()));
@@ -332,6 +336,7 @@
 	// logged, and its exchange is aborted without a statement on whether the request
 	// ran.
 	private void reduce(RelayEvent event) {
+		long startedAt = System.nanoTime();
 		try {
 			this.relay.handle(event).forEach(this::run);
 		}
@@ -343,6 +348,9 @@
 				this.exchanges.abort(exchangeEvent.exchange());
 			}
 		}
+		finally {
+			this.eventTimes.record(event.getClass(), System.nanoTime() - startedAt);
+		}
 	}
 
 	private void run(RelayEffect effect) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/process/TimerDelayMonitorTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/process/TimerDelayMonitorTests.java
@@ -8,6 +8,7 @@
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.notice.NoticeCode;
+import io.lentilslip.core.relay.RelayEvent;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -18,7 +19,10 @@
 
 	private final List<Notice> notices = new ArrayList<>();
 
-	private final TimerDelayMonitor monitor = new TimerDelayMonitor(this.measured::add, this.notices::add);
+	private final EventTimes events = new EventTimes();
+
+	private final TimerDelayMonitor monitor = new TimerDelayMonitor(this.measured::add, this.notices::add,
+			this.events::takeLongest, () -> Duration.ofMillis(300));
 
 	@Test
 	void firstRunIsNotMeasured() {
@@ -55,6 +59,18 @@
 		assertThat(this.notices).containsExactly(delayNotice(200), delayNotice(700));
 	}
 
+	@Test
+	void longDelayIsReportedWithItsLongestEventAndCollections() {
+		this.events.record(RelayEvent.CaughtUp.class, 900_000_000);
+		run(1000, 0);
+		this.events.record(RelayEvent.EntriesReceived.class, 800_000_000);
+		this.events.record(RelayEvent.TimerFired.class, 7_000_000);
+		run(1250, 1200);
+		assertThat(this.notices).containsExactly(delayNotice(1200).with(FieldName.EVENT, "EntriesReceived")
+			.with(FieldName.EVENT_MILLISECONDS, 800L)
+			.with(FieldName.COLLECTOR_MILLISECONDS, 300L));
+	}
+
 	private void run(long expectedAt, long delay) {
 		this.monitor.expectRun(expectedAt);
 		this.monitor.recordRun(expectedAt + delay);
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import io.lentilslip.core.notice.NoticeCode;
 import io.prometheus.metrics.config.EscapingScheme;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -46,6 +48,8 @@
 
 	private static final double NANOSECONDS = 1e9;
 
+	private static final double MILLISECONDS = 1e3;
+
 	private static final double[] CALL_BOUNDS = { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 3,
 			6, 15, 30, 60, 120 };
 
@@ -145,6 +149,12 @@
 	private final Histogram timerLateness = histogram("lentilslip_relay_timer_lateness_seconds",
 			"Time by which a relay's own timer ran later than planned.", CALL_BOUNDS);
 
+	private final Counter relayEvents = counter("lentilslip_relay_events_total", "Events that a relay has handled.",
+			"event");
+
+	private final Counter relayEventSeconds = counter("lentilslip_relay_event_seconds_total",
+			"Time that a relay's events took.", "event");
+
 	private final Histogram writeDelay = histogram("lentilslip_relay_write_delay_seconds",
 			"Time from the selection of an upstream to the write of the request.", CALL_BOUNDS);
 
@@ -198,6 +208,14 @@
 			.help("The most heap the Java process may use.")
 			.callback((gauge) -> gauge.call(runtime.maxMemory()))
 			.register(this.registry);
+		CounterWithCallback.builder()
+			.name("lentilslip_collector_seconds_total")
+			.help("Time of garbage collections of the Java process.")
+			.labelNames("collector")
+			.callback((counter) -> ManagementFactory.getGarbageCollectorMXBeans()
+				.forEach(
+						(collector) -> counter.call(collector.getCollectionTime() / MILLISECONDS, collector.getName())))
+			.register(this.registry);
 	}
 
 	/**
@@ -237,6 +255,10 @@
 				this.responsesUnmatched.labelValues(kind.label()).inc();
 			case Measurement.ServiceAdmission admission -> apply(admission);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
+			case Measurement.EventsHandled(String kind, long count, Duration time) -> {
+				this.relayEvents.labelValues(kind).inc(count);
+				this.relayEventSeconds.labelValues(kind).inc(seconds(time));
+			}
 			case Measurement.RequestWritten(Duration delay) -> this.writeDelay.observe(seconds(delay));
 			case Measurement.EntriesGivenUp(long entries) -> this.entriesGivenUp.inc(entries);
 			case Measurement.RelayTraffic traffic -> {
