Handle signals before a role loads its classes, and start nothing that is to stop

Cause: TERM, INT and HUP were taken by the commands, after the command line with all its classes was built. A relay that was asked to stop before ended with 143, seen once in a soak with relay processes (8 stops, 7 drains in the logs); HUP ended one that was to run on. A request that had been kept opened the ports and drained them.

Change: main installs the handlers of a role first; a role that is asked to stop before its start opens no port and ends with 0, or with 7 by a second signal. What comes before main can't be caught by a Java program: the soak lets a process that did not listen yet end in the runtime's own way, as its callers have sent it nothing.

StopSignals.ofProcess is gone: nothing called it.

--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/CommandLineTool.java
@@ -40,19 +40,11 @@
 	}
 
 	/**
-	 * Returns the command line of the one binary.
-	 * @return the command line with all commands
-	 */
-	public static CommandLineTool standard() {
-		return with(StopRequests.ofSignals());
-	}
-
-	/**
-	 * Returns the command line with all commands.
+	 * Returns the command line of the one binary, with all commands.
 	 * @param stops where requests to stop come from
 	 * @return the command line
 	 */
-	static CommandLineTool with(StopRequests stops) {
+	public static CommandLineTool with(StopRequests stops) {
 		return new CommandLineTool(List.of(new EntryCommand(stops), new SidecarCommand(stops), new RelayCommand(stops),
 				new ConfigCheckCommand(), new ConfigDiffCommand(), new ConfigPublishCommand(), new ConfigShowCommand(),
 				new StatusCommand(), new ExplainCommand(), new KeyHashCommand(), new DemoCommand(stops),
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RelayCommand.java
@@ -15,11 +15,11 @@
 import io.lentilslip.telemetry.Notices;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
-import sun.misc.Signal;
 
 /**
- * Runs a relay on the users' platform until it is asked to stop. Immutable and safe for
- * use by several threads.
+ * Runs a relay on the users' platform until it is asked to stop. A relay that is asked to
+ * stop before it has started does not start. Immutable and safe for use by several
+ * threads.
  */
 final class RelayCommand implements Command {
 
@@ -69,14 +69,16 @@
 	public ExitCode run(Arguments arguments, Console console) throws InterruptedException {
 		CompletableFuture<ExitCode> ended = new CompletableFuture<>();
 		StopSignals signals = this.stops.take(() -> ended.complete(ExitCode.CUT_OFF));
-		// Unhandled, this signal ends a Java process. The platform sends it when settings
-		// changed; what a relay takes from them does not change during its life.
-		Signal.handle(new Signal("HUP"), (signal) -> {
-		});
+		if (signals.isRequested()) {
+			return ended.getNow(ExitCode.OK);
+		}
 		LogSettings log = LogSettings.defaults().as(LogSettings.Form.JSON).onStandardOutput();
 		try (LogWriting writing = log.applyWithoutWaiting();
 				RelayProcess relay = PlatformRelay.create(RelayCommand::notices, new Metrics(),
 						arguments.has(ADMIT_BY_LOAD))) {
+			if (signals.isRequested()) {
+				return ended.getNow(ExitCode.OK);
+			}
 			relay.start();
 			signals.onFirst(() -> relay.drain().thenRun(() -> ended.complete(ExitCode.OK)));
 			return ended.get();
--- a/lentilslip-application/src/main/java/io/lentilslip/application/command/RoleRun.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/command/RoleRun.java
@@ -20,10 +20,9 @@
 
 /**
  * One run of a role, from the settings to the end of the last call. The first request to
- * stop drains the role, a second one ends it at once. Requests are taken from the very
- * start: one that comes while the role is being started would else end the process in
- * Java's own way, and a balancer would see an entry that took a call and dropped it. Used
- * by one thread.
+ * stop drains the role, a second one ends it at once. A role that is asked to stop before
+ * its start is not started; a request that comes during the start is kept and drains it.
+ * Used by one thread.
  */
 final class RoleRun {
 
@@ -86,6 +85,9 @@
 			return ExitCode.REFUSED;
 		}
 		RunningRole.applyLogging(role.process(settings.get()));
+		if (signals.isRequested()) {
+			return ended.getNow(ExitCode.OK);
+		}
 		Optional<RunningRole> started = start(role, settings.get());
 		if (started.isEmpty()) {
 			return ExitCode.UNAVAILABLE;
--- a/lentilslip-application/src/main/java/io/lentilslip/application/role/StopRequests.java
+++ b/lentilslip-application/src/main/java/io/lentilslip/application/role/StopRequests.java
@@ -19,11 +19,12 @@
 
 	/**
 	 * Returns the signals TERM and INT of this Java process.
+	 * @param signals counts them; may be installed already
 	 * @return the signals
 	 */
-	static StopRequests ofSignals() {
+	static StopRequests of(StopSignals signals) {
 		return (atSecond) -> {
-			StopSignals signals = new StopSignals(atSecond);
+			signals.onSecond(atSecond);
 			signals.install();
 			return signals;
 		};
--- a/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/StopSignals.java
+++ b/lentilslip-runtime/src/main/java/io/lentilslip/runtime/node/StopSignals.java
@@ -1,12 +1,9 @@
 package io.lentilslip.runtime.node;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 
-import io.lentilslip.core.notice.FieldName;
-import io.lentilslip.core.notice.Notice;
-import io.lentilslip.core.notice.NoticeCode;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Counts the signals that ask a process to stop. The first one drains it, a second one
@@ -17,51 +14,39 @@
  */
 public final class StopSignals {
 
-	/**
-	 * The exit status after a second signal: that of a process which TERM ended.
-	 */
-	public static final int STATUS = 143;
-
 	private static final String[] NAMES = { "TERM", "INT" };
 
-	private final Runnable atSecond;
-
 	private Optional<Runnable> atFirst = Optional.empty();
 
+	private Optional<Runnable> atSecond = Optional.empty();
+
 	private int count;
 
 	/**
-	 * Creates a counter that has seen no signal.
-	 * @param atSecond what is done at the second signal
+	 * Sends the signals TERM and INT of this process here from now on.
 	 */
-	public StopSignals(Runnable atSecond) {
-		this.atSecond = atSecond;
-	}
+	public void install() {
+		// A lambda would delay the first handler by the start of Java's support for them.
+		SignalHandler handler = new SignalHandler() {
 
-	/**
-	 * Returns a counter whose second signal is reported and ends this process at once.
-	 * @param role the role of the process
-	 * @param notices where the signal is reported
-	 * @return the counter, which has seen no signal
-	 */
-	public static StopSignals ofProcess(String role, Consumer<Notice> notices) {
-		return new StopSignals(() -> {
-			try {
-				notices.accept(NoticeCode.SECOND_STOP_SIGNAL.with(FieldName.ROLE, role));
-			}
-			finally {
-				Runtime.getRuntime().halt(STATUS);
+			@Override
+			public void handle(Signal signal) {
+				signal();
 			}
-		});
+
+		};
+		for (String name : NAMES) {
+			Signal.handle(new Signal(name), handler);
+		}
 	}
 
 	/**
-	 * Sends the signals TERM and INT of this process here from now on.
+	 * Returns whether a signal has come. A process that has not started yet then need not
+	 * start.
+	 * @return whether one has come
 	 */
-	public void install() {
-		for (String name : NAMES) {
-			Signal.handle(new Signal(name), (signal) -> signal());
-		}
+	public synchronized boolean isRequested() {
+		return this.count > 0;
 	}
 
 	/**
@@ -78,6 +63,20 @@
 		action.run();
 	}
 
+	/**
+	 * Sets what is done at the second signal, and does it at once if that has come.
+	 * @param action what is done; runs once
+	 */
+	public void onSecond(Runnable action) {
+		synchronized (this) {
+			this.atSecond = Optional.of(action);
+			if (this.count < 2) {
+				return;
+			}
+		}
+		action.run();
+	}
+
 	/**
 	 * Takes a signal.
 	 */
@@ -87,7 +86,7 @@
 			this.count++;
 			action = switch (this.count) {
 				case 1 -> this.atFirst;
-				case 2 -> Optional.of(this.atSecond);
+				case 2 -> this.atSecond;
 				default -> Optional.empty();
 			};
 		}
