Give each call of HttpSender a connection of its own

Cause: OkHttp matches responses to requests by their order and keeps bytes beyond a response in its buffer, so a second response that was read together with the first was given to the next call on the connection (MIXED).

Change: the sender keeps no idle connection, as the client of plain services did before. Weighed: noticing surplus bytes on release (the buffer isn't in the public API, and a response that arrives later isn't noticed), ids (most services send none). The comment of aResetOnAReusedConnectionIsNotSentAgain loses its mention of a pooled connection; what it asserts is unchanged.

The price of the connections was argued, not measured.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
@@ -28,13 +28,16 @@
 
 /**
  * A sender that makes one attempt for each request and tells what is known of it. It
- * never sends a request twice and never follows a redirect. Every stage it returns
- * completes, and never exceptionally. Safe for use by several threads.
+ * never sends a request twice, never follows a redirect and never uses a connection
+ * again. Every stage it returns completes, and never exceptionally. Safe for use by
+ * several threads.
  */
 public final class HttpSender implements AutoCloseable {
 
 	private static final int UNAVAILABLE = 503;
 
+	private static final int NO_IDLE_CONNECTIONS = 0;
+
 	private static final long READ_STEP = 8192;
 
 	private final HttpLimits limits;
@@ -45,32 +48,26 @@
 
 	private final Semaphore freeCalls;
 
-	/**
-	 * Creates a sender that uses connections again.
-	 * @param limits the bounds within which requests are sent
-	 */
-	public HttpSender(HttpLimits limits) {
-		this(limits, new ConnectionPool());
-	}
-
 	/**
 	 * Creates a sender.
 	 * @param limits the bounds within which requests are sent
-	 * @param connections the connections to use again
 	 */
-	public HttpSender(HttpLimits limits, ConnectionPool connections) {
+	public HttpSender(HttpLimits limits) {
 		this.limits = limits;
 		this.executor = Executors.newVirtualThreadPerTaskExecutor();
-		this.client = createClient(limits, connections, this.executor);
+		this.client = createClient(limits, this.executor);
 		this.freeCalls = new Semaphore(limits.maximumCalls());
 	}
 
-	private static OkHttpClient createClient(HttpLimits limits, ConnectionPool connections, ExecutorService executor) {
+	private static OkHttpClient createClient(HttpLimits limits, ExecutorService executor) {
 		Dispatcher dispatcher = new Dispatcher(executor);
 		dispatcher.setMaxRequests(limits.maximumCalls());
 		dispatcher.setMaxRequestsPerHost(limits.maximumCalls());
 		return new OkHttpClient.Builder().dispatcher(dispatcher)
-			.connectionPool(connections)
+			// On a connection used before, a further response to an earlier call
+			// would be taken for the response to this one: the library matches
+			// them by their order, and responses bear no id.
+			.connectionPool(new ConnectionPool(NO_IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.proxy(Proxy.NO_PROXY)
 			.connectTimeout(limits.connectTimeout())
--- a/lentilslip-client/src/main/java/io/lentilslip/client/service/PlainService.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/service/PlainService.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import io.lentilslip.client.http.Exchange;
 import io.lentilslip.client.http.FailureKind;
@@ -19,7 +18,6 @@
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.call.ServiceRequest;
 import io.lentilslip.core.configuration.Endpoint;
-import okhttp3.ConnectionPool;
 import okhttp3.Headers;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
@@ -68,11 +66,11 @@
 			// A service that works on a call is silent, which is no failure before the
 			// call's own timeout.
 			HttpLimits bounds = limits.withTimeouts(MAXIMUM_TIMEOUT, MAXIMUM_TIMEOUT);
-			// Each call has a connection of its own. On one used before, a service that
+			// The sender uses no connection again. On one used before, a service that
 			// has died in the meantime looks like one that dies of the call: the bytes
 			// leave and the connection is reset. A new connection is refused, and the
 			// caller learns that the call did not run.
-			this.sender = new HttpSender(bounds, new ConnectionPool(0, 1, TimeUnit.SECONDS));
+			this.sender = new HttpSender(bounds);
 		}
 
 		@Override
--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -87,9 +87,8 @@
 		assertThat(this.arrived).hasValue(1);
 	}
 
-	// A first call leaves its connection in the pool, and the second one uses
-	// it and is reset. A library that takes this for a stale connection sends
-	// the second call again on a new one.
+	// A second call to the same server is reset. A library that keeps
+	// connections takes this for a stale one and sends the call again.
 	@Test
 	void aResetOnAReusedConnectionIsNotSentAgain() {
 		assertThat(get(this.sender, "/whole")).isInstanceOf(Exchange.Answered.class);
