Refund each expired permit by its own age

Cause: Permits kept one count of expired permits and the time of the last expiry, which released permits and those of other grantors set as well. One recent expiry made all earlier unclaimed ones recent, so permits were refunded more than 250 ms after their expiry and counted in a later window.

Change: the expiry of each refundable permit is kept until it is claimed or too old.

Evidence: PermitsTests#permitsThatExpiredEarlierAreNotRefundedWithALaterOne (expected 1, was 3), #releasedPermitDoesNotExtendTheTimeOfRefunds (expected 0, was 2) and the property #refundsAreOfRecentlyExpiredPermitsOnly (expected 1, was 2) failed before and pass now; QuotaOvershootProperties, QuotaProperties and QuotaRulesTests pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/quota/Permits.java
@@ -58,9 +58,10 @@
 
 	private String grantor = "";
 
-	private int expiredUnused;
-
-	private long lastExpiredAt = Long.MIN_VALUE / 2;
+	/**
+	 * The expiries of refundable permits. Each counts by its own age.
+	 */
+	private final Queue<Long> refundable = new PriorityQueue<>();
 
 	/**
 	 * Adds permits. They are as old as the request for them, because the time of the
@@ -72,7 +73,7 @@
 	 */
 	public void add(String from, int permits, long requestedAt) {
 		if (!from.equals(this.grantor)) {
-			this.expiredUnused = 0;
+			this.refundable.clear();
 			this.grantor = from;
 		}
 		for (int i = 0; i < permits; i++) {
@@ -104,9 +105,12 @@
 	private void expire(long now) {
 		while (!this.permits.isEmpty() && this.permits.peek().expiresAt() <= now) {
 			Permit expired = this.permits.poll();
-			boolean refundable = expired.grantor().filter(this.grantor::equals).isPresent();
-			this.expiredUnused += (refundable && now - expired.expiresAt() < REFUND_TIMEOUT_MS) ? 1 : 0;
-			this.lastExpiredAt = expired.expiresAt();
+			if (expired.grantor().filter(this.grantor::equals).isPresent()) {
+				this.refundable.add(expired.expiresAt());
+			}
+		}
+		while (!this.refundable.isEmpty() && now - this.refundable.peek() >= REFUND_TIMEOUT_MS) {
+			this.refundable.poll();
 		}
 	}
 
@@ -133,9 +137,8 @@
 	 */
 	public int takeExpired(String from, long now) {
 		expire(now);
-		boolean recent = now - this.lastExpiredAt < REFUND_TIMEOUT_MS;
-		int expired = (recent && from.equals(this.grantor)) ? this.expiredUnused : 0;
-		this.expiredUnused = 0;
+		int expired = from.equals(this.grantor) ? this.refundable.size() : 0;
+		this.refundable.clear();
 		return expired;
 	}
 
@@ -173,7 +176,7 @@
 	 */
 	public void clear() {
 		this.permits.clear();
-		this.expiredUnused = 0;
+		this.refundable.clear();
 	}
 
 	/**
