End the suspicions of a request with its answer

Cause: an attempt that breaks or is abandoned makes its request a suspect, and it is recorded as a failure only when its incarnation is seen to have ended, up to 10 s later, or at any time after an attempt without events. If the request was answered by another upstream meanwhile, its failures were looked up at the answer, found empty, and recorded afterwards; they were then sent to all relays. Three such ends and a harmless target is refused by the relays that have not answered it, a harmless content by all.

Change: the answer removes the suspicions of its content and target.

Evidence: answeredRequestIsNotBlamedForAnEarlierAttempt failed for a broken and for an abandoned attempt ("Expecting empty but was: [UpstreamFailed[request=r1, ...") and passes. FailureRulesTests, UnansweredAttemptsTests and RequestsBesidePoisonTests pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
@@ -12,8 +12,8 @@
  * Decides which failures of upstreams count against the requests that they ran. An
  * attempt that ended without a response makes its request a suspect. It counts only once
  * the incarnation has ended without a drain: if the upstream refuses connections, or if
- * it is replaced in the list or gone from it. A connection may also break while the
- * upstream lives on. Used by one thread.
+ * it is replaced in the list or gone from it, and if the request has not been answered
+ * before. A connection may also break while the upstream lives on. Used by one thread.
  */
 final class FailureRules {
 
@@ -119,6 +119,15 @@
 			.ifPresent((upstream) -> this.suspects.responded(upstream.incarnationId(), exchange.sentAt()));
 	}
 
+	/**
+	 * Handles the answer of a request, after which its earlier attempts are no suspects.
+	 * @param exchange the exchange of the request
+	 */
+	void answered(Exchange exchange) {
+		this.suspects.answered(exchange.digest());
+		this.suspects.answered(exchange.targetDigest());
+	}
+
 	/**
 	 * Handles an incarnation that was replaced in the list or removed from it. One that
 	 * was draining has ended as planned.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -355,6 +355,7 @@
 	 * @param exchange the exchange of the request
 	 */
 	void requestAnswered(Exchange exchange) {
+		this.failureRules.answered(exchange);
 		this.poisonRequests.recordSuccess(exchange.digest());
 		this.poisonRequests.recordSuccess(exchange.targetDigest());
 		this.requestTargets.recordAnswer(exchange);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UnansweredAttempts.java
@@ -1,8 +1,12 @@
 package io.lentilslip.core.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * Attempts that ended without a response, by the incarnation of their upstream. If the
@@ -19,6 +23,11 @@
 
 	private final LinkedHashMap<String, List<Suspect>> byIncarnation = new LinkedHashMap<>();
 
+	/**
+	 * The incarnations at which each digest is suspected.
+	 */
+	private final Map<Long, Set<String>> incarnationsByDigest = new HashMap<>();
+
 	private int attemptCount;
 
 	/**
@@ -27,9 +36,7 @@
 	 * @param suspicion when and why the attempt is suspected
 	 */
 	void add(LedgerEntry.UpstreamFailed failure, Suspicion suspicion) {
-		this.byIncarnation.computeIfAbsent(failure.upstream(), (incarnation) -> new ArrayList<>())
-			.add(new Suspect(failure, suspicion));
-		this.attemptCount++;
+		put(failure.upstream(), List.of(new Suspect(failure, suspicion)));
 		while (this.attemptCount > MAX_ATTEMPTS) {
 			remove(this.byIncarnation.firstEntry().getKey());
 		}
@@ -55,9 +62,18 @@
 		List<Suspect> remaining = remove(incarnation).stream()
 			.filter((suspect) -> suspect.suspicion().broken() && suspect.suspicion().since() >= sentAt)
 			.toList();
-		if (!remaining.isEmpty()) {
-			this.byIncarnation.put(incarnation, new ArrayList<>(remaining));
-			this.attemptCount += remaining.size();
+		put(incarnation, remaining);
+	}
+
+	/**
+	 * Records that a request was answered, so that its earlier attempts did not end their
+	 * upstreams.
+	 * @param digest the digest of the request
+	 */
+	void answered(long digest) {
+		for (String incarnation : Set.copyOf(this.incarnationsByDigest.getOrDefault(digest, Set.of()))) {
+			put(incarnation,
+					remove(incarnation).stream().filter((suspect) -> suspect.failure().digest() != digest).toList());
 		}
 	}
 
@@ -74,12 +90,23 @@
 			.toList();
 	}
 
+	private void put(String incarnation, List<Suspect> suspects) {
+		for (Suspect suspect : suspects) {
+			this.byIncarnation.computeIfAbsent(incarnation, (key) -> new ArrayList<>()).add(suspect);
+			this.incarnationsByDigest.computeIfAbsent(suspect.failure().digest(), (key) -> new HashSet<>())
+				.add(incarnation);
+		}
+		this.attemptCount += suspects.size();
+	}
+
 	private List<Suspect> remove(String incarnation) {
 		List<Suspect> removed = this.byIncarnation.remove(incarnation);
 		if (removed == null) {
 			return List.of();
 		}
 		this.attemptCount -= removed.size();
+		removed.forEach((suspect) -> this.incarnationsByDigest.computeIfPresent(suspect.failure().digest(), (digest,
+				incarnations) -> (incarnations.remove(incarnation) && incarnations.isEmpty()) ? null : incarnations));
 		return removed;
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/FailureRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/FailureRulesTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -106,6 +107,29 @@
 		assertThat(RelayFixture.written(this.relay.fail(1, FailureCause.BROKEN))).isEmpty();
 	}
 
+	// Guards against blaming an answered request for an upstream whose end is seen late.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void answeredRequestIsNotBlamedForAnEarlierAttempt(boolean broken) {
+		Upstream first = RelayFixture.ofType(this.relay.sendRequest("r1", "look"), RelayEffect.SendRequest.class)
+			.getFirst()
+			.upstream();
+		this.relay.written(1);
+		if (broken) {
+			this.relay.fail(1, FailureCause.BROKEN);
+		}
+		else {
+			this.relay.advance(250);
+			this.relay.fireTimer(RelayEvent.TimerKind.UPSTREAM_IDLE);
+			this.relay.advance(250);
+			this.relay.fireTimer(RelayEvent.TimerKind.UPSTREAM_IDLE);
+		}
+		this.relay.written(2);
+		assertThat(this.relay.respond(2, RelayFixture.SIGNED))
+			.hasAtLeastOneElementOfType(RelayEffect.SendResponse.class);
+		assertThat(RelayFixture.written(remove(first))).isEmpty();
+	}
+
 	private void drain(Upstream upstream) {
 		this.relay.handle(new RelayEvent.UpstreamUpdated(this.relay.now(), new Upstream(upstream.id(),
 				upstream.service(), "10.0.0.1", 80, "zone-a", 6, true, OptionalLong.empty(), "v1")));
