Try a refused target once a minute for all relays

Cause: a target under which three upstreams had ended was refused for a minute from the first refusal at each relay. After it the relay forgot the failures, so a poison request that still returned made three more upstreams end before it was refused again, each minute, and each relay did so after its own minute.

Change: the refusal ends a minute after the last failure that is known from any relay, and the target then stays a suspect that one more failure confirms. An answer clears it as before.

Evidence: targetThatFailsAgainAfterAMinuteIsRefusedAtOnce and failureAtAnotherRelayExtendsTheRefusal failed ("Expecting Optional to contain: [BLAMED] but was empty") and pass, as do PoisonTargetTests, PoisonRequestsTests, PoisonRequestsProperties, FailureRulesTests, RelayTests and RequestsBesidePoisonTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -54,8 +54,7 @@
 				}
 				case LedgerEntry.Settled settled -> settled(settled, received.sender());
 				case LedgerEntry.UsageRenewed renewed -> this.state.tokens.apply(renewed);
-				case LedgerEntry.UpstreamFailed failed ->
-					this.state.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+				case LedgerEntry.UpstreamFailed failed -> this.state.recordFailure(failed);
 			}
 		}
 		if (received.fromLog()) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -194,12 +195,13 @@
 	}
 
 	/**
-	 * Forgets the failures under a request.
-	 * @param digest the digest of the request
+	 * Makes a target that is the cause of failures a suspect again. One more failure
+	 * confirms it, so that it can be tried without three more.
+	 * @param target the digest of the target
 	 */
-	void forget(long digest) {
-		remove(digest);
-		this.confirmedTargets.remove(digest);
+	void suspectAgain(long target) {
+		put(target, remove(target).stream().sorted().skip(1).collect(Collectors.toSet()));
+		this.confirmedTargets.remove(target);
 	}
 
 	private Set<String> remove(long digest) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -321,10 +321,20 @@
 	 * @param failed the failure
 	 */
 	void upstreamFailed(LedgerEntry.UpstreamFailed failed) {
-		int failures = this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+		int failures = recordFailure(failed);
 		write(failed, (failures > 1) ? otherRelays() : List.copyOf(this.linkedPeers));
 	}
 
+	/**
+	 * Counts the failure of an upstream, at this relay or another one.
+	 * @param failed the failure
+	 * @return the number of incarnations that failed under the request, up to the maximum
+	 */
+	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		this.requestTargets.recordFailure(failed.digest(), this.now);
+		return this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+	}
+
 	/**
 	 * Returns whether a request is treated as the cause of failures of upstreams.
 	 * @param exchange the exchange of the request
@@ -343,8 +353,8 @@
 				this.poisonRequests.confirm(exchange.targetDigest());
 				yield true;
 			}
-			case FORGET -> {
-				this.poisonRequests.forget(exchange.targetDigest());
+			case RETRY -> {
+				this.poisonRequests.suspectAgain(exchange.targetDigest());
 				yield false;
 			}
 		};
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestTargets.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestTargets.java
@@ -24,8 +24,8 @@
 	private static final int SHARED_DIVISOR = 2;
 
 	/**
-	 * The time for which a target is refused. Ends the refusal of a harmless target that
-	 * happened to be in flight at each failure.
+	 * The time after the last failure for which a target is refused. Ends the refusal of
+	 * a harmless target that happened to be in flight at each failure.
 	 */
 	private static final Duration REFUSAL_TIME = Duration.ofSeconds(60);
 
@@ -68,6 +68,16 @@
 		this.answered.put(exchange.targetDigest(), true);
 	}
 
+	/**
+	 * Records that an upstream failed under a target, at this relay or another one. If it
+	 * is refused, the time starts again: one relay has tried it for all.
+	 * @param target the digest of the target
+	 * @param now the current time
+	 */
+	void recordFailure(long target, long now) {
+		this.refusedSince.computeIfPresent(target, (digest, since) -> now);
+	}
+
 	/**
 	 * Decides whether a target under which upstreams failed is refused: if no request for
 	 * it is answered and others have most requests of its route.
@@ -87,7 +97,7 @@
 			return Decision.REFUSE;
 		}
 		this.refusedSince.remove(exchange.targetDigest());
-		return Decision.FORGET;
+		return Decision.RETRY;
 	}
 
 	/**
@@ -107,9 +117,9 @@
 		REFUSE,
 
 		/**
-		 * Send requests for the target, and forget the failures under it.
+		 * Send requests for the target, and refuse it again after another failure.
 		 */
-		FORGET
+		RETRY
 
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
@@ -92,6 +92,38 @@
 		assertThat(sends(this.relay.sendRequest("r7", "order", "harmless", "content 7"))).hasSize(1);
 	}
 
+	// Guards against a poison request that makes three more upstreams fail each minute.
+	@Test
+	void targetThatFailsAgainAfterAMinuteIsRefusedAtOnce() {
+		refuseTarget();
+		this.relay.advance(60_001);
+		assertThat(sends(this.relay.sendRequest("r5", "order", "poison", "content 5"))).hasSize(1);
+		this.relay.crash(1);
+		assertThat(refusal(this.relay.sendRequest("r6", "order", "poison", "content 6"))).contains(Refusal.BLAMED);
+	}
+
+	// Guards against each relay trying a poison request for itself after its own minute.
+	@Test
+	void failureAtAnotherRelayExtendsTheRefusal() {
+		long target = refuseTarget();
+		this.relay.advance(59_000);
+		this.relay.readFromLog(new LedgerEntry.UpstreamFailed("r0", target, "other"));
+		this.relay.advance(59_000);
+		assertThat(refusal(this.relay.sendRequest("r5", "order", "poison", "content 5"))).contains(Refusal.BLAMED);
+	}
+
+	private long refuseTarget() {
+		this.relay.answerRequests("order", ANSWERED);
+		long target = 0;
+		for (int i = 1; i <= 3; i++) {
+			this.relay.sendRequest("r" + i, "order", "poison", "content " + i);
+			target = ((LedgerEntry.UpstreamFailed) RelayFixture.written(this.relay.crash(1)).getFirst()).digest();
+			replaceUpstreams(i);
+		}
+		assertThat(refusal(this.relay.sendRequest("r4", "order", "poison", "content 4"))).contains(Refusal.BLAMED);
+		return target;
+	}
+
 	// Guards against forgetting failures at an upstream that rejects the request before
 	// it can fail.
 	@Test
