Take back the failures of a stored turn at all relays once it is answered

Cause: failures of upstreams are shared by links and the log, while an answer, which disproves them, cleared them at its own relay only. A conversation whose turns were in flight when three upstreams ended, and were answered after a retry, was refused for a minute by each relay that had not answered a request for its target, and after a loss of all relays by all of them, since they read the failures again and not the answers.

Change: the settlement of a stored turn has the location of its text, so it is written after the whole answer, and all relays read it. It disproves the failures that were recorded under its request, whichever entry is read first. The format of the entries does not change. Requests that are not stored turns have no such entry and stay open.

Evidence: failuresOfTurnsThatWereAnsweredElsewhereDoNotCount failed in both orders ("Expecting an empty Optional but was containing value: BLAMED") and passes, as do PoisonTargetTests, PoisonRequestsTests, PoisonRequestsProperties, FailureRulesTests, RelayTests, TextRulesTests and RequestsBesidePoisonTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -162,6 +162,7 @@
 		settled.textLocation().ifPresent((location) -> {
 			this.state.turnCache.recordLocation(settled.request(), location, sender);
 			this.state.raiseTextOffset(location);
+			this.state.poisonRequests.recordAnswer(settled.request());
 		});
 		this.state.upstreams.requestEnded(settled.request());
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -59,6 +60,11 @@
 	 */
 	private final LinkedHashMap<Long, Set<String>> disproved = new LinkedHashMap<>();
 
+	/**
+	 * The failures under each request, least recently failed first.
+	 */
+	private final LinkedHashMap<String, Set<LedgerEntry.UpstreamFailed>> byRequest = new LinkedHashMap<>();
+
 	/**
 	 * Returns the digest of a target, distinguishable from those of contents.
 	 * @param hash the hash of the target
@@ -81,6 +87,43 @@
 		return (digest & 1) != 0;
 	}
 
+	/**
+	 * Records that an upstream failed while it ran a request.
+	 * @param failed the failure
+	 * @return the number of incarnations that failed, up to the maximum
+	 */
+	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		Set<LedgerEntry.UpstreamFailed> failures = Optional.ofNullable(this.byRequest.remove(failed.request()))
+			.orElseGet(HashSet::new);
+		failures.add(failed);
+		this.byRequest.put(failed.request(), failures);
+		if (this.byRequest.size() > MAX_REQUESTS) {
+			this.byRequest.pollFirstEntry();
+		}
+		return recordFailure(failed.digest(), failed.upstream());
+	}
+
+	/**
+	 * Records that some relay has the whole answer to a request, which therefore did not
+	 * cause the failures under it.
+	 * @param request the request
+	 */
+	void recordAnswer(String request) {
+		Optional.ofNullable(this.byRequest.remove(request)).ifPresent((failures) -> failures.forEach(this::disprove));
+	}
+
+	private void disprove(LedgerEntry.UpstreamFailed failed) {
+		Set<String> remaining = new HashSet<>(remove(failed.digest()));
+		remaining.remove(failed.upstream());
+		if (!remaining.isEmpty()) {
+			put(failed.digest(), remaining);
+		}
+		if (!isPoison(failed.digest())) {
+			this.confirmedTargets.remove(failed.digest());
+		}
+		addDisproved(failed.digest(), Set.of(failed.upstream()));
+	}
+
 	/**
 	 * Records that an upstream failed while it ran a request.
 	 * @param digest the digest of the request
@@ -183,12 +226,17 @@
 		if (isPoison(digest)) {
 			return;
 		}
-		Set<String> failed = new HashSet<>(remove(digest));
+		Set<String> failed = remove(digest);
 		if (failed.isEmpty()) {
 			return;
 		}
-		failed.addAll(this.disproved.getOrDefault(digest, Set.of()));
-		this.disproved.putLast(digest, failed);
+		addDisproved(digest, failed);
+	}
+
+	private void addDisproved(long digest, Set<String> failed) {
+		Set<String> all = new HashSet<>(failed);
+		all.addAll(this.disproved.getOrDefault(digest, Set.of()));
+		this.disproved.putLast(digest, all);
 		if (this.disproved.size() > MAX_REQUESTS) {
 			this.disproved.pollFirstEntry();
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -332,7 +332,13 @@
 	 */
 	int recordFailure(LedgerEntry.UpstreamFailed failed) {
 		this.requestTargets.recordFailure(failed.digest(), this.now);
-		return this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+		int failures = this.poisonRequests.recordFailure(failed);
+		if (this.turnCache.locations(failed.request()).isEmpty()) {
+			return failures;
+		}
+		// The turn has been stored, so its text is whole.
+		this.poisonRequests.recordAnswer(failed.request());
+		return this.poisonRequests.failures(failed.digest());
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -124,6 +125,20 @@
 		return target;
 	}
 
+	// Guards against refusing a conversation at the relays that did not answer its turns.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void failuresOfTurnsThatWereAnsweredElsewhereDoNotCount(boolean settledFirst) {
+		RelayFixture started = RelayFixture.readyAfterRestart();
+		started.answerRequests("chat", ANSWERED);
+		for (int i = 1; i <= 4; i++) {
+			List<LedgerEntry> entries = new ArrayList<>(RelayFixture.failures("r" + i, "chat", "u" + i));
+			entries.add(settledFirst ? 0 : 2, RelayFixture.settledTurn("r" + i, null));
+			started.readFromLog(entries.toArray(new LedgerEntry[0]));
+		}
+		assertThat(refusal(started.sendRequest("r5", "chat"))).isEmpty();
+	}
+
 	// Guards against forgetting failures at an upstream that rejects the request before
 	// it can fail.
 	@Test
