Measure the silence of a coordinator from its current probes only

Cause: a stand-in remembers since when the first coordinator has not answered its probes, and only an answer ended that. If the answer was lost, for example because the first coordinator was restarted, and no request came to the stand-in meanwhile, the silence was as long as the time since. The next request that a slow first coordinator sent to the stand-in, however much later, met one that granted the whole rate at once instead of its advance.

Change: a probe that was sent 2 s ago or more begins a new measurement. While requests come to a stand-in at all it probes every 60 ms, so a coordinator that is lost is found to be after 400 ms as before.

Evidence: probeThatWasNotAnsweredLongAgoIsNoFailure failed ("expected: 0 but was: 3") and passes. QuotaRulesTests, QuotaProperties and QuotaOvershootProperties pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -60,6 +60,12 @@
 	 */
 	private static final Duration FAILURE_TIMEOUT = Duration.ofMillis(400);
 
+	/**
+	 * The time after the last probe for which its missing reply counts. Nothing is known
+	 * of a coordinator that was probed longer ago.
+	 */
+	private static final Duration PROBE_EXPIRY = Duration.ofSeconds(2);
+
 	/**
 	 * The maximum number of teams with permits at this relay.
 	 */
@@ -303,7 +309,8 @@
 			}
 			Probe last = this.probes.get(relay);
 			if (last == null || this.state.now - last.sentAt() >= RESPONSE_TIMEOUT.toMillis()) {
-				long unansweredSince = (last != null) ? last.unansweredSince() : this.state.now;
+				boolean expired = last == null || this.state.now - last.sentAt() >= PROBE_EXPIRY.toMillis();
+				long unansweredSince = expired ? this.state.now : last.unansweredSince();
 				this.probes.put(relay, new Probe(unansweredSince, this.state.now));
 				this.lastRequestId++;
 				this.state.emit(new RelayEffect.RequestPermits(relay, PermitRequest.probe(this.lastRequestId)));
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -100,16 +100,42 @@
 	// without end.
 	@Test
 	void standInCoversItsGrantsButNotThoseOfOtherStandIns() {
+		followFirstCoordinator();
+		Quota quota = new Quota(10, 10);
+		PermitRequest request = new PermitRequest("red", 1, quota, 1, 0, 0, List.of(7), List.of());
+		assertThat(covers("other", request)).singleElement().extracting(PermitRequest::required).isEqualTo(1);
+		assertThat(covers("other", PermitRequest.cover("red", 2, quota, 1))).isEmpty();
+	}
+
+	// Guards against two relays that both grant the full rate because a probe was not
+	// answered long ago.
+	@Test
+	void probeThatWasNotAnsweredLongAgoIsNoFailure() {
+		followFirstCoordinator();
+		grantInPlaceOfTheFirst();
+		this.relay.advance(10_000);
+		grantInPlaceOfTheFirst();
+		this.relay.advance(300);
+		assertThat(grantInPlaceOfTheFirst()).isZero();
+		this.relay.advance(100);
+		assertThat(grantInPlaceOfTheFirst()).isPositive();
+	}
+
+	private String followFirstCoordinator() {
 		String first = Stream.of("a", "b", "c", "d", "e", "f")
 			.filter(this::precedesThisRelay)
 			.findFirst()
 			.orElseThrow();
 		this.relay
 			.handle(new RelayEvent.MembershipUpdated(this.relay.now(), List.of(Member.of("self"), Member.of(first))));
-		Quota quota = new Quota(10, 10);
-		PermitRequest request = new PermitRequest("red", 1, quota, 1, 0, 0, List.of(7), List.of());
-		assertThat(covers("other", request)).singleElement().extracting(PermitRequest::required).isEqualTo(1);
-		assertThat(covers("other", PermitRequest.cover("red", 2, quota, 1))).isEmpty();
+		return first;
+	}
+
+	private int grantInPlaceOfTheFirst() {
+		PermitRequest request = new PermitRequest("red", 1, new Quota(10, 10), 9, 0, 0, List.of(7), List.of());
+		List<RelayEffect> effects = this.relay
+			.handle(new RelayEvent.PermitsRequested(this.relay.now(), "other", request));
+		return RelayFixture.ofType(effects, RelayEffect.GrantPermits.class).getFirst().reply().total();
 	}
 
 	private boolean precedesThisRelay(String other) {
