Forget that a coordinator was disconnected once it is connected again

Cause: the end of a connection makes 60 ms of silence enough for a stand-in to take the first coordinator for lost. Only a reply about permits ended that, not a new connection, so that after any reset of a link a first coordinator that was late by 60 ms at some later time had the whole rate granted beside it.

Change: a new connection restores the timeout of 400 ms.

Evidence: connectionThatIsOpenAgainIsNoFailure failed ("expected: 0 but was: 3") and passes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -481,6 +481,14 @@
 		}
 	}
 
+	/**
+	 * Handles a new connection to a relay, which may be slow but has not failed.
+	 * @param peer the relay
+	 */
+	void peerConnected(String peer) {
+		this.disconnected.remove(peer);
+	}
+
 	/**
 	 * Handles a membership change, which may change the coordinators of teams.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -123,7 +123,10 @@
 			case RelayEvent.PermitsGranted granted -> this.quotas.permitsGranted(granted);
 			case RelayEvent.SyncRequested request -> this.site.sendSync(request.peer());
 			case RelayEvent.LogDecisionReceived decision -> this.ledger.logDecisionReceived(decision);
-			case RelayEvent.PeerConnected connected -> this.site.peerConnected(connected.peer());
+			case RelayEvent.PeerConnected connected -> {
+				this.site.peerConnected(connected.peer());
+				this.quotas.peerConnected(connected.peer());
+			}
 			case RelayEvent.SyncCompleted completed ->
 				this.site.syncReceived(completed.peer(), completed.otherRelays());
 			case RelayEvent.ListenerStarted started -> this.state.name = started.name();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -121,6 +121,17 @@
 		assertThat(grantInPlaceOfTheFirst()).isPositive();
 	}
 
+	// Guards against the same after a connection was lost that has been open again since.
+	@Test
+	void connectionThatIsOpenAgainIsNoFailure() {
+		String first = followFirstCoordinator();
+		this.relay.handle(new RelayEvent.PeerDisconnected(this.relay.now(), first));
+		this.relay.handle(new RelayEvent.PeerConnected(this.relay.now(), first));
+		grantInPlaceOfTheFirst();
+		this.relay.advance(300);
+		assertThat(grantInPlaceOfTheFirst()).isZero();
+	}
+
 	private String followFirstCoordinator() {
 		String first = Stream.of("a", "b", "c", "d", "e", "f")
 			.filter(this::precedesThisRelay)
