Remember versions for as long as earlier streams can be resumed

Cause: the time for which software versions, streams and their attempts are remembered is derived from the longest timeout of the newest route table. When a configuration shortened the timeouts, that time was shortened at once, while streams that had begun keep theirs. A version that had left since was forgotten, so that a stream whose version nobody knew went on at the only one that was left, and an attempt in the log counted as the last one too early.

Change: a shorter time takes effect once the longer one has passed. A relay that starts under the new table does not know the earlier one; that stays open.

Evidence: shorterTimeoutsDoNotShortenEarlierStreams failed (the stream was sent on at v2 in place of a refusal) and passes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -204,7 +204,15 @@
 	/**
 	 * For how long after its start a stream may be resumed.
 	 */
-	Duration streamRetention = Duration.ZERO;
+	private Duration streamRetention = Duration.ZERO;
+
+	/**
+	 * The longer retention of an earlier route table, until streams that began under it
+	 * can't be resumed any more.
+	 */
+	private Duration earlierStreamRetention = Duration.ZERO;
+
+	private long earlierStreamsUntil = NEVER;
 
 	boolean caughtUp;
 
@@ -388,6 +396,29 @@
 		}
 	}
 
+	/**
+	 * Sets for how long a stream may be resumed that begins now.
+	 * @param retention the time after its start
+	 */
+	void updateStreamRetention(Duration retention) {
+		Duration earlier = streamRetention();
+		if (retention.compareTo(earlier) < 0) {
+			this.earlierStreamRetention = earlier;
+			this.earlierStreamsUntil = this.now + earlier.toMillis();
+		}
+		this.streamRetention = retention;
+	}
+
+	/**
+	 * Returns for how long after its start any stream may be resumed.
+	 * @return the time
+	 */
+	Duration streamRetention() {
+		boolean earlier = this.now <= this.earlierStreamsUntil
+				&& this.earlierStreamRetention.compareTo(this.streamRetention) > 0;
+		return earlier ? this.earlierStreamRetention : this.streamRetention;
+	}
+
 	/**
 	 * Records that the complete list of upstreams was read.
 	 */
@@ -413,7 +444,7 @@
 	 * @return whether it does
 	 */
 	boolean knowsVersionHistory(String service) {
-		return this.upstreamsFollowedSince < this.now - this.streamRetention.toMillis()
+		return this.upstreamsFollowedSince < this.now - streamRetention().toMillis()
 				|| this.servicesWithHistory.contains(service);
 	}
 
@@ -429,18 +460,18 @@
 	}
 
 	void recordStreamAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+		this.streamVersions.record(request, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	void recordFinalAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.recordFinal(request, attempt, this.now, this.streamRetention);
+		this.streamVersions.recordFinal(request, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	Optional<StreamAttempt> findFinalAttempt(String request) {
 		return this.streamVersions.findFinal(request, this.logEndReadAt,
-				this.streamRetention.dividedBy(RelaySettings.STREAM_ATTEMPTS));
+				streamRetention().dividedBy(RelaySettings.STREAM_ATTEMPTS));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -65,7 +65,7 @@
 			return;
 		}
 		this.state.routeTable = Optional.of(table);
-		this.state.streamRetention = table.longestResumableTimeout().multipliedBy(RelaySettings.STREAM_ATTEMPTS);
+		this.state.updateStreamRetention(table.longestResumableTimeout().multipliedBy(RelaySettings.STREAM_ATTEMPTS));
 		this.state.emit(new RelayEffect.ApplyLimits(table.limits()));
 		this.state.report(RelayNotices.routesAccepted(table));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -246,7 +246,7 @@
 			.map((services) -> services.getFirst().service())
 			.filter(this.state::knowsVersionHistory)
 			.flatMap((service) -> this.state.upstreams.onlyVersion(service,
-					this.state.now - this.state.streamRetention.toMillis()));
+					this.state.now - this.state.streamRetention().toMillis()));
 	}
 
 	private boolean awaitUpstreams(Exchange exchange, Source source) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -434,6 +434,27 @@
 		return restarted;
 	}
 
+	// Guards against forgetting a version because later streams have shorter timeouts.
+	@Test
+	void shorterTimeoutsDoNotShortenEarlierStreams() {
+		list(engine("c", "v1"));
+		this.relay.advance(RETENTION_MS);
+		list(engine("d", "v2"));
+		configure(2, RelayFixture.ENGINE, Duration.ofSeconds(1));
+		this.relay.advance(RETENTION_MS);
+		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+		this.relay.advance(1);
+		assertThat(sent(resume("u2", "t1")).version()).isEqualTo("v2");
+	}
+
+	private void configure(long version, String service, Duration timeout) {
+		RouteTable plain = RelayFixture.table();
+		Route draft = new Route("draft", "host", "/draft/", Repeatability.STREAM, timeout, Duration.ofMillis(200), 2, 0,
+				true, false, Duration.ofSeconds(60), false, false, List.of(new Route.WeightedService(service, 1)));
+		this.relay.handle(new RelayEvent.RouteTableUpdated(this.relay.now(),
+				new RouteTable(version, List.of(draft), plain.services(), plain.limits(), Optional.empty())));
+	}
+
 	private static List<RelayEffect> resume(RelayFixture relay, String id, String origin) {
 		return relay.confirmed(relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body"));
 	}
