Ask the history of a route before a stream goes on at the only version

Cause: a stream whose version nobody knows goes on at the only version that its service has had. When a route moves to another service, the streams that began at the service before are as unknown, and went on at the only version of the new one. The history of the service was asked for, not that of the route.

A stream of an unknown version goes on only if requests for its target went to one service in all of them.

Evidence: onlyVersionOfAServiceDoesNotCountForEarlierStreamsOfItsRoute failed (the stream was sent on in place of a refusal) and passes, with StreamRulesTests, StreamsAtARelayOutOfStepTests, TeamTests and RelayTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -201,6 +201,11 @@
 
 	Optional<RouteTable> routeTable = Optional.empty();
 
+	/**
+	 * The routes by which streams may have begun that callers may resume.
+	 */
+	final EarlierRoutes earlierRoutes = new EarlierRoutes();
+
 	/**
 	 * For how long after its start a stream may be resumed.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -64,6 +64,8 @@
 		if (this.state.routeTable.isPresent() && this.state.routeTable.get().version() >= table.version()) {
 			return;
 		}
+		this.state.routeTable
+			.ifPresent((previous) -> this.state.earlierRoutes.replaced(previous, table, this.state.now));
 		this.state.routeTable = Optional.of(table);
 		this.state.updateStreamRetention(table.longestResumableTimeout().multipliedBy(RelaySettings.STREAM_ATTEMPTS));
 		this.state.emit(new RelayEffect.ApplyLimits(table.limits()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -241,12 +241,13 @@
 		// before its start once it has read it.
 		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp && !this.state.logStale
 				&& this.state.upstreams.initialized();
+		long since = this.state.now - this.state.streamRetention().toMillis();
 		return Optional.of(exchange.route().services())
 			.filter((services) -> listCurrent && services.size() == 1)
 			.map((services) -> services.getFirst().service())
 			.filter(this.state::knowsVersionHistory)
-			.flatMap((service) -> this.state.upstreams.onlyVersion(service,
-					this.state.now - this.state.streamRetention().toMillis()));
+			.filter((service) -> this.state.earlierRoutes.ledOnlyTo(service, exchange.head(), since))
+			.flatMap((service) -> this.state.upstreams.onlyVersion(service, since));
 	}
 
 	private boolean awaitUpstreams(Exchange exchange, Source source) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -447,6 +448,20 @@
 		assertThat(sent(resume("u2", "t1")).version()).isEqualTo("v2");
 	}
 
+	// Guards against a stream of the service to which its route led before.
+	@Test
+	void onlyVersionOfAServiceDoesNotCountForEarlierStreamsOfItsRoute() {
+		list(engine("c", "v1"),
+				new Upstream("m1", "other", "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty(), "v1"));
+		this.relay.advance(RETENTION_MS);
+		configure(2, "other", Duration.ofSeconds(4));
+		this.relay.advance(RETENTION_MS);
+		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+		configure(3, "other", Duration.ofSeconds(4));
+		this.relay.advance(1);
+		assertThat(sent(resume("u2", "t1")).service()).isEqualTo("other");
+	}
+
 	private void configure(long version, String service, Duration timeout) {
 		RouteTable plain = RelayFixture.table();
 		Route draft = new Route("draft", "host", "/draft/", Repeatability.STREAM, timeout, Duration.ofMillis(200), 2, 0,
