--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -54,8 +54,7 @@
 				}
 				case LedgerEntry.Settled settled -> settled(settled, received.sender());
 				case LedgerEntry.UsageRenewed renewed -> this.state.tokens.apply(renewed);
-				case LedgerEntry.UpstreamFailed failed ->
-					this.state.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+				case LedgerEntry.UpstreamFailed failed -> this.state.recordFailure(failed);
 			}
 		}
 		if (received.fromLog()) {
@@ -163,6 +162,7 @@
 		settled.textLocation().ifPresent((location) -> {
 			this.state.turnCache.recordLocation(settled.request(), location, sender);
 			this.state.raiseTextOffset(location);
+			this.state.poisonRequests.recordAnswer(settled.request());
 		});
 		this.state.upstreams.requestEnded(settled.request());
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -201,10 +201,23 @@
 
 	Optional<RouteTable> routeTable = Optional.empty();
 
+	/**
+	 * The routes by which streams may have begun that callers may resume.
+	 */
+	final EarlierRoutes earlierRoutes = new EarlierRoutes();
+
 	/**
 	 * For how long after its start a stream may be resumed.
 	 */
-	Duration streamRetention = Duration.ZERO;
+	private Duration streamRetention = Duration.ZERO;
+
+	/**
+	 * The longer retention of an earlier route table, until streams that began under it
+	 * can't be resumed any more.
+	 */
+	private Duration earlierStreamRetention = Duration.ZERO;
+
+	private long earlierStreamsUntil = NEVER;
 
 	boolean caughtUp;
 
@@ -321,10 +334,26 @@
 	 * @param failed the failure
 	 */
 	void upstreamFailed(LedgerEntry.UpstreamFailed failed) {
-		int failures = this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+		int failures = recordFailure(failed);
 		write(failed, (failures > 1) ? otherRelays() : List.copyOf(this.linkedPeers));
 	}
 
+	/**
+	 * Counts the failure of an upstream, at this relay or another one.
+	 * @param failed the failure
+	 * @return the number of incarnations that failed under the request, up to the maximum
+	 */
+	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		this.requestTargets.recordFailure(failed.digest(), this.now);
+		int failures = this.poisonRequests.recordFailure(failed);
+		if (this.turnCache.locations(failed.request()).isEmpty()) {
+			return failures;
+		}
+		// The turn has been stored, so its text is whole.
+		this.poisonRequests.recordAnswer(failed.request());
+		return this.poisonRequests.failures(failed.digest());
+	}
+
 	/**
 	 * Returns whether a request is treated as the cause of failures of upstreams.
 	 * @param exchange the exchange of the request
@@ -343,8 +372,8 @@
 				this.poisonRequests.confirm(exchange.targetDigest());
 				yield true;
 			}
-			case FORGET -> {
-				this.poisonRequests.forget(exchange.targetDigest());
+			case RETRY -> {
+				this.poisonRequests.suspectAgain(exchange.targetDigest());
 				yield false;
 			}
 		};
@@ -355,6 +384,7 @@
 	 * @param exchange the exchange of the request
 	 */
 	void requestAnswered(Exchange exchange) {
+		this.failureRules.answered(exchange);
 		this.poisonRequests.recordSuccess(exchange.digest());
 		this.poisonRequests.recordSuccess(exchange.targetDigest());
 		this.requestTargets.recordAnswer(exchange);
@@ -371,6 +401,29 @@
 		}
 	}
 
+	/**
+	 * Sets for how long a stream may be resumed that begins now.
+	 * @param retention the time after its start
+	 */
+	void updateStreamRetention(Duration retention) {
+		Duration earlier = streamRetention();
+		if (retention.compareTo(earlier) < 0) {
+			this.earlierStreamRetention = earlier;
+			this.earlierStreamsUntil = this.now + earlier.toMillis();
+		}
+		this.streamRetention = retention;
+	}
+
+	/**
+	 * Returns for how long after its start any stream may be resumed.
+	 * @return the time
+	 */
+	Duration streamRetention() {
+		boolean earlier = this.now <= this.earlierStreamsUntil
+				&& this.earlierStreamRetention.compareTo(this.streamRetention) > 0;
+		return earlier ? this.earlierStreamRetention : this.streamRetention;
+	}
+
 	/**
 	 * Records that the complete list of upstreams was read.
 	 */
@@ -396,7 +449,7 @@
 	 * @return whether it does
 	 */
 	boolean knowsVersionHistory(String service) {
-		return this.upstreamsFollowedSince < this.now - this.streamRetention.toMillis()
+		return this.upstreamsFollowedSince < this.now - streamRetention().toMillis()
 				|| this.servicesWithHistory.contains(service);
 	}
 
@@ -412,18 +465,18 @@
 	}
 
 	void recordStreamAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+		this.streamVersions.record(request, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	void recordFinalAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.recordFinal(request, attempt, this.now, this.streamRetention);
+		this.streamVersions.recordFinal(request, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	Optional<StreamAttempt> findFinalAttempt(String request) {
 		return this.streamVersions.findFinal(request, this.logEndReadAt,
-				this.streamRetention.dividedBy(RelaySettings.STREAM_ATTEMPTS));
+				streamRetention().dividedBy(RelaySettings.STREAM_ATTEMPTS));
 	}
 
 	/**
