--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -111,7 +111,7 @@
 	private Optional<Boolean> reserveOnReplicas(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		List<String> replicas = this.state.replicas.replicasOf(turn.program());
-		UsagePoll poll = new UsagePoll(exchange.number(), exchange.id(), replicas);
+		UsagePoll poll = new UsagePoll(exchange.number(), exchange.run(), replicas);
 		reserve(exchange, turn, poll);
 		if (replicas.contains(this.state.name)) {
 			if (this.state.upToDate()) {
@@ -124,7 +124,7 @@
 		}
 		List<String> otherReplicas = this.state.otherReplicas(turn.program());
 		if (!otherReplicas.isEmpty()) {
-			this.state.emit(new RelayEffect.RequestReservation(otherReplicas, exchange.id(), turn.program(),
+			this.state.emit(new RelayEffect.RequestReservation(otherReplicas, exchange.run(), turn.program(),
 					turn.maxTokens(), turn.budget().orElseThrow()));
 			startTimer(exchange, poll, RelaySettings.REPLICA_TIMEOUT);
 		}
@@ -133,10 +133,10 @@
 
 	private void reserve(Exchange exchange, Turn turn, UsagePoll poll) {
 		exchange.markReserved();
-		this.state.tokens.reserve(turn.program(), exchange.id(), turn.maxTokens());
+		this.state.tokens.reserve(turn.program(), exchange.run(), turn.maxTokens());
 		this.state
-			.recordUncommitted(new Reserved(exchange.id(), turn.program(), turn.maxTokens(), "", List.of(), false));
-		this.state.polls.put(exchange.id(), poll);
+			.recordUncommitted(new Reserved(exchange.run(), turn.program(), turn.maxTokens(), "", List.of(), false));
+		this.state.polls.put(exchange.run(), poll);
 	}
 
 	private Optional<Boolean> decideByReplicas(Exchange exchange, UsagePoll poll) {
@@ -185,8 +185,8 @@
 
 	private void reserveInLog(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		this.state.conditionalReservations.put(exchange.id(), exchange.number());
-		this.state.write(new Reserved(exchange.id(), turn.program(), turn.maxTokens(), "", List.of(), true));
+		this.state.conditionalReservations.put(exchange.run(), exchange.number());
+		this.state.write(new Reserved(exchange.run(), turn.program(), turn.maxTokens(), "", List.of(), true));
 		this.state.startTimer(exchange, RelaySettings.LOG_DECISION_TIMEOUT, TimerKind.BUDGET_DECISION);
 	}
 
@@ -200,13 +200,13 @@
 	 */
 	private void reserveOnAllRelays(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		UsagePoll poll = Optional.ofNullable(this.state.polls.get(exchange.id()))
-			.orElseGet(() -> new UsagePoll(exchange.number(), exchange.id(), List.of()));
+		UsagePoll poll = Optional.ofNullable(this.state.polls.get(exchange.run()))
+			.orElseGet(() -> new UsagePoll(exchange.number(), exchange.run(), List.of()));
 		poll.waitForAllRelays(this.state.name);
 		exchange.markReservedOnAll();
 		reserve(exchange, turn, poll);
-		this.state.write(new Reserved(exchange.id(), turn.program(), turn.maxTokens(), "", List.of(), false));
-		this.state.emit(new RelayEffect.RequestReservation(List.of(), exchange.id(), turn.program(), turn.maxTokens(),
+		this.state.write(new Reserved(exchange.run(), turn.program(), turn.maxTokens(), "", List.of(), false));
+		this.state.emit(new RelayEffect.RequestReservation(List.of(), exchange.run(), turn.program(), turn.maxTokens(),
 				turn.budget().orElseThrow()));
 		startTimer(exchange, poll, RelaySettings.QUORUM_TIMEOUT);
 	}
@@ -226,7 +226,7 @@
 		if (exchange.phase() != Phase.WAITING_FOR_BUDGET) {
 			return;
 		}
-		UsagePoll poll = this.state.polls.get(exchange.id());
+		UsagePoll poll = this.state.polls.get(exchange.run());
 		// A timer of an earlier stage must not cut the timeout of the current stage
 		// short.
 		if (poll != null && !poll.timerFired()) {
@@ -258,11 +258,11 @@
 	 */
 	Optional<Refusal> decideInLogOrder(Exchange exchange) {
 		Turn turn = exchange.head().turn().orElseThrow();
-		Optional<UsagePoll> poll = Optional.ofNullable(this.state.polls.get(exchange.id()));
-		boolean admitted = admits(exchange.id(), turn.program(), turn.maxTokens(), turn.budget().orElseThrow());
+		Optional<UsagePoll> poll = Optional.ofNullable(this.state.polls.get(exchange.run()));
+		boolean admitted = admits(exchange.run(), turn.program(), turn.maxTokens(), turn.budget().orElseThrow());
 		boolean covered = poll.isEmpty() || coversConcurrentTurns(poll.get(), turn);
 		exchange.markReserved();
-		this.state.tokens.reserve(turn.program(), exchange.id(), turn.maxTokens());
+		this.state.tokens.reserve(turn.program(), exchange.run(), turn.maxTokens());
 		finishDecision(exchange, Decider.LOG, admitted && covered);
 		if (admitted && covered) {
 			return Optional.empty();
@@ -279,12 +279,11 @@
 			return poll.used() <= budget;
 		}
 		long concurrent = (long) RelaySettings.ASSUMED_CONCURRENT_TURNS * turn.maxTokens();
-		return this.state.tokens.usedExcluding(turn.program(), poll.request()) + concurrent <= budget
-				+ turn.maxTokens();
+		return this.state.tokens.usedExcluding(turn.program(), poll.run()) + concurrent <= budget + turn.maxTokens();
 	}
 
-	private boolean admits(String request, String program, int maxTokens, long budget) {
-		return this.state.tokens.usedExcluding(program, request) + maxUnknown(maxTokens, budget) + maxTokens <= budget;
+	private boolean admits(RunId run, String program, int maxTokens, long budget) {
+		return this.state.tokens.usedExcluding(program, run) + maxUnknown(maxTokens, budget) + maxTokens <= budget;
 	}
 
 	/**
@@ -293,7 +292,7 @@
 	 * @return whether the budget admits the turn, or empty if that is not decided yet
 	 */
 	Optional<Boolean> usageReceived(RelayEvent.UsageReceived usage) {
-		UsagePoll poll = this.state.polls.get(usage.request());
+		UsagePoll poll = this.state.findPoll(usage.run()).orElse(null);
 		if (poll == null || poll.stage() == UsagePoll.Stage.LOG) {
 			return Optional.empty();
 		}
@@ -311,7 +310,7 @@
 	 * @param unavailable the event
 	 */
 	void usageUnavailable(RelayEvent.UsageUnavailable unavailable) {
-		UsagePoll poll = this.state.polls.get(unavailable.request());
+		UsagePoll poll = this.state.findPoll(unavailable.run()).orElse(null);
 		if (poll != null && poll.stage() == UsagePoll.Stage.REPLICAS) {
 			poll.unavailable();
 			decideByReplicas(this.state.exchanges.get(poll.exchange()), poll);
@@ -348,7 +347,7 @@
 	 * @return the exchange of the turn, or empty if it is decided already
 	 */
 	Optional<Exchange> logDecisionReceived(RelayEvent.LogDecisionReceived decision) {
-		UsagePoll poll = this.state.polls.get(decision.request());
+		UsagePoll poll = this.state.findPoll(decision.run()).orElse(null);
 		if (poll == null) {
 			return Optional.empty();
 		}
@@ -365,7 +364,7 @@
 	 * @return whether it does, by the replies received so far
 	 */
 	boolean fitsReplicaUsage(RelayEvent.LogDecisionReceived decision) {
-		UsagePoll poll = this.state.polls.get(decision.request());
+		UsagePoll poll = this.state.findPoll(decision.run()).orElse(null);
 		if (poll == null || !poll.hasReplicas()) {
 			return true;
 		}
@@ -376,13 +375,13 @@
 	private void requestLogReservation(Exchange exchange, UsagePoll poll) {
 		Turn turn = exchange.head().turn().orElseThrow();
 		poll.nextLogRelay()
-			.ifPresent((relay) -> this.state.emit(new RelayEffect.RequestLogReservation(relay, exchange.id(),
+			.ifPresent((relay) -> this.state.emit(new RelayEffect.RequestLogReservation(relay, exchange.run(),
 					turn.program(), turn.maxTokens(), turn.budget().orElseThrow())));
 	}
 
 	private void finishDecision(Exchange exchange, Decider by, boolean admitted) {
-		UsagePoll poll = this.state.polls.remove(exchange.id());
-		this.state.conditionalReservations.remove(exchange.id());
+		UsagePoll poll = this.state.polls.remove(exchange.run());
+		this.state.conditionalReservations.remove(exchange.run());
 		if (by == Decider.KEEPERS && admitted) {
 			// The notice of the dispatch implies this decision.
 			return;
@@ -401,22 +400,22 @@
 	void reservationRequested(RelayEvent.ReservationRequested requested) {
 		if (requested.throughLog()) {
 			if (this.state.upToDate()) {
-				this.state.proxiedReservations.put(requested.request(), requested);
-				this.state.write(new Reserved(requested.request(), requested.program(), requested.maxTokens(), "",
-						List.of(), true));
+				this.state.proxiedReservations.put(requested.run(), requested);
+				this.state.write(
+						new Reserved(requested.run(), requested.program(), requested.maxTokens(), "", List.of(), true));
 			}
 			return;
 		}
-		this.state.tokens.reserve(requested.program(), requested.request(), requested.maxTokens());
+		this.state.tokens.reserve(requested.program(), requested.run(), requested.maxTokens());
 		this.state.uncommitted.add(
-				new Reserved(requested.request(), requested.program(), requested.maxTokens(), "", List.of(), false),
+				new Reserved(requested.run(), requested.program(), requested.maxTokens(), "", List.of(), false),
 				requested.peer(), requested.now());
 		if (!this.state.upToDate()) {
-			this.state.emit(new RelayEffect.SendUsageUnavailable(requested.peer(), requested.request()));
+			this.state.emit(new RelayEffect.SendUsageUnavailable(requested.peer(), requested.run()));
 			return;
 		}
 		boolean logReachable = this.state.connectivity == Connectivity.LOG;
-		this.state.emit(new RelayEffect.SendUsage(requested.peer(), requested.request(),
+		this.state.emit(new RelayEffect.SendUsage(requested.peer(), requested.run(),
 				this.state.tokens.used(requested.program()), this.state.uncommitted.tokensOf(requested.program()),
 				logReachable, logReachable ? List.of() : this.state.uncommitted.entriesOf(requested.program()),
 				this.state.upstreams.recentLoads(requested.now())));
@@ -428,11 +427,10 @@
 	 * @param reserved the reservation
 	 */
 	void reservationCommitted(Reserved reserved) {
-		RelayEvent.ReservationRequested requested = this.state.proxiedReservations.remove(reserved.request());
+		RelayEvent.ReservationRequested requested = this.state.proxiedReservations.remove(reserved.run());
 		if (requested != null) {
-			boolean admitted = admits(requested.request(), requested.program(), requested.maxTokens(),
-					requested.budget());
-			this.state.emit(new RelayEffect.SendLogDecision(requested.peer(), requested.request(), admitted));
+			boolean admitted = admits(requested.run(), requested.program(), requested.maxTokens(), requested.budget());
+			this.state.emit(new RelayEffect.SendLogDecision(requested.peer(), requested.run(), admitted));
 		}
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -31,6 +31,8 @@
 
 	private final String id;
 
+	private RunId run;
+
 	private final long deadline;
 
 	private final long targetDigest;
@@ -106,6 +108,7 @@
 		this.caller = caller;
 		this.head = team().map(request.head()::scopedTo).orElse(request.head());
 		this.id = team().map((team) -> team.scopedId(request.head().id())).orElse(request.head().id());
+		this.run = RunId.unnumbered(this.id);
 		this.lastEvent = resumption().stream().mapToLong(Resumption::lastEvent).findFirst();
 		Duration callerTimeout = request.head().callerTimeout().orElse(route.timeout());
 		Duration timeout = (callerTimeout.compareTo(route.timeout()) < 0) ? callerTimeout : route.timeout();
@@ -133,6 +136,22 @@
 		return this.id;
 	}
 
+	/**
+	 * Records which run of the request this is.
+	 * @param begun the run
+	 */
+	void beginRun(RunId begun) {
+		this.run = begun;
+	}
+
+	/**
+	 * Returns the run of the request.
+	 * @return the run, unique among all relays even if the caller repeats the id
+	 */
+	RunId run() {
+		return this.run;
+	}
+
 	/**
 	 * Returns the digest of path, caller and body, which differs between teams.
 	 * @return the digest
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -78,8 +78,8 @@
 		this.state.awaitingUpstreams.remove(exchange.number());
 		this.state.awaitingStreamRecord.remove(exchange.id());
 		this.state.pendingTurns.remove(exchange.id());
-		this.state.conditionalReservations.remove(exchange.id());
-		this.state.polls.remove(exchange.id());
+		this.state.conditionalReservations.remove(exchange.run());
+		this.state.polls.remove(exchange.run());
 	}
 
 	void giveUp(Exchange exchange, Refusal refusal) {
@@ -97,7 +97,7 @@
 			return;
 		}
 		LedgerEntry.Settled settled = settlement(exchange, text);
-		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		this.state.tokens.settle(settled.program(), settled.run(), settled.tokens());
 		this.state.write(settled,
 				exchange.reservedOnAll() ? this.state.otherRelays() : this.state.otherReplicas(settled.program()));
 	}
@@ -114,7 +114,7 @@
 		int tokensPerEvent = this.state.engine(exchange.upstream().map(Upstream::service).orElse(""))
 			.map(RouteTable.Engine::tokensPerEvent)
 			.orElse(1);
-		return new LedgerEntry.Settled(exchange.id(), turn.program(), exchange.eventCount() * tokensPerEvent, text);
+		return new LedgerEntry.Settled(exchange.run(), turn.program(), exchange.eventCount() * tokensPerEvent, text);
 	}
 
 	void callerDisconnected(Exchange exchange) {
@@ -155,7 +155,7 @@
 			this.state.failureRules.attemptAbandoned(exchange);
 		}
 		this.state.emit(new RelayEffect.CancelAttempt(exchange.number(), exchange.attempt()));
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 	}
 
 	void budgetUndecided(Exchange exchange) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -13,12 +13,20 @@
  */
 public sealed interface LedgerEntry {
 
+	/**
+	 * Returns the run of the entry.
+	 * @return the run, or the program if the entry concerns all of its turns
+	 */
+	RunId run();
+
 	/**
 	 * Returns the request of the entry.
 	 * @return the id of the caller's attempt, or of the program if the entry concerns all
 	 * of its turns
 	 */
-	String request();
+	default String request() {
+		return run().request();
+	}
 
 	/**
 	 * Returns the program of the entry.
@@ -36,7 +44,7 @@
 	/**
 	 * Reserves the maximum tokens of a turn in its program's budget before the turn runs.
 	 *
-	 * @param request the id of the caller's attempt
+	 * @param run the run
 	 * @param program the program
 	 * @param maxTokens the maximum tokens that the turn generates
 	 * @param upstream the incarnation of the upstream; empty if the reservation is
@@ -47,12 +55,12 @@
 	 * @param stream the attempt that was sent, if the turn is a stream that can be
 	 * resumed
 	 */
-	record Reserved(String request, String program, int maxTokens, String upstream, List<PromptPart> prompt,
+	record Reserved(RunId run, String program, int maxTokens, String upstream, List<PromptPart> prompt,
 			boolean conditional, Optional<StreamAttempt> stream) implements LedgerEntry {
 
 		/**
 		 * Creates an entry.
-		 * @param request the id of the caller's attempt
+		 * @param run the run
 		 * @param program the program
 		 * @param maxTokens the maximum tokens that the turn generates
 		 * @param upstream the incarnation of the upstream; empty if the reservation is
@@ -69,7 +77,7 @@
 
 		/**
 		 * Creates an entry of a turn that is no stream that can be resumed.
-		 * @param request the id of the caller's attempt
+		 * @param run the run
 		 * @param program the program
 		 * @param maxTokens the maximum tokens that the turn generates
 		 * @param upstream the incarnation of the upstream; empty if the reservation is
@@ -78,9 +86,9 @@
 		 * @param conditional whether the turn runs only if the budget admits it at this
 		 * position in the log; otherwise it is already admitted
 		 */
-		public Reserved(String request, String program, int maxTokens, String upstream, List<PromptPart> prompt,
+		public Reserved(RunId run, String program, int maxTokens, String upstream, List<PromptPart> prompt,
 				boolean conditional) {
-			this(request, program, maxTokens, upstream, prompt, conditional, Optional.empty());
+			this(run, program, maxTokens, upstream, prompt, conditional, Optional.empty());
 		}
 
 	}
@@ -88,14 +96,13 @@
 	/**
 	 * Settles a turn that has ended.
 	 *
-	 * @param request the id of the caller's attempt
+	 * @param run the run
 	 * @param program the program
 	 * @param tokens the tokens that were delivered to the caller
 	 * @param textLocation the location of the turn's text; empty if later turns can't
 	 * continue from it
 	 */
-	record Settled(String request, String program, int tokens,
-			Optional<TextLocation> textLocation) implements LedgerEntry {
+	record Settled(RunId run, String program, int tokens, Optional<TextLocation> textLocation) implements LedgerEntry {
 
 		/**
 		 * Returns whether this repeats an entry that is about to expire.
@@ -111,15 +118,15 @@
 	 * Repeats the usage of a program, whose entries are about to expire.
 	 *
 	 * @param program the program
-	 * @param turns the tokens of its turns, by request
+	 * @param turns the tokens of its turns, by run
 	 * @param retention for how long after the append the usage is retained
 	 */
-	record UsageRenewed(String program, Map<String, TurnTokens> turns, Duration retention) implements LedgerEntry {
+	record UsageRenewed(String program, Map<RunId, TurnTokens> turns, Duration retention) implements LedgerEntry {
 
 		/**
 		 * Creates an entry.
 		 * @param program the program
-		 * @param turns the tokens of its turns, by request
+		 * @param turns the tokens of its turns, by run
 		 * @param retention for how long after the append the usage is retained
 		 */
 		public UsageRenewed {
@@ -127,8 +134,8 @@
 		}
 
 		@Override
-		public String request() {
-			return this.program;
+		public RunId run() {
+			return RunId.unnumbered(this.program);
 		}
 
 	}
@@ -143,6 +150,11 @@
 	 */
 	record UpstreamFailed(String request, long digest, String upstream) implements LedgerEntry {
 
+		@Override
+		public RunId run() {
+			return RunId.unnumbered(this.request);
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -82,7 +82,7 @@
 	}
 
 	void usageReceived(RelayEvent.UsageReceived usage) {
-		UsagePoll poll = this.state.polls.get(usage.request());
+		UsagePoll poll = this.state.findPoll(usage.run()).orElse(null);
 		this.budgets.usageReceived(usage)
 			.ifPresent((admitted) -> dispatchOrRefuse(this.state.exchanges.get(poll.exchange()), admitted,
 					poll.refusal()));
@@ -134,8 +134,8 @@
 		if (fromLog) {
 			this.budgets.reservationCommitted(reserved);
 		}
-		Long exchangeNumber = this.state.conditionalReservations
-			.remove((fromLog && reserved.conditional()) ? reserved.request() : "");
+		Long exchangeNumber = (fromLog && reserved.conditional())
+				? this.state.conditionalReservations.remove(reserved.run()) : null;
 		if (exchangeNumber != null) {
 			Exchange exchange = this.state.exchanges.get(exchangeNumber);
 			this.budgets.decideInLogOrder(exchange)
@@ -149,22 +149,22 @@
 	}
 
 	private void applyReservation(LedgerEntry.Reserved reserved) {
-		this.state.tokens.reserve(reserved.program(), reserved.request(), reserved.maxTokens());
-		if (this.state.tokens.isOpen(reserved.program(), reserved.request())) {
+		this.state.tokens.reserve(reserved.program(), reserved.run(), reserved.maxTokens());
+		if (this.state.tokens.isOpen(reserved.program(), reserved.run())) {
 			this.state.upstreams.findIncarnation(reserved.upstream()).ifPresent((upstream) -> {
-				this.state.upstreams.requestStarted(reserved.request(), upstream, this.state.now);
+				this.state.upstreams.requestStarted(reserved.run(), upstream, this.state.now);
 				upstream.addToCache(reserved.prompt(), this.state.cacheTokens(upstream.upstream()));
 			});
 		}
 	}
 
 	private void settled(LedgerEntry.Settled settled, Optional<String> sender) {
-		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		this.state.tokens.settle(settled.program(), settled.run(), settled.tokens());
 		settled.textLocation().ifPresent((location) -> {
 			this.state.turnCache.recordLocation(settled.request(), location, sender);
 			this.state.raiseTextOffset(location);
 		});
-		this.state.upstreams.requestEnded(settled.request());
+		this.state.upstreams.requestEnded(settled.run());
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -322,18 +322,18 @@
 	 * program's usage.
 	 *
 	 * @param peers the relays; empty for all
-	 * @param request the turn
+	 * @param run the turn
 	 * @param program the program
 	 * @param maxTokens the maximum tokens of the turn
 	 * @param budget the program's budget in tokens
 	 */
-	record RequestReservation(List<String> peers, String request, String program, int maxTokens,
+	record RequestReservation(List<String> peers, RunId run, String program, int maxTokens,
 			long budget) implements RelayEffect {
 
 		/**
 		 * Creates an effect.
 		 * @param peers the relays; empty for all
-		 * @param request the turn
+		 * @param run the turn
 		 * @param program the program
 		 * @param maxTokens the maximum tokens of the turn
 		 * @param budget the program's budget in tokens
@@ -348,12 +348,12 @@
 	 * Requests that another relay, which reaches the log, reserves a turn there.
 	 *
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 * @param program the program
 	 * @param maxTokens the maximum tokens of the turn
 	 * @param budget the program's budget in tokens
 	 */
-	record RequestLogReservation(String peer, String request, String program, int maxTokens,
+	record RequestLogReservation(String peer, RunId run, String program, int maxTokens,
 			long budget) implements RelayEffect {
 
 	}
@@ -363,7 +363,7 @@
 	 * relay may not have.
 	 *
 	 * @param peer the other relay
-	 * @param request the turn of the other relay
+	 * @param run the turn of the other relay
 	 * @param tokens the tokens that are spent or reserved, the turn included
 	 * @param uncommitted the part of them that is not in the log yet
 	 * @param logReachable whether this relay reaches the log and can reserve the turn
@@ -371,13 +371,13 @@
 	 * @param entries the uncommitted entries of the program
 	 * @param loads the latest loads that upstreams reported
 	 */
-	record SendUsage(String peer, String request, long tokens, long uncommitted, boolean logReachable,
+	record SendUsage(String peer, RunId run, long tokens, long uncommitted, boolean logReachable,
 			List<LedgerEntry> entries, List<UpstreamLoad> loads) implements RelayEffect {
 
 		/**
 		 * Creates an effect.
 		 * @param peer the other relay
-		 * @param request the turn of the other relay
+		 * @param run the turn of the other relay
 		 * @param tokens the tokens that are spent or reserved, the turn included
 		 * @param uncommitted the part of them that is not in the log yet
 		 * @param logReachable whether this relay reaches the log and can reserve the turn
@@ -397,9 +397,9 @@
 	 * unavailable because entries may be missing.
 	 *
 	 * @param peer the other relay
-	 * @param request the turn of the other relay
+	 * @param run the turn of the other relay
 	 */
-	record SendUsageUnavailable(String peer, String request) implements RelayEffect {
+	record SendUsageUnavailable(String peer, RunId run) implements RelayEffect {
 
 	}
 
@@ -414,10 +414,10 @@
 	 * Sends another relay the decision on its turn in the order of the log.
 	 *
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 * @param admitted whether the program's budget admits it
 	 */
-	record SendLogDecision(String peer, String request, boolean admitted) implements RelayEffect {
+	record SendLogDecision(String peer, RunId run, boolean admitted) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -532,14 +532,14 @@
 	 *
 	 * @param now the time of the event
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 * @param program the program
 	 * @param maxTokens the maximum tokens of the turn
 	 * @param budget the program's budget in tokens
 	 * @param throughLog whether the reservation is appended to the log and decided there;
 	 * otherwise the usage is reported immediately
 	 */
-	record ReservationRequested(long now, String peer, String request, String program, int maxTokens, long budget,
+	record ReservationRequested(long now, String peer, RunId run, String program, int maxTokens, long budget,
 			boolean throughLog) implements RelayEvent {
 
 	}
@@ -559,14 +559,14 @@
 	 *
 	 * @param now the time of the event
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 * @param tokens the tokens that are spent or reserved, the turn included
 	 * @param uncommitted the part of them that is not in the log yet
 	 * @param logReachable whether that relay reaches the log and can reserve the turn
 	 * there
 	 * @param otherRelays the number of other relays that are known
 	 */
-	record UsageReceived(long now, String peer, String request, long tokens, long uncommitted, boolean logReachable,
+	record UsageReceived(long now, String peer, RunId run, long tokens, long uncommitted, boolean logReachable,
 			int otherRelays) implements RelayEvent {
 
 	}
@@ -577,9 +577,9 @@
 	 *
 	 * @param now the time of the event
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 */
-	record UsageUnavailable(long now, String peer, String request) implements RelayEvent {
+	record UsageUnavailable(long now, String peer, RunId run) implements RelayEvent {
 
 	}
 
@@ -635,10 +635,10 @@
 	 * Another relay reported the decision on a turn in the order of the log.
 	 *
 	 * @param now the time of the event
-	 * @param request the turn
+	 * @param run the turn
 	 * @param admitted whether the program's budget admits it
 	 */
-	record LogDecisionReceived(long now, String request, boolean admitted) implements RelayEvent {
+	record LogDecisionReceived(long now, RunId run, boolean admitted) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -69,6 +69,8 @@
 
 	final SplittableRandom random;
 
+	private final SplittableRandom runNumbers;
+
 	final UpstreamSelector upstreamSelector;
 
 	/**
@@ -83,22 +85,22 @@
 
 	/**
 	 * The exchanges whose conditional reservations wait for their order in the log, by
-	 * request.
+	 * run.
 	 */
-	final Map<String, Long> conditionalReservations = new LinkedHashMap<>();
+	final Map<RunId, Long> conditionalReservations = new LinkedHashMap<>();
 
 	/**
-	 * The undecided usage polls of this relay, by request.
+	 * The undecided usage polls of this relay, by run.
 	 */
-	final Map<String, UsagePoll> polls = new LinkedHashMap<>();
+	final Map<RunId, UsagePoll> polls = new LinkedHashMap<>();
 
 	/**
-	 * The reservations that this relay appends to the log for other relays, by request.
+	 * The reservations that this relay appends to the log for other relays, by run.
 	 * Bounded: the oldest are dropped, and their relays retry elsewhere.
 	 */
-	final Map<String, RelayEvent.ReservationRequested> proxiedReservations = new LinkedHashMap<>() {
+	final Map<RunId, RelayEvent.ReservationRequested> proxiedReservations = new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, RelayEvent.ReservationRequested> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<RunId, RelayEvent.ReservationRequested> eldest) {
 			return size() > RelaySettings.MAX_PROXIED_RESERVATIONS;
 		}
 	};
@@ -266,6 +268,7 @@
 		this.startedAt = NEVER;
 		this.upstreamsFollowedSince = settings.bootstrap() ? NEVER : Long.MAX_VALUE;
 		this.random = new SplittableRandom(settings.seed());
+		this.runNumbers = new SplittableRandom(~settings.seed());
 		this.uncommitted = new UncommittedEntries(this.random.nextLong(RelaySettings.ADOPTION_JITTER.toMillis()));
 		this.upstreamSelector = new UpstreamSelector(settings.zone(), this.random);
 	}
@@ -494,6 +497,33 @@
 		return engine(upstream.service()).map(RouteTable.Engine::cacheTokens).orElse(0L);
 	}
 
+	/**
+	 * Returns the identity of a run that begins.
+	 * @param exchange its exchange
+	 * @return the run, after all known ones of the request
+	 */
+	RunId newRun(Exchange exchange) {
+		int number = this.runNumbers.nextInt();
+		return exchange.head()
+			.turn()
+			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()))
+			.map((last) -> last.next(number))
+			.orElseGet(() -> RunId.first(exchange.id(), number));
+	}
+
+	/**
+	 * Finds the poll that another relay replies to. A relay of an earlier version does
+	 * not name the run.
+	 * @param run the run in the reply
+	 * @return the poll, or empty if it is decided already
+	 */
+	Optional<UsagePoll> findPoll(RunId run) {
+		if (run.numbered()) {
+			return Optional.ofNullable(this.polls.get(run));
+		}
+		return this.polls.values().stream().filter((poll) -> poll.run().request().equals(run.request())).findFirst();
+	}
+
 	void startTimer(Exchange exchange, Duration delay, TimerKind timer) {
 		emit(new RelayEffect.StartTimer(exchange.number(), delay, timer));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -174,7 +174,7 @@
 			if (entries == MAX_ROUND_PROGRAMS || !due || this.pendingPrograms.containsKey(program)) {
 				continue;
 			}
-			Map<String, TurnTokens> turns = this.state.tokens.turns(program);
+			Map<RunId, TurnTokens> turns = this.state.tokens.turns(program);
 			if (turns.isEmpty()) {
 				// Evicted here. Another replica has the usage.
 				continue;
@@ -186,9 +186,9 @@
 	}
 
 	// An entry that exceeds a record of the log would never be stored.
-	private void appendUsage(String program, Map<String, TurnTokens> turns, Duration remaining) {
-		Map<String, TurnTokens> part = new HashMap<>();
-		for (Map.Entry<String, TurnTokens> turn : turns.entrySet()) {
+	private void appendUsage(String program, Map<RunId, TurnTokens> turns, Duration remaining) {
+		Map<RunId, TurnTokens> part = new HashMap<>();
+		for (Map.Entry<RunId, TurnTokens> turn : turns.entrySet()) {
 			part.put(turn.getKey(), turn.getValue());
 			if (part.size() == MAX_ENTRY_TURNS) {
 				append(new LedgerEntry.UsageRenewed(program, part, remaining));
@@ -268,7 +268,7 @@
 		LedgerEntry.Settled settled = turn.settled();
 		Duration remaining = Duration.ofMillis(Math.max(0, turn.retainedUntil() - this.state.now));
 		TextLocation location = turn.location().renewedAt(this.state.textPartition, minOffset, remaining);
-		append(new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)));
+		append(new LedgerEntry.Settled(settled.run(), settled.program(), settled.tokens(), Optional.of(location)));
 		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.TurnRenewed(turn.location().bytes())));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -74,6 +74,7 @@
 			return;
 		}
 		Exchange exchange = new Exchange(request, route.get(), caller.get());
+		exchange.beginRun(this.state.newRun(exchange));
 		this.state.exchanges.put(request.exchange(), exchange);
 		this.state.requestTargets.recordRequest(exchange);
 		if (this.state.isPoison(exchange)) {
@@ -295,7 +296,7 @@
 			this.state.awaitingStreamRecord.put(exchange.id(), exchange.number());
 		}
 		this.state.report(RelayNotices.requestPlaced(exchange, ranked, this.state));
-		this.state.upstreams.requestSent(exchange.id(), candidate, this.state.now);
+		this.state.upstreams.requestSent(exchange.run(), candidate, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		candidate.addToCache(prompt, this.state.cacheTokens(upstream));
 		Optional<StreamAttempt> attempt = this.streams.recordSend(exchange, upstream);
@@ -310,8 +311,8 @@
 
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, Optional<StreamAttempt> attempt) {
 		exchange.markReserved();
-		this.state.tokens.reserve(turn.program(), exchange.id(), turn.maxTokens());
-		this.state.write(new LedgerEntry.Reserved(exchange.id(), turn.program(), turn.maxTokens(),
+		this.state.tokens.reserve(turn.program(), exchange.run(), turn.maxTokens());
+		this.state.write(new LedgerEntry.Reserved(exchange.run(), turn.program(), turn.maxTokens(),
 				upstream.incarnationId(), exchange.head().prompt(), false, attempt));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -61,7 +61,7 @@
 	private void responseReceived(Exchange exchange, RelayEvent.ResponseReceived response) {
 		ResponseHead head = response.head();
 		Optional<UpstreamState> upstream = this.state.upstreamOf(exchange);
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		recordLoad(exchange, head);
 		if (head.notRun()) {
 			if (head.misdirected()) {
@@ -168,7 +168,7 @@
 
 	private void streamEnded(Exchange exchange) {
 		this.state.failureRules.responded(exchange);
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
 		this.state.requestAnswered(exchange);
 		this.admissions.streamEnded(exchange);
@@ -205,7 +205,7 @@
 	}
 
 	private void attemptFailed(Exchange exchange, FailureCause cause) {
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		if (cause != FailureCause.EXPIRED) {
 			this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -141,7 +141,7 @@
 			.renewedAt(this.state.textPartition, firstOffset, published.get().retention());
 		turn.awaitsCorrection = true;
 		this.state.emit(new RelayEffect.AppendEntry(
-				new LedgerEntry.Settled(settled.request(), settled.program(), settled.tokens(), Optional.of(location)),
+				new LedgerEntry.Settled(settled.run(), settled.program(), settled.tokens(), Optional.of(location)),
 				List.of()));
 		this.state.emit(new RelayEffect.FlushEntries());
 	}
@@ -228,8 +228,8 @@
 		PeerTurn peerTurn = new PeerTurn(received.peer());
 		this.state.peerTurns.put(request, peerTurn);
 		this.state.emit(new RelayEffect.StoreText(request, received.text()));
-		LedgerEntry.Settled settled = new LedgerEntry.Settled(request, received.settlement().program(),
-				received.settlement().tokens(), Optional.of(location));
+		LedgerEntry.Settled settled = new LedgerEntry.Settled(received.settlement().run(),
+				received.settlement().program(), received.settlement().tokens(), Optional.of(location));
 		peerTurn.publish(settled);
 		this.state.writeAndReplicate(settled, settled.program());
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -77,11 +77,11 @@
 	 * @return the tokens, with the maximum of turns that are not settled
 	 */
 	long tokensOf(String program) {
-		Map<String, Integer> byTurn = new HashMap<>();
+		Map<RunId, Integer> byTurn = new HashMap<>();
 		for (LedgerEntry entry : entriesOf(program)) {
 			switch (entry) {
-				case LedgerEntry.Reserved reserved -> byTurn.putIfAbsent(reserved.request(), reserved.maxTokens());
-				case LedgerEntry.Settled settled -> byTurn.put(settled.request(), settled.tokens());
+				case LedgerEntry.Reserved reserved -> byTurn.putIfAbsent(reserved.run(), reserved.maxTokens());
+				case LedgerEntry.Settled settled -> byTurn.put(settled.run(), settled.tokens());
 				case LedgerEntry.UsageRenewed ignored -> {
 					// Written once all of these are in the log.
 				}
@@ -115,7 +115,7 @@
 		// The reservation of a settled turn may never have been in the log. Appended
 		// after the settlement it would never be released.
 		if (entry instanceof LedgerEntry.Settled settled) {
-			this.pending.remove(new Key(settled.request(), LedgerEntry.Reserved.class, "", 0));
+			this.pending.remove(new Key(settled.run(), LedgerEntry.Reserved.class, "", 0));
 		}
 		boolean first = this.committed.add(key);
 		if (this.committed.size() > MAX_ENTRIES) {
@@ -215,18 +215,18 @@
 	/**
 	 * Identity of an entry. Immutable.
 	 *
-	 * @param request the request
+	 * @param run the run
 	 * @param kind the type of the entry
 	 * @param upstream the failed upstream, empty for other entries: a request may fail on
 	 * several
 	 * @param digest the digest that the failure counts for, 0 for other entries
 	 */
-	private record Key(String request, Class<?> kind, String upstream, long digest) {
+	private record Key(RunId run, Class<?> kind, String upstream, long digest) {
 
 		static Key of(LedgerEntry entry) {
 			return (entry instanceof LedgerEntry.UpstreamFailed failed)
-					? new Key(failed.request(), LedgerEntry.UpstreamFailed.class, failed.upstream(), failed.digest())
-					: new Key(entry.request(), entry.getClass(), "", 0);
+					? new Key(failed.run(), LedgerEntry.UpstreamFailed.class, failed.upstream(), failed.digest())
+					: new Key(entry.run(), entry.getClass(), "", 0);
 		}
 
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -68,7 +68,7 @@
 
 	private final Map<String, UpstreamState> byIncarnation = new HashMap<>();
 
-	private final Map<String, UpstreamState> running = new LinkedHashMap<>();
+	private final Map<RunId, UpstreamState> running = new LinkedHashMap<>();
 
 	private final Map<Integer, UpstreamState> byIncarnationHash = new HashMap<>();
 
@@ -163,11 +163,11 @@
 
 	/**
 	 * Records that an upstream runs a request of another relay.
-	 * @param request the request
+	 * @param request the run of the request
 	 * @param upstream the upstream
 	 * @param now the time at which it started
 	 */
-	void requestStarted(String request, UpstreamState upstream, long now) {
+	void requestStarted(RunId request, UpstreamState upstream, long now) {
 		if (this.running.get(request) == upstream) {
 			return;
 		}
@@ -177,16 +177,16 @@
 
 	/**
 	 * Records that this relay sent a request to an upstream.
-	 * @param request the request
+	 * @param request the run of the request
 	 * @param upstream the upstream
 	 * @param now the current time
 	 */
-	void requestSent(String request, UpstreamState upstream, long now) {
+	void requestSent(RunId request, UpstreamState upstream, long now) {
 		addRun(request, upstream);
 		upstream.requestSent(request, now);
 	}
 
-	private void addRun(String request, UpstreamState upstream) {
+	private void addRun(RunId request, UpstreamState upstream) {
 		requestEnded(request);
 		this.running.put(request, upstream);
 		if (this.running.size() > MAX_RUNNING) {
@@ -196,9 +196,9 @@
 
 	/**
 	 * Records that a request has ended, at whichever upstream it ran.
-	 * @param request the request
+	 * @param request the run of the request
 	 */
-	void requestEnded(String request) {
+	void requestEnded(RunId request) {
 		UpstreamState upstream = this.running.remove(request);
 		if (upstream != null) {
 			upstream.requestEnded(request);
@@ -360,7 +360,7 @@
 		/**
 		 * The running requests, the earliest first.
 		 */
-		private final LinkedHashMap<String, Run> runs = new LinkedHashMap<>();
+		private final LinkedHashMap<RunId, Run> runs = new LinkedHashMap<>();
 
 		private int localRuns;
 
@@ -414,22 +414,22 @@
 			return this.upstream.service().equals(service) && !this.upstream.draining();
 		}
 
-		void requestStarted(String request, long now) {
+		void requestStarted(RunId request, long now) {
 			addRun(request, new Run(now, false));
 		}
 
-		void requestSent(String request, long now) {
+		void requestSent(RunId request, long now) {
 			addRun(request, new Run(now, true));
 		}
 
-		private void addRun(String request, Run run) {
+		private void addRun(RunId request, Run run) {
 			requestEnded(request);
 			this.runs.put(request, run);
 			this.localRuns += run.local() ? 1 : 0;
 			this.sentSinceReport += isSentSinceReport(run) ? 1 : 0;
 		}
 
-		void requestEnded(String request) {
+		void requestEnded(RunId request) {
 			Run removed = this.runs.remove(request);
 			if (removed != null) {
 				this.localRuns -= removed.local() ? 1 : 0;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UsagePoll.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UsagePoll.java
@@ -15,7 +15,7 @@
 
 	private final long exchange;
 
-	private final String request;
+	private final RunId run;
 
 	private final List<String> replicas;
 
@@ -42,12 +42,12 @@
 	/**
 	 * Creates a poll without replies.
 	 * @param exchange the exchange of the turn
-	 * @param request the turn
+	 * @param run the run of the turn
 	 * @param replicas the replicas of the program; empty if no members are known
 	 */
-	UsagePoll(long exchange, String request, List<String> replicas) {
+	UsagePoll(long exchange, RunId run, List<String> replicas) {
 		this.exchange = exchange;
-		this.request = request;
+		this.run = run;
 		this.replicas = replicas;
 		this.replicaResponded = replicas.isEmpty();
 	}
@@ -56,8 +56,8 @@
 		return this.exchange;
 	}
 
-	String request() {
-		return this.request;
+	RunId run() {
+		return this.run;
 	}
 
 	boolean hasReplicas() {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/AdmissionRulesTests.java
@@ -71,7 +71,7 @@
 	// Guards against cutting a program whose next turn comes through another relay.
 	@Test
 	void programThatBeganAtAnotherRelayIsKnownFromTheLog() {
-		this.relay.readFromLog(new LedgerEntry.Reserved("t0", "p", 100, "e1", List.of(), false));
+		this.relay.readFromLog(new LedgerEntry.Reserved(RunId.unnumbered("t0"), "p", 100, "e1", List.of(), false));
 		reportLoad(20);
 		assertThat(sends(firstTurn("p"))).hasSize(1);
 	}
@@ -168,8 +168,8 @@
 
 	private List<RelayEffect> usage(String request, long tokens) {
 		String peer = (this.usages++ == 0) ? "a" : "b";
-		return this.relay
-			.handle(new RelayEvent.UsageReceived(this.relay.now(), peer, request, tokens, tokens, false, 2));
+		return this.relay.handle(new RelayEvent.UsageReceived(this.relay.now(), peer, this.relay.run(request), tokens,
+				tokens, false, 2));
 	}
 
 	private List<RelayEffect> firstTurn(String program) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/DuplicateEntryCounterTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/DuplicateEntryCounterTests.java
@@ -17,7 +17,7 @@
 		LedgerEntry settled = RelayFixture.settledTurn("t", null);
 		this.counter.add(settled);
 		this.counter.add(settled);
-		this.counter.add(new LedgerEntry.Reserved("t", "p", 7, "", List.of(), false));
+		this.counter.add(new LedgerEntry.Reserved(RunId.unnumbered("t"), "p", 7, "", List.of(), false));
 		assertThat(this.counter.drain()).containsExactly(new Measurement.LogCopies(Kind.RESERVED, 1),
 				new Measurement.LogCopies(Kind.SETTLED, 2));
 		assertThat(this.counter.drain()).isEmpty();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -388,8 +388,32 @@
 		return handle(new RelayEvent.EntriesReceived(this.now, List.of(entries), Optional.of("sender")));
 	}
 
+	/**
+	 * Returns the last run of a request for which this relay has written or requested a
+	 * reservation.
+	 * @param request the request id
+	 * @return the run
+	 */
+	RunId run(String request) {
+		return this.all.stream()
+			.map(RelayFixture::reservedRun)
+			.flatMap(Optional::stream)
+			.filter((run) -> run.request().equals(request))
+			.reduce((first, last) -> last)
+			.orElseThrow();
+	}
+
+	private static Optional<RunId> reservedRun(RelayEffect effect) {
+		return switch (effect) {
+			case RelayEffect.RequestReservation request -> Optional.of(request.run());
+			case RelayEffect.AppendEntry append when append.entry() instanceof LedgerEntry.Reserved reserved ->
+				Optional.of(reserved.run());
+			default -> Optional.empty();
+		};
+	}
+
 	static LedgerEntry.Settled settledTurn(String request, String previous) {
-		return new LedgerEntry.Settled(request, "p", 10, Optional.of(location(previous)));
+		return new LedgerEntry.Settled(RunId.unnumbered(request), "p", 10, Optional.of(location(previous)));
 	}
 
 	static TextLocation location(String previous) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelaySite.java
@@ -330,19 +330,19 @@
 						to.relay.handle(new RelayEvent.SyncRequested(to.relay.now(), Integer.toString(from.index)))));
 				case RelayEffect.SendUsageUnavailable reply -> send(from, Integer.parseInt(reply.peer()),
 						(to) -> apply(to, to.relay.handle(new RelayEvent.UsageUnavailable(to.relay.now(),
-								Integer.toString(from.index), reply.request()))));
+								Integer.toString(from.index), reply.run()))));
 				case RelayEffect.RequestLogReservation request ->
 					send(from, Integer.parseInt(request.peer()), (to) -> requestLogReservation(from, to, request));
 				case RelayEffect.SendUsage reply -> send(from, Integer.parseInt(reply.peer()), (to) -> {
 					reply.entries().forEach((entry) -> replicate(to, entry));
 					apply(to,
 							to.relay.handle(new RelayEvent.UsageReceived(to.relay.now(), Integer.toString(from.index),
-									reply.request(), reply.tokens(), reply.uncommitted(), reply.logReachable(),
+									reply.run(), reply.tokens(), reply.uncommitted(), reply.logReachable(),
 									this.instances.size() - 1)));
 				});
 				case RelayEffect.SendLogDecision reply ->
-					send(from, Integer.parseInt(reply.peer()), (to) -> apply(to, to.relay.handle(
-							new RelayEvent.LogDecisionReceived(to.relay.now(), reply.request(), reply.admitted()))));
+					send(from, Integer.parseInt(reply.peer()), (to) -> apply(to, to.relay
+						.handle(new RelayEvent.LogDecisionReceived(to.relay.now(), reply.run(), reply.admitted()))));
 				case RelayEffect.SendSync sync -> sendSync(from, sync);
 				case RelayEffect.SendRequest send -> this.running.add(() -> run(from, send));
 				case RelayEffect.StartTimer start -> {
@@ -358,12 +358,12 @@
 
 	private void requestReservation(Instance from, Instance to, RelayEffect.RequestReservation request) {
 		apply(to, to.relay.handle(new RelayEvent.ReservationRequested(to.relay.now(), Integer.toString(from.index),
-				request.request(), request.program(), request.maxTokens(), request.budget(), false)));
+				request.run(), request.program(), request.maxTokens(), request.budget(), false)));
 	}
 
 	private void requestLogReservation(Instance from, Instance to, RelayEffect.RequestLogReservation request) {
 		apply(to, to.relay.handle(new RelayEvent.ReservationRequested(to.relay.now(), Integer.toString(from.index),
-				request.request(), request.program(), request.maxTokens(), request.budget(), true)));
+				request.run(), request.program(), request.maxTokens(), request.budget(), true)));
 	}
 
 	private void sendSync(Instance from, RelayEffect.SendSync sync) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -450,7 +450,7 @@
 	@Test
 	void turnBeyondTheBudgetIsRefused() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.readFromPeer(new LedgerEntry.Settled("t0", "p", 950, Optional.empty()));
+		relay.readFromPeer(new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 950, Optional.empty()));
 		assertThat(refusal(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null))))
 			.contains(Refusal.BUDGET_SPENT);
 	}
@@ -469,7 +469,7 @@
 		List<RelayEffect> requested = relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
 		assertThat(sends(requested)).isEmpty();
 		LedgerEntry own = RelayFixture.written(requested).getFirst();
-		LedgerEntry other = new LedgerEntry.Reserved("t2", "p", 100, "", List.of(), true);
+		LedgerEntry other = new LedgerEntry.Reserved(RunId.unnumbered("t2"), "p", 100, "", List.of(), true);
 		assertThat(relay.readFromPeer(other)).isEmpty();
 		assertThat(sends(relay.readFromLog(own, other))).hasSize(1);
 	}
@@ -479,7 +479,7 @@
 		RelayFixture relay = RelayFixture.ready();
 		LedgerEntry own = RelayFixture.written(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null)))
 			.getFirst();
-		LedgerEntry other = new LedgerEntry.Reserved("t2", "p", 100, "", List.of(), true);
+		LedgerEntry other = new LedgerEntry.Reserved(RunId.unnumbered("t2"), "p", 100, "", List.of(), true);
 		List<RelayEffect> effects = relay.readFromLog(other, own);
 		assertThat(refusal(effects)).contains(Refusal.BUDGET_SPENT);
 		assertThat(RelayFixture.settled(effects).tokens()).isZero();
@@ -492,7 +492,7 @@
 		RelayFixture relay = RelayFixture.afterRestart();
 		relay.handle(
 				new RelayEvent.CaughtUp(relay.now(), 7, Duration.ofMillis(30), Optional.of(Duration.ofMillis(2900))));
-		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 310, Optional.empty()));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 310, Optional.empty()));
 		assertThat(refusal(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 600, 150, null))))
 			.contains(Refusal.BUDGET_SPENT);
 		relay.advance(2001);
@@ -507,7 +507,7 @@
 		RelayFixture relay = RelayFixture.afterRestart();
 		relay
 			.handle(new RelayEvent.CaughtUp(relay.now(), 7, Duration.ofMillis(30), Optional.of(Duration.ofSeconds(3))));
-		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 310, Optional.empty()));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 310, Optional.empty()));
 		relay.advance(30_000);
 		relay.readFromLog();
 		assertThat(refusal(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 600, 150, null))))
@@ -542,8 +542,8 @@
 		List<RelayEffect> requested = relay.sendTurn("t1", "draft", RelayFixture.turn("p", 300, 100, null));
 		assertThat(RelayFixture.ofType(requested, RelayEffect.RequestReservation.class)).singleElement()
 			.satisfies((request) -> assertThat(request.peers()).containsExactlyInAnyOrder("a", "b", "c"));
-		relay.handle(new RelayEvent.UsageUnavailable(relay.now(), "a", "t1"));
-		List<RelayEffect> undecided = relay.handle(new RelayEvent.UsageUnavailable(relay.now(), "b", "t1"));
+		relay.handle(new RelayEvent.UsageUnavailable(relay.now(), "a", relay.run("t1")));
+		List<RelayEffect> undecided = relay.handle(new RelayEvent.UsageUnavailable(relay.now(), "b", relay.run("t1")));
 		assertThat(relay.fireTimer(TimerKind.BUDGET_DECISION)).isEmpty();
 		assertThat(sends(relay.readFromLog(RelayFixture.written(undecided).getFirst()))).hasSize(1);
 	}
@@ -555,15 +555,19 @@
 		relay.handle(
 				new RelayEvent.MembershipUpdated(relay.now(), List.of(Member.of("a"), Member.of("b"), Member.of("c"))));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 300, 100, null));
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 300, 0, true, 3))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 300, 0, true, 3))))
 			.isEmpty();
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 300, 0, true, 3))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 300, 0, true, 3))))
 			.isEmpty();
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "c", "t1", 100, 0, true, 3))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "c", relay.run("t1"), 100, 0, true, 3))))
 			.hasSize(1);
 		relay.sendTurn("t2", "draft", RelayFixture.turn("p", 300, 100, null));
-		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t2", 400, 0, true, 3));
-		assertThat(refusal(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t2", 100, 0, true, 3))))
+		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t2"), 400, 0, true, 3));
+		assertThat(
+				refusal(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t2"), 100, 0, true, 3))))
 			.contains(Refusal.BUDGET_SPENT);
 	}
 
@@ -576,9 +580,9 @@
 		relay.handle(
 				new RelayEvent.MembershipUpdated(relay.now(), List.of(Member.of("a"), Member.of("b"), Member.of("c"))));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 600, 100, null));
-		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 400, 301, true, 3));
+		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 400, 301, true, 3));
 		List<RelayEffect> received = relay
-			.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t1", 400, 250, true, 3));
+			.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t1"), 400, 250, true, 3));
 		assertThat(sends(received)).isEmpty();
 		assertThat(sends(relay.readFromLog(RelayFixture.written(received).getFirst()))).hasSize(1);
 	}
@@ -606,13 +610,17 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 400, 100, null));
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 200, 0, false, 4))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 200, 0, false, 4))))
 			.isEmpty();
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 100, 0, false, 4))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 100, 0, false, 4))))
 			.isEmpty();
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t1", 100, 0, false, 4))))
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t1"), 100, 0, false, 4))))
 			.hasSize(1);
-		assertThat(relay.handle(new RelayEvent.UsageReceived(relay.now(), "c", "t1", 100, 0, false, 4))).isEmpty();
+		assertThat(relay.handle(new RelayEvent.UsageReceived(relay.now(), "c", relay.run("t1"), 100, 0, false, 4)))
+			.isEmpty();
 	}
 
 	// Guards against using a budget twice after the loss of all relays: uncommitted use
@@ -622,9 +630,9 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 400, 100, null));
-		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 100, 0, false, 4));
+		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 100, 0, false, 4));
 		List<RelayEffect> received = relay
-			.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t1", 300, 0, false, 4));
+			.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t1"), 300, 0, false, 4));
 		assertThat(refusal(received)).contains(Refusal.LOG_LOST);
 		assertThat(RelayFixture.settled(received).tokens()).isZero();
 	}
@@ -636,11 +644,14 @@
 		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
 		List<RelayEffect> received = relay
-			.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 100, 0, true, 2));
-		assertThat(received).containsExactly(new RelayEffect.RequestLogReservation("a", "t1", "p", 100, 100));
-		assertThat(sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t1", 100, 0, false, 2))))
+			.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 100, 0, true, 2));
+		assertThat(received)
+			.containsExactly(new RelayEffect.RequestLogReservation("a", relay.run("t1"), "p", 100, 100));
+		assertThat(
+				sends(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t1"), 100, 0, false, 2))))
 			.isEmpty();
-		List<RelayEffect> decided = relay.handle(new RelayEvent.LogDecisionReceived(relay.now(), "t1", true));
+		List<RelayEffect> decided = relay
+			.handle(new RelayEvent.LogDecisionReceived(relay.now(), relay.run("t1"), true));
 		assertThat(sends(decided)).hasSize(1);
 		assertThat(notices(decided, NoticeCode.TURN_DECIDED).getFirst().fields())
 			.contains(new NoticeField(FieldName.REASON, "PLACE"), new NoticeField(FieldName.VERDICT, "HELD"));
@@ -651,7 +662,7 @@
 	void entriesAppendedForAnotherRelayAreReported() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.readFromLog();
-		LedgerEntry first = new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false);
+		LedgerEntry first = new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 100, "", List.of(), false);
 		LedgerEntry second = RelayFixture.settledTurn("t1", null);
 		relay.readFromPeer(first, second);
 		assertThat(notices(relay.readFromLog(), NoticeCode.ENTRIES_ADOPTED)).isEmpty();
@@ -708,48 +719,50 @@
 		RelayFixture relay = RelayFixture.ready();
 		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
 		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
-		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", "t1", 100, 0, true, 2));
-		assertThat(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", "t1", 100, 0, true, 2))).isEmpty();
+		relay.handle(new RelayEvent.UsageReceived(relay.now(), "a", relay.run("t1"), 100, 0, true, 2));
+		assertThat(relay.handle(new RelayEvent.UsageReceived(relay.now(), "b", relay.run("t1"), 100, 0, true, 2)))
+			.isEmpty();
 		assertThat(relay.fireTimer(TimerKind.BUDGET_DECISION))
-			.contains(new RelayEffect.RequestLogReservation("b", "t1", "p", 100, 100));
+			.contains(new RelayEffect.RequestLogReservation("b", relay.run("t1"), "p", 100, 100));
 		assertThat(refusal(relay.fireTimer(TimerKind.BUDGET_DECISION))).contains(Refusal.LOG_LOST);
 	}
 
 	@Test
 	void reservationIsAppendedForAnotherRelay() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.readFromPeer(new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false));
-		List<RelayEffect> requested = relay
-			.handle(new RelayEvent.ReservationRequested(relay.now(), "peer", "t1", "p", 100, 100, true));
+		relay.readFromPeer(new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 100, "", List.of(), false));
+		List<RelayEffect> requested = relay.handle(
+				new RelayEvent.ReservationRequested(relay.now(), "peer", RunId.unnumbered("t1"), "p", 100, 100, true));
 		List<RelayEffect> read = relay.readFromLog(RelayFixture.written(requested).toArray(new LedgerEntry[0]));
 		assertThat(RelayFixture.ofType(read, RelayEffect.SendLogDecision.class))
-			.containsExactly(new RelayEffect.SendLogDecision("peer", "t1", true));
+			.containsExactly(new RelayEffect.SendLogDecision("peer", RunId.unnumbered("t1"), true));
 	}
 
 	@Test
 	void reservationRequestIsAnsweredWithUsedAndUncommittedTokens() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
-		LedgerEntry settled = new LedgerEntry.Settled("t0", "p", 30, Optional.empty());
-		LedgerEntry reserved = new LedgerEntry.Reserved("t1", "p", 100, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 30, Optional.empty());
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 100, "", List.of(), false);
 		relay.readFromPeer(settled);
 		relay.readFromPeer(reserved);
-		assertThat(relay.handle(new RelayEvent.ReservationRequested(relay.now(), "peer", "t1", "p", 100, 400, false)))
-			.containsExactly(
-					new RelayEffect.SendUsage("peer", "t1", 130, 130, false, List.of(settled, reserved), List.of()));
+		assertThat(relay.handle(
+				new RelayEvent.ReservationRequested(relay.now(), "peer", RunId.unnumbered("t1"), "p", 100, 400, false)))
+			.containsExactly(new RelayEffect.SendUsage("peer", RunId.unnumbered("t1"), 130, 130, false,
+					List.of(settled, reserved), List.of()));
 	}
 
 	@Test
 	void unsynchronizedRelayReportsUsageAsUnavailable() {
 		RelayFixture resumed = RelayFixture.ready();
 		resumed.handle(new RelayEvent.ProcessResumed(resumed.now(), Duration.ofSeconds(4)));
-		assertThat(
-				resumed.handle(new RelayEvent.ReservationRequested(resumed.now(), "peer", "t1", "p", 100, 400, false)))
-			.containsExactly(new RelayEffect.SendUsageUnavailable("peer", "t1"));
+		assertThat(resumed.handle(new RelayEvent.ReservationRequested(resumed.now(), "peer", RunId.unnumbered("t1"),
+				"p", 100, 400, false)))
+			.containsExactly(new RelayEffect.SendUsageUnavailable("peer", RunId.unnumbered("t1")));
 		RelayFixture restarted = RelayFixture.readyAfterRestart();
-		assertThat(restarted
-			.handle(new RelayEvent.ReservationRequested(restarted.now(), "peer", "t1", "p", 100, 400, false)))
-			.containsExactly(new RelayEffect.SendUsageUnavailable("peer", "t1"));
+		assertThat(restarted.handle(new RelayEvent.ReservationRequested(restarted.now(), "peer", RunId.unnumbered("t1"),
+				"p", 100, 400, false)))
+			.containsExactly(new RelayEffect.SendUsageUnavailable("peer", RunId.unnumbered("t1")));
 	}
 
 	// Guards against using a budget twice after the loss of all relays, until a
@@ -757,7 +770,7 @@
 	@Test
 	void unsynchronizedRelayWithholdsHalfOfABudget() {
 		RelayFixture relay = RelayFixture.readyAfterRestart();
-		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 310, Optional.empty()));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 310, Optional.empty()));
 		assertThat(refusal(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 600, 150, null))))
 			.contains(Refusal.BUDGET_SPENT);
 		relay.handle(new RelayEvent.SyncCompleted(relay.now(), "a", 2));
@@ -772,7 +785,7 @@
 		List<RelayEffect> resumed = relay.handle(new RelayEvent.ProcessResumed(relay.now(), Duration.ofSeconds(4)));
 		assertThat(RelayFixture.ofType(resumed, RelayEffect.CatchUp.class)).hasSize(1);
 		assertThat(sends(relay.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null)))).isEmpty();
-		relay.readFromLog(new LedgerEntry.Settled("t0", "p", 1000, Optional.empty()));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t0"), "p", 1000, Optional.empty()));
 		List<RelayEffect> caughtUp = relay.handle(RelayFixture.caughtUp(relay.now()));
 		assertThat(refusal(caughtUp)).contains(Refusal.BUDGET_SPENT);
 		assertThat(sends(relay.sendTurn("t2", "draft", RelayFixture.turn("q", 1000, 100, null)))).hasSize(1);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RenewalRulesTests.java
@@ -84,8 +84,10 @@
 	void restartedRelayRenewsFewTextsAtATimeAndNotAtOnce() {
 		RelayFixture relay = RelayFixture.readyAfterRestart();
 		for (int i = 0; i < 20; i++) {
-			relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t" + i, "p", 10, Optional
-				.of(new TextLocation(Optional.empty(), 9, 5, 17, Optional.empty(), Duration.ofSeconds(60), false))));
+			relay.readFromLog(Duration.ofSeconds(12),
+					new LedgerEntry.Settled(RunId.unnumbered("t" + i), "p", 10,
+							Optional.of(new TextLocation(Optional.empty(), 9, 5, 17, Optional.empty(),
+									Duration.ofSeconds(60), false))));
 		}
 		relay.advance(2_400);
 		assertThat(reads(relay)).isZero();
@@ -101,8 +103,10 @@
 		for (int i = 0; i < 600; i++) {
 			relay.handle(new RelayEvent.TextsReceived(relay.now(),
 					List.of(RelayFixture.turnText("t" + i, null, "in;", "out;"))));
-			relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t" + i, "p", 10, Optional
-				.of(new TextLocation(Optional.empty(), 7, 5, 17, Optional.empty(), Duration.ofSeconds(60), false))));
+			relay.readFromLog(Duration.ofSeconds(12),
+					new LedgerEntry.Settled(RunId.unnumbered("t" + i), "p", 10,
+							Optional.of(new TextLocation(Optional.empty(), 7, 5, 17, Optional.empty(),
+									Duration.ofSeconds(60), false))));
 		}
 		int queued = 0;
 		for (int round = 0; round < 10; round++) {
@@ -174,13 +178,14 @@
 	@Test
 	void usageThatIsReadBeforeTheRoutesIsRenewed() {
 		RelayFixture relay = RelayFixture.unconfiguredAfterRestart();
-		relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t1", "p", 10, Optional.empty()));
+		relay.readFromLog(Duration.ofSeconds(12),
+				new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10, Optional.empty()));
 		relay.handle(RelayFixture.caughtUp(relay.now()));
 		relay.advance(2_500);
 		assertThat(renewed(relay)).isEmpty();
 		relay.handle(new RelayEvent.RouteTableUpdated(relay.now(), RelayFixture.table()));
 		assertThat(renewed(relay)).containsExactly(new LedgerEntry.UsageRenewed("p",
-				Map.of("t1", new TurnTokens(10, false)), Duration.ofMillis(60_000 - 14_500)));
+				Map.of(RunId.unnumbered("t1"), new TurnTokens(10, false)), Duration.ofMillis(60_000 - 14_500)));
 	}
 
 	// Guards against an entry of a long program that no record of the log can hold.
@@ -188,7 +193,8 @@
 	void usageOfManyTurnsIsRenewedInSeveralEntries() {
 		RelayFixture relay = RelayFixture.ready();
 		for (int i = 0; i < 2_500; i++) {
-			relay.readFromLog(Duration.ofSeconds(12), new LedgerEntry.Settled("t" + i, "p", 1, Optional.empty()));
+			relay.readFromLog(Duration.ofSeconds(12),
+					new LedgerEntry.Settled(RunId.unnumbered("t" + i), "p", 1, Optional.empty()));
 		}
 		relay.advance(2_500);
 		List<Integer> turns = renewed(relay).stream()
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetainedTurnsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetainedTurnsTests.java
@@ -66,8 +66,8 @@
 	private void record(String request, String previous, long writtenAt, long retention) {
 		TextLocation location = new TextLocation(Optional.ofNullable(previous), 9, 1, 1, Optional.empty(),
 				Duration.ofMillis(retention), false);
-		this.turns.record(new LedgerEntry.Settled(request, "p", 1, Optional.of(location)), location, writtenAt,
-				retention);
+		this.turns.record(new LedgerEntry.Settled(RunId.unnumbered(request), "p", 1, Optional.of(location)), location,
+				writtenAt, retention);
 	}
 
 	private List<String> due(long now) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
@@ -201,12 +201,12 @@
 				continue;
 			}
 			List<RelayEffect> answered = peer.relay
-				.handle(new RelayEvent.ReservationRequested(peer.relay.now(), address(node.index), request.request(),
+				.handle(new RelayEvent.ReservationRequested(peer.relay.now(), address(node.index), request.run(),
 						request.program(), request.maxTokens(), request.budget(), false));
 			for (RelayEffect.SendUsage usage : RelayFixture.ofType(answered, RelayEffect.SendUsage.class)) {
 				further.addAll(apply(node,
 						node.relay.handle(new RelayEvent.UsageReceived(node.relay.now(), address(peer.index),
-								usage.request(), usage.tokens(), usage.uncommitted(), usage.logReachable(),
+								usage.run(), usage.tokens(), usage.uncommitted(), usage.logReachable(),
 								this.nodes.size() - 1))));
 			}
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -265,7 +265,7 @@
 	// Guards against a service to which the route no longer leads.
 	@Test
 	void streamOfAServiceThatTheRouteHasLeftIsRefused() {
-		this.relay.readFromLog(new LedgerEntry.Reserved("t1", "p", 100, "s1", List.of(), false,
+		this.relay.readFromLog(new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 100, "s1", List.of(), false,
 				Optional.of(new StreamAttempt(new SoftwareVersion(RelayFixture.SHOP, "v1"), 1))));
 		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_GONE);
 	}
@@ -476,7 +476,7 @@
 	}
 
 	private static LedgerEntry reserved(String request, String upstream, String version, int number) {
-		return new LedgerEntry.Reserved(request, "p", 100, upstream, List.of(), false,
+		return new LedgerEntry.Reserved(RunId.unnumbered(request), "p", 100, upstream, List.of(), false,
 				Optional.of(attempt(version, number)));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
@@ -241,7 +241,7 @@
 	}
 
 	private static LedgerEntry reserved(String request, String version, int number) {
-		return new LedgerEntry.Reserved(request, "p", 100, "x", List.of(), false,
+		return new LedgerEntry.Reserved(RunId.unnumbered(request), "p", 100, "x", List.of(), false,
 				Optional.of(attempt(version, number)));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -145,9 +145,9 @@
 	@Test
 	void locationFollowsThoseOfOtherRelaysInItsPartition() {
 		RelayFixture relay = RelayFixture.ready();
-		relay.readFromLog(new LedgerEntry.Settled("other", "q", 10,
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("other"), "q", 10,
 				Optional.of(new TextLocation(Optional.empty(), 9, RelayFixture.TEXT_PARTITION, 400))));
-		relay.readFromLog(new LedgerEntry.Settled("elsewhere", "q", 10,
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("elsewhere"), "q", 10,
 				Optional.of(new TextLocation(Optional.empty(), 9, RelayFixture.TEXT_PARTITION + 1, 900))));
 		relay.sendTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
 		relay.open(1);
@@ -224,8 +224,8 @@
 		RelayFixture relay = RelayFixture.ready();
 		TextLocation own = new TextLocation(Optional.empty(), 9, 1, 10);
 		TextLocation peers = new TextLocation(Optional.empty(), 9, 2, 20);
-		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(own)));
-		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(peers)));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10, Optional.of(own)));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10, Optional.of(peers)));
 		List<RelayEffect> effects = relay.sendTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
 		assertThat(RelayFixture.ofType(effects, RelayEffect.ReadText.class))
 			.containsExactly(new RelayEffect.ReadText("t1", List.of(peers, own)));
@@ -328,11 +328,11 @@
 		RelayFixture relay = RelayFixture.ready();
 		TextLocation peers = new TextLocation(Optional.empty(), 9, 2, 20);
 		relay.readFromLog(RelayFixture.settledTurn("t1", null));
-		relay.readFromLog(new LedgerEntry.Settled("t1", "p", 10, Optional.of(peers)));
-		relay.readFromPeer(
-				new LedgerEntry.Settled("t1", "p", 10, Optional.of(new TextLocation(Optional.empty(), 9, 6, 30))));
-		relay.readFromPeer(
-				new LedgerEntry.Settled("t1", "p", 10, Optional.of(new TextLocation(Optional.empty(), 9, 7, 40))));
+		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10, Optional.of(peers)));
+		relay.readFromPeer(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10,
+				Optional.of(new TextLocation(Optional.empty(), 9, 6, 30))));
+		relay.readFromPeer(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10,
+				Optional.of(new TextLocation(Optional.empty(), 9, 7, 40))));
 		List<RelayEffect> effects = relay.sendTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
 		assertThat(RelayFixture.ofType(effects, RelayEffect.ReadText.class)).singleElement()
 			.satisfies((read) -> assertThat(read.locations()).contains(peers));
@@ -355,7 +355,7 @@
 
 	private static RelayEvent.TurnWriteRequested turnWriteRequested(RelayFixture relay, String request) {
 		return new RelayEvent.TurnWriteRequested(relay.now(), "peer",
-				new LedgerEntry.Settled(request, "p", 10, Optional.empty()),
+				new LedgerEntry.Settled(RunId.unnumbered(request), "p", 10, Optional.empty()),
 				RelayFixture.turnText(request, null, "in;", "out;").text());
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
@@ -40,7 +40,7 @@
 
 	@Test
 	void committedEntryWithSameRequestAndTypeIsDuplicate() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("t", "p", 7, "", List.of(), false);
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("t"), "p", 7, "", List.of(), false);
 		assertThat(this.entries.committed(this.entry)).isFalse();
 		assertThat(this.entries.committed(reserved)).isFalse();
 		assertThat(this.entries.committed(this.entry)).isTrue();
@@ -57,9 +57,9 @@
 
 	@Test
 	void entriesAreFoundByProgram() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 7, "", List.of(), false);
-		LedgerEntry settled = new LedgerEntry.Settled("s", "p", 5, Optional.empty());
-		LedgerEntry other = new LedgerEntry.Settled("o", "q", 5, Optional.empty());
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 7, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled(RunId.unnumbered("s"), "p", 5, Optional.empty());
+		LedgerEntry other = new LedgerEntry.Settled(RunId.unnumbered("o"), "q", 5, Optional.empty());
 		LedgerEntry settledWithText = RelayFixture.settledTurn("k", null);
 		List.of(reserved, settledWithText, settled, other).forEach((entry) -> this.entries.add(entry, "x", 0));
 		assertThat(this.entries.entriesOf("p")).containsExactly(reserved, settledWithText, settled);
@@ -68,7 +68,7 @@
 
 	@Test
 	void localEntryIsNeverOverdueButCounts() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 100, "", List.of(), false);
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 100, "", List.of(), false);
 		this.entries.add(reserved, "self", 0);
 		assertThat(this.entries.takeOverdue("self", Set.of(), ALL, 9_000)).isEmpty();
 		assertThat(this.entries.tokensOf("p")).isEqualTo(100);
@@ -76,10 +76,10 @@
 
 	@Test
 	void unsettledTurnCountsWithMaximum() {
-		LedgerEntry ended = new LedgerEntry.Reserved("r", "p", 100, "", List.of(), false);
-		LedgerEntry open = new LedgerEntry.Reserved("o", "p", 100, "", List.of(), false);
-		LedgerEntry settled = new LedgerEntry.Settled("r", "p", 30, Optional.empty());
-		LedgerEntry other = new LedgerEntry.Settled("x", "q", 5, Optional.empty());
+		LedgerEntry ended = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 100, "", List.of(), false);
+		LedgerEntry open = new LedgerEntry.Reserved(RunId.unnumbered("o"), "p", 100, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled(RunId.unnumbered("r"), "p", 30, Optional.empty());
+		LedgerEntry other = new LedgerEntry.Settled(RunId.unnumbered("x"), "q", 5, Optional.empty());
 		List.of(ended, open, settled, other).forEach((entry) -> this.entries.add(entry, "x", 0));
 		assertThat(this.entries.tokensOf("p")).isEqualTo(130);
 		this.entries.committed(settled);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamSelectorTests.java
@@ -44,7 +44,7 @@
 	void loadedUpstreamIsNotSelectedDespiteTheCachedPrompt() {
 		state("b").addToCache(PROMPT, 100_000);
 		for (int i = 0; i < 7; i++) {
-			state("b").requestStarted("r" + i, NOW);
+			state("b").requestStarted(RunId.unnumbered("r" + i), NOW);
 		}
 		assertThat(selected(true)).isEqualTo("a");
 	}
@@ -132,7 +132,7 @@
 
 	@Test
 	void unsettledRequestsExpire() {
-		state("a").requestStarted("r", NOW);
+		state("a").requestStarted(RunId.unnumbered("r"), NOW);
 		assertThat(state("a").load(NOW)).isEqualTo(1);
 		assertThat(state("a").load(NOW + 6_000)).isZero();
 	}
@@ -150,7 +150,7 @@
 		}
 		for (int i = 0; i < 4; i++) {
 			for (String id : List.of("a", "b", "c", "d").subList(0, 4 - i)) {
-				state(id).requestStarted(id + i, NOW);
+				state(id).requestStarted(RunId.unnumbered(id + i), NOW);
 			}
 		}
 		assertThat(this.selector.rank(this.upstreams.available("s"), Set.of(), List.of(), false, NOW))
@@ -168,7 +168,7 @@
 		}
 		assertThat(selected).hasSize(1);
 		String target = selected.iterator().next();
-		state(target).requestStarted("r1", NOW);
+		state(target).requestStarted(RunId.unnumbered("r1"), NOW);
 		assertThat(selectedFor("tank-7", this.selector)).isNotEqualTo(target);
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -23,7 +23,7 @@
 		Upstreams.UpstreamState previous = this.upstreams.find("a").orElseThrow();
 		previous.addToCache(PROMPT, 1000);
 		previous.recordFailure(5);
-		this.upstreams.requestStarted("r", previous, 5);
+		this.upstreams.requestStarted(RunId.unnumbered("r"), previous, 5);
 		this.upstreams.put(RelayFixture.withStartTime("a", "s", 11), 0);
 		Upstreams.UpstreamState current = this.upstreams.find("a").orElseThrow();
 		assertThat(current.uncachedTokens(PROMPT)).isEqualTo(500);
@@ -54,14 +54,14 @@
 	@Test
 	void loadIsTheReportPlusRequestsSentSince() {
 		Upstreams.UpstreamState engine = add("a");
-		this.upstreams.requestStarted("other", engine, 0);
-		this.upstreams.requestSent("before", engine, 5);
+		this.upstreams.requestStarted(RunId.unnumbered("other"), engine, 0);
+		this.upstreams.requestSent(RunId.unnumbered("before"), engine, 5);
 		this.upstreams.loadReported(engine, load(7), 10);
-		this.upstreams.requestSent("r1", engine, 20);
-		this.upstreams.requestSent("r2", engine, 30);
+		this.upstreams.requestSent(RunId.unnumbered("r1"), engine, 20);
+		this.upstreams.requestSent(RunId.unnumbered("r2"), engine, 30);
 		assertThat(engine.load(40)).isEqualTo(9);
 		assertThat(engine.load(400)).isEqualTo(4);
-		this.upstreams.requestEnded("r1");
+		this.upstreams.requestEnded(RunId.unnumbered("r1"));
 		assertThat(engine.load(40)).isEqualTo(8);
 	}
 
@@ -86,9 +86,9 @@
 	void requestsKnownFromTheLogTakeNoRoomWithoutTheLog() {
 		Upstreams.UpstreamState engine = add("a");
 		for (int i = 0; i < 20; i++) {
-			this.upstreams.requestStarted("other-" + i, engine, 0);
+			this.upstreams.requestStarted(RunId.unnumbered("other-" + i), engine, 0);
 		}
-		this.upstreams.requestSent("own", engine, 10);
+		this.upstreams.requestSent(RunId.unnumbered("own"), engine, 10);
 		ServiceRoom room = this.upstreams.room("s", HOLD_TIME, false, 500);
 		assertThat(room.requests()).isEqualTo(1);
 		assertThat(room.expectedWait()).isZero();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UsagePollTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UsagePollTests.java
@@ -8,7 +8,7 @@
 
 class UsagePollTests {
 
-	private final UsagePoll poll = new UsagePoll(1, "t", List.of("a", "b", "c"));
+	private final UsagePoll poll = new UsagePoll(1, RunId.unnumbered("t"), List.of("a", "b", "c"));
 
 	@Test
 	void twoReplicasOfThreeDecideByHighestUsage() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -7,6 +7,7 @@
 import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.PeerMessage;
@@ -95,9 +96,9 @@
 	 * Another relay has made a reservation but cannot state the usage, since it may lack
 	 * entries.
 	 * @param peer the address of the other relay
-	 * @param request the turn of the reservation
+	 * @param run the run of the reservation
 	 */
-	void usageUnavailable(String peer, String request);
+	void usageUnavailable(String peer, RunId run);
 
 	/**
 	 * Another relay, which may lack entries, requests uncommitted ones.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -365,7 +365,7 @@
 					Peers.this.listener.reservationRequested(this.peer, request);
 				case PeerMessage.Usage usage -> Peers.this.listener.usageReceived(this.peer, usage);
 				case PeerMessage.UsageUnavailable unavailable ->
-					Peers.this.listener.usageUnavailable(this.peer, unavailable.request());
+					Peers.this.listener.usageUnavailable(this.peer, unavailable.run());
 				case PeerMessage.LogDecision decision -> Peers.this.listener.logDecisionReceived(decision);
 				case PeerMessage.PermitsRequest request ->
 					Peers.this.listener.permitsRequested(this.peer, request.request());
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -33,6 +33,7 @@
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent;
 import io.lentilslip.core.relay.RelaySettings;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.Upstream;
@@ -376,15 +377,15 @@
 			case RelayEffect.AcknowledgeTurnWrite response ->
 				this.peers.send(response.peer(), new PeerMessage.TurnWriteAck(Set.of(response.request())));
 			case RelayEffect.RequestReservation request ->
-				this.peers.sendRequest(request.peers(), new PeerMessage.ReservationRequest(request.request(),
+				this.peers.sendRequest(request.peers(), new PeerMessage.ReservationRequest(request.run(),
 						request.program(), request.maxTokens(), request.budget(), false));
 			case RelayEffect.RequestSync ignored -> this.peers.sendRequest(List.of(), new PeerMessage.SyncRequest());
 			case RelayEffect.RequestLogReservation request ->
-				this.peers.send(request.peer(), new PeerMessage.ReservationRequest(request.request(), request.program(),
+				this.peers.send(request.peer(), new PeerMessage.ReservationRequest(request.run(), request.program(),
 						request.maxTokens(), request.budget(), true));
 			case RelayEffect.SendUsage response -> {
 				this.peers.replicate(response.peer(), response.entries());
-				this.peers.send(response.peer(), new PeerMessage.Usage(response.request(), response.tokens(),
+				this.peers.send(response.peer(), new PeerMessage.Usage(response.run(), response.tokens(),
 						response.uncommitted(), response.logReachable(), response.loads()));
 			}
 			case RelayEffect.RequestPermits request ->
@@ -392,9 +393,9 @@
 			case RelayEffect.GrantPermits grant ->
 				this.peers.send(grant.peer(), new PeerMessage.PermitsGranted(grant.reply()));
 			case RelayEffect.SendUsageUnavailable response ->
-				this.peers.send(response.peer(), new PeerMessage.UsageUnavailable(response.request()));
+				this.peers.send(response.peer(), new PeerMessage.UsageUnavailable(response.run()));
 			case RelayEffect.SendLogDecision response ->
-				this.peers.send(response.peer(), new PeerMessage.LogDecision(response.request(), response.admitted()));
+				this.peers.send(response.peer(), new PeerMessage.LogDecision(response.run(), response.admitted()));
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
@@ -669,20 +670,20 @@
 
 		@Override
 		public void reservationRequested(String peer, PeerMessage.ReservationRequest request) {
-			on(new RelayEvent.ReservationRequested(RelayProcess.this.timers.now(), peer, request.request(),
+			on(new RelayEvent.ReservationRequested(RelayProcess.this.timers.now(), peer, request.run(),
 					request.program(), request.maxTokens(), request.budget(), request.throughLog()));
 		}
 
 		@Override
 		public void usageReceived(String peer, PeerMessage.Usage usage) {
 			on(new RelayEvent.LoadsReceived(RelayProcess.this.timers.now(), usage.loads()));
-			on(new RelayEvent.UsageReceived(RelayProcess.this.timers.now(), peer, usage.request(), usage.tokens(),
+			on(new RelayEvent.UsageReceived(RelayProcess.this.timers.now(), peer, usage.run(), usage.tokens(),
 					usage.uncommitted(), usage.logReachable(), RelayProcess.this.peers.knownCount()));
 		}
 
 		@Override
-		public void usageUnavailable(String peer, String request) {
-			on(new RelayEvent.UsageUnavailable(RelayProcess.this.timers.now(), peer, request));
+		public void usageUnavailable(String peer, RunId run) {
+			on(new RelayEvent.UsageUnavailable(RelayProcess.this.timers.now(), peer, run));
 		}
 
 		@Override
@@ -697,8 +698,7 @@
 
 		@Override
 		public void logDecisionReceived(PeerMessage.LogDecision decision) {
-			on(new RelayEvent.LogDecisionReceived(RelayProcess.this.timers.now(), decision.request(),
-					decision.admitted()));
+			on(new RelayEvent.LogDecisionReceived(RelayProcess.this.timers.now(), decision.run(), decision.admitted()));
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -20,6 +20,7 @@
 import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.UpstreamLoad;
@@ -99,7 +100,7 @@
 		String address = connectPeer();
 		List<LedgerEntry> entries = new ArrayList<>();
 		for (int i = 0; i < 50; i++) {
-			entries.add(new LedgerEntry.Settled("r" + i, "p", 1, Optional.empty()));
+			entries.add(new LedgerEntry.Settled(RunId.unnumbered("r" + i), "p", 1, Optional.empty()));
 		}
 		onLoop(() -> this.peers.replicate(address, entries));
 		for (int i = 0; i < 50; i++) {
@@ -130,7 +131,7 @@
 		String replica = addPeer();
 		onLoop(() -> this.peers.replicate(List.of(replica), reserved("r")));
 		onLoop(() -> this.peers.sendRequest(List.of(replica),
-				new PeerMessage.ReservationRequest("t", "p", 1, 2, false)));
+				new PeerMessage.ReservationRequest(RunId.unnumbered("t"), "p", 1, 2, false)));
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("connected " + replica);
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("r");
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("requested t of p");
@@ -156,9 +157,10 @@
 		onLoop(() -> this.peers.recordChanged(leaving, Optional.empty()));
 		assertThat(onLoop(this.peers::knownCount)).isZero();
 		onLoop(() -> this.others.getFirst()
-			.send(this.localAddress, new PeerMessage.ReservationRequest("last", "p", 1, 2, false)));
+			.send(this.localAddress, new PeerMessage.ReservationRequest(RunId.unnumbered("last"), "p", 1, 2, false)));
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("requested last of p");
-		onLoop(() -> this.peers.send(leaving, new PeerMessage.ReservationRequest("back", "p", 1, 2, false)));
+		onLoop(() -> this.peers.send(leaving,
+				new PeerMessage.ReservationRequest(RunId.unnumbered("back"), "p", 1, 2, false)));
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("requested back of p");
 	}
 
@@ -224,7 +226,7 @@
 	}
 
 	private static LedgerEntry reserved(String request) {
-		return new LedgerEntry.Reserved(request, "p", 1, "", List.of(), false);
+		return new LedgerEntry.Reserved(RunId.unnumbered(request), "p", 1, "", List.of(), false);
 	}
 
 	private void sendUsage() throws Exception {
@@ -233,7 +235,8 @@
 			Thread.onSpinWait();
 		}
 		onLoop(() -> this.others.getFirst()
-			.send(this.localAddress, new PeerMessage.Usage("t", 7, 0, true, List.of(new UpstreamLoad(1, 2, 3)))));
+			.send(this.localAddress,
+					new PeerMessage.Usage(RunId.unnumbered("t"), 7, 0, true, List.of(new UpstreamLoad(1, 2, 3)))));
 		assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("usage t 7");
 	}
 
@@ -350,17 +353,17 @@
 
 		@Override
 		public void reservationRequested(String peer, PeerMessage.ReservationRequest request) {
-			PeersTests.this.received.add("requested " + request.request() + " of " + request.program());
+			PeersTests.this.received.add("requested " + request.run().request() + " of " + request.program());
 		}
 
 		@Override
 		public void usageReceived(String peer, PeerMessage.Usage usage) {
-			PeersTests.this.received.add("usage " + usage.request() + " " + usage.tokens());
+			PeersTests.this.received.add("usage " + usage.run().request() + " " + usage.tokens());
 		}
 
 		@Override
-		public void usageUnavailable(String peer, String request) {
-			PeersTests.this.received.add("usage unavailable " + request);
+		public void usageUnavailable(String peer, RunId run) {
+			PeersTests.this.received.add("usage unavailable " + run.request());
 		}
 
 		@Override
@@ -374,7 +377,7 @@
 
 		@Override
 		public void logDecisionReceived(PeerMessage.LogDecision decision) {
-			PeersTests.this.received.add("decision " + decision.request() + " " + decision.admitted());
+			PeersTests.this.received.add("decision " + decision.run().request() + " " + decision.admitted());
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryReaderTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.wire.relay.RelayCodec;
 import org.junit.jupiter.api.Test;
 
@@ -188,7 +189,7 @@
 	}
 
 	private static LedgerEntry settled(String request) {
-		return new LedgerEntry.Settled(request, "p", 1, Optional.empty());
+		return new LedgerEntry.Settled(RunId.unnumbered(request), "p", 1, Optional.empty());
 	}
 
 	/**
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TextLocation;
@@ -73,7 +74,7 @@
 	}
 
 	private static LedgerEntry sent(String request, int attempt) {
-		return new LedgerEntry.Reserved(request, "p", 1, "u", List.of(), false,
+		return new LedgerEntry.Reserved(RunId.unnumbered(request), "p", 1, "u", List.of(), false,
 				Optional.of(new StreamAttempt(new SoftwareVersion("s", "v1"), attempt)));
 	}
 
@@ -90,7 +91,7 @@
 	// turn: the caller would receive the end of a turn that is not in the log yet.
 	@Test
 	void reservationDoesNotAcknowledgeTheSettlement() {
-		this.writer.write(new LedgerEntry.Reserved("a", "p", 9, "u", List.of(), false));
+		this.writer.write(new LedgerEntry.Reserved(RunId.unnumbered("a"), "p", 9, "u", List.of(), false));
 		this.store.advance(100);
 		this.writer.write(settled("a", Optional.of(LOCATION)));
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
@@ -101,7 +102,7 @@
 
 	@Test
 	void storedConditionalReservationIsReported() {
-		this.writer.write(new LedgerEntry.Reserved("a", "p", 9, "", List.of(), true));
+		this.writer.write(new LedgerEntry.Reserved(RunId.unnumbered("a"), "p", 9, "", List.of(), true));
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
 		assertThat(this.conditionalReservations).isEqualTo(1);
 		assertThat(this.storedTurns).isEmpty();
@@ -187,11 +188,11 @@
 	}
 
 	private static LedgerEntry large(String request, int bytes) {
-		return new LedgerEntry.Settled(request, "p".repeat(bytes), 1, Optional.of(LOCATION));
+		return new LedgerEntry.Settled(RunId.unnumbered(request), "p".repeat(bytes), 1, Optional.of(LOCATION));
 	}
 
 	private static LedgerEntry settled(String request, Optional<TextLocation> text) {
-		return new LedgerEntry.Settled(request, "p", 1, text);
+		return new LedgerEntry.Settled(RunId.unnumbered(request), "p", 1, text);
 	}
 
 }
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -6,6 +6,7 @@
 import io.lentilslip.core.quota.PermitReply;
 import io.lentilslip.core.quota.PermitRequest;
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.StreamAttempt;
 import io.lentilslip.core.relay.TurnLocation;
@@ -154,14 +155,14 @@
 	 * Request to reserve tokens for a turn before it runs, and to return the usage of its
 	 * program. The response covers all entries sent earlier on the same link.
 	 *
-	 * @param request the turn
+	 * @param run the turn
 	 * @param program the program
 	 * @param maxTokens the maximum number of tokens of the turn
 	 * @param budget the budget of the program
 	 * @param throughLog whether the reservation is to be decided by the order of the log,
 	 * instead of an immediate response
 	 */
-	record ReservationRequest(String request, String program, int maxTokens, long budget,
+	record ReservationRequest(RunId run, String program, int maxTokens, long budget,
 			boolean throughLog) implements PeerMessage {
 
 	}
@@ -169,19 +170,19 @@
 	/**
 	 * The usage of a program, in response to a reservation request.
 	 *
-	 * @param request the turn of the request
+	 * @param run the turn of the request
 	 * @param tokens the number of tokens used or reserved
 	 * @param uncommitted how many of them the sender has not read from the log
 	 * @param logReachable whether the sender reaches the log and can write a reservation
 	 * to it
 	 * @param loads the latest loads that upstreams reported
 	 */
-	record Usage(String request, long tokens, long uncommitted, boolean logReachable,
+	record Usage(RunId run, long tokens, long uncommitted, boolean logReachable,
 			List<UpstreamLoad> loads) implements PeerMessage {
 
 		/**
 		 * Creates a message.
-		 * @param request the turn of the request
+		 * @param run the turn of the request
 		 * @param tokens the number of tokens used or reserved
 		 * @param uncommitted how many of them the sender has not read from the log
 		 * @param logReachable whether the sender reaches the log and can write a
@@ -198,9 +199,9 @@
 	 * The sender has reserved tokens for a turn, but cannot state the usage, since it may
 	 * lack entries.
 	 *
-	 * @param request the turn of the reservation request
+	 * @param run the turn of the reservation request
 	 */
-	record UsageUnavailable(String request) implements PeerMessage {
+	record UsageUnavailable(RunId run) implements PeerMessage {
 
 	}
 
@@ -215,10 +216,10 @@
 	 * The decision by the order of the log on a turn of a relay that does not reach the
 	 * log.
 	 *
-	 * @param request the turn
+	 * @param run the turn
 	 * @param admitted whether the turn is within the budget of the program
 	 */
-	record LogDecision(String request, boolean admitted) implements PeerMessage {
+	record LogDecision(RunId run, boolean admitted) implements PeerMessage {
 
 	}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -11,9 +11,12 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.UnknownFieldSet;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.StreamAttempt;
@@ -37,6 +40,12 @@
 	 */
 	private static final int PART_OVERHEAD_BYTES = 64;
 
+	/**
+	 * The field with the number of a run, in each message that names one. The generated
+	 * classes don't know it.
+	 */
+	private static final int RUN_FIELD = 15;
+
 	private RelayCodec() {
 	}
 
@@ -189,15 +198,15 @@
 			case PeerMessage.Texts texts ->
 				texts.turns().forEach((turn) -> builder.getTextsBuilder().addTurns(message(turn)));
 			case PeerMessage.TurnWriteAck ack -> builder.getStoredBuilder().addAllRequest(ack.requests());
-			case PeerMessage.ReservationRequest request -> builder.getQuestionBuilder()
-				.setRequest(request.request())
-				.setProgram(request.program())
-				.setMost(request.maxTokens())
-				.setBudget(request.budget())
-				.setPlace(request.throughLog());
+			case PeerMessage.ReservationRequest request ->
+				withRun(builder.getQuestionBuilder(), request.run()).setRequest(request.run().request())
+					.setProgram(request.program())
+					.setMost(request.maxTokens())
+					.setBudget(request.budget())
+					.setPlace(request.throughLog());
 			case PeerMessage.Usage usage -> {
-				RelayProtocol.Taken.Builder usageBuilder = builder.getTakenBuilder()
-					.setRequest(usage.request())
+				RelayProtocol.Taken.Builder usageBuilder = withRun(builder.getTakenBuilder(), usage.run())
+					.setRequest(usage.run().request())
 					.setTokens(usage.tokens())
 					.setUnlogged(usage.uncommitted())
 					.setLog(usage.logReachable());
@@ -214,10 +223,11 @@
 				.setRequest(version.request())
 				.setStream(message(version.attempt()));
 			case PeerMessage.UsageUnavailable unavailable ->
-				builder.getUnsureBuilder().setRequest(unavailable.request());
+				withRun(builder.getUnsureBuilder(), unavailable.run()).setRequest(unavailable.run().request());
 			case PeerMessage.SyncRequest ignored -> builder.getSyncBuilder();
 			case PeerMessage.LogDecision decision ->
-				builder.getPlaceBuilder().setRequest(decision.request()).setHeld(decision.admitted());
+				withRun(builder.getPlaceBuilder(), decision.run()).setRequest(decision.run().request())
+					.setHeld(decision.admitted());
 			case PeerMessage.SyncComplete ignored -> builder.getToldBuilder();
 			case PeerMessage.PermitsRequest request -> builder.setPermitRequest(PermitCodec.message(request.request()));
 			case PeerMessage.PermitsGranted reply -> builder.setPermitReply(PermitCodec.message(reply.reply()));
@@ -248,9 +258,11 @@
 				case STORED ->
 					Either.right(new PeerMessage.TurnWriteAck(Set.copyOf(message.getStored().getRequestList())));
 				case QUESTION -> Either.right(reservationRequest(message.getQuestion()));
-				case TAKEN -> Either.right(new PeerMessage.Usage(message.getTaken().getRequest(),
-						message.getTaken().getTokens(), message.getTaken().getUnlogged(), message.getTaken().getLog(),
-						message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
+				case TAKEN ->
+					Either.right(new PeerMessage.Usage(run(message.getTaken().getRequest(), message.getTaken()),
+							message.getTaken().getTokens(), message.getTaken().getUnlogged(),
+							message.getTaken().getLog(),
+							message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
 				case PLACES_WANTED -> (message.getPlacesWanted().getRequestCount() == 1)
 						? Either.right(new PeerMessage.TextLocationsRequest(message.getPlacesWanted().getRequest(0)))
 						: Either.left("text locations request must name exactly one turn");
@@ -261,10 +273,12 @@
 								new PeerMessage.StreamVersionRequest(message.getStreamVersionsWanted().getRequest(0)))
 						: Either.left("stream version request must name exactly one request");
 				case STREAM_VERSIONS -> streamVersion(message.getStreamVersions());
-				case UNSURE -> Either.right(new PeerMessage.UsageUnavailable(message.getUnsure().getRequest()));
+				case UNSURE -> Either.right(
+						new PeerMessage.UsageUnavailable(run(message.getUnsure().getRequest(), message.getUnsure())));
 				case SYNC -> Either.right(new PeerMessage.SyncRequest());
-				case PLACE -> Either
-					.right(new PeerMessage.LogDecision(message.getPlace().getRequest(), message.getPlace().getHeld()));
+				case PLACE ->
+					Either.right(new PeerMessage.LogDecision(run(message.getPlace().getRequest(), message.getPlace()),
+							message.getPlace().getHeld()));
 				case TOLD -> Either.right(new PeerMessage.SyncComplete());
 				case PULSE -> Either.right(new PeerMessage.Heartbeat());
 				case PERMIT_REQUEST ->
@@ -391,9 +405,23 @@
 		return Optional.of(text).filter((name) -> !name.isEmpty());
 	}
 
+	// Versions that don't know the field ignore it, as they do every other new one.
+	private static <B extends Message.Builder> B withRun(B builder, RunId run) {
+		if (run.number() != 0) {
+			UnknownFieldSet.Field number = UnknownFieldSet.Field.newBuilder().addVarint(run.number()).build();
+			builder.setUnknownFields(UnknownFieldSet.newBuilder().addField(RUN_FIELD, number).build());
+		}
+		return builder;
+	}
+
+	private static RunId run(String request, Message message) {
+		List<Long> numbers = message.getUnknownFields().getField(RUN_FIELD).getVarintList();
+		return new RunId(request, numbers.isEmpty() ? 0 : Math.max(0, numbers.getLast()));
+	}
+
 	private static PeerMessage reservationRequest(RelayProtocol.Question message) {
-		return new PeerMessage.ReservationRequest(message.getRequest(), message.getProgram(), message.getMost(),
-				message.getBudget(), message.getPlace());
+		return new PeerMessage.ReservationRequest(run(message.getRequest(), message), message.getProgram(),
+				message.getMost(), message.getBudget(), message.getPlace());
 	}
 
 	private static Either<String, PeerMessage> batch(RelayProtocol.Batch batch) {
@@ -409,7 +437,8 @@
 	}
 
 	private static RelayProtocol.RelayEntry message(LedgerEntry entry) {
-		RelayProtocol.RelayEntry.Builder builder = RelayProtocol.RelayEntry.newBuilder().setRequest(entry.request());
+		RelayProtocol.RelayEntry.Builder builder = withRun(RelayProtocol.RelayEntry.newBuilder(), entry.run())
+			.setRequest(entry.request());
 		switch (entry) {
 			case LedgerEntry.Reserved reserved -> builder.setReservation(reservation(reserved));
 			case LedgerEntry.Settled settled -> builder.setSettlement(settlement(settled));
@@ -445,17 +474,16 @@
 		RelayProtocol.ProgramUsage.Builder builder = RelayProtocol.ProgramUsage.newBuilder()
 			.setRetention(Math.max(0, renewed.retention().toMillis()));
 		renewed.turns()
-			.forEach((request, turn) -> builder.addTurnsBuilder()
-				.setRequest(request)
+			.forEach((run, turn) -> withRun(builder.addTurnsBuilder(), run).setRequest(run.request())
 				.setTokens(turn.tokens())
 				.setOpen(turn.open()));
 		return builder.build();
 	}
 
 	private static LedgerEntry usageRenewed(String program, RelayProtocol.ProgramUsage message) {
-		Map<String, TurnTokens> turns = new HashMap<>();
+		Map<RunId, TurnTokens> turns = new HashMap<>();
 		for (RelayProtocol.ProgramTurn turn : message.getTurnsList()) {
-			turns.put(turn.getRequest(), new TurnTokens(Math.max(0, turn.getTokens()), turn.getOpen()));
+			turns.put(run(turn.getRequest(), turn), new TurnTokens(Math.max(0, turn.getTokens()), turn.getOpen()));
 		}
 		return new LedgerEntry.UsageRenewed(program, turns, Duration.ofMillis(Math.max(0, message.getRetention())));
 	}
@@ -465,8 +493,8 @@
 			return Either.left("entry has no request id");
 		}
 		return switch (message.getEntryCase()) {
-			case RESERVATION -> Either.right(reserved(message.getRequest(), message.getReservation()));
-			case SETTLEMENT -> Either.right(settled(message.getRequest(), message.getSettlement()));
+			case RESERVATION -> Either.right(reserved(run(message.getRequest(), message), message.getReservation()));
+			case SETTLEMENT -> Either.right(settled(run(message.getRequest(), message), message.getSettlement()));
 			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
 			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(message.getRequest(),
 					message.getBlame().getDigest(), message.getBlame().getUpstream()));
@@ -474,21 +502,21 @@
 		};
 	}
 
-	private static LedgerEntry reserved(String request, RelayProtocol.Reservation message) {
+	private static LedgerEntry reserved(RunId run, RelayProtocol.Reservation message) {
 		List<PromptPart> prompt = new ArrayList<>();
 		for (RelayProtocol.Part part : message.getPromptList()) {
 			prompt.add(new PromptPart(part.getId(), part.getTokens()));
 		}
-		return new LedgerEntry.Reserved(request, message.getProgram(), message.getTokens(), message.getUpstream(),
-				prompt, message.getContending(),
+		return new LedgerEntry.Reserved(run, message.getProgram(), message.getTokens(), message.getUpstream(), prompt,
+				message.getContending(),
 				message.hasStream() ? Optional.of(attempt(message.getStream())) : Optional.empty());
 	}
 
-	private static LedgerEntry settled(String request, RelayProtocol.Settlement message) {
+	private static LedgerEntry settled(RunId run, RelayProtocol.Settlement message) {
 		Optional<TextLocation> location = Optional.of(message)
 			.filter(RelayProtocol.Settlement::hasPlace)
 			.map((settlement) -> textLocation(settlement.getPlace()));
-		return new LedgerEntry.Settled(request, message.getProgram(), message.getTokens(), location);
+		return new LedgerEntry.Settled(run, message.getProgram(), message.getTokens(), location);
 	}
 
 	private static RelayProtocol.TextPlace message(TextLocation location) {
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -12,6 +12,7 @@
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.StreamAttempt;
@@ -23,6 +24,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -30,8 +32,9 @@
 class RelayCodecTests {
 
 	@Property(tries = 200)
-	void reservationsRoundTrip(@ForAll int tokens, @ForAll long part, @ForAll boolean conditional) {
-		LedgerEntry entry = new LedgerEntry.Reserved("r", "p", tokens, conditional ? "" : "u",
+	void reservationsRoundTrip(@ForAll int tokens, @ForAll long part, @ForAll boolean conditional,
+			@ForAll @LongRange(min = 0) long run) {
+		LedgerEntry entry = new LedgerEntry.Reserved(new RunId("r", run), "p", tokens, conditional ? "" : "u",
 				List.of(new PromptPart(part, 7)), conditional,
 				conditional ? Optional.empty() : Optional.of(new StreamAttempt(new SoftwareVersion("s", "v1"), 1)));
 		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
@@ -39,17 +42,17 @@
 
 	@Property(tries = 200)
 	void settlementsRoundTrip(@ForAll int bytes, @ForAll int part, @ForAll long from, @ForAll boolean first,
-			@ForAll @IntRange(min = 0) int retention, @ForAll boolean renewed) {
+			@ForAll @IntRange(min = 0) int retention, @ForAll boolean renewed, @ForAll @LongRange(min = 0) long run) {
 		Optional<String> previous = first ? Optional.empty() : Optional.of("before");
-		LedgerEntry entry = new LedgerEntry.Settled("r", "p", 9, Optional.of(new TextLocation(previous, bytes, part,
-				from, Optional.of("origin"), Duration.ofMillis(retention), renewed)));
+		LedgerEntry entry = new LedgerEntry.Settled(new RunId("r", run), "p", 9, Optional.of(new TextLocation(previous,
+				bytes, part, from, Optional.of("origin"), Duration.ofMillis(retention), renewed)));
 		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
 	}
 
 	@Property(tries = 200)
 	void renewedUsageRoundTrips(@ForAll @IntRange(min = 0) int tokens, @ForAll boolean open,
-			@ForAll @IntRange(min = 0) int retention) {
-		LedgerEntry entry = new LedgerEntry.UsageRenewed("p", Map.of("r", new TurnTokens(tokens, open)),
+			@ForAll @IntRange(min = 0) int retention, @ForAll @LongRange(min = 0) long run) {
+		LedgerEntry entry = new LedgerEntry.UsageRenewed("p", Map.of(new RunId("r", run), new TurnTokens(tokens, open)),
 				Duration.ofMillis(retention));
 		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry().get()).isEqualTo(entry);
 	}
@@ -59,8 +62,8 @@
 		Optional<String> previous = first ? Optional.empty() : Optional.of("before");
 		TurnText turn = new TurnText("r", new StoredTurn(previous, input, output));
 		assertThat(RelayCodec.decodeText(RelayCodec.encode(turn)).get()).usingRecursiveComparison().isEqualTo(turn);
-		PeerMessage request = new PeerMessage.TurnWriteRequest(new LedgerEntry.Settled("r", "p", 9, Optional.empty()),
-				turn.text());
+		PeerMessage request = new PeerMessage.TurnWriteRequest(
+				new LedgerEntry.Settled(RunId.unnumbered("r"), "p", 9, Optional.empty()), turn.text());
 		for (PeerMessage message : List.of(new PeerMessage.Texts(List.of(turn)), request)) {
 			assertThat(RelayCodec.decodePeerMessage(RelayCodec.encode(message)).get()).usingRecursiveComparison()
 				.isEqualTo(message);
@@ -133,15 +136,17 @@
 		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
 				new PeerMessage.Batch(List.of(new LedgerEntry.UpstreamFailed("r", -3, "u"))),
 				new PeerMessage.TextsRequest(Set.of("a", "b")), new PeerMessage.TurnWriteAck(Set.of("a")),
-				new PeerMessage.Heartbeat(), new PeerMessage.ReservationRequest("r", "p", 588, 1L << 41, true),
-				new PeerMessage.Usage("r", 1L << 40, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
+				new PeerMessage.Heartbeat(),
+				new PeerMessage.ReservationRequest(new RunId("r", 1L << 40), "p", 588, 1L << 41, true),
+				new PeerMessage.Usage(new RunId("r", 1L << 40), 1L << 40, 40, true,
+						List.of(new UpstreamLoad(-7, 3, 250))),
 				new PeerMessage.StreamVersionRequest("r"),
 				new PeerMessage.StreamVersion("r", new StreamAttempt(new SoftwareVersion("s", "v1.1"), 2)),
-				new PeerMessage.UsageUnavailable("r"), new PeerMessage.SyncRequest(),
+				new PeerMessage.UsageUnavailable(new RunId("r", 1L << 40)), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t"),
 				new PeerMessage.TextLocations(List.of(new TurnLocation("t",
 						new TextLocation(Optional.of("s"), 9, 5, 1L << 40, Optional.of("10.0.0.1:7"))))),
-				new PeerMessage.LogDecision("r", true), new PeerMessage.SyncComplete());
+				new PeerMessage.LogDecision(new RunId("r", 1L << 40), true), new PeerMessage.SyncComplete());
 		for (PeerMessage message : messages) {
 			assertThat(RelayCodec.decodePeerMessage(RelayCodec.encode(message)).get()).isEqualTo(message);
 		}
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
@@ -11,6 +11,7 @@
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.SoftwareVersion;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.StreamAttempt;
@@ -37,10 +38,11 @@
 
 	private static final StreamAttempt ATTEMPT = new StreamAttempt(new SoftwareVersion("s", "v1.1"), 2);
 
-	private static final LedgerEntry RESERVED = new LedgerEntry.Reserved("t1", "p", 588, "e1@17",
+	private static final LedgerEntry RESERVED = new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 588, "e1@17",
 			List.of(new PromptPart(0x5c1e07a2L, 800), new PromptPart(-3, 400)), true, Optional.of(ATTEMPT));
 
-	private static final LedgerEntry.Settled SETTLED = new LedgerEntry.Settled("t1", "p", 90, Optional.of(LOCATION));
+	private static final LedgerEntry.Settled SETTLED = new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 90,
+			Optional.of(LOCATION));
 
 	private static final StoredTurn TEXT = new StoredTurn(Optional.of("t0"), "in;".getBytes(), "out;".getBytes());
 
@@ -68,13 +70,14 @@
 		List.of(new PeerMessage.Greeting("10.0.0.1:7380"), new PeerMessage.Batch(List.of(RESERVED, SETTLED)),
 				new PeerMessage.TurnWriteRequest(SETTLED, TEXT), new PeerMessage.TextsRequest(Set.of("t0", "t1")),
 				new PeerMessage.Texts(List.of(new TurnText("t1", TEXT))), new PeerMessage.TurnWriteAck(Set.of("t1")),
-				new PeerMessage.ReservationRequest("t1", "p", 588, 1L << 40, false),
-				new PeerMessage.Usage("t1", 1200, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
+				new PeerMessage.ReservationRequest(RunId.unnumbered("t1"), "p", 588, 1L << 40, false),
+				new PeerMessage.Usage(RunId.unnumbered("t1"), 1200, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
 				new PeerMessage.StreamVersionRequest("t1"), new PeerMessage.StreamVersion("t1", ATTEMPT),
-				new PeerMessage.UsageUnavailable("t1"), new PeerMessage.SyncRequest(),
+				new PeerMessage.UsageUnavailable(RunId.unnumbered("t1")), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t1"),
 				new PeerMessage.TextLocations(List.of(new TurnLocation("t1", LOCATION))),
-				new PeerMessage.LogDecision("t1", true), new PeerMessage.SyncComplete(), new PeerMessage.Heartbeat())
+				new PeerMessage.LogDecision(RunId.unnumbered("t1"), true), new PeerMessage.SyncComplete(),
+				new PeerMessage.Heartbeat())
 			.forEach((message) -> valid.add(RelayCodec.encode(message)));
 		List.of(RESERVED, SETTLED, new LedgerEntry.UpstreamFailed("t1", -3, "e1@17"))
 			.forEach((entry) -> valid.add(RelayCodec.encode(entry, 1_790_000_000_000L)));
