Run a late timer after the sockets are read

Cause: when the event loop of a relay was busy or its process had no processor, its timers fired before it had read the replies that had arrived meanwhile. A turn waits 30 ms for the replicas of its program. A relay that was late took them for silent, reserved the turn through the log, and asked all other relays: up to 31 messages and replies where two are enough. That makes it, and all others, later still.

Change: a timer that is late by more than 5 ms runs in the next iteration of the event loop, which begins with the sockets. It applies to all timers of a relay.

Evidence: lateTimerRunsAfterReceivedDataIsRead failed before ("expected: reply but was: timer").

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -105,7 +105,7 @@
 
 	private final EventLoop loop = this.group.next();
 
-	private final Timers timers = new EventLoopTimers();
+	private final Timers timers = new EventLoopTimers(this.loop, this.arrivalClock, RelayProcess::monotonicMillis);
 
 	private final SplittableRandom random;
 
@@ -513,28 +513,6 @@
 
 	}
 
-	/**
-	 * Schedules tasks on the event loop. Used by its thread.
-	 */
-	private final class EventLoopTimers implements Timers {
-
-		@Override
-		public void schedule(Duration delay, Runnable task) {
-			RelayProcess.this.loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
-		}
-
-		@Override
-		public long now() {
-			return monotonicMillis();
-		}
-
-		@Override
-		public long earliestArrival() {
-			return RelayProcess.this.arrivalClock.earliestArrival();
-		}
-
-	}
-
 	/**
 	 * Handles reads of the log. Used by the event loop's thread.
 	 */
