Match replies for permits by peer and incarnation

Cause: ids of permit requests began at 0 after a restart and replies were matched by id alone, so a late reply to an earlier incarnation, or one of another relay, was taken for the reply to a current request.

Change: ids begin at a random one that is drawn from the seed by a generator of its own, so that the other random choices of a seed stay as they are; a reply counts only if its peer was asked, also for replaced and covering requests.

Evidence: QuotaRulesTests#replyToAnEarlierIncarnationIsNotUsed and #replyOfAnotherRelayIsNotUsed failed before (8 run, 2 failures: the request was sent) and pass now.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -92,6 +92,9 @@
 
 	private final Set<String> disconnected = new HashSet<>();
 
+	/**
+	 * The coordinators that were requested to cover grants of this relay, by request.
+	 */
 	private final Map<Long, String> covered = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
@@ -112,6 +115,7 @@
 		this.completion = completion;
 		this.admitted = admitted;
 		this.buckets = new TeamBuckets(state.quotaTolerance);
+		this.lastRequestId = state.firstRequestId;
 	}
 
 	/**
@@ -180,7 +184,8 @@
 			admitAll(queue);
 			return;
 		}
-		queue.pending.ifPresent((pending) -> queue.replaced.put(pending.requestId(), pending.sentAt()));
+		queue.pending.ifPresent((pending) -> queue.replaced.put(pending.requestId(),
+				new ReplacedRequest(pending.peer(), pending.sentAt())));
 		this.lastRequestId++;
 		PermitRequest request = new PermitRequest(queue.team, this.lastRequestId, quota.get(), active.size(),
 				queue.permits.prefetch(this.state.now), queue.permits.takeExpired(target, this.state.now),
@@ -288,7 +293,7 @@
 	// would grant them again otherwise.
 	private void cover(String peer, Quota quota, String team, int granted) {
 		this.lastRequestId++;
-		this.covered.put(this.lastRequestId, team);
+		this.covered.put(this.lastRequestId, peer);
 		this.state
 			.emit(new RelayEffect.RequestPermits(peer, PermitRequest.cover(team, this.lastRequestId, quota, granted)));
 	}
@@ -329,7 +334,7 @@
 	}
 
 	private void applyReply(String peer, PermitReply reply) {
-		if (this.covered.remove(reply.requestId()) != null) {
+		if (this.covered.remove(reply.requestId(), peer)) {
 			this.buckets.cover(reply.team(), reply.total());
 			return;
 		}
@@ -337,13 +342,13 @@
 		if (queue == null) {
 			return;
 		}
-		if (queue.pending.isEmpty() || queue.pending.get().requestId() != reply.requestId()) {
-			Optional.ofNullable(queue.replaced.remove(reply.requestId()))
-				.ifPresent((sentAt) -> queue.permits.add(peer, reply.total(), sentAt));
-			admitWaiting(queue);
+		Optional<PendingRequest> pending = queue.pending
+			.filter((request) -> request.isAnsweredBy(peer, reply.requestId()));
+		if (pending.isEmpty()) {
+			applyLateReply(queue, peer, reply);
 			return;
 		}
-		PendingRequest answered = queue.pending.get();
+		PendingRequest answered = pending.get();
 		queue.pending = Optional.empty();
 		queue.permits.add(peer, reply.permits(), answered.sentAt());
 		for (int i = 0; i < Math.min(answered.starting().size(), reply.admissions().size()); i++) {
@@ -359,7 +364,12 @@
 	}
 
 	// A late reply of a coordinator admits the requests that the next one did not.
-	private void admitWaiting(TeamQueue queue) {
+	private void applyLateReply(TeamQueue queue, String peer, PermitReply reply) {
+		ReplacedRequest replaced = queue.replaced.get(reply.requestId());
+		if (replaced != null && replaced.peer().equals(peer)) {
+			queue.replaced.remove(reply.requestId());
+			queue.permits.add(peer, reply.total(), replaced.sentAt());
+		}
 		for (Exchange exchange : List.copyOf(queue.waiting.values())) {
 			OptionalLong expiry = queue.permits.acquire(this.state.now);
 			if (expiry.isEmpty()) {
@@ -503,9 +513,9 @@
 
 		private final Map<Long, Exchange> waiting = new LinkedHashMap<>();
 
-		private final Map<Long, Long> replaced = new LinkedHashMap<>() {
+		private final Map<Long, ReplacedRequest> replaced = new LinkedHashMap<>() {
 			@Override
-			protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			protected boolean removeEldestEntry(Map.Entry<Long, ReplacedRequest> eldest) {
 				return size() > MAX_REPLACED_REQUESTS;
 			}
 		};
@@ -531,6 +541,21 @@
 	private record PendingRequest(long requestId, String peer, int rank, long sentAt, List<Exchange> active,
 			List<Exchange> starting) {
 
+		boolean isAnsweredBy(String replying, long id) {
+			return this.requestId == id && this.peer.equals(replying);
+		}
+
+	}
+
+	/**
+	 * Immutable permit request whose coordinator may still reply after another one was
+	 * asked.
+	 *
+	 * @param peer the coordinator that it was sent to
+	 * @param sentAt the time at which it was sent, in milliseconds of a monotonic clock
+	 */
+	private record ReplacedRequest(String peer, long sentAt) {
+
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -29,6 +29,8 @@
 	 */
 	static final long NEVER = Long.MIN_VALUE / 2;
 
+	private static final long MAX_FIRST_REQUEST_ID = 1L << 48;
+
 	/**
 	 * The maximum number of services with streams that are remembered.
 	 */
@@ -69,6 +71,12 @@
 
 	final SplittableRandom random;
 
+	/**
+	 * The id after which the ids of permit requests begin. A random one, so that late
+	 * replies to an earlier incarnation of this relay match no request.
+	 */
+	final long firstRequestId;
+
 	final UpstreamSelector upstreamSelector;
 
 	/**
@@ -266,6 +274,7 @@
 		this.startedAt = NEVER;
 		this.upstreamsFollowedSince = settings.bootstrap() ? NEVER : Long.MAX_VALUE;
 		this.random = new SplittableRandom(settings.seed());
+		this.firstRequestId = new SplittableRandom(settings.seed()).nextLong(MAX_FIRST_REQUEST_ID);
 		this.uncommitted = new UncommittedEntries(this.random.nextLong(RelaySettings.ADOPTION_JITTER.toMillis()));
 		this.upstreamSelector = new UpstreamSelector(settings.zone(), this.random);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -19,17 +19,18 @@
 
 	private static final Duration RETRY_AFTER = Duration.ofMillis(700);
 
-	private final RelayFixture relay = RelayFixture.ready();
+	private RelayFixture relay = configured(RelayFixture.ready());
 
-	QuotaRulesTests() {
+	private static RelayFixture configured(RelayFixture relay) {
 		RouteTable plain = RelayFixture.table();
 		Team red = new Team("red", OptionalInt.empty(), Optional.of(new Quota(10, 10)));
-		this.relay.handle(new RelayEvent.RouteTableUpdated(this.relay.now(), new RouteTable(2, plain.routes(),
-				plain.services(), plain.limits(), Optional.of(new Teams(Map.of(KeyDigest.of("key"), red))))));
-		this.relay.handle(new RelayEvent.ListenerStarted(this.relay.now(), "self"));
-		this.relay.handle(new RelayEvent.MembershipUpdated(this.relay.now(),
-				List.of(Member.of("a"), Member.of("b"), Member.of("c"))));
-		this.relay.all.clear();
+		relay.handle(new RelayEvent.RouteTableUpdated(relay.now(), new RouteTable(2, plain.routes(), plain.services(),
+				plain.limits(), Optional.of(new Teams(Map.of(KeyDigest.of("key"), red))))));
+		relay.handle(new RelayEvent.ListenerStarted(relay.now(), "self"));
+		relay.handle(
+				new RelayEvent.MembershipUpdated(relay.now(), List.of(Member.of("a"), Member.of("b"), Member.of("c"))));
+		relay.all.clear();
+		return relay;
 	}
 
 	// Guards against assigning the admission of one program to another if two requests
@@ -139,6 +140,30 @@
 		assertThat(RelayFixture.ofType(sendRequest("r2", "p"), RelayEffect.SendRequest.class)).isEmpty();
 	}
 
+	// Guards against permits of a reply to an earlier incarnation of this relay.
+	@Test
+	void replyToAnEarlierIncarnationIsNotUsed() {
+		sendRequest("r1", "p");
+		PermitRequest earlier = permitRequests().getFirst();
+		this.relay = configured(RelayFixture.ready(2));
+		sendRequest("r2", "p");
+		PermitRequest current = permitRequests().getFirst();
+		assertThat(RelayFixture.ofType(grant(earlier, 2, true), RelayEffect.SendRequest.class)).isEmpty();
+		assertThat(RelayFixture.ofType(grant(current, 0, true), RelayEffect.SendRequest.class)).hasSize(1);
+	}
+
+	// Guards against permits of a relay that was not asked for them.
+	@Test
+	void replyOfAnotherRelayIsNotUsed() {
+		sendRequest("r1", "p");
+		PermitRequest first = permitRequests().getFirst();
+		assertThat(RelayFixture.ofType(grantBy("other", first, 2, true), RelayEffect.SendRequest.class)).isEmpty();
+		this.relay.advance(60);
+		this.relay.fireTimer(TimerKind.PERMIT);
+		assertThat(RelayFixture.ofType(grantBy("other", first, 2, true), RelayEffect.SendRequest.class)).isEmpty();
+		assertThat(RelayFixture.ofType(grant(first, 0, true), RelayEffect.SendRequest.class)).hasSize(1);
+	}
+
 	private List<RelayEffect> sendRequest(String id, String program) {
 		return this.relay.sendRequest(new RequestHead(id, "host", "/look/x", Optional.of(Duration.ofSeconds(3)),
 				Optional.empty(), List.of(), 0, Optional.empty(), Optional.empty(),
@@ -154,6 +179,10 @@
 
 	private List<RelayEffect> grant(PermitRequest request, int permits, Boolean... admitted) {
 		String peer = RelayFixture.ofType(this.relay.all, RelayEffect.RequestPermits.class).getFirst().peer();
+		return grantBy(peer, request, permits, admitted);
+	}
+
+	private List<RelayEffect> grantBy(String peer, PermitRequest request, int permits, Boolean... admitted) {
 		return this.relay.handle(new RelayEvent.PermitsGranted(this.relay.now(), peer,
 				new PermitReply("red", request.requestId(), permits, List.of(admitted), RETRY_AFTER)));
 	}
