Count the end of a connection to a coordinator for two seconds only

Cause: a link that had been idle for a minute is closed, and its end was a sign that the relay at the other end is lost, without an age. A first coordinator that was slow at any later time was passed over after 60 ms of silence in place of 400, and the whole rate was granted beside it.

Change: the end of a connection shortens the time for 2 s. A relay that dies is still found within 60 ms by those that were connected to it.

Evidence: connectionThatEndedLongAgoIsNoFailure failed ("expected: 0 but was: 3") and passes. QuotaRulesTests, QuotaProperties and QuotaOvershootProperties pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import io.lentilslip.core.quota.PermitReply;
@@ -61,8 +59,8 @@
 	private static final Duration FAILURE_TIMEOUT = Duration.ofMillis(400);
 
 	/**
-	 * The time after the last probe for which its missing reply counts. Nothing is known
-	 * of a coordinator that was probed longer ago.
+	 * The time for which a probe without a reply, and the end of a connection, count.
+	 * Nothing is known of a coordinator that was probed longer ago.
 	 */
 	private static final Duration PROBE_EXPIRY = Duration.ofSeconds(2);
 
@@ -96,7 +94,10 @@
 
 	private final Map<String, Probe> probes = new HashMap<>();
 
-	private final Set<String> disconnected = new HashSet<>();
+	/**
+	 * When the connections to relays ended that are not connected again.
+	 */
+	private final Map<String, Long> disconnectedAt = new HashMap<>();
 
 	private final Map<Long, String> covered = new LinkedHashMap<>() {
 		@Override
@@ -320,7 +321,10 @@
 
 	private boolean hasFailed(String relay) {
 		Probe probe = this.probes.get(relay);
-		Duration timeout = this.disconnected.contains(relay) ? RESPONSE_TIMEOUT : FAILURE_TIMEOUT;
+		// A connection is also closed when it has been idle.
+		boolean disconnected = this.state.now - this.disconnectedAt.getOrDefault(relay, RelayState.NEVER) < PROBE_EXPIRY
+			.toMillis();
+		Duration timeout = disconnected ? RESPONSE_TIMEOUT : FAILURE_TIMEOUT;
 		return probe != null && this.state.now - probe.unansweredSince() >= timeout.toMillis();
 	}
 
@@ -330,7 +334,7 @@
 	 */
 	void permitsGranted(RelayEvent.PermitsGranted event) {
 		this.suspectedAt.remove(event.peer());
-		this.disconnected.remove(event.peer());
+		this.disconnectedAt.remove(event.peer());
 		this.probes.remove(event.peer());
 		applyReply(event.peer(), event.reply());
 	}
@@ -477,7 +481,7 @@
 	 */
 	void peerDisconnected(String peer) {
 		if (this.state.replicas.contains(peer)) {
-			this.disconnected.add(peer);
+			this.disconnectedAt.put(peer, this.state.now);
 		}
 	}
 
@@ -486,14 +490,14 @@
 	 * @param peer the relay
 	 */
 	void peerConnected(String peer) {
-		this.disconnected.remove(peer);
+		this.disconnectedAt.remove(peer);
 	}
 
 	/**
 	 * Handles a membership change, which may change the coordinators of teams.
 	 */
 	void membershipUpdated() {
-		this.disconnected.retainAll(this.state.replicas.addresses());
+		this.disconnectedAt.keySet().retainAll(this.state.replicas.addresses());
 		this.probes.keySet().retainAll(this.state.replicas.addresses());
 		this.buckets.membershipUpdated((team) -> coordinators(team).getFirst().equals(this.state.name), this.state.now);
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/QuotaRulesTests.java
@@ -132,6 +132,17 @@
 		assertThat(grantInPlaceOfTheFirst()).isZero();
 	}
 
+	// Guards against the same because a connection was closed when it had been idle.
+	@Test
+	void connectionThatEndedLongAgoIsNoFailure() {
+		String first = followFirstCoordinator();
+		this.relay.handle(new RelayEvent.PeerDisconnected(this.relay.now(), first));
+		this.relay.advance(10_000);
+		grantInPlaceOfTheFirst();
+		this.relay.advance(300);
+		assertThat(grantInPlaceOfTheFirst()).isZero();
+	}
+
 	private String followFirstCoordinator() {
 		String first = Stream.of("a", "b", "c", "d", "e", "f")
 			.filter(this::precedesThisRelay)
