Take a head without a length and without content for a broken answer

Cause: the clients of the own interface read a response without a length up to the end of its connection, and an orderly end after the head looks like an empty body. The kernel ends the connections of a process that dies in that way too.

Change: a success that may have content, has no length and brought none is unanswered, and may have run.

Evidence: headWithoutALengthAndWithoutContentIsUnanswered failed (Answered in place of Unanswered) and passes, with PlainServiceTests, LogServiceTests, EngineTests, WeightStoreTests and VmListTests.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
@@ -35,6 +35,8 @@
 
 	private static final int UNAVAILABLE = 503;
 
+	private static final int NO_CONTENT = 204;
+
 	private static final long READ_STEP = 8192;
 
 	private final HttpLimits limits;
@@ -209,6 +211,9 @@
 					return unanswered(FailureKind.BROKEN_OFF,
 							"answer cut off: no length, and the request was not written");
 				}
+				if (lacksContent(response, bytes.get())) {
+					return unanswered(FailureKind.BROKEN_OFF, "answer cut off: no length and no content");
+				}
 				return new Exchange.Answered(response.code(), response.headers(), bytes.get());
 			}
 			catch (IOException ex) {
@@ -216,6 +221,14 @@
 			}
 		}
 
+		// A service that stops after the head of an answer without a length ends its
+		// connection as one whose answer is empty.
+		private static boolean lacksContent(Response response, byte[] content) {
+			boolean expected = response.isSuccessful() && response.code() != NO_CONTENT
+					&& !"HEAD".equals(response.request().method());
+			return expected && content.length == 0 && !isFramed(response);
+		}
+
 		private static boolean isFramed(Response response) {
 			return response.header("Content-Length") != null
 					|| "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -190,6 +190,17 @@
 		}
 	}
 
+	// Guards against an empty success of a service that stopped after the head.
+	@Test
+	void headWithoutALengthAndWithoutContentIsUnanswered() throws Exception {
+		assertUnanswered(cut("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"), Transmission.MAY_HAVE_BEEN_SENT,
+				Verdict.MAY_HAVE_RUN);
+		for (String whole : List.of("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n",
+				"HTTP/1.1 500 Error\r\n\r\n")) {
+			assertThat(cut(whole)).isInstanceOf(Exchange.Answered.class);
+		}
+	}
+
 	private Exchange cut(String response) throws Exception {
 		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
 			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/cut");
