Take failures back at all relays once their request is answered

Cause: an answer that disproves the failures under a request cleared them at its own relay only. For stored turns the settlement tells the others; plain requests and turns that are not stored leave nothing in the log when they are answered, so a target that was in flight when three upstreams ended, and was answered each time, was refused at the relays that had not answered it.

Change: a relay that has a successful answer appends an entry for each failure that it clears, with the same digest and incarnation and without a request. It is idempotent, counts in any order, and survives restarts as the failures do. A relay of an earlier version reads it as the failure that it knows already. The format has no new field. A digest with three failures is not cleared, as before.

Evidence: failuresOfRequestsThatWereAnsweredElsewhereDoNotCount failed ("Expecting an empty Optional but was containing value: BLAMED") and passes.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -134,15 +134,34 @@
 	}
 
 	/**
-	 * Records that an upstream failed while it ran a request.
+	 * Records that an upstream failed while it ran a request, or takes that back. A relay
+	 * of an earlier version reads the latter as a failure that it knows already.
 	 *
-	 * @param request the id of the caller's attempt
+	 * @param request the id of the caller's attempt; empty if the failure is taken back
 	 * @param digest the digest of the request's content, equal for all retries, or of its
 	 * target
 	 * @param upstream the incarnation of the upstream
 	 */
 	record UpstreamFailed(String request, long digest, String upstream) implements LedgerEntry {
 
+		/**
+		 * Returns an entry that takes a failure back.
+		 * @param digest the digest that the failure counts for
+		 * @param upstream the incarnation of the upstream
+		 * @return the entry
+		 */
+		static UpstreamFailed takenBack(long digest, String upstream) {
+			return new UpstreamFailed("", digest, upstream);
+		}
+
+		/**
+		 * Returns whether an answer has shown that the request did not cause the failure.
+		 * @return whether it has
+		 */
+		boolean isTakenBack() {
+			return this.request.isEmpty();
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -88,11 +88,15 @@
 	}
 
 	/**
-	 * Records that an upstream failed while it ran a request.
+	 * Records that an upstream failed while it ran a request, or that this is taken back.
 	 * @param failed the failure
 	 * @return the number of incarnations that failed, up to the maximum
 	 */
 	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		if (failed.isTakenBack()) {
+			disprove(failed);
+			return failures(failed.digest());
+		}
 		Set<LedgerEntry.UpstreamFailed> failures = Optional.ofNullable(this.byRequest.remove(failed.request()))
 			.orElseGet(HashSet::new);
 		failures.add(failed);
@@ -221,16 +225,17 @@
 	 * Records that an upstream has run a request without failing, so that the request did
 	 * not cause the earlier failures.
 	 * @param digest the digest of the request
+	 * @return the incarnations that failed while they ran the request
 	 */
-	void recordSuccess(long digest) {
+	Set<String> recordSuccess(long digest) {
 		if (isPoison(digest)) {
-			return;
+			return Set.of();
 		}
 		Set<String> failed = remove(digest);
-		if (failed.isEmpty()) {
-			return;
+		if (!failed.isEmpty()) {
+			addDisproved(digest, failed);
 		}
-		addDisproved(digest, failed);
+		return failed;
 	}
 
 	private void addDisproved(long digest, Set<String> failed) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -344,7 +344,9 @@
 	 * @return the number of incarnations that failed under the request, up to the maximum
 	 */
 	int recordFailure(LedgerEntry.UpstreamFailed failed) {
-		this.requestTargets.recordFailure(failed.digest(), this.now);
+		if (!failed.isTakenBack()) {
+			this.requestTargets.recordFailure(failed.digest(), this.now);
+		}
 		int failures = this.poisonRequests.recordFailure(failed);
 		if (this.turnCache.locations(failed.request()).isEmpty()) {
 			return failures;
@@ -382,11 +384,18 @@
 	/**
 	 * Records that an upstream answered a request and has not failed.
 	 * @param exchange the exchange of the request
+	 * @param successful whether the answer is a success, so that the earlier failures of
+	 * the request are taken back at all relays
 	 */
-	void requestAnswered(Exchange exchange) {
+	void requestAnswered(Exchange exchange, boolean successful) {
 		this.failureRules.answered(exchange);
-		this.poisonRequests.recordSuccess(exchange.digest());
-		this.poisonRequests.recordSuccess(exchange.targetDigest());
+		for (long digest : List.of(exchange.digest(), exchange.targetDigest())) {
+			for (String upstream : this.poisonRequests.recordSuccess(digest)) {
+				if (successful) {
+					write(LedgerEntry.UpstreamFailed.takenBack(digest, upstream));
+				}
+			}
+		}
 		this.requestTargets.recordAnswer(exchange);
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -81,7 +81,7 @@
 		}
 		upstream.ifPresent(UpstreamState::recordSuccess);
 		if (!head.serverError()) {
-			this.state.requestAnswered(exchange);
+			this.state.requestAnswered(exchange, head.successful());
 		}
 		this.state.idleTimeout.recordFirstResponse(exchange);
 		this.completion.settle(exchange, Optional.empty());
@@ -170,7 +170,7 @@
 		this.state.failureRules.responded(exchange);
 		this.state.upstreams.requestEnded(exchange.id());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
-		this.state.requestAnswered(exchange);
+		this.state.requestAnswered(exchange, true);
 		this.admissions.streamEnded(exchange);
 		if (!exchange.holdEnd()) {
 			finishStream(exchange);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
@@ -139,6 +139,22 @@
 		assertThat(refusal(started.sendRequest("r5", "chat"))).isEmpty();
 	}
 
+	// Guards against refusing a target at the relays that did not answer its requests,
+	// which are no turns.
+	@Test
+	void failuresOfRequestsThatWereAnsweredElsewhereDoNotCount() {
+		RelayFixture other = RelayFixture.readyAfterRestart();
+		other.answerRequests("look", ANSWERED);
+		for (int i = 1; i <= 3; i++) {
+			this.relay.sendRequest("r" + i, "look", "shared", "content " + i);
+			List<RelayEffect> effects = new ArrayList<>(this.relay.crash(1));
+			effects.addAll(this.relay.respond(2, RelayFixture.SIGNED));
+			other.readFromLog(RelayFixture.written(effects).toArray(new LedgerEntry[0]));
+			replaceUpstreams(i);
+		}
+		assertThat(refusal(other.sendRequest("r4", "look", "shared", "content 4"))).isEmpty();
+	}
+
 	// Guards against forgetting failures at an upstream that rejects the request before
 	// it can fail.
 	@Test
