Resume a stream at the version of the last run of its request

A caller may repeat the id of a request for a stream. The attempts of both runs were compared by their numbers, so the second attempt of the first run superseded the first one of the second run, and a resumed stream went on at the wrong version. Events that wait for the log were found by the id as well.

The last run counts now, and among its attempts the last one. A run that is sent at another version than an earlier one holds its events until the log has it, as a retry does.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -76,7 +76,7 @@
 		this.state.awaitingChain.remove(exchange.number());
 		this.state.awaitingVersion.remove(exchange.number());
 		this.state.awaitingUpstreams.remove(exchange.number());
-		this.state.awaitingStreamRecord.remove(exchange.id());
+		this.state.awaitingStreamRecord.remove(exchange.run());
 		this.state.pendingTurns.remove(exchange.id());
 		this.state.conditionalReservations.remove(exchange.run());
 		this.state.polls.remove(exchange.run());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -45,7 +45,7 @@
 				case LedgerEntry.Reserved reserved -> {
 					long writtenAt = received.writtenAt(i);
 					reserved.stream().ifPresent((attempt) -> {
-						this.state.recordStreamAttempt(reserved.request(), attempt);
+						this.state.recordStreamAttempt(reserved.run(), attempt);
 						if (received.fromLog()) {
 							this.state.recordLoggedStream(attempt, writtenAt);
 						}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -57,10 +57,10 @@
 	 * Sends the software version of a stream to another relay.
 	 *
 	 * @param peer the other relay
-	 * @param request the request that started the stream
+	 * @param run the run that started the stream
 	 * @param attempt its last attempt
 	 */
-	record SendStreamVersion(String peer, String request, StreamAttempt attempt) implements RelayEffect {
+	record SendStreamVersion(String peer, RunId run, StreamAttempt attempt) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -271,14 +271,14 @@
 	 * The log has the attempts of streams that this relay sent.
 	 *
 	 * @param now milliseconds of a monotonic clock
-	 * @param attempts the number of the last stored attempt of each request
+	 * @param attempts the number of the last stored attempt of each run
 	 */
-	record StreamAttemptsStored(long now, Map<String, Integer> attempts) implements RelayEvent {
+	record StreamAttemptsStored(long now, Map<RunId, Integer> attempts) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now milliseconds of a monotonic clock
-		 * @param attempts the number of the last stored attempt of each request
+		 * @param attempts the number of the last stored attempt of each run
 		 */
 		public StreamAttemptsStored {
 			attempts = Map.copyOf(attempts);
@@ -310,10 +310,10 @@
 	 * Another relay has sent the software version of a stream.
 	 *
 	 * @param now milliseconds of a monotonic clock
-	 * @param request the request that started the stream
+	 * @param run the run that started the stream
 	 * @param attempt its last attempt
 	 */
-	record StreamVersionReceived(long now, String request, StreamAttempt attempt) implements RelayEvent {
+	record StreamVersionReceived(long now, RunId run, StreamAttempt attempt) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.quota.QuotaTolerance;
@@ -125,9 +127,9 @@
 
 	/**
 	 * The exchanges whose events wait until the log has the attempts that brought them,
-	 * by request.
+	 * by run.
 	 */
-	final Map<String, Long> awaitingStreamRecord = new LinkedHashMap<>();
+	final Map<RunId, Long> awaitingStreamRecord = new LinkedHashMap<>();
 
 	/**
 	 * The services of which the log has streams from before this relay started.
@@ -414,13 +416,13 @@
 		}
 	}
 
-	void recordStreamAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+	void recordStreamAttempt(RunId run, StreamAttempt attempt) {
+		this.streamVersions.record(run, attempt, this.now, this.streamRetention);
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
-	void recordFinalAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.recordFinal(request, attempt, this.now, this.streamRetention);
+	void recordFinalAttempt(RunId run, StreamAttempt attempt) {
+		this.streamVersions.recordFinal(run, attempt, this.now, this.streamRetention);
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
@@ -504,9 +506,12 @@
 	 */
 	RunId newRun(Exchange exchange) {
 		int number = this.runNumbers.nextInt();
-		return exchange.head()
+		Optional<RunId> counted = exchange.head()
 			.turn()
-			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()))
+			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()));
+		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()))
+			.flatMap(Optional::stream)
+			.max(Comparator.naturalOrder())
 			.map((last) -> last.next(number))
 			.orElseGet(() -> RunId.first(exchange.id(), number));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -287,13 +287,13 @@
 		this.admissions.sent(exchange);
 		UpstreamState candidate = ranked.getFirst().state();
 		Upstream upstream = candidate.upstream();
-		boolean otherVersion = exchange.upstream()
-			.filter((previous) -> !SoftwareVersion.of(previous).isOf(upstream))
+		boolean otherVersion = this.streams.lastVersion(exchange)
+			.filter((previous) -> !previous.isOf(upstream))
 			.isPresent();
 		exchange.recordSend(upstream, this.state.now);
-		if (otherVersion && exchange.route().resumable() && exchange.head().turn().isPresent()) {
+		if (otherVersion && exchange.head().turn().isPresent()) {
 			exchange.holdEvents();
-			this.state.awaitingStreamRecord.put(exchange.id(), exchange.number());
+			this.state.awaitingStreamRecord.put(exchange.run(), exchange.number());
 		}
 		this.state.report(RelayNotices.requestPlaced(exchange, ranked, this.state));
 		this.state.upstreams.requestSent(exchange.run(), candidate, this.state.now);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -149,8 +149,8 @@
 	 * @param stored the stored attempts
 	 */
 	void streamAttemptsStored(RelayEvent.StreamAttemptsStored stored) {
-		stored.attempts().forEach((request, attempt) -> {
-			Long number = this.state.awaitingStreamRecord.get(request);
+		stored.attempts().forEach((run, attempt) -> {
+			Long number = this.state.awaitingStreamRecord.get(run);
 			if (number != null) {
 				releaseEvents(this.state.exchanges.get(number), attempt);
 			}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -137,7 +137,7 @@
 	 * @param received the event
 	 */
 	void versionReceived(RelayEvent.StreamVersionReceived received) {
-		this.state.recordFinalAttempt(received.request(), received.attempt());
+		this.state.recordFinalAttempt(received.run(), received.attempt());
 	}
 
 	/**
@@ -145,9 +145,10 @@
 	 * @param requested the event
 	 */
 	void versionRequested(RelayEvent.StreamVersionRequested requested) {
+		Optional<RunId> run = this.state.streamVersions.lastRun(requested.request());
 		this.state.findFinalAttempt(requested.request())
 			.ifPresent((attempt) -> this.state
-				.emit(new RelayEffect.SendStreamVersion(requested.peer(), requested.request(), attempt)));
+				.emit(new RelayEffect.SendStreamVersion(requested.peer(), run.orElseThrow(), attempt)));
 	}
 
 	/**
@@ -161,7 +162,7 @@
 			return Optional.empty();
 		}
 		StreamAttempt attempt = new StreamAttempt(SoftwareVersion.of(upstream), exchange.attempt());
-		this.state.recordFinalAttempt(exchange.id(), attempt);
+		this.state.recordFinalAttempt(exchange.run(), attempt);
 		return Optional.of(attempt);
 	}
 
@@ -191,6 +192,19 @@
 		return recordable ? List.of(sameVersion, available) : List.of(sameVersion);
 	}
 
+	/**
+	 * Returns the version of the last attempt of a stream, in this run or else in an
+	 * earlier one.
+	 * @param exchange the exchange
+	 * @return the version, or empty if there is none or the stream can't be resumed
+	 */
+	Optional<SoftwareVersion> lastVersion(Exchange exchange) {
+		return exchange.upstream()
+			.map(SoftwareVersion::of)
+			.or(() -> this.state.streamVersions.find(exchange.id()).map(StreamAttempt::version))
+			.filter((ignored) -> exchange.route().resumable());
+	}
+
 	private static List<UpstreamState> notDraining(List<UpstreamState> candidates) {
 		return candidates.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamVersions.java
@@ -35,40 +35,41 @@
 
 	/**
 	 * Records an attempt of another relay. Attempts may be recorded in any order.
-	 * @param request the request that it belongs to
+	 * @param run the run that it belongs to
 	 * @param attempt the attempt
 	 * @param now the current time
 	 * @param retention for how long callers may resume a stream
 	 */
-	void record(String request, StreamAttempt attempt, long now, Duration retention) {
-		record(request, attempt, false, now, retention);
+	void record(RunId run, StreamAttempt attempt, long now, Duration retention) {
+		record(run, attempt, false, now, retention);
 	}
 
 	/**
 	 * Records an attempt after which there is none at another version, except of this
 	 * relay.
-	 * @param request the request that it belongs to
+	 * @param run the run that it belongs to
 	 * @param attempt the attempt
 	 * @param now the current time
 	 * @param retention for how long callers may resume a stream
 	 */
-	void recordFinal(String request, StreamAttempt attempt, long now, Duration retention) {
-		record(request, attempt, true, now, retention);
+	void recordFinal(RunId run, StreamAttempt attempt, long now, Duration retention) {
+		record(run, attempt, true, now, retention);
 	}
 
-	private void record(String request, StreamAttempt attempt, boolean last, long now, Duration retention) {
+	private void record(RunId run, StreamAttempt attempt, boolean last, long now, Duration retention) {
 		removeExpired(now - retention.toMillis());
-		KnownAttempt known = this.byRequest.get(request);
-		if (known != null && !attempt.supersedes(known.attempt())) {
-			if (last && attempt.number() == known.attempt().number()) {
+		KnownAttempt known = this.byRequest.get(run.request());
+		if (known != null && !known.isSupersededBy(run, attempt)) {
+			if (last && known.run == run.number() && attempt.number() == known.attempt().number()) {
 				known.last = true;
 			}
 			return;
 		}
-		boolean sameVersion = known != null && known.last && known.attempt().version().equals(attempt.version());
-		this.byRequest.remove(request);
-		this.byRequest.put(request,
-				new KnownAttempt(this.shared.computeIfAbsent(attempt, (key) -> key), now, last || sameVersion));
+		boolean sameVersion = known != null && known.last && known.run == run.number()
+				&& known.attempt().version().equals(attempt.version());
+		this.byRequest.remove(run.request());
+		this.byRequest.put(run.request(), new KnownAttempt(run.number(),
+				this.shared.computeIfAbsent(attempt, (key) -> key), now, last || sameVersion));
 		if (this.byRequest.size() > MAX_STREAMS) {
 			this.byRequest.remove(this.byRequest.keySet().iterator().next());
 		}
@@ -113,6 +114,15 @@
 		return Optional.ofNullable(this.byRequest.get(request)).map(KnownAttempt::attempt);
 	}
 
+	/**
+	 * Returns the last known run of a request.
+	 * @param request the request
+	 * @return the run, or empty if none is known
+	 */
+	Optional<RunId> lastRun(String request) {
+		return Optional.ofNullable(this.byRequest.get(request)).map((known) -> new RunId(request, known.run));
+	}
+
 	int size() {
 		return this.byRequest.size();
 	}
@@ -122,18 +132,26 @@
 	 */
 	private static final class KnownAttempt {
 
+		private final long run;
+
 		private final StreamAttempt attempt;
 
 		private final long recordedAt;
 
 		private boolean last;
 
-		KnownAttempt(StreamAttempt attempt, long recordedAt, boolean last) {
+		KnownAttempt(long run, StreamAttempt attempt, long recordedAt, boolean last) {
+			this.run = run;
 			this.attempt = attempt;
 			this.recordedAt = recordedAt;
 			this.last = last;
 		}
 
+		// The caller has the events of the last run of its request.
+		boolean isSupersededBy(RunId nextRun, StreamAttempt next) {
+			return nextRun.number() > this.run || (nextRun.number() == this.run && next.supersedes(this.attempt));
+		}
+
 		StreamAttempt attempt() {
 			return this.attempt;
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -381,7 +381,7 @@
 	}
 
 	List<RelayEffect> streamStored(String request, int attempt) {
-		return handle(new RelayEvent.StreamAttemptsStored(this.now, Map.of(request, attempt)));
+		return handle(new RelayEvent.StreamAttemptsStored(this.now, Map.of(run(request), attempt)));
 	}
 
 	List<RelayEffect> readFromPeer(LedgerEntry... entries) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
@@ -68,12 +68,27 @@
 		this.relay.open(1);
 		this.relay.event(1, 1);
 		this.relay.fail(1, FailureCause.BROKEN);
-		list(engine("e", "v1"), engine("f", "v2"));
+		list(engine("c", "v1"), engine("e", "v1"), engine("f", "v2"));
 		List<RelayEffect> resumed = this.relay.sendRequest(RelayFixture.resuming("t2", "t1", 1), "body");
 		assertThat(RelayFixture.ofType(resumed, RelayEffect.SendRequest.class).getFirst().upstream().version())
 			.isEqualTo("v1");
 	}
 
+	// Guards against a stream that another relay, which knows the earlier attempt only,
+	// resumes at the version of that attempt.
+	@Test
+	void eventsAtAnotherVersionThanThatOfTheEarlierAttemptWaitForTheLog() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "draft", turn());
+		this.relay.fail(1, FailureCause.BROKEN);
+		list(engine("c", "v2"));
+		this.relay.sendTurn("t1", "draft", turn());
+		this.relay.open(1);
+		assertThat(RelayFixture.ofType(this.relay.event(1, 1), RelayEffect.ForwardStreamEvent.class)).isEmpty();
+		assertThat(RelayFixture.ofType(this.relay.streamStored("t1", 1), RelayEffect.ForwardStreamEvent.class))
+			.hasSize(1);
+	}
+
 	private void stream(String text) {
 		int attempt = RelayFixture.ofType(this.relay.all, RelayEffect.SendRequest.class).getLast().attempt();
 		this.relay.open(attempt);
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -141,7 +141,7 @@
 			.isEqualTo(new RelayEffect.RequestStreamVersion(List.of("relay-2"), "t1"));
 		assertThat(RelayFixture.ofType(effects, RelayEffect.SendRequest.class)).isEmpty();
 		List<RelayEffect> received = this.relay
-			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), "t1", attempt("v2", 1)));
+			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), RunId.unnumbered("t1"), attempt("v2", 1)));
 		assertThat(sent(received).version()).isEqualTo("v2");
 	}
 
@@ -159,7 +159,8 @@
 		start("t1", "v1");
 		List<RelayEffect> effects = this.relay
 			.handle(new RelayEvent.StreamVersionRequested(this.relay.now(), "relay-2", "t1"));
-		assertThat(effects).containsExactly(new RelayEffect.SendStreamVersion("relay-2", "t1", attempt("v1", 1)));
+		assertThat(effects)
+			.containsExactly(new RelayEffect.SendStreamVersion("relay-2", this.relay.run("t1"), attempt("v1", 1)));
 		assertThat(this.relay.handle(new RelayEvent.StreamVersionRequested(this.relay.now(), "relay-2", "t9")))
 			.isEmpty();
 	}
@@ -289,10 +290,10 @@
 	void expiredVersionsAreForgotten() {
 		StreamVersions versions = new StreamVersions();
 		Duration retention = Duration.ofMillis(RETENTION_MS);
-		versions.record("t1", attempt("v1", 1), 0, retention);
-		versions.record("t2", attempt("v1", 1), RETENTION_MS, retention);
+		versions.record(RunId.unnumbered("t1"), attempt("v1", 1), 0, retention);
+		versions.record(RunId.unnumbered("t2"), attempt("v1", 1), RETENTION_MS, retention);
 		assertThat(versions.find("t1")).isPresent();
-		versions.record("t3", attempt("v1", 1), RETENTION_MS + 1, retention);
+		versions.record(RunId.unnumbered("t3"), attempt("v1", 1), RETENTION_MS + 1, retention);
 		assertThat(versions.find("t1")).isEmpty();
 		assertThat(versions.size()).isEqualTo(2);
 	}
@@ -308,7 +309,7 @@
 	void numberOfVersionsIsBounded() {
 		StreamVersions versions = new StreamVersions();
 		for (int i = 0; i < 60_000; i++) {
-			versions.record("t" + i, attempt("v1", 1), 0, Duration.ofMillis(RETENTION_MS));
+			versions.record(RunId.unnumbered("t" + i), attempt("v1", 1), 0, Duration.ofMillis(RETENTION_MS));
 		}
 		assertThat(versions.size()).isEqualTo(50_000);
 		assertThat(versions.find("t59999")).isPresent();
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
@@ -117,7 +117,7 @@
 		long confirmation = confirmation(resume("u1", "t1"));
 		list(engine("c", "v1"), engine("d", "v2"));
 		List<RelayEffect> answered = this.relay
-			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), "t1", attempt("v2", 1)));
+			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), RunId.unnumbered("t1"), attempt("v2", 1)));
 		assertThat(sends(answered)).singleElement().extracting(Upstream::id).isEqualTo("d");
 		assertThat(this.relay.confirm(confirmation)).isEmpty();
 	}
@@ -175,7 +175,7 @@
 		this.relay.advance(4_000);
 		this.relay.logEndRead();
 		assertThat(this.relay.handle(request))
-			.containsExactly(new RelayEffect.SendStreamVersion("relay-2", "t1", attempt("v1", 1)));
+			.containsExactly(new RelayEffect.SendStreamVersion("relay-2", RunId.unnumbered("t1"), attempt("v1", 1)));
 	}
 
 	// Guards against refusing all streams during an outage of the log.
@@ -388,8 +388,8 @@
 			}
 			int delayed = this.unread.size();
 			if (this.random.nextBoolean()) {
-				effects.addAll(this.relay.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), stream,
-						attempt(this.versions.get(stream), 2))));
+				effects.addAll(this.relay.handle(new RelayEvent.StreamVersionReceived(this.relay.now(),
+						RunId.unnumbered(stream), attempt(this.versions.get(stream), 2))));
 			}
 			effects.addAll(this.relay.fireTimer(TimerKind.STREAM_VERSION));
 			for (int i = this.random.nextInt(2); i < delayed; i++) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -367,7 +367,7 @@
 			case RelayEffect.RequestStreamVersion request ->
 				this.peers.sendRequest(request.peers(), new PeerMessage.StreamVersionRequest(request.request()));
 			case RelayEffect.SendStreamVersion response ->
-				this.peers.send(response.peer(), new PeerMessage.StreamVersion(response.request(), response.attempt()));
+				this.peers.send(response.peer(), new PeerMessage.StreamVersion(response.run(), response.attempt()));
 			case RelayEffect.RequestTexts request ->
 				this.peers.send(request.peer(), new PeerMessage.TextsRequest(Set.copyOf(request.requests())));
 			case RelayEffect.SendTexts response ->
@@ -430,7 +430,7 @@
 		on(new RelayEvent.RenewalsStored(this.timers.now(), requests));
 	}
 
-	private void streamAttemptsStored(Map<String, Integer> attempts) {
+	private void streamAttemptsStored(Map<RunId, Integer> attempts) {
 		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
 	}
 
@@ -654,8 +654,7 @@
 
 		@Override
 		public void streamVersionReceived(PeerMessage.StreamVersion version) {
-			on(new RelayEvent.StreamVersionReceived(RelayProcess.this.timers.now(), version.request(),
-					version.attempt()));
+			on(new RelayEvent.StreamVersionReceived(RelayProcess.this.timers.now(), version.run(), version.attempt()));
 		}
 
 		@Override
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 
 import io.lentilslip.core.relay.LedgerEntry;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.wire.relay.RelayCodec;
 
 /**
@@ -45,7 +46,7 @@
 
 	private final Consumer<Set<String>> renewalsStored;
 
-	private final Consumer<Map<String, Integer>> streamAttemptsStored;
+	private final Consumer<Map<RunId, Integer>> streamAttemptsStored;
 
 	private final Runnable conditionalReservationsStored;
 
@@ -69,7 +70,7 @@
 	 * @param dropListener receives the number of entries whenever some are dropped
 	 */
 	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
-			Consumer<Set<String>> renewalsStored, Consumer<Map<String, Integer>> streamAttemptsStored,
+			Consumer<Set<String>> renewalsStored, Consumer<Map<RunId, Integer>> streamAttemptsStored,
 			Runnable conditionalReservationsStored, Consumer<Boolean> callListener, IntConsumer dropListener) {
 		this.timers = timers;
 		this.turnsStored = turnsStored;
@@ -147,7 +148,7 @@
 		Set<String> turns = new HashSet<>();
 		Set<String> renewals = new HashSet<>();
 		boolean conditionalReservations = false;
-		Map<String, Integer> attempts = new HashMap<>();
+		Map<RunId, Integer> attempts = new HashMap<>();
 		for (LedgerEntry written : entries) {
 			switch (written) {
 				case LedgerEntry.Settled settled when settled.renewal() -> renewals.add(settled.request());
@@ -155,7 +156,7 @@
 					turns.add(settled.request());
 				case LedgerEntry.Reserved reserved when reserved.conditional() -> conditionalReservations = true;
 				case LedgerEntry.Reserved reserved -> reserved.stream()
-					.ifPresent((attempt) -> attempts.merge(reserved.request(), attempt.number(), Math::max));
+					.ifPresent((attempt) -> attempts.merge(reserved.run(), attempt.number(), Math::max));
 				default -> {
 				}
 			}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -334,7 +334,7 @@
 
 		@Override
 		public void streamVersionReceived(PeerMessage.StreamVersion version) {
-			PeersTests.this.received.add("version of " + version.request() + " received");
+			PeersTests.this.received.add("version of " + version.run().request() + " received");
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -32,7 +32,7 @@
 
 	private final Set<String> storedRenewals = new HashSet<>();
 
-	private final Map<String, Integer> storedAttempts = new HashMap<>();
+	private final Map<RunId, Integer> storedAttempts = new HashMap<>();
 
 	private int conditionalReservations;
 
@@ -70,7 +70,7 @@
 		this.store.advance(100);
 		assertThat(this.storedAttempts).isEmpty();
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
-		assertThat(this.storedAttempts).containsExactly(Map.entry("a", 2));
+		assertThat(this.storedAttempts).containsExactly(Map.entry(RunId.unnumbered("a"), 2));
 	}
 
 	private static LedgerEntry sent(String request, int attempt) {
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -57,10 +57,10 @@
 	/**
 	 * The software version of a stream.
 	 *
-	 * @param request the request that started the stream
+	 * @param run the run that started the stream
 	 * @param attempt its last attempt that the sender knows
 	 */
-	record StreamVersion(String request, StreamAttempt attempt) implements PeerMessage {
+	record StreamVersion(RunId run, StreamAttempt attempt) implements PeerMessage {
 
 	}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -218,10 +218,10 @@
 				locations.turns().forEach((turn) -> builder.getPlacesBuilder().addTurns(message(turn)));
 			case PeerMessage.StreamVersionRequest request ->
 				builder.getStreamVersionsWantedBuilder().addRequest(request.request());
-			case PeerMessage.StreamVersion version -> builder.getStreamVersionsBuilder()
-				.addStreamsBuilder()
-				.setRequest(version.request())
-				.setStream(message(version.attempt()));
+			case PeerMessage.StreamVersion version ->
+				withRun(builder.getStreamVersionsBuilder().addStreamsBuilder(), version.run())
+					.setRequest(version.run().request())
+					.setStream(message(version.attempt()));
 			case PeerMessage.UsageUnavailable unavailable ->
 				withRun(builder.getUnsureBuilder(), unavailable.run()).setRequest(unavailable.run().request());
 			case PeerMessage.SyncRequest ignored -> builder.getSyncBuilder();
@@ -329,7 +329,8 @@
 			return Either.left("message must have exactly one stream version");
 		}
 		RelayProtocol.VersionedStream stream = message.getStreams(0);
-		return Either.right(new PeerMessage.StreamVersion(stream.getRequest(), attempt(stream.getStream())));
+		return Either
+			.right(new PeerMessage.StreamVersion(run(stream.getRequest(), stream), attempt(stream.getStream())));
 	}
 
 	private static RelayProtocol.StreamVersion message(StreamAttempt attempt) {
