Decide about waiting streams in loops

Cause: takeResolved and takeConfirmed changed exchanges, refused requests and emitted effects within the filters of a stream, so that what ran depended on how the stream was evaluated.

Change: loops of the same order. No behaviour changes, so there is no test that failed before; StreamRulesTests, StreamsAtARelayOutOfStepTests and RelayTests pass as before.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -91,15 +93,14 @@
 	 * @return the exchanges
 	 */
 	List<Exchange> takeResolved(Source source) {
-		if (this.state.awaitingVersion.isEmpty()) {
-			return List.of();
+		List<Exchange> resolved = new ArrayList<>();
+		for (Exchange exchange : List.copyOf(this.state.awaitingVersion.values())) {
+			Optional<StreamAttempt> attempt = request(exchange).flatMap(this.state::findFinalAttempt);
+			if (attempt.isPresent() && continueAt(exchange, attempt.get().version(), source)) {
+				resolved.add(exchange);
+			}
 		}
-		return List.copyOf(this.state.awaitingVersion.values())
-			.stream()
-			.filter((exchange) -> request(exchange).flatMap(this.state::findFinalAttempt)
-				.filter((attempt) -> continueAt(exchange, attempt.version(), source))
-				.isPresent())
-			.toList();
+		return resolved;
 	}
 
 	/**
@@ -118,12 +119,15 @@
 	 * @return the exchanges that can be handled further; others are refused
 	 */
 	List<Exchange> takeConfirmed(long confirmation) {
-		return List.copyOf(this.state.awaitingUpstreams.entrySet())
-			.stream()
-			.filter((waiting) -> waiting.getValue().number() <= confirmation)
-			.filter((waiting) -> confirmed(this.state.exchanges.get(waiting.getKey()), waiting.getValue().source()))
-			.map((waiting) -> this.state.exchanges.get(waiting.getKey()))
-			.toList();
+		List<Exchange> resolved = new ArrayList<>();
+		for (Map.Entry<Long, PendingConfirmation> waiting : List.copyOf(this.state.awaitingUpstreams.entrySet())) {
+			Exchange exchange = this.state.exchanges.get(waiting.getKey());
+			PendingConfirmation pending = waiting.getValue();
+			if (pending.number() <= confirmation && confirmed(exchange, pending.source())) {
+				resolved.add(exchange);
+			}
+		}
+		return resolved;
 	}
 
 	void confirmationTimedOut(Exchange exchange) {
