Name the request of a late response on an idle connection

Cause: E4028 for IDLE and AFTER_RESPONSE had the status of the late response but not its id, since only the beginning of the bytes was matched.

Change: Netty's decoder reads the head of a copy, and the dialect its id; bytes that are no whole head name none, and their status is reported as before. The two tests of these reports expect the id now, which is stricter.

Evidence: RepeatedResponseTests#responseOnAnIdleConnectionIsReportedAndClosesIt and #responseReadTogetherWithTheFirstIsReported failed before (named was Optional.empty) and pass now; 72 tests of relay.upstream and DocumentationTests pass.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -494,8 +494,10 @@
 	 * and {@code COUNT} the number of requests that the connection has carried.
 	 */
 	RESPONSE_UNMATCHED(4028, Level.WARN, "An upstream sent a response, or bytes, that belong to no request in flight.",
-			"If it is frequent, examine the upstream: it responds more than once or to no request.", FieldName.REQUEST,
-			FieldName.EXPECTED, FieldName.UPSTREAM, FieldName.REASON, FieldName.STATUS, FieldName.COUNT),
+			"If it is frequent, examine the upstream: it responds more than once or to no request. "
+					+ "The request is the one that the response names, if its whole head was read.",
+			FieldName.REQUEST, FieldName.EXPECTED, FieldName.UPSTREAM, FieldName.REASON, FieldName.STATUS,
+			FieldName.COUNT),
 
 	/**
 	 * Written once for each group and period.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -20,6 +20,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -27,6 +28,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -164,7 +166,7 @@
 	boolean accept(ByteBuf bytes) {
 		if (this.current.isEmpty()) {
 			// Unsolicited data: the framing of later responses can't be trusted.
-			report(Kind.IDLE, Optional.empty(), statusOf(bytes));
+			report(Kind.IDLE, namedBy(bytes), statusOf(bytes));
 			this.context.close();
 			return false;
 		}
@@ -313,6 +315,20 @@
 		return line.matches() ? OptionalInt.of(Integer.parseInt(line.group(1))) : OptionalInt.empty();
 	}
 
+	// The bytes may be a part of a response, or none.
+	private Optional<String> namedBy(ByteBuf bytes) {
+		EmbeddedChannel decoding = new EmbeddedChannel(new HttpResponseDecoder());
+		try {
+			decoding.writeInbound(bytes.retainedDuplicate());
+			return Optional.ofNullable(decoding.<HttpResponse>readInbound())
+				.filter((response) -> response.decoderResult().isSuccess())
+				.flatMap(this.dialect::requestId);
+		}
+		finally {
+			decoding.finishAndReleaseAll();
+		}
+	}
+
 	private void addContent(HttpContent content) {
 		if (content.decoderResult().isFailure()) {
 			fail(FailureCause.UNREADABLE);
@@ -422,7 +438,7 @@
 		boolean sent = this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
 		ByteBuf unread = this.unreadBytes.get();
 		if (unread.isReadable()) {
-			report(Kind.AFTER_RESPONSE, Optional.empty(), statusOf(unread));
+			report(Kind.AFTER_RESPONSE, namedBy(unread), statusOf(unread));
 		}
 		// If the request is not fully written, the upstream would read the next request
 		// as the rest of its body. Bytes that follow the response belong to no request.
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -98,7 +98,7 @@
 			connection.write(response("a", 200, "first"));
 			assertThat(outcome()).isEqualTo("200 first");
 			connection.write(response("a", 500, "late"));
-			assertThat(report()).isEqualTo(expected(Kind.IDLE, Optional.empty(), "a", 500, 1));
+			assertThat(report()).isEqualTo(expected(Kind.IDLE, Optional.of("a"), "a", 500, 1));
 			assertThat(connection.isClosedByClient()).isTrue();
 		}
 	}
@@ -107,13 +107,24 @@
 	void responseReadTogetherWithTheFirstIsReported() throws Exception {
 		send("a", HttpMethod.GET);
 		try (Server connection = accept()) {
-			connection.write(response("a", 200, "first") + response("a", 429, "late"));
+			connection.write(response("a", 200, "first") + response("b", 429, "late"));
 			assertThat(outcome()).isEqualTo("200 first");
-			assertThat(report()).isEqualTo(expected(Kind.AFTER_RESPONSE, Optional.empty(), "a", 429, 1));
+			assertThat(report()).isEqualTo(expected(Kind.AFTER_RESPONSE, Optional.of("b"), "a", 429, 1));
 			assertThat(connection.isClosedByClient()).isTrue();
 		}
 	}
 
+	// Guards against a part of a late response that hides its status.
+	@Test
+	void partOfALateResponseIsReportedWithoutItsId() throws Exception {
+		send("a", HttpMethod.GET);
+		try (Server connection = accept()) {
+			connection.write(response("a", 200, "first") + "HTTP/1.1 429 Too Many");
+			assertThat(outcome()).isEqualTo("200 first");
+			assertThat(report()).isEqualTo(expected(Kind.AFTER_RESPONSE, Optional.empty(), "a", 429, 1));
+		}
+	}
+
 	// The caller sends a request again that was rejected or failed. Guards against taking
 	// the late response to the first attempt, which may be a success or say that the
 	// request was not run, for the response to the second one.
