Take failures back over links as well

Cause: accusations reach other relays over links at once, also while the log is away, and what takes them back went through the log alone.

Change: the entry is sent to the relays with an open link, as a first failure is.

Evidence: failuresAreTakenBackOverLinks failed (no replicas in place of "peer") and passes, with PoisonTargetTests, PoisonRequestsTests, PoisonRequestsProperties, RequestsBesidePoisonTests, FailureRulesTests, LedgerRulesTests and RelayTests. Bytes between zones were not measured.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -392,7 +392,7 @@
 		for (long digest : List.of(exchange.digest(), exchange.targetDigest())) {
 			for (String upstream : this.poisonRequests.recordSuccess(digest)) {
 				if (successful) {
-					write(LedgerEntry.UpstreamFailed.takenBack(digest, upstream));
+					write(LedgerEntry.UpstreamFailed.takenBack(digest, upstream), List.copyOf(this.linkedPeers));
 				}
 			}
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/PoisonTargetTests.java
@@ -155,6 +155,17 @@
 		assertThat(refusal(other.sendRequest("r4", "look", "shared", "content 4"))).isEmpty();
 	}
 
+	// Guards against the same while the log is away.
+	@Test
+	void failuresAreTakenBackOverLinks() {
+		this.relay.handle(new RelayEvent.PeerConnected(this.relay.now(), "peer"));
+		this.relay.sendRequest("r1", "look");
+		this.relay.crash(1);
+		assertThat(RelayFixture.ofType(this.relay.respond(2, RelayFixture.SIGNED), RelayEffect.AppendEntry.class))
+			.hasSize(2)
+			.allSatisfy((append) -> assertThat(append.replicas()).containsExactly("peer"));
+	}
+
 	// Guards against forgetting failures at an upstream that rejects the request before
 	// it can fail.
 	@Test
