--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -77,7 +77,7 @@
 		this.state.awaitingVersion.remove(exchange.number());
 		this.state.awaitingUpstreams.remove(exchange.number());
 		this.state.awaitingStreamRecord.remove(exchange.run());
-		this.state.pendingTurns.remove(exchange.id());
+		this.state.pendingTurns.remove(exchange.run());
 		this.state.conditionalReservations.remove(exchange.run());
 		this.state.polls.remove(exchange.run());
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -161,7 +161,7 @@
 	private void settled(LedgerEntry.Settled settled, Optional<String> sender) {
 		this.state.tokens.settle(settled.program(), settled.run(), settled.tokens());
 		settled.textLocation().ifPresent((location) -> {
-			this.state.turnCache.recordLocation(settled.request(), location, sender);
+			this.state.turnCache.recordLocation(settled.run(), location, sender);
 			this.state.raiseTextOffset(location);
 		});
 		this.state.upstreams.requestEnded(settled.run());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -80,16 +80,15 @@
 				this.requests.resumeWaiting(Source.LEDGER);
 			}
 			case RelayEvent.CaughtUp caughtUp -> this.ledger.caughtUp(caughtUp);
-			case RelayEvent.SettlementsStored stored -> stored.requests().forEach(this.texts::entryStored);
-			case RelayEvent.RenewalsStored stored -> stored.requests().forEach(this.texts::correctionStored);
+			case RelayEvent.SettlementsStored stored -> stored.runs().forEach(this.texts::entryStored);
+			case RelayEvent.RenewalsStored stored -> stored.runs().forEach(this.texts::correctionStored);
 			case RelayEvent.TextsStored stored -> {
 				this.texts.textsStored(stored);
 				this.renewals.textsStored(stored);
 			}
 			case RelayEvent.StreamAttemptsStored stored -> this.responses.streamAttemptsStored(stored);
 			case RelayEvent.RenewalRoundStarted ignored -> this.renewals.renewDue();
-			case RelayEvent.TurnWritesAcknowledged acknowledged ->
-				acknowledged.requests().forEach(this.texts::endStream);
+			case RelayEvent.TurnWritesAcknowledged acknowledged -> acknowledged.runs().forEach(this.texts::endStream);
 			case RelayEvent.TextLocationsRequested request -> this.texts.locationsRequested(request);
 			case RelayEvent.TextLocationsReceived received -> {
 				this.texts.locationsReceived(received);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -195,24 +195,24 @@
 	/**
 	 * Appends the text of a turn to this relay's text partition of the log.
 	 *
-	 * @param request the turn
+	 * @param run the turn
 	 * @param text its text
 	 */
-	record StoreText(String request, StoredTurn text) implements RelayEffect {
+	record StoreText(RunId run, StoredTurn text) implements RelayEffect {
 
 	}
 
 	/**
 	 * Reads the text of a turn from the log.
 	 *
-	 * @param request the turn
+	 * @param run the turn
 	 * @param locations its possible locations
 	 */
-	record ReadText(String request, List<TextLocation> locations) implements RelayEffect {
+	record ReadText(RunId run, List<TextLocation> locations) implements RelayEffect {
 
 		/**
 		 * Creates an effect.
-		 * @param request the turn
+		 * @param run the turn
 		 * @param locations its possible locations
 		 */
 		public ReadText {
@@ -311,9 +311,9 @@
 	 * Acknowledges to another relay that its turn is stored in the log.
 	 *
 	 * @param peer the other relay
-	 * @param request the turn
+	 * @param run the turn
 	 */
-	record AcknowledgeTurnWrite(String peer, String request) implements RelayEffect {
+	record AcknowledgeTurnWrite(String peer, RunId run) implements RelayEffect {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -252,17 +252,17 @@
 	 * The log has settlements that repeat earlier ones.
 	 *
 	 * @param now milliseconds of a monotonic clock
-	 * @param requests the turns
+	 * @param runs the turns
 	 */
-	record RenewalsStored(long now, Set<String> requests) implements RelayEvent {
+	record RenewalsStored(long now, Set<RunId> runs) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now milliseconds of a monotonic clock
-		 * @param requests the turns
+		 * @param runs the turns
 		 */
 		public RenewalsStored {
-			requests = Set.copyOf(requests);
+			runs = Set.copyOf(runs);
 		}
 
 	}
@@ -377,9 +377,9 @@
 	 * Other entries of these turns, such as reservations, are not reported.
 	 *
 	 * @param now the time of the event
-	 * @param requests the turns
+	 * @param runs the turns
 	 */
-	record SettlementsStored(long now, Set<String> requests) implements RelayEvent {
+	record SettlementsStored(long now, Set<RunId> runs) implements RelayEvent {
 
 	}
 
@@ -388,24 +388,24 @@
 	 * their partition.
 	 *
 	 * @param now the time of the event
-	 * @param requests the turns of the texts
+	 * @param runs the turns of the texts
 	 * @param firstOffset the lowest offset of these texts
 	 * @param endOffset the end offset of this relay's text partition
 	 * @param latency the latency of the log
 	 */
-	record TextsStored(long now, Set<String> requests, long firstOffset, long endOffset,
+	record TextsStored(long now, Set<RunId> runs, long firstOffset, long endOffset,
 			Duration latency) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now the time of the event
-		 * @param requests the turns of the texts
+		 * @param runs the turns of the texts
 		 * @param firstOffset the lowest offset of these texts
 		 * @param endOffset the end offset of this relay's text partition
 		 * @param latency the latency of the log
 		 */
 		public TextsStored {
-			requests = Set.copyOf(requests);
+			runs = Set.copyOf(runs);
 		}
 
 	}
@@ -414,17 +414,17 @@
 	 * Turns that this relay asked other relays to write are stored in the log.
 	 *
 	 * @param now the time of the event
-	 * @param requests the turns
+	 * @param runs the turns
 	 */
-	record TurnWritesAcknowledged(long now, Set<String> requests) implements RelayEvent {
+	record TurnWritesAcknowledged(long now, Set<RunId> runs) implements RelayEvent {
 
 		/**
 		 * Creates an event.
 		 * @param now the time of the event
-		 * @param requests the turns
+		 * @param runs the turns
 		 */
 		public TurnWritesAcknowledged {
-			requests = Set.copyOf(requests);
+			runs = Set.copyOf(runs);
 		}
 
 	}
@@ -519,10 +519,10 @@
 	 * A read of a text from the log has ended.
 	 *
 	 * @param now the time of the event
-	 * @param request the turn
+	 * @param run the turn
 	 * @param text the text, or empty if it was not found
 	 */
-	record TextRead(long now, String request, Optional<StoredTurn> text) implements RelayEvent {
+	record TextRead(long now, RunId run, Optional<StoredTurn> text) implements RelayEvent {
 
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -81,9 +81,9 @@
 	final Map<Long, Exchange> exchanges = new HashMap<>();
 
 	/**
-	 * The turns of this relay that wait for the log before their streams end, by request.
+	 * The turns of this relay that wait for the log before their streams end, by run.
 	 */
-	final Map<String, TextRules.PendingTurn> pendingTurns = new LinkedHashMap<>();
+	final Map<RunId, TextRules.PendingTurn> pendingTurns = new LinkedHashMap<>();
 
 	/**
 	 * The exchanges whose conditional reservations wait for their order in the log, by
@@ -142,12 +142,12 @@
 	final StreamVersions streamVersions = new StreamVersions();
 
 	/**
-	 * The turns that this relay writes for other relays, by request. Bounded: the oldest
-	 * are dropped, and their relays retry.
+	 * The turns that this relay writes for other relays, by run. Bounded: the oldest are
+	 * dropped, and their relays retry.
 	 */
-	final Map<String, TextRules.PeerTurn> peerTurns = new LinkedHashMap<>() {
+	final Map<RunId, TextRules.PeerTurn> peerTurns = new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, TextRules.PeerTurn> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<RunId, TextRules.PeerTurn> eldest) {
 			return size() > RelaySettings.MAX_PROXIED_TURN_WRITES;
 		}
 	};
@@ -156,7 +156,7 @@
 	 * The turns whose texts are being read from the log. Each read ends with an event,
 	 * whether or not the text was found.
 	 */
-	final Set<String> pendingReads = new HashSet<>();
+	final Set<RunId> pendingReads = new HashSet<>();
 
 	/**
 	 * The relays that this one is connected to.
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RenewalRules.java
@@ -157,7 +157,7 @@
 			if (now - turn.writtenAt() >= renewalAge(turn) && !this.pending.containsKey(request)) {
 				this.pending.put(request, now);
 				bytes += turn.location().bytes();
-				reads += renew(request) ? 0 : 1;
+				reads += renew(turn) ? 0 : 1;
 			}
 		}
 	}
@@ -226,17 +226,19 @@
 
 	/**
 	 * Renews the text of a turn, or reads it first.
-	 * @param request the turn
+	 * @param turn the turn
 	 * @return whether the text was in memory
 	 */
-	private boolean renew(String request) {
-		Optional<StoredTurn> text = this.state.turnCache.text(request);
+	private boolean renew(RetainedTurn turn) {
+		String request = turn.settled().request();
+		Optional<TurnText> text = this.state.turnCache.turn(request);
 		if (text.isPresent()) {
-			this.state.emit(new RelayEffect.StoreText(request, text.get()));
+			this.state.emit(new RelayEffect.StoreText(text.get().run(), text.get().text()));
 			return true;
 		}
-		if (this.state.pendingReads.add(request)) {
-			this.state.emit(new RelayEffect.ReadText(request, this.state.turnCache.locations(request)));
+		RunId run = this.state.turnCache.run(request).orElse(turn.settled().run());
+		if (this.state.pendingReads.add(run)) {
+			this.state.emit(new RelayEffect.ReadText(run, this.state.turnCache.locations(request)));
 		}
 		return false;
 	}
@@ -246,8 +248,8 @@
 	 * @param read the result of the read
 	 */
 	void textRead(RelayEvent.TextRead read) {
-		if (this.pending.containsKey(read.request())) {
-			read.text().ifPresent((text) -> this.state.emit(new RelayEffect.StoreText(read.request(), text)));
+		if (this.pending.containsKey(read.run().request())) {
+			read.text().ifPresent((text) -> this.state.emit(new RelayEffect.StoreText(read.run(), text)));
 		}
 	}
 
@@ -257,9 +259,11 @@
 	 * @param stored the stored texts
 	 */
 	void textsStored(RelayEvent.TextsStored stored) {
-		for (String request : stored.requests()) {
-			if (this.pending.containsKey(request)) {
-				this.state.retainedTurns.find(request).ifPresent((turn) -> appendLocation(turn, stored.firstOffset()));
+		for (RunId run : stored.runs()) {
+			if (this.pending.containsKey(run.request())) {
+				this.state.retainedTurns.find(run.request())
+					.filter((turn) -> turn.settled().run().matches(run))
+					.ifPresent((turn) -> appendLocation(turn, stored.firstOffset()));
 			}
 		}
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedTurns.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RetainedTurns.java
@@ -150,11 +150,17 @@
 
 		// Records may be read in any order, for example if a peer has written the turn.
 		private RetainedTurn merge(RetainedTurn other) {
-			RetainedTurn newer = (other.writtenAt > this.writtenAt) ? other : this;
+			RetainedTurn newer = isBefore(other) ? other : this;
 			return new RetainedTurn(newer.settled, newer.location, newer.writtenAt,
 					Math.max(this.retainedUntil, other.retainedUntil), Math.max(this.neededUntil, other.neededUntil));
 		}
 
+		private boolean isBefore(RetainedTurn other) {
+			RunId run = this.settled.run();
+			RunId otherRun = other.settled.run();
+			return run.matches(otherRun) ? other.writtenAt > this.writtenAt : otherRun.follows(run);
+		}
+
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RunId.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RunId.java
@@ -80,6 +80,25 @@
 		return this.number < RANDOM_BOUND;
 	}
 
+	/**
+	 * Returns whether this is a later run than another one of the same request. A run
+	 * without a number may be the first one.
+	 * @param other the other run
+	 * @return whether it is
+	 */
+	boolean follows(RunId other) {
+		return this.number > other.number && (other.numbered() || !isFirst());
+	}
+
+	/**
+	 * Returns whether two ids stand for the same run, as far as their numbers tell.
+	 * @param other the other run
+	 * @return whether they do
+	 */
+	public boolean matches(RunId other) {
+		return this.request.equals(other.request) && !follows(other) && !other.follows(this);
+	}
+
 	@Override
 	public int compareTo(RunId other) {
 		return ORDER.compare(this, other);
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TextRules.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -94,11 +95,11 @@
 		StoredTurn text = new StoredTurn(turn.previous(), exchange.request().body(), exchange.output());
 		TextLocation location = newLocation(text, this.state.name, exchange.route().retention());
 		exchange.transitionTo(Phase.STORING);
-		this.state.turnCache.add(exchange.id(), text);
-		this.state.turnCache.recordLocation(exchange.id(), location, Optional.empty());
+		this.state.turnCache.add(exchange.run(), text);
+		this.state.turnCache.recordLocation(exchange.run(), location, Optional.empty());
 		PendingTurn pendingTurn = new PendingTurn(exchange.number(), text);
-		this.state.pendingTurns.put(exchange.id(), pendingTurn);
-		this.state.emit(new RelayEffect.StoreText(exchange.id(), text));
+		this.state.pendingTurns.put(exchange.run(), pendingTurn);
+		this.state.emit(new RelayEffect.StoreText(exchange.run(), text));
 		pendingTurn.publish(this.completion.settlement(exchange, Optional.of(location)));
 		this.completion.settle(exchange, Optional.of(location));
 		Duration timeout = (this.state.connectivity == Connectivity.LOG) ? RelaySettings.TURN_WRITE_TIMEOUT
@@ -119,12 +120,12 @@
 		this.state.textEndOffset = Math.max(this.state.textEndOffset, stored.endOffset());
 		boolean slow = stored.latency().compareTo(RelaySettings.TURN_WRITE_TIMEOUT) > 0;
 		this.state.logSlowAt = slow ? stored.now() : RelayState.NEVER;
-		for (String request : stored.requests()) {
-			pendingStores(request).forEach((turn) -> {
+		for (RunId run : stored.runs()) {
+			pendingStores(run).forEach((turn) -> {
 				turn.textStored = true;
 				correctLocation(turn, stored.firstOffset());
 			});
-			finishIfStored(request);
+			finishIfStored(run);
 		}
 	}
 
@@ -148,59 +149,72 @@
 
 	/**
 	 * Records that the log has the corrected location of a turn's text.
-	 * @param request the turn
+	 * @param run the run of the turn
 	 */
-	void correctionStored(String request) {
-		pendingStores(request).forEach((turn) -> turn.awaitsCorrection = false);
-		finishIfStored(request);
+	void correctionStored(RunId run) {
+		pendingStores(run).forEach((turn) -> turn.awaitsCorrection = false);
+		finishIfStored(run);
 	}
 
 	/**
 	 * Records that the log has the settlement of a turn that this relay appended.
-	 * @param request the turn
+	 * @param run the run of the turn
 	 */
-	void entryStored(String request) {
-		pendingStores(request).forEach((turn) -> turn.entryStored = true);
-		finishIfStored(request);
+	void entryStored(RunId run) {
+		pendingStores(run).forEach((turn) -> turn.entryStored = true);
+		finishIfStored(run);
 	}
 
-	private Stream<PendingStore> pendingStores(String request) {
+	private Stream<PendingStore> pendingStores(RunId run) {
 		return Stream
-			.of(Optional.ofNullable(this.state.pendingTurns.get(request)),
-					Optional.ofNullable(this.state.peerTurns.get(request)))
+			.of(Optional.ofNullable(this.state.pendingTurns.get(run)),
+					Optional.ofNullable(this.state.peerTurns.get(run)))
 			.flatMap(Optional::stream);
 	}
 
-	private void finishIfStored(String request) {
-		PeerTurn peerTurn = this.state.peerTurns.get(request);
+	private void finishIfStored(RunId run) {
+		PeerTurn peerTurn = this.state.peerTurns.get(run);
 		if (peerTurn != null && peerTurn.complete()) {
-			this.state.peerTurns.remove(request);
-			this.state.emit(new RelayEffect.AcknowledgeTurnWrite(peerTurn.peer, request));
+			this.state.peerTurns.remove(run);
+			this.state.emit(new RelayEffect.AcknowledgeTurnWrite(peerTurn.peer, run));
 		}
-		PendingTurn pendingTurn = this.state.pendingTurns.get(request);
+		PendingTurn pendingTurn = this.state.pendingTurns.get(run);
 		if (pendingTurn != null && pendingTurn.complete()) {
-			endStream(request);
+			endStream(run);
 		}
 	}
 
 	/**
 	 * Forwards the end of a stream whose turn the log has, whichever relay wrote it.
-	 * @param request the turn
+	 * @param run the run of the turn
 	 */
-	void endStream(String request) {
-		PendingTurn pendingTurn = this.state.pendingTurns.get(request);
+	void endStream(RunId run) {
+		PendingTurn pendingTurn = findPendingTurn(run);
 		if (pendingTurn != null) {
 			this.completion.endStream(this.state.exchanges.get(pendingTurn.exchange));
 		}
 	}
 
+	// A relay of an earlier version acknowledges a turn without its run.
+	private PendingTurn findPendingTurn(RunId run) {
+		if (run.numbered()) {
+			return this.state.pendingTurns.get(run);
+		}
+		return this.state.pendingTurns.entrySet()
+			.stream()
+			.filter((pending) -> pending.getKey().request().equals(run.request()))
+			.map(Map.Entry::getValue)
+			.findFirst()
+			.orElse(null);
+	}
+
 	/**
 	 * Asks peers to write a turn that this relay could not write in time, since the store
 	 * may be reachable from other relays. The end of the stream still waits for the log.
 	 * @param exchange the exchange
 	 */
 	void storeTimedOut(Exchange exchange) {
-		PendingTurn pendingTurn = this.state.pendingTurns.get(exchange.id());
+		PendingTurn pendingTurn = this.state.pendingTurns.get(exchange.run());
 		if (exchange.phase() != Phase.STORING || pendingTurn == null) {
 			return;
 		}
@@ -216,20 +230,20 @@
 	 * @param received the request of the other relay
 	 */
 	void storeForPeer(RelayEvent.TurnWriteRequested received) {
-		String request = received.settlement().request();
+		RunId run = received.settlement().run();
 		boolean slow = this.state.now - this.state.logSlowAt < SLOW_LOG_WINDOW_MS;
 		boolean able = this.state.connectivity == Connectivity.LOG && this.state.textEndOffset >= 0 && !slow;
-		if (!able || this.state.peerTurns.containsKey(request)) {
+		if (!able || this.state.peerTurns.containsKey(run)) {
 			return;
 		}
 		TextLocation location = newLocation(received.text(), received.peer(),
 				this.state.routeTable.map(RouteTable::longestRetention).orElse(Duration.ZERO));
-		this.state.turnCache.recordLocation(request, location, Optional.of(received.peer()));
+		this.state.turnCache.recordLocation(run, location, Optional.of(received.peer()));
 		PeerTurn peerTurn = new PeerTurn(received.peer());
-		this.state.peerTurns.put(request, peerTurn);
-		this.state.emit(new RelayEffect.StoreText(request, received.text()));
-		LedgerEntry.Settled settled = new LedgerEntry.Settled(received.settlement().run(),
-				received.settlement().program(), received.settlement().tokens(), Optional.of(location));
+		this.state.peerTurns.put(run, peerTurn);
+		this.state.emit(new RelayEffect.StoreText(run, received.text()));
+		LedgerEntry.Settled settled = new LedgerEntry.Settled(run, received.settlement().program(),
+				received.settlement().tokens(), Optional.of(location));
 		peerTurn.publish(settled);
 		this.state.writeAndReplicate(settled, settled.program());
 	}
@@ -281,7 +295,7 @@
 			if (locations.isEmpty()) {
 				break;
 			}
-			known.add(new TurnLocation(next.get(), locations.getFirst()));
+			known.add(new TurnLocation(this.state.turnCache.run(next.get()).orElseThrow(), locations.getFirst()));
 			next = locations.getFirst().previous();
 		}
 		if (!known.isEmpty()) {
@@ -291,7 +305,7 @@
 
 	void locationsReceived(RelayEvent.TextLocationsReceived received) {
 		received.turns()
-			.forEach((turn) -> this.state.turnCache.recordLocation(turn.request(), turn.location(),
+			.forEach((turn) -> this.state.turnCache.recordLocation(turn.run(), turn.location(),
 					Optional.of(received.peer())));
 	}
 
@@ -320,8 +334,9 @@
 
 	private void readFromLog(Exchange exchange, Chain.Incomplete incomplete) {
 		for (String request : incomplete.missing()) {
-			if (this.state.pendingReads.add(request)) {
-				this.state.emit(new RelayEffect.ReadText(request, this.state.turnCache.locations(request)));
+			RunId run = this.state.turnCache.run(request).orElseThrow();
+			if (this.state.pendingReads.add(run)) {
+				this.state.emit(new RelayEffect.ReadText(run, this.state.turnCache.locations(request)));
 			}
 		}
 		this.state.startTimer(exchange, READ_RETRY_DELAY, TimerKind.TEXT_FETCH);
@@ -366,9 +381,9 @@
 		List<TurnText> found = new ArrayList<>();
 		int bytes = 0;
 		for (String request : received.requests()) {
-			Optional<StoredTurn> text = this.state.turnCache.text(request);
-			text.ifPresent((turn) -> found.add(new TurnText(request, turn)));
-			bytes += text.map(StoredTurn::size).orElse(0);
+			Optional<TurnText> text = this.state.turnCache.turn(request);
+			text.ifPresent(found::add);
+			bytes += text.map((turn) -> turn.text().size()).orElse(0);
 			if (bytes > TARGET_MESSAGE_BYTES) {
 				this.state.emit(new RelayEffect.SendTexts(received.peer(), found));
 				found.clear();
@@ -381,15 +396,15 @@
 	}
 
 	void textsReceived(RelayEvent.TextsReceived received) {
-		received.texts().forEach((found) -> this.state.turnCache.add(found.request(), found.text()));
+		received.texts().forEach((found) -> this.state.turnCache.add(found.run(), found.text()));
 	}
 
 	void textRead(RelayEvent.TextRead read) {
-		this.state.pendingReads.remove(read.request());
+		String request = read.run().request();
+		this.state.pendingReads.remove(read.run());
 		read.text()
-			.ifPresentOrElse((text) -> this.state.turnCache.add(read.request(), text),
-					() -> this.state.report(RelayNotices.textNotFound(read.request(),
-							this.state.turnCache.locations(read.request()).size(), recordAge(read.request()))));
+			.ifPresentOrElse((text) -> this.state.turnCache.add(read.run(), text), () -> this.state.report(RelayNotices
+				.textNotFound(request, this.state.turnCache.locations(request).size(), recordAge(request))));
 	}
 
 	private Duration recordAge(String request) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TurnCache.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TurnCache.java
@@ -15,7 +15,9 @@
 /**
  * LRU cache of the texts of turns, bounded in bytes, with an LRU index of the locations
  * of all turns, bounded in number. Evicted texts can be read from the log again. A chain
- * with an unknown turn is never treated as a shorter chain. Used by one thread.
+ * with an unknown turn is never treated as a shorter chain. If a turn was run several
+ * times, only its last run with a text counts, as its caller has given up the earlier
+ * ones. Used by one thread.
  */
 final class TurnCache {
 
@@ -35,7 +37,7 @@
 
 	private final long maxBytes;
 
-	private final LinkedHashMap<String, StoredTurn> texts = new LinkedHashMap<>(64, 0.75f, true);
+	private final LinkedHashMap<String, TurnText> texts = new LinkedHashMap<>(64, 0.75f, true);
 
 	private final Map<String, KnownLocations> locations = new LinkedHashMap<>(64, 0.75f, true) {
 		@Override
@@ -50,37 +52,56 @@
 		this.maxBytes = maxBytes;
 	}
 
-	void add(String request, StoredTurn text) {
-		if (this.texts.putIfAbsent(request, text) != null) {
+	void add(RunId run, StoredTurn text) {
+		TurnText before = this.texts.get(run.request());
+		KnownLocations known = this.locations.get(run.request());
+		boolean superseded = known != null && known.run().follows(run);
+		if (superseded || (before != null && !run.follows(before.run()))) {
 			return;
 		}
+		remove(run.request());
+		this.texts.put(run.request(), new TurnText(run, text));
 		this.bytes += text.size();
 		while (this.bytes > this.maxBytes && this.texts.size() > 1) {
-			this.bytes -= this.texts.pollFirstEntry().getValue().size();
+			this.bytes -= this.texts.pollFirstEntry().getValue().text().size();
 		}
 	}
 
+	private void remove(String request) {
+		TurnText removed = this.texts.remove(request);
+		this.bytes -= (removed != null) ? removed.text().size() : 0;
+	}
+
 	/**
 	 * Records a location of the text of a turn. A turn has several locations if peers
 	 * wrote it as well. If the location names no origin, the first relay that sent a
 	 * location is the origin.
-	 * @param request the turn
+	 * @param run the run of the turn
 	 * @param location the location of its text
 	 * @param sender the relay that sent the location; empty if it was read from the log
 	 */
-	void recordLocation(String request, TextLocation location, Optional<String> sender) {
-		KnownLocations before = this.locations.getOrDefault(request, KnownLocations.NONE);
+	void recordLocation(RunId run, TextLocation location, Optional<String> sender) {
+		String request = run.request();
+		KnownLocations recorded = this.locations.getOrDefault(request, KnownLocations.none(run));
+		if (recorded.run().follows(run)) {
+			return;
+		}
+		KnownLocations before = run.follows(recorded.run()) ? KnownLocations.none(run) : recorded;
+		TurnText text = this.texts.get(request);
+		if (text != null && run.follows(text.run())) {
+			remove(request);
+		}
+		RunId known = run.numbered() ? run : before.run();
 		Optional<String> origin = before.origin().or(location::origin).or(() -> sender);
 		if (location.renewed() && sender.isEmpty()) {
 			// The earlier records expire, and a search for them reads from the start of
 			// their partition.
-			this.locations.put(request, new KnownLocations(List.of(location), List.of(), origin));
+			this.locations.put(request, new KnownLocations(known, List.of(location), List.of(), origin));
 			return;
 		}
-		this.locations.put(request,
-				sender.isPresent()
-						? new KnownLocations(before.committed(), prepend(before.uncommitted(), location), origin)
-						: new KnownLocations(prepend(before.committed(), location), before.uncommitted(), origin));
+		this.locations.put(request, sender.isPresent()
+				? new KnownLocations(known, before.committed(), prepend(before.uncommitted(), location), origin)
+				: new KnownLocations(known, prepend(before.committed(), location), before.uncommitted(), origin));
 	}
 
 	private static List<TextLocation> prepend(List<TextLocation> locations, TextLocation location) {
@@ -91,9 +112,27 @@
 	}
 
 	Optional<StoredTurn> text(String request) {
+		return turn(request).map(TurnText::text);
+	}
+
+	/**
+	 * Returns the text of a turn with its run.
+	 * @param request the turn
+	 * @return the text, or empty if it is not in memory
+	 */
+	Optional<TurnText> turn(String request) {
 		return Optional.ofNullable(this.texts.get(request));
 	}
 
+	/**
+	 * Returns the run whose text the known locations have.
+	 * @param request the turn
+	 * @return the run, or empty if no location is known
+	 */
+	Optional<RunId> run(String request) {
+		return Optional.ofNullable(this.locations.get(request)).map(KnownLocations::run);
+	}
+
 	/**
 	 * Returns all locations at which the log may have the text of a turn, including
 	 * uncommitted ones.
@@ -128,7 +167,7 @@
 			if (!seen.add(next.get())) {
 				return new Chain.Unknown();
 			}
-			StoredTurn text = this.texts.get(next.get());
+			StoredTurn text = text(next.get()).orElse(null);
 			KnownLocations known = this.locations.get(next.get());
 			if (text == null && known == null) {
 				return new Chain.Unknown();
@@ -205,20 +244,23 @@
 	/**
 	 * Immutable view of the known locations of a turn's text.
 	 *
+	 * @param run the run of the turn
 	 * @param committed the locations read from the log, the newest first
 	 * @param uncommitted the locations received from other relays, the newest first
 	 * @param origin the relay that ran the turn
 	 */
-	private record KnownLocations(List<TextLocation> committed, List<TextLocation> uncommitted,
+	private record KnownLocations(RunId run, List<TextLocation> committed, List<TextLocation> uncommitted,
 			Optional<String> origin) {
 
-		private static final KnownLocations NONE = new KnownLocations(List.of(), List.of(), Optional.empty());
-
 		private KnownLocations {
 			committed = List.copyOf(committed);
 			uncommitted = List.copyOf(uncommitted);
 		}
 
+		static KnownLocations none(RunId run) {
+			return new KnownLocations(run, List.of(), List.of(), Optional.empty());
+		}
+
 		List<TextLocation> all() {
 			return Stream.concat(this.uncommitted.stream(), this.committed.stream()).distinct().toList();
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.lentilslip.core.call.Header;
 import io.lentilslip.core.measurement.Measurement;
@@ -392,7 +394,7 @@
 	 * Returns the last run of a request for which this relay has written or requested a
 	 * reservation.
 	 * @param request the request id
-	 * @return the run
+	 * @return the run; one without a number if there is none
 	 */
 	RunId run(String request) {
 		return this.all.stream()
@@ -400,7 +402,7 @@
 			.flatMap(Optional::stream)
 			.filter((run) -> run.request().equals(request))
 			.reduce((first, last) -> last)
-			.orElseThrow();
+			.orElse(RunId.unnumbered(request));
 	}
 
 	private static Optional<RunId> reservedRun(RelayEffect effect) {
@@ -421,13 +423,14 @@
 	}
 
 	static TurnText turnText(String request, String previous, String input, String output) {
-		return new TurnText(request,
+		return new TurnText(RunId.unnumbered(request),
 				new StoredTurn(Optional.ofNullable(previous), input.getBytes(), output.getBytes()));
 	}
 
 	List<RelayEffect> stored(String... requests) {
-		handle(new RelayEvent.TextsStored(this.now, Set.of(requests), 5, 20, Duration.ofMillis(8)));
-		return handle(new RelayEvent.SettlementsStored(this.now, Set.of(requests)));
+		Set<RunId> runs = Stream.of(requests).map(this::run).collect(Collectors.toSet());
+		handle(new RelayEvent.TextsStored(this.now, runs, 5, 20, Duration.ofMillis(8)));
+		return handle(new RelayEvent.SettlementsStored(this.now, runs));
 	}
 
 	static <T extends RelayEffect> List<T> ofType(List<RelayEffect> effects, Class<T> type) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RetentionSite.java
@@ -173,17 +173,16 @@
 				case RelayEffect.AppendEntry append -> {
 					this.entries.add(new Logged<>(append.entry(), this.now));
 					further.addAll(apply(node, node.relay
-						.handle(new RelayEvent.SettlementsStored(node.relay.now(), Set.of(append.entry().request())))));
+						.handle(new RelayEvent.SettlementsStored(node.relay.now(), Set.of(append.entry().run())))));
 				}
 				case RelayEffect.StoreText store -> {
-					this.texts.add(new Logged<>(new TurnText(store.request(), store.text()), this.now));
+					this.texts.add(new Logged<>(new TurnText(store.run(), store.text()), this.now));
 					this.storedBytes += store.text().size();
 					further.addAll(apply(node, node.relay.handle(new RelayEvent.TextsStored(node.relay.now(),
-							Set.of(store.request()), this.texts.size() - 1, this.texts.size(), Duration.ZERO))));
+							Set.of(store.run()), this.texts.size() - 1, this.texts.size(), Duration.ZERO))));
 				}
-				case RelayEffect.ReadText read ->
-					further.addAll(apply(node, node.relay.handle(new RelayEvent.TextRead(node.relay.now(),
-							read.request(), find(read.request(), read.locations())))));
+				case RelayEffect.ReadText read -> further.addAll(apply(node, node.relay.handle(
+						new RelayEvent.TextRead(node.relay.now(), read.run(), find(read.run(), read.locations())))));
 				case RelayEffect.RequestTexts request -> further.addAll(requestTexts(node, request));
 				case RelayEffect.RequestReservation request -> further.addAll(requestUsage(node, request));
 				default -> {
@@ -230,10 +229,10 @@
 		return further;
 	}
 
-	private Optional<StoredTurn> find(String request, List<TextLocation> locations) {
+	private Optional<StoredTurn> find(RunId run, List<TextLocation> locations) {
 		for (TextLocation location : locations) {
 			for (Logged<TurnText> text : this.texts.subList((int) location.minOffset(), this.texts.size())) {
-				if (isRetained(text) && text.record().request().equals(request)) {
+				if (isRetained(text) && text.record().run().matches(run)) {
 					return Optional.of(text.record().text());
 				}
 			}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/TextRulesTests.java
@@ -44,7 +44,7 @@
 		List<RelayEffect> received = relay.readFromPeer(RelayFixture.settledTurn("t1", null));
 		assertThat(sends(received)).isEmpty();
 		assertThat(RelayFixture.ofType(received, RelayEffect.ReadText.class)).hasSize(1);
-		assertThat(sends(relay.handle(new RelayEvent.TextRead(relay.now(), "t1",
+		assertThat(sends(relay.handle(new RelayEvent.TextRead(relay.now(), RunId.unnumbered("t1"),
 				Optional.of(RelayFixture.turnText("t1", null, "in;", "out;").text())))))
 			.hasSize(1);
 	}
@@ -66,8 +66,8 @@
 			});
 		assertThat(RelayFixture.ofType(requested, RelayEffect.ReadLog.class)).isEmpty();
 		TextLocation location = new TextLocation(Optional.empty(), 9, 5, 17, Optional.of("b"));
-		List<RelayEffect> received = relay
-			.handle(new RelayEvent.TextLocationsReceived(relay.now(), "a", List.of(new TurnLocation("t2", location))));
+		List<RelayEffect> received = relay.handle(new RelayEvent.TextLocationsReceived(relay.now(), "a",
+				List.of(new TurnLocation(RunId.unnumbered("t2"), location))));
 		assertThat(RelayFixture.ofType(received, RelayEffect.RequestTexts.class))
 			.containsExactly(new RelayEffect.RequestTexts("b", List.of("t2")));
 	}
@@ -88,9 +88,10 @@
 	void locationsOfAChainAreSentOnRequest() {
 		RelayFixture relay = RelayFixture.ready();
 		relay.readFromPeer(RelayFixture.settledTurn("t1", null), RelayFixture.settledTurn("t2", "t1"));
-		assertThat(relay.handle(new RelayEvent.TextLocationsRequested(relay.now(), "peer", "t2"))).containsExactly(
-				new RelayEffect.SendTextLocations("peer", List.of(new TurnLocation("t2", RelayFixture.location("t1")),
-						new TurnLocation("t1", RelayFixture.location(null)))));
+		assertThat(relay.handle(new RelayEvent.TextLocationsRequested(relay.now(), "peer", "t2")))
+			.containsExactly(new RelayEffect.SendTextLocations("peer",
+					List.of(new TurnLocation(RunId.unnumbered("t2"), RelayFixture.location("t1")),
+							new TurnLocation(RunId.unnumbered("t1"), RelayFixture.location(null)))));
 		assertThat(relay.handle(new RelayEvent.TextLocationsRequested(relay.now(), "peer", "t9"))).isEmpty();
 	}
 
@@ -116,7 +117,8 @@
 			.satisfies((store) -> assertThat(new String(store.text().output())).isEqualTo("piece 1\n"));
 		assertThat(RelayFixture.settled(atEnd).textLocation().map(TextLocation::partition))
 			.contains(RelayFixture.TEXT_PARTITION);
-		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1"))))).isEmpty();
+		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of(relay.run("t1"))))))
+			.isEmpty();
 		assertThat(streamEnds(relay.handle(textsStored(relay, "t1")))).hasSize(1);
 	}
 
@@ -130,14 +132,16 @@
 		relay.sendTurn("t1", "chat", RelayFixture.turn("p", 10_000, 100, null));
 		relay.open(1);
 		relay.end(1);
-		relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1")));
+		relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of(relay.run("t1"))));
 		List<RelayEffect> stored = relay
-			.handle(new RelayEvent.TextsStored(relay.now(), Set.of("t1"), 500, 501, Duration.ofMillis(8)));
+			.handle(new RelayEvent.TextsStored(relay.now(), Set.of(relay.run("t1")), 500, 501, Duration.ofMillis(8)));
 		assertThat(streamEnds(stored)).isEmpty();
 		assertThat(RelayFixture.settled(stored).textLocation())
 			.hasValueSatisfying((location) -> assertThat(location.minOffset()).isEqualTo(500));
-		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1"))))).isEmpty();
-		assertThat(streamEnds(relay.handle(new RelayEvent.RenewalsStored(relay.now(), Set.of("t1"))))).hasSize(1);
+		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of(relay.run("t1"))))))
+			.isEmpty();
+		assertThat(streamEnds(relay.handle(new RelayEvent.RenewalsStored(relay.now(), Set.of(relay.run("t1"))))))
+			.hasSize(1);
 	}
 
 	// Guards against searching all texts that other relays have appended to the partition
@@ -161,7 +165,8 @@
 		relay.open(1);
 		relay.end(1);
 		assertThat(streamEnds(relay.handle(textsStored(relay, "t1")))).isEmpty();
-		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1"))))).hasSize(1);
+		assertThat(streamEnds(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of(relay.run("t1"))))))
+			.hasSize(1);
 	}
 
 	// Guards against ending a stream on in-memory copies alone, which the loss of all
@@ -175,7 +180,8 @@
 		List<RelayEffect> timedOut = relay.fireTimer(TimerKind.LOG_WRITE);
 		assertThat(RelayFixture.ofType(timedOut, RelayEffect.RequestTurnWrite.class)).hasSize(1);
 		assertThat(streamEnds(timedOut)).isEmpty();
-		assertThat(streamEnds(relay.handle(new RelayEvent.TurnWritesAcknowledged(relay.now(), Set.of("t1")))))
+		assertThat(
+				streamEnds(relay.handle(new RelayEvent.TurnWritesAcknowledged(relay.now(), Set.of(relay.run("t1"))))))
 			.hasSize(1);
 	}
 
@@ -202,9 +208,9 @@
 			.contains(RelayFixture.TEXT_PARTITION);
 		assertThat(RelayFixture.ofType(accepted, RelayEffect.StoreText.class)).hasSize(1);
 		assertThat(relay.handle(requested)).isEmpty();
-		assertThat(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of("t1")))).isEmpty();
+		assertThat(relay.handle(new RelayEvent.SettlementsStored(relay.now(), Set.of(relay.run("t1"))))).isEmpty();
 		assertThat(relay.handle(textsStored(relay, "t1")))
-			.containsExactly(new RelayEffect.AcknowledgeTurnWrite("peer", "t1"));
+			.containsExactly(new RelayEffect.AcknowledgeTurnWrite("peer", RunId.unnumbered("t1")));
 	}
 
 	// Guards against additional copies of each turn that slow the log down further.
@@ -228,7 +234,7 @@
 		relay.readFromLog(new LedgerEntry.Settled(RunId.unnumbered("t1"), "p", 10, Optional.of(peers)));
 		List<RelayEffect> effects = relay.sendTurn("t2", "chat", RelayFixture.turn("p", 10_000, 100, "t1"));
 		assertThat(RelayFixture.ofType(effects, RelayEffect.ReadText.class))
-			.containsExactly(new RelayEffect.ReadText("t1", List.of(peers, own)));
+			.containsExactly(new RelayEffect.ReadText(RunId.unnumbered("t1"), List.of(peers, own)));
 	}
 
 	// Guards against reading the log while the texts are in the memory of a peer, and
@@ -246,8 +252,8 @@
 				new RelayEvent.TextsReceived(relay.now(), List.of(RelayFixture.turnText("t2", "t1", "in2;", "out2;"))));
 		List<RelayEffect> timedOut = relay.fireTimer(TimerKind.TEXT_FETCH);
 		assertThat(RelayFixture.ofType(timedOut, RelayEffect.ReadText.class)).singleElement()
-			.satisfies((read) -> assertThat(read.request()).isEqualTo("t1"));
-		List<RelayEffect> read = relay.handle(new RelayEvent.TextRead(relay.now(), "t1",
+			.satisfies((read) -> assertThat(read.run().request()).isEqualTo("t1"));
+		List<RelayEffect> read = relay.handle(new RelayEvent.TextRead(relay.now(), RunId.unnumbered("t1"),
 				Optional.of(RelayFixture.turnText("t1", null, "in1;", "out1;").text())));
 		assertThat(new String(sends(read).getFirst().prefix())).isEqualTo("in1;out1;in2;out2;");
 	}
@@ -360,7 +366,7 @@
 	}
 
 	private static RelayEvent.TextsStored textsStored(RelayFixture relay, String request) {
-		return new RelayEvent.TextsStored(relay.now(), Set.of(request), 5, 20, Duration.ofMillis(8));
+		return new RelayEvent.TextsStored(relay.now(), Set.of(relay.run(request)), 5, 20, Duration.ofMillis(8));
 	}
 
 	private static List<RelayEffect.SendRequest> sends(List<RelayEffect> effects) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerListener.java
@@ -74,9 +74,9 @@
 
 	/**
 	 * Another relay has written turns to the log on behalf of this one.
-	 * @param requests the turns
+	 * @param runs the turns
 	 */
-	void turnWritesAcknowledged(Set<String> requests);
+	void turnWritesAcknowledged(Set<RunId> runs);
 
 	/**
 	 * Another relay requests a reservation of a program's budget.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/Peers.java
@@ -360,7 +360,7 @@
 					Peers.this.listener.textsRequested(this.peer, request.requests());
 				case PeerMessage.Texts texts -> Peers.this.listener.textsReceived(texts.turns());
 				case PeerMessage.TurnWriteAck acknowledged ->
-					Peers.this.listener.turnWritesAcknowledged(acknowledged.requests());
+					Peers.this.listener.turnWritesAcknowledged(acknowledged.runs());
 				case PeerMessage.ReservationRequest request ->
 					Peers.this.listener.reservationRequested(this.peer, request);
 				case PeerMessage.Usage usage -> Peers.this.listener.usageReceived(this.peer, usage);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -357,9 +357,9 @@
 			}
 			case RelayEffect.FlushEntries ignored -> this.writer.flush();
 			case RelayEffect.StoreText storeText ->
-				this.textWriter.write(new TurnText(storeText.request(), storeText.text()));
-			case RelayEffect.ReadText read -> this.textReader.read(read.request(), read.locations(),
-					(text) -> on(new RelayEvent.TextRead(this.timers.now(), read.request(), text)));
+				this.textWriter.write(new TurnText(storeText.run(), storeText.text()));
+			case RelayEffect.ReadText read -> this.textReader.read(read.run(), read.locations(),
+					(text) -> on(new RelayEvent.TextRead(this.timers.now(), read.run(), text)));
 			case RelayEffect.RequestTextLocations request ->
 				this.peers.sendRequest(request.peers(), new PeerMessage.TextLocationsRequest(request.request()));
 			case RelayEffect.SendTextLocations response ->
@@ -375,7 +375,7 @@
 			case RelayEffect.RequestTurnWrite write ->
 				this.peers.requestTurnWrite(new PeerMessage.TurnWriteRequest(write.settlement(), write.text()));
 			case RelayEffect.AcknowledgeTurnWrite response ->
-				this.peers.send(response.peer(), new PeerMessage.TurnWriteAck(Set.of(response.request())));
+				this.peers.send(response.peer(), new PeerMessage.TurnWriteAck(Set.of(response.run())));
 			case RelayEffect.RequestReservation request ->
 				this.peers.sendRequest(request.peers(), new PeerMessage.ReservationRequest(request.run(),
 						request.program(), request.maxTokens(), request.budget(), false));
@@ -422,20 +422,20 @@
 		}
 	}
 
-	private void turnsStored(Set<String> requests) {
-		on(new RelayEvent.SettlementsStored(this.timers.now(), requests));
+	private void turnsStored(Set<RunId> runs) {
+		on(new RelayEvent.SettlementsStored(this.timers.now(), runs));
 	}
 
-	private void renewalsStored(Set<String> requests) {
-		on(new RelayEvent.RenewalsStored(this.timers.now(), requests));
+	private void renewalsStored(Set<RunId> runs) {
+		on(new RelayEvent.RenewalsStored(this.timers.now(), runs));
 	}
 
 	private void streamAttemptsStored(Map<RunId, Integer> attempts) {
 		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
 	}
 
-	private void textsStored(Set<String> requests, long firstOffset, long endOffset, Duration latency) {
-		on(new RelayEvent.TextsStored(this.timers.now(), requests, firstOffset, endOffset, latency));
+	private void textsStored(Set<RunId> runs, long firstOffset, long endOffset, Duration latency) {
+		on(new RelayEvent.TextsStored(this.timers.now(), runs, firstOffset, endOffset, latency));
 	}
 
 	private void conditionalReservationsStored() {
@@ -717,8 +717,8 @@
 		}
 
 		@Override
-		public void turnWritesAcknowledged(Set<String> requests) {
-			on(new RelayEvent.TurnWritesAcknowledged(RelayProcess.this.timers.now(), requests));
+		public void turnWritesAcknowledged(Set<RunId> runs) {
+			on(new RelayEvent.TurnWritesAcknowledged(RelayProcess.this.timers.now(), runs));
 		}
 
 		@Override
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/EntryWriter.java
@@ -42,9 +42,9 @@
 
 	private final Timers timers;
 
-	private final Consumer<Set<String>> turnsStored;
+	private final Consumer<Set<RunId>> turnsStored;
 
-	private final Consumer<Set<String>> renewalsStored;
+	private final Consumer<Set<RunId>> renewalsStored;
 
 	private final Consumer<Map<RunId, Integer>> streamAttemptsStored;
 
@@ -69,8 +69,8 @@
 	 * @param callListener receives whether each call to the store succeeded
 	 * @param dropListener receives the number of entries whenever some are dropped
 	 */
-	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<String>> turnsStored,
-			Consumer<Set<String>> renewalsStored, Consumer<Map<RunId, Integer>> streamAttemptsStored,
+	public EntryWriter(Store store, Timers timers, RandomGenerator random, Consumer<Set<RunId>> turnsStored,
+			Consumer<Set<RunId>> renewalsStored, Consumer<Map<RunId, Integer>> streamAttemptsStored,
 			Runnable conditionalReservationsStored, Consumer<Boolean> callListener, IntConsumer dropListener) {
 		this.timers = timers;
 		this.turnsStored = turnsStored;
@@ -145,15 +145,14 @@
 	}
 
 	private void stored(List<LedgerEntry> entries) {
-		Set<String> turns = new HashSet<>();
-		Set<String> renewals = new HashSet<>();
+		Set<RunId> turns = new HashSet<>();
+		Set<RunId> renewals = new HashSet<>();
 		boolean conditionalReservations = false;
 		Map<RunId, Integer> attempts = new HashMap<>();
 		for (LedgerEntry written : entries) {
 			switch (written) {
-				case LedgerEntry.Settled settled when settled.renewal() -> renewals.add(settled.request());
-				case LedgerEntry.Settled settled when settled.textLocation().isPresent() ->
-					turns.add(settled.request());
+				case LedgerEntry.Settled settled when settled.renewal() -> renewals.add(settled.run());
+				case LedgerEntry.Settled settled when settled.textLocation().isPresent() -> turns.add(settled.run());
 				case LedgerEntry.Reserved reserved when reserved.conditional() -> conditionalReservations = true;
 				case LedgerEntry.Reserved reserved -> reserved.stream()
 					.ifPresent((attempt) -> attempts.merge(reserved.run(), attempt.number(), Math::max));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextReader.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.wire.relay.RelayCodec;
@@ -45,12 +46,12 @@
 
 	/**
 	 * Reads the text of a turn.
-	 * @param request the id of the turn's request
+	 * @param run the run of the turn
 	 * @param locations the locations to search
 	 * @param callback receives the text, or empty if it was not found
 	 */
-	public void read(String request, List<TextLocation> locations, Consumer<Optional<StoredTurn>> callback) {
-		new Search(request, new ArrayDeque<>(locations), callback).searchNextLocation();
+	public void read(RunId run, List<TextLocation> locations, Consumer<Optional<StoredTurn>> callback) {
+		new Search(run, new ArrayDeque<>(locations), callback).searchNextLocation();
 	}
 
 	/**
@@ -58,7 +59,7 @@
 	 */
 	private final class Search {
 
-		private final String request;
+		private final RunId run;
 
 		private final Deque<TextLocation> locations;
 
@@ -72,8 +73,8 @@
 
 		private int calls;
 
-		Search(String request, Deque<TextLocation> locations, Consumer<Optional<StoredTurn>> callback) {
-			this.request = request;
+		Search(RunId run, Deque<TextLocation> locations, Consumer<Optional<StoredTurn>> callback) {
+			this.run = run;
 			this.locations = locations;
 			this.callback = callback;
 		}
@@ -122,7 +123,7 @@
 			for (Store.StoredRecord stored : records) {
 				Optional<TextPart> part = stored.value()
 					.flatMap((value) -> RelayCodec.decodeTextPart(value).toJavaOptional())
-					.filter((decoded) -> decoded.turn().request().equals(this.request));
+					.filter((decoded) -> decoded.turn().run().matches(this.run));
 				if (part.isEmpty()) {
 					continue;
 				}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/store/TextWriter.java
@@ -7,6 +7,7 @@
 import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.RelayCodec;
 
@@ -65,12 +66,12 @@
 				(encoded, delay) -> encoded, timers, random, MAX_QUEUED_BYTES, this::stored, (succeeded) -> {
 					// The availability of a text partition does not affect connectivity,
 					// which depends on the log alone.
-				}, dropListener, (before, next) -> next.index() > 0 && next.request().equals(before.request()));
+				}, dropListener, (before, next) -> next.index() > 0 && next.run().equals(before.run()));
 	}
 
 	private void stored(List<Part> parts, long offset, Duration latency) {
-		Set<String> complete = new HashSet<>();
-		parts.stream().filter(Part::last).forEach((part) -> complete.add(part.request()));
+		Set<RunId> complete = new HashSet<>();
+		parts.stream().filter(Part::last).forEach((part) -> complete.add(part.run()));
 		long from = (this.incompleteFrom >= 0) ? this.incompleteFrom : offset;
 		this.incompleteFrom = parts.getLast().last() ? -1 : from;
 		this.listener.stored(complete, from, offset + parts.size(), latency);
@@ -103,7 +104,7 @@
 	public void write(TurnText turn) {
 		List<byte[]> records = RelayCodec.encodeRecords(turn, this.maxRecordBytes);
 		for (int i = 0; i < records.size(); i++) {
-			this.queue.add(new Part(turn.request(), i, i == records.size() - 1), records.get(i));
+			this.queue.add(new Part(turn.run(), i, i == records.size() - 1), records.get(i));
 		}
 		this.queue.flush();
 	}
@@ -124,23 +125,23 @@
 
 		/**
 		 * Called when the store has acknowledged texts, and with the initial end offset.
-		 * @param requests the ids of the requests whose texts were stored
+		 * @param runs the turns whose texts were stored
 		 * @param firstOffset the lowest offset of a part of these texts
 		 * @param endOffset the end offset of the partition
 		 * @param latency the latency of the append
 		 */
-		void stored(Set<String> requests, long firstOffset, long endOffset, Duration latency);
+		void stored(Set<RunId> runs, long firstOffset, long endOffset, Duration latency);
 
 	}
 
 	/**
 	 * A record of a text. Immutable.
 	 *
-	 * @param request the id of the request
+	 * @param run the run of the turn
 	 * @param index the number of the part
 	 * @param last whether it is the last part
 	 */
-	private record Part(String request, int index, boolean last) {
+	private record Part(RunId run, int index, boolean last) {
 
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -348,7 +348,7 @@
 		}
 
 		@Override
-		public void turnWritesAcknowledged(Set<String> requests) {
+		public void turnWritesAcknowledged(Set<RunId> runs) {
 		}
 
 		@Override
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/EntryWriterTests.java
@@ -26,11 +26,11 @@
 
 	private final FakeStore store = new FakeStore();
 
-	private final Set<String> storedTurns = new HashSet<>();
+	private final Set<RunId> storedTurns = new HashSet<>();
 
 	private final List<Integer> dropped = new ArrayList<>();
 
-	private final Set<String> storedRenewals = new HashSet<>();
+	private final Set<RunId> storedRenewals = new HashSet<>();
 
 	private final Map<RunId, Integer> storedAttempts = new HashMap<>();
 
@@ -60,7 +60,7 @@
 		this.writer.flush();
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
 		assertThat(this.storedTurns).isEmpty();
-		assertThat(this.storedRenewals).containsExactly("a");
+		assertThat(this.storedRenewals).containsExactly(RunId.unnumbered("a"));
 	}
 
 	@Test
@@ -97,7 +97,7 @@
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(0));
 		assertThat(this.storedTurns).isEmpty();
 		this.store.appendCallbacks.poll().accept(new Store.AppendResult.Success(1));
-		assertThat(this.storedTurns).containsExactly("a");
+		assertThat(this.storedTurns).containsExactly(RunId.unnumbered("a"));
 	}
 
 	@Test
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextReaderTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.TextLocation;
 import io.lentilslip.core.relay.TurnText;
@@ -104,9 +105,9 @@
 	@Test
 	void textIsJoinedFromItsPartsInAnyReads() {
 		StoredTurn text = new StoredTurn(Optional.of("before"), "i".repeat(700).getBytes(), "o".repeat(700).getBytes());
-		List<byte[]> parts = RelayCodec.encodeRecords(new TurnText("t", text), 500);
+		List<byte[]> parts = RelayCodec.encodeRecords(new TurnText(RunId.unnumbered("t"), text), 500);
 		List<Optional<StoredTurn>> found = new ArrayList<>();
-		this.reader.read("t", List.of(location(5)), found::add);
+		this.reader.read(RunId.unnumbered("t"), List.of(location(5)), found::add);
 		for (int i = 0; i < parts.size(); i++) {
 			assertThat(found).isEmpty();
 			this.store.readCallbacks.poll()
@@ -125,11 +126,11 @@
 	@Test
 	void partsOfDifferentDivisionsAreNotJoined() {
 		StoredTurn text = new StoredTurn(Optional.of("before"), "i".repeat(700).getBytes(), "o".repeat(700).getBytes());
-		TurnText turn = new TurnText("t", text);
+		TurnText turn = new TurnText(RunId.unnumbered("t"), text);
 		List<byte[]> records = new ArrayList<>(RelayCodec.encodeRecords(turn, 500).subList(0, 2));
 		records.addAll(RelayCodec.encodeRecords(turn, 900));
 		List<Optional<StoredTurn>> found = new ArrayList<>();
-		this.reader.read("t", List.of(location(5)), found::add);
+		this.reader.read(RunId.unnumbered("t"), List.of(location(5)), found::add);
 		this.store.readCallbacks.poll()
 			.accept(new Store.ReadResult.Records(
 					records.stream().map((part) -> new StoredRecord(5, Optional.empty(), Optional.of(part))).toList(),
@@ -140,6 +141,21 @@
 		});
 	}
 
+	// Guards against the text of an attempt that its caller has given up.
+	@Test
+	void textOfAnotherRunIsSkipped() {
+		List<StoredRecord> records = new ArrayList<>();
+		for (int run = 1; run <= 2; run++) {
+			TurnText turn = new TurnText(new RunId("t", (long) run << 30),
+					new StoredTurn(Optional.empty(), new byte[0], ("run " + run).getBytes()));
+			records.add(new StoredRecord(4 + run, Optional.empty(), Optional.of(RelayCodec.encode(turn))));
+		}
+		this.reader.read(new RunId("t", 2L << 30), List.of(location(5)),
+				(text) -> this.results.add(text.map((turn) -> new String(turn.output()))));
+		this.store.readCallbacks.poll().accept(new Store.ReadResult.Records(records, 7, 7));
+		assertThat(this.results).containsExactly(Optional.of("run 2"));
+	}
+
 	@Test
 	void failedReadIsReportedAsNotFound() {
 		read(location(5));
@@ -148,7 +164,7 @@
 	}
 
 	private void read(TextLocation... locations) {
-		this.reader.read("t", List.of(locations),
+		this.reader.read(RunId.unnumbered("t"), List.of(locations),
 				(text) -> this.results.add(text.map((turn) -> new String(turn.output()))));
 	}
 
@@ -161,7 +177,7 @@
 		for (String turn : turns) {
 			StoredTurn text = new StoredTurn(Optional.empty(), new byte[0], ("text of " + turn).getBytes());
 			records.add(new StoredRecord(from + records.size(), Optional.empty(),
-					Optional.of(RelayCodec.encode(new TurnText(turn, text)))));
+					Optional.of(RelayCodec.encode(new TurnText(RunId.unnumbered(turn), text)))));
 		}
 		return new Store.ReadResult.Records(records, from + turns.length, end);
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/store/TextWriterTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.StoredTurn;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.wire.relay.RelayCodec;
@@ -152,15 +153,15 @@
 		assertThat(this.endOffset).isEqualTo(900);
 	}
 
-	private void storedTurns(Set<String> requests, long newFirstOffset, long newEndOffset, Duration newLatency) {
+	private void storedTurns(Set<RunId> runs, long newFirstOffset, long newEndOffset, Duration newLatency) {
 		this.firstOffset = newFirstOffset;
-		this.storedTurns.addAll(requests);
+		runs.forEach((run) -> this.storedTurns.add(run.request()));
 		this.endOffset = newEndOffset;
 		this.latency = newLatency;
 	}
 
 	private static TurnText text(String request, int bytes) {
-		return new TurnText(request, new StoredTurn(Optional.empty(), new byte[bytes], new byte[0]));
+		return new TurnText(RunId.unnumbered(request), new StoredTurn(Optional.empty(), new byte[bytes], new byte[0]));
 	}
 
 }
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/PeerMessage.java
@@ -137,16 +137,16 @@
 	/**
 	 * Acknowledges that turns were written to the log on behalf of the receiver.
 	 *
-	 * @param requests the turns
+	 * @param runs the turns
 	 */
-	record TurnWriteAck(Set<String> requests) implements PeerMessage {
+	record TurnWriteAck(Set<RunId> runs) implements PeerMessage {
 
 		/**
 		 * Creates a message.
-		 * @param requests the turns
+		 * @param runs the turns
 		 */
 		public TurnWriteAck {
-			requests = Set.copyOf(requests);
+			runs = Set.copyOf(runs);
 		}
 
 	}
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -123,7 +124,7 @@
 		byte[] input = turn.text().input();
 		byte[] output = turn.text().output();
 		byte[] empty = encode(
-				new TurnText(turn.request(), new StoredTurn(turn.text().previous(), new byte[0], new byte[0])));
+				new TurnText(turn.run(), new StoredTurn(turn.text().previous(), new byte[0], new byte[0])));
 		int partBytes = maxRecordBytes - empty.length - PART_OVERHEAD_BYTES;
 		int parts = (input.length + output.length + partBytes - 1) / partBytes;
 		List<byte[]> records = new ArrayList<>();
@@ -131,7 +132,7 @@
 			int from = part * partBytes;
 			StoredTurn slice = new StoredTurn(turn.text().previous(), slice(input, from, partBytes),
 					slice(output, from - input.length, partBytes));
-			records.add(message(new TurnText(turn.request(), slice)).toBuilder()
+			records.add(message(new TurnText(turn.run(), slice)).toBuilder()
 				.setPart(part)
 				.setParts(parts)
 				.build()
@@ -197,7 +198,7 @@
 			case PeerMessage.TextsRequest request -> builder.getTextsWantedBuilder().addAllRequest(request.requests());
 			case PeerMessage.Texts texts ->
 				texts.turns().forEach((turn) -> builder.getTextsBuilder().addTurns(message(turn)));
-			case PeerMessage.TurnWriteAck ack -> builder.getStoredBuilder().addAllRequest(ack.requests());
+			case PeerMessage.TurnWriteAck ack -> builder.setStored(message(ack.runs()));
 			case PeerMessage.ReservationRequest request ->
 				withRun(builder.getQuestionBuilder(), request.run()).setRequest(request.run().request())
 					.setProgram(request.program())
@@ -255,8 +256,7 @@
 					Either.right(new PeerMessage.TextsRequest(Set.copyOf(message.getTextsWanted().getRequestList())));
 				case TEXTS -> Either.right(new PeerMessage.Texts(
 						message.getTexts().getTurnsList().stream().map(RelayCodec::turn).toList()));
-				case STORED ->
-					Either.right(new PeerMessage.TurnWriteAck(Set.copyOf(message.getStored().getRequestList())));
+				case STORED -> Either.right(new PeerMessage.TurnWriteAck(runs(message.getStored())));
 				case QUESTION -> Either.right(reservationRequest(message.getQuestion()));
 				case TAKEN ->
 					Either.right(new PeerMessage.Usage(run(message.getTaken().getRequest(), message.getTaken()),
@@ -346,14 +346,13 @@
 	}
 
 	private static RelayProtocol.PlacedTurn message(TurnLocation turn) {
-		return RelayProtocol.PlacedTurn.newBuilder()
-			.setRequest(turn.request())
+		return withRun(RelayProtocol.PlacedTurn.newBuilder(), turn.run()).setRequest(turn.run().request())
 			.setPlace(message(turn.location()))
 			.build();
 	}
 
 	private static TurnLocation turnLocation(RelayProtocol.PlacedTurn message) {
-		return new TurnLocation(message.getRequest(), textLocation(message.getPlace()));
+		return new TurnLocation(run(message.getRequest(), message), textLocation(message.getPlace()));
 	}
 
 	private static RelayProtocol.UpstreamLoad message(UpstreamLoad load) {
@@ -382,7 +381,9 @@
 	}
 
 	private static RelayProtocol.KeptText message(TurnText turn) {
-		return RelayProtocol.KeptText.newBuilder().setRequest(turn.request()).setText(message(turn.text())).build();
+		return withRun(RelayProtocol.KeptText.newBuilder(), turn.run()).setRequest(turn.request())
+			.setText(message(turn.text()))
+			.build();
 	}
 
 	private static RelayProtocol.TurnText message(StoredTurn text) {
@@ -394,7 +395,7 @@
 	}
 
 	private static TurnText turn(RelayProtocol.KeptText message) {
-		return new TurnText(message.getRequest(), text(message.getText()));
+		return new TurnText(run(message.getRequest(), message), text(message.getText()));
 	}
 
 	private static StoredTurn text(RelayProtocol.TurnText message) {
@@ -420,6 +421,26 @@
 		return new RunId(request, numbers.isEmpty() ? 0 : Math.max(0, numbers.getLast()));
 	}
 
+	private static RelayProtocol.Requests message(Set<RunId> runs) {
+		RelayProtocol.Requests.Builder builder = RelayProtocol.Requests.newBuilder();
+		UnknownFieldSet.Field.Builder numbers = UnknownFieldSet.Field.newBuilder();
+		for (RunId run : runs) {
+			builder.addRequest(run.request());
+			numbers.addVarint(run.number());
+		}
+		return builder.setUnknownFields(UnknownFieldSet.newBuilder().addField(RUN_FIELD, numbers.build()).build())
+			.build();
+	}
+
+	private static Set<RunId> runs(RelayProtocol.Requests message) {
+		List<Long> numbers = message.getUnknownFields().getField(RUN_FIELD).getVarintList();
+		Set<RunId> runs = new HashSet<>();
+		for (int i = 0; i < message.getRequestCount(); i++) {
+			runs.add(new RunId(message.getRequest(i), (i < numbers.size()) ? Math.max(0, numbers.get(i)) : 0));
+		}
+		return runs;
+	}
+
 	private static PeerMessage reservationRequest(RelayProtocol.Question message) {
 		return new PeerMessage.ReservationRequest(run(message.getRequest(), message), message.getProgram(),
 				message.getMost(), message.getBudget(), message.getPlace());
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -60,7 +60,7 @@
 	@Property(tries = 200)
 	void textsRoundTrip(@ForAll byte[] input, @ForAll byte[] output, @ForAll boolean first) {
 		Optional<String> previous = first ? Optional.empty() : Optional.of("before");
-		TurnText turn = new TurnText("r", new StoredTurn(previous, input, output));
+		TurnText turn = new TurnText(new RunId("r", 1L << 40), new StoredTurn(previous, input, output));
 		assertThat(RelayCodec.decodeText(RelayCodec.encode(turn)).get()).usingRecursiveComparison().isEqualTo(turn);
 		PeerMessage request = new PeerMessage.TurnWriteRequest(
 				new LedgerEntry.Settled(RunId.unnumbered("r"), "p", 9, Optional.empty()), turn.text());
@@ -135,7 +135,8 @@
 	void linkMessagesRoundTrip() {
 		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
 				new PeerMessage.Batch(List.of(new LedgerEntry.UpstreamFailed("r", -3, "u"))),
-				new PeerMessage.TextsRequest(Set.of("a", "b")), new PeerMessage.TurnWriteAck(Set.of("a")),
+				new PeerMessage.TextsRequest(Set.of("a", "b")),
+				new PeerMessage.TurnWriteAck(Set.of(new RunId("a", 1L << 40), RunId.unnumbered("b"))),
 				new PeerMessage.Heartbeat(),
 				new PeerMessage.ReservationRequest(new RunId("r", 1L << 40), "p", 588, 1L << 41, true),
 				new PeerMessage.Usage(
@@ -145,7 +146,7 @@
 						new StreamAttempt(new SoftwareVersion("s", "v1.1"), 2)),
 				new PeerMessage.UsageUnavailable(new RunId("r", 1L << 40)), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t"),
-				new PeerMessage.TextLocations(List.of(new TurnLocation("t",
+				new PeerMessage.TextLocations(List.of(new TurnLocation(new RunId("t", 1L << 40),
 						new TextLocation(Optional.of("s"), 9, 5, 1L << 40, Optional.of("10.0.0.1:7"))))),
 				new PeerMessage.LogDecision(new RunId("r", 1L << 40), true), new PeerMessage.SyncComplete());
 		for (PeerMessage message : messages) {
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayFuzzTests.java
@@ -69,21 +69,22 @@
 		List<byte[]> valid = new ArrayList<>();
 		List.of(new PeerMessage.Greeting("10.0.0.1:7380"), new PeerMessage.Batch(List.of(RESERVED, SETTLED)),
 				new PeerMessage.TurnWriteRequest(SETTLED, TEXT), new PeerMessage.TextsRequest(Set.of("t0", "t1")),
-				new PeerMessage.Texts(List.of(new TurnText("t1", TEXT))), new PeerMessage.TurnWriteAck(Set.of("t1")),
+				new PeerMessage.Texts(List.of(new TurnText(RunId.unnumbered("t1"), TEXT))),
+				new PeerMessage.TurnWriteAck(Set.of(RunId.unnumbered("t1"))),
 				new PeerMessage.ReservationRequest(RunId.unnumbered("t1"), "p", 588, 1L << 40, false),
 				new PeerMessage.Usage(RunId.unnumbered("t1"), 1200, 40, true, List.of(new UpstreamLoad(-7, 3, 250))),
 				new PeerMessage.StreamVersionRequest("t1"),
 				new PeerMessage.StreamVersion(RunId.unnumbered("t1"), ATTEMPT),
 				new PeerMessage.UsageUnavailable(RunId.unnumbered("t1")), new PeerMessage.SyncRequest(),
 				new PeerMessage.TextLocationsRequest("t1"),
-				new PeerMessage.TextLocations(List.of(new TurnLocation("t1", LOCATION))),
+				new PeerMessage.TextLocations(List.of(new TurnLocation(RunId.unnumbered("t1"), LOCATION))),
 				new PeerMessage.LogDecision(RunId.unnumbered("t1"), true), new PeerMessage.SyncComplete(),
 				new PeerMessage.Heartbeat())
 			.forEach((message) -> valid.add(RelayCodec.encode(message)));
 		List.of(RESERVED, SETTLED, new LedgerEntry.UpstreamFailed("t1", -3, "e1@17"))
 			.forEach((entry) -> valid.add(RelayCodec.encode(entry, 1_790_000_000_000L)));
 		valid.add(RelayCodec.withAppendDelay(RelayCodec.encode(SETTLED, 1_790_000_000_000L), Duration.ofSeconds(4)));
-		valid.add(RelayCodec.encode(new TurnText("t1", TEXT)));
+		valid.add(RelayCodec.encode(new TurnText(RunId.unnumbered("t1"), TEXT)));
 		valid.add(RelayCodec.encode(new Member("10.0.0.1:7380", "zone-a", 27)));
 		return valid;
 	}
