Refuse transfer encodings other than chunked

Cause: the decoder takes a list that has "chunked" in it for a chunked body, and any other coding for no body at all, so that bytes of the body were read as the next request or passed on encoded.

Change: a request whose only Transfer-Encoding isn't "chunked" gets 400, and its connection is closed.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -270,6 +271,10 @@
 			reject(statusFor(received.decoderResult().cause()));
 			return;
 		}
+		if (!isTransferEncodingSupported(received)) {
+			reject(HttpResponseStatus.BAD_REQUEST);
+			return;
+		}
 		this.request = Optional.of(received);
 		this.body = new ByteArrayOutputStream();
 		startTimer(this.limits.get().idleTimeout());
@@ -283,6 +288,14 @@
 		}
 	}
 
+	// The decoder takes a list that has "chunked" in it for a chunked body, and any other
+	// coding for none, so that the body would be read as the next request.
+	private static boolean isTransferEncodingSupported(HttpRequest received) {
+		List<String> codings = received.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		return codings.isEmpty()
+				|| (codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst()));
+	}
+
 	private void addContent(HttpContent content) {
 		ByteBuf bytes = content.content();
 		try {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -11,6 +11,7 @@
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -141,6 +143,32 @@
 		}
 	}
 
+	// Guards against a body that is taken for another request, or is passed on encoded.
+	@Test
+	void transferEncodingOtherThanChunkedIsRefused() {
+		for (String coding : List.of("identity", "gzip", "gzip, chunked", "chunked, chunked", "xchunked", "",
+				"chunked\r\nTransfer-Encoding: chunked")) {
+			assertThat(respondTo(
+					"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
+				.as(coding)
+				.startsWith("HTTP/1.1 400 ");
+			assertThat(this.listener.headTimes).as(coding).isEmpty();
+		}
+	}
+
+	private String respondTo(String request) {
+		this.listener.headTimes.clear();
+		EmbeddedChannel decoding = new EmbeddedChannel(new StrictRequestDecoder(RouteTable.Limits.defaults()),
+				new HttpResponseEncoder(), new CallerConnection(this.listener, this.timers, RouteTable.Limits::defaults,
+						() -> false, this.heldBytes));
+		decoding.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.ISO_8859_1));
+		ByteBuf response = decoding.readOutbound();
+		String text = (response != null) ? response.toString(StandardCharsets.ISO_8859_1) : "";
+		ReferenceCountUtil.release(response);
+		decoding.finishAndReleaseAll();
+		return text;
+	}
+
 	// Guards against buffering the whole stream of a caller that does not read.
 	@Test
 	void listenerIsNotifiedWhenACallerDoesNotRead() {
