Refuse paths with bytes beyond ASCII

Change: such a request gets 400 and isn't run.

Evidence: CallerConnectionTests#pathBeyondAsciiIsRefused failed before (the request was passed on) and passes now.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -1,6 +1,7 @@
 package io.lentilslip.relay.http;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -271,7 +272,9 @@
 			reject(statusFor(received.decoderResult().cause()));
 			return;
 		}
-		if (!isTransferEncodingSupported(received)) {
+		// The path is decoded and encoded by different character sets.
+		if (!isTransferEncodingSupported(received)
+				|| !StandardCharsets.US_ASCII.newEncoder().canEncode(received.uri())) {
 			reject(HttpResponseStatus.BAD_REQUEST);
 			return;
 		}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -156,6 +156,14 @@
 		}
 	}
 
+	// Guards against a path that reaches the upstream changed, since the library decodes
+	// and encodes it by different character sets.
+	@Test
+	void pathBeyondAsciiIsRefused() {
+		assertThat(respondTo("GET /caf\u00e9 HTTP/1.1\r\nHost: h\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+		assertThat(this.listener.headTimes).isEmpty();
+	}
+
 	private String respondTo(String request) {
 		this.listener.headTimes.clear();
 		EmbeddedChannel decoding = new EmbeddedChannel(new StrictRequestDecoder(RouteTable.Limits.defaults()),
