Send no body with the refusal of a HEAD request

Cause: refusals were written whole, whatever the method, and a caller takes the body of such a refusal for the beginning of the next response.

Change: the response to HEAD has the length of the body and no body. A further test holds that a pipelined request behind a response that closes the connection isn't passed on; it passed before.

Evidence: CallerConnectionTests#refusalOfAHeadRequestHasNoBody failed before (content was readable) and passes now.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -101,6 +102,8 @@
 
 	private boolean supportsChunked;
 
+	private boolean headRequest;
+
 	private long exchange;
 
 	private long held;
@@ -137,7 +140,14 @@
 			HttpUtil.setContentLength(response, response.content().readableBytes());
 		}
 		setConnectionHeader(response);
-		this.context.writeAndFlush(response).addListener((done) -> responseSent());
+		this.context.writeAndFlush(this.headRequest ? withoutBody(response) : response)
+			.addListener((done) -> responseSent());
+	}
+
+	private static FullHttpResponse withoutBody(FullHttpResponse response) {
+		FullHttpResponse head = response.replace(Unpooled.EMPTY_BUFFER);
+		response.release();
+		return head;
 	}
 
 	/**
@@ -334,6 +344,7 @@
 		cancelTimer();
 		this.responding = true;
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
+		this.headRequest = completed.method().equals(HttpMethod.HEAD);
 		this.closeAfterResponse = this.closeAfterResponse || !HttpUtil.isKeepAlive(completed);
 		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray(), this.headReadAt);
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -14,8 +14,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -143,6 +145,18 @@
 		}
 	}
 
+	// Guards against a body that the caller takes for the beginning of the next response.
+	@Test
+	void refusalOfAHeadRequestHasNoBody() {
+		this.channel.writeInbound(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/x"),
+				LastHttpContent.EMPTY_LAST_CONTENT);
+		this.connection.respond(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.wrappedBuffer(new byte[7])));
+		FullHttpResponse refusal = this.channel.readOutbound();
+		assertThat(refusal.content().isReadable()).isFalse();
+		assertThat(refusal.headers().get(HttpHeaderNames.CONTENT_LENGTH)).isEqualTo("7");
+	}
+
 	// Guards against a body that is taken for another request, or is passed on encoded.
 	@Test
 	void transferEncodingOtherThanChunkedIsRefused() {
@@ -164,6 +178,17 @@
 		assertThat(this.listener.headTimes).isEmpty();
 	}
 
+	// Guards against running a request whose response could not be sent.
+	@Test
+	void requestBehindAResponseThatClosesTheConnectionIsNotPassedOn() {
+		HttpRequest last = head();
+		last.headers().set(HttpHeaderNames.CONNECTION, "close");
+		this.channel.writeInbound(last, LastHttpContent.EMPTY_LAST_CONTENT, head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.connection.respond(RESPONSE, new byte[0]);
+		assertThat(this.listener.headTimes).hasSize(1);
+		assertThat(this.channel.isActive()).isFalse();
+	}
+
 	private String respondTo(String request) {
 		this.listener.headTimes.clear();
 		EmbeddedChannel decoding = new EmbeddedChannel(new StrictRequestDecoder(RouteTable.Limits.defaults()),
