--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -1,9 +1,11 @@
 package io.lentilslip.relay.http;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -27,6 +29,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -99,6 +102,8 @@
 
 	private boolean supportsChunked;
 
+	private boolean headRequest;
+
 	private long exchange;
 
 	private long held;
@@ -135,7 +140,14 @@
 			HttpUtil.setContentLength(response, response.content().readableBytes());
 		}
 		setConnectionHeader(response);
-		this.context.writeAndFlush(response).addListener((done) -> responseSent());
+		this.context.writeAndFlush(this.headRequest ? withoutBody(response) : response)
+			.addListener((done) -> responseSent());
+	}
+
+	private static FullHttpResponse withoutBody(FullHttpResponse response) {
+		FullHttpResponse head = response.replace(Unpooled.EMPTY_BUFFER);
+		response.release();
+		return head;
 	}
 
 	/**
@@ -270,6 +282,12 @@
 			reject(statusFor(received.decoderResult().cause()));
 			return;
 		}
+		// The path is decoded and encoded by different character sets.
+		if (!isTransferEncodingSupported(received)
+				|| !StandardCharsets.US_ASCII.newEncoder().canEncode(received.uri())) {
+			reject(HttpResponseStatus.BAD_REQUEST);
+			return;
+		}
 		this.request = Optional.of(received);
 		this.body = new ByteArrayOutputStream();
 		startTimer(this.limits.get().idleTimeout());
@@ -283,6 +301,14 @@
 		}
 	}
 
+	// The decoder takes a list that has "chunked" in it for a chunked body, and any other
+	// coding for none, so that the body would be read as the next request.
+	private static boolean isTransferEncodingSupported(HttpRequest received) {
+		List<String> codings = received.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		return codings.isEmpty()
+				|| (codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst()));
+	}
+
 	private void addContent(HttpContent content) {
 		ByteBuf bytes = content.content();
 		try {
@@ -318,6 +344,7 @@
 		cancelTimer();
 		this.responding = true;
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
+		this.headRequest = completed.method().equals(HttpMethod.HEAD);
 		this.closeAfterResponse = this.closeAfterResponse || !HttpUtil.isKeepAlive(completed);
 		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray(), this.headReadAt);
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -11,10 +11,13 @@
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -24,6 +27,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -141,6 +145,63 @@
 		}
 	}
 
+	// Guards against a body that the caller takes for the beginning of the next response.
+	@Test
+	void refusalOfAHeadRequestHasNoBody() {
+		this.channel.writeInbound(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.HEAD, "/x"),
+				LastHttpContent.EMPTY_LAST_CONTENT);
+		this.connection.respond(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.wrappedBuffer(new byte[7])));
+		FullHttpResponse refusal = this.channel.readOutbound();
+		assertThat(refusal.content().isReadable()).isFalse();
+		assertThat(refusal.headers().get(HttpHeaderNames.CONTENT_LENGTH)).isEqualTo("7");
+	}
+
+	// Guards against a body that is taken for another request, or is passed on encoded.
+	@Test
+	void transferEncodingOtherThanChunkedIsRefused() {
+		for (String coding : List.of("identity", "gzip", "gzip, chunked", "chunked, chunked", "xchunked", "",
+				"chunked\r\nTransfer-Encoding: chunked")) {
+			assertThat(respondTo(
+					"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
+				.as(coding)
+				.startsWith("HTTP/1.1 400 ");
+			assertThat(this.listener.headTimes).as(coding).isEmpty();
+		}
+	}
+
+	// Guards against a path that reaches the upstream changed, since the library decodes
+	// and encodes it by different character sets.
+	@Test
+	void pathBeyondAsciiIsRefused() {
+		assertThat(respondTo("GET /caf\u00e9 HTTP/1.1\r\nHost: h\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+		assertThat(this.listener.headTimes).isEmpty();
+	}
+
+	// Guards against running a request whose response could not be sent.
+	@Test
+	void requestBehindAResponseThatClosesTheConnectionIsNotPassedOn() {
+		HttpRequest last = head();
+		last.headers().set(HttpHeaderNames.CONNECTION, "close");
+		this.channel.writeInbound(last, LastHttpContent.EMPTY_LAST_CONTENT, head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		this.connection.respond(RESPONSE, new byte[0]);
+		assertThat(this.listener.headTimes).hasSize(1);
+		assertThat(this.channel.isActive()).isFalse();
+	}
+
+	private String respondTo(String request) {
+		this.listener.headTimes.clear();
+		EmbeddedChannel decoding = new EmbeddedChannel(new StrictRequestDecoder(RouteTable.Limits.defaults()),
+				new HttpResponseEncoder(), new CallerConnection(this.listener, this.timers, RouteTable.Limits::defaults,
+						() -> false, this.heldBytes));
+		decoding.writeInbound(Unpooled.copiedBuffer(request, StandardCharsets.ISO_8859_1));
+		ByteBuf response = decoding.readOutbound();
+		String text = (response != null) ? response.toString(StandardCharsets.ISO_8859_1) : "";
+		ReferenceCountUtil.release(response);
+		decoding.finishAndReleaseAll();
+		return text;
+	}
+
 	// Guards against buffering the whole stream of a caller that does not read.
 	@Test
 	void listenerIsNotifiedWhenACallerDoesNotRead() {
