Limit the relays that append an overdue entry besides the replicas

Cause: while the sender of an entry is linked, two relays append it when it is overdue, the first ones of the replicas of its program. A relay that holds a copy and is no replica had rank -1, so it always appended. A relay that can't reach the store sends its entries to each relay that links to it. All of these appended them, and all relays read the copies.

Change: such a relay ranks by hash, like relays without replicas.

Evidence: entryThatAllRelaysHoldIsAppendedByFewBesidesReplicas failed before (3,000 appends for 100 entries at 31 holders, where 200 to 400 are right).

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/UncommittedEntries.java
@@ -188,7 +188,7 @@
 				continue;
 			}
 			List<String> holders = replicas.apply(next.entry());
-			int rank = holders.isEmpty() ? rank(next, self, linkedPeers) : holders.indexOf(self);
+			int rank = holders.contains(self) ? holders.indexOf(self) : rank(next, self, linkedPeers);
 			if (!linkedPeers.contains(next.sender()) || rank < next.writers()) {
 				overdue.add(next.entry());
 				continue;
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
@@ -157,6 +157,25 @@
 		assertThat(appended).hasSize(entryCount);
 	}
 
+	// A relay that can't reach the log sends its entries to each relay that links to it,
+	// replicas or not. If all of these appended them, the log would grow by a copy each.
+	@Test
+	void entryThatAllRelaysHoldIsAppendedByFewBesidesReplicas() {
+		Set<String> all = IntStream.range(0, 32).mapToObj((peer) -> "p" + peer).collect(Collectors.toSet());
+		List<String> replicas = List.of("p1", "p2", "p3");
+		int copies = 0;
+		for (int relay = 1; relay < 32; relay++) {
+			String self = "p" + relay;
+			Set<String> linkedPeers = new HashSet<>(all);
+			linkedPeers.remove(self);
+			UncommittedEntries received = new UncommittedEntries(0);
+			IntStream.range(0, 100)
+				.forEach((turn) -> received.add(RelayFixture.settledTurn("t" + turn, null), "p0", 0));
+			copies += received.takeOverdue(self, linkedPeers, (entry) -> replicas, 1_500).size();
+		}
+		assertThat(copies).isBetween(200, 400);
+	}
+
 	// Guards against losing the second failure of a request with its relay.
 	@Test
 	void failuresOfOneRequestAtTwoUpstreamsAreBothTracked() {
