Read the route table before a stream goes on at the only version

Cause: a relay reads the list of upstreams to its end before a stream of an unknown version goes on, since it may be out of step without knowing it. Its route table may be as old. A stream that began at the service to which the route has moved went on at the only version of the service before.

Change: the request to confirm the list reads the route table to its end as well, after the list, and the table in force counts beside those that were replaced. One more call to the store, shared as the other one is.

Evidence: routeThatTheLatestTableMovesIsNotTakenAsItWas failed (the stream was sent on in place of a refusal) and passes, with StreamRulesTests, StreamsAtARelayOutOfStepTests, RelayTests, TeamTests, CompactedTopicConsumerTests, and over sockets ResumedStreamsTests, StreamVersionTests and RelayOnPlatformTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/EarlierRoutes.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/EarlierRoutes.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The route tables that were replaced while streams that began under them can be resumed.
@@ -39,13 +40,14 @@
 	 * Returns whether requests for a target have gone to one service only.
 	 * @param service the service
 	 * @param head the head of a request for the target
-	 * @param since the time from which on tables count
-	 * @return whether they have, as far as this relay had read the tables
+	 * @param current the table in force
+	 * @param since the time from which on replaced tables count
+	 * @return whether they have, as far as this relay has read the tables
 	 */
-	boolean ledOnlyTo(String service, RequestHead head, long since) {
+	boolean ledOnlyTo(String service, RequestHead head, RouteTable current, long since) {
 		this.tables.removeIf((replaced) -> replaced.at() < since);
-		return this.knownSince < since && this.tables.stream()
-			.flatMap((replaced) -> replaced.table().find(head.host(), head.path()).stream())
+		return this.knownSince < since && Stream.concat(this.tables.stream().map(Replaced::table), Stream.of(current))
+			.flatMap((table) -> table.find(head.host(), head.path()).stream())
 			.flatMap((route) -> route.services().stream())
 			.allMatch((target) -> target.service().equals(service));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEffect.java
@@ -65,8 +65,8 @@
 	}
 
 	/**
-	 * Reads the list of upstreams up to its current end, and reports when that is
-	 * reached. Nothing is reported if the read fails.
+	 * Reads the list of upstreams and the route table up to their current ends, and
+	 * reports when these are reached. Nothing is reported if the read fails.
 	 *
 	 * @param confirmation the number of the request
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -328,7 +328,8 @@
 	}
 
 	/**
-	 * The list of upstreams is complete as of a time after it was requested.
+	 * The list of upstreams and the route table are complete as of a time after that was
+	 * requested.
 	 *
 	 * @param now milliseconds of a monotonic clock
 	 * @param confirmation the number of the request
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -19,11 +19,11 @@
  * continues only if its service is known to have had a single version since before the
  * stream can have started; otherwise its caller has to start it again. A relay may be out
  * of step without knowing it, so that the versions that it has seen and those that are
- * gone count only once a read of the list of upstreams that began after the request has
- * reached the end: what began the stream was listed before. A retry at another version
- * holds its events until the log has it, and an attempt that was read from the log counts
- * once it is read again after the request, so that an earlier attempt never stands for
- * them. Used by one thread.
+ * gone count only once reads of the list of upstreams and of the route table that began
+ * after the request have reached the end: what began the stream was listed before. A
+ * retry at another version holds its events until the log has it, and an attempt that was
+ * read from the log counts once it is read again after the request, so that an earlier
+ * attempt never stands for them. Used by one thread.
  */
 final class StreamRules {
 
@@ -246,7 +246,8 @@
 			.filter((services) -> listCurrent && services.size() == 1)
 			.map((services) -> services.getFirst().service())
 			.filter(this.state::knowsVersionHistory)
-			.filter((service) -> this.state.earlierRoutes.ledOnlyTo(service, exchange.head(), since))
+			.filter((service) -> this.state.earlierRoutes.ledOnlyTo(service, exchange.head(),
+					this.state.routeTable.orElseThrow(), since))
 			.flatMap((service) -> this.state.upstreams.onlyVersion(service, since));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
@@ -57,6 +57,21 @@
 		assertRefusedAsUnknown(this.relay.confirm(confirmation));
 	}
 
+	// Guards against a stream that began elsewhere, since its route leads there by a
+	// table
+	// that the relay had not read.
+	@Test
+	void routeThatTheLatestTableMovesIsNotTakenAsItWas() {
+		listOneVersion();
+		long confirmation = confirmation(resume("u1", null));
+		RouteTable table = RelayFixture.table();
+		this.relay.handle(new RelayEvent.RouteTableUpdated(this.relay.now(),
+				new RouteTable(2,
+						List.of(RelayFixture.route("draft", Repeatability.STREAM, true, false, RelayFixture.SHOP)),
+						table.services(), table.limits(), Optional.empty())));
+		assertRefusedAsUnknown(this.relay.confirm(confirmation));
+	}
+
 	// Guards against a version that came and went while the relay was out of step.
 	@Test
 	void versionThatHasLeftAgainCounts() {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -133,6 +133,8 @@
 
 	private final CompactedTopicConsumer upstreamConsumer;
 
+	private final CompactedTopicConsumer routeConsumer;
+
 	private final ConnectivityMonitor connectivityMonitor;
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
@@ -181,6 +183,7 @@
 				setup.settings().maxRecordBytes(), this::textsStored, dropReporter::recordDropped);
 		this.textReader = new TextReader(this.store);
 		this.upstreamConsumer = consumer(Topic.UPSTREAMS, new UpstreamListener());
+		this.routeConsumer = consumer(Topic.ROUTES, new RouteTableListener());
 	}
 
 	/**
@@ -229,7 +232,7 @@
 	}
 
 	private void consume() {
-		consumer(Topic.ROUTES, new RouteTableListener()).start();
+		this.routeConsumer.start();
 		this.upstreamConsumer.start();
 		this.reader.read();
 		this.textWriter.start();
@@ -398,8 +401,8 @@
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
-			case RelayEffect.ConfirmUpstreams confirm -> this.upstreamConsumer
-				.confirm(() -> on(new RelayEvent.UpstreamsConfirmed(this.timers.now(), confirm.confirmation())));
+			case RelayEffect.ConfirmUpstreams confirm -> this.upstreamConsumer.confirm(() -> this.routeConsumer
+				.confirm(() -> on(new RelayEvent.UpstreamsConfirmed(this.timers.now(), confirm.confirmation()))));
 			case RelayEffect.StartTimer start -> this.timers.schedule(start.delay(),
 					() -> on(new RelayEvent.TimerFired(this.timers.now(), start.exchange(), start.timer())));
 			case RelayEffect.ReportReadiness report -> this.ready = report.ready();
