Replace the connection of a relay that connects anew

Cause: a link that seemed connected ignored any further connection. If the other relay had lost the earlier one without a reset, messages went on to be sent on it, and what arrived on the new connection counted as its signs of life, so that it was not closed.

Change: a second connection that the other relay opened replaces the first that it opened. One that this relay opened stays in use, since relays that connect at the same time can't be told apart from a restart.

Evidence: PeersTests#newConnectionOfARelayReplacesItsEarlierOne failed before (no disconnect within 20 s) and passes now; all tests of relay.peer and relay.process pass.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/peer/PeerLink.java
@@ -85,6 +85,8 @@
 
 	private static final long UNSET = -1;
 
+	private static final String REPLACED = "replaced";
+
 	private final EventLoop loop;
 
 	private final String address;
@@ -103,6 +105,8 @@
 
 	private Optional<Channel> channel = Optional.empty();
 
+	private boolean initiatedLocally;
+
 	private boolean connecting;
 
 	private boolean mayReconnect = true;
@@ -240,16 +244,23 @@
 	/**
 	 * Uses a new connection. If both relays connected at the same time, the first
 	 * connection stays in use for sending, and messages received on the other one are
-	 * still handled.
+	 * still handled. A second connection that the other relay opened replaces the first:
+	 * it opens one only after it has lost the other.
 	 * @param channel the connection
 	 * @param initiatedLocally whether this relay opened it
 	 */
 	void connectionOpened(Channel channel, boolean initiatedLocally) {
 		this.connecting = this.connecting && !initiatedLocally;
-		if (connected()) {
+		if (connected() && (initiatedLocally || this.initiatedLocally)) {
 			return;
 		}
+		Optional<Channel> replaced = this.channel.filter((ignored) -> connected());
 		this.channel = Optional.of(channel);
+		this.initiatedLocally = initiatedLocally;
+		if (replaced.isPresent()) {
+			this.listener.peerDisconnected(this.address, REPLACED);
+			replaced.get().close();
+		}
 		this.failures = 0;
 		this.unreachableSince = UNSET;
 		this.awaitingResponseSince = UNSET;
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/peer/PeersTests.java
@@ -1,8 +1,11 @@
 package io.lentilslip.relay.peer;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -227,6 +230,42 @@
 		return new LedgerEntry.Reserved(request, "p", 1, "", List.of(), false);
 	}
 
+	// Guards against messages to a relay that restarted without ending its connection,
+	// which are lost on it although the relay has connected again.
+	@Test
+	void newConnectionOfARelayReplacesItsEarlierOne() throws Exception {
+		bind();
+		String address = "127.0.0.1:1";
+		try (Socket earlier = connectAs(address)) {
+			assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("connected " + address);
+			try (Socket later = connectAs(address)) {
+				assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("disconnected " + address);
+				assertThat(this.received.poll(20, TimeUnit.SECONDS)).isEqualTo("connected " + address);
+				assertThat(earlier.getInputStream().readAllBytes())
+					.isEqualTo(frame(new PeerMessage.Greeting(this.localAddress)));
+				onLoop(() -> this.peers.send(address, new PeerMessage.SyncRequest()));
+				later.getInputStream().skipNBytes(frame(new PeerMessage.Greeting(this.localAddress)).length);
+				byte[] sent = frame(new PeerMessage.SyncRequest());
+				assertThat(later.getInputStream().readNBytes(sent.length)).isEqualTo(sent);
+				assertThat(this.received).isEmpty();
+			}
+		}
+	}
+
+	private Socket connectAs(String address) throws IOException {
+		int colon = this.localAddress.lastIndexOf(':');
+		Socket socket = new Socket(InetAddress.getLoopbackAddress(),
+				Integer.parseInt(this.localAddress.substring(colon + 1)));
+		socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(20));
+		socket.getOutputStream().write(frame(new PeerMessage.Greeting(address)));
+		return socket;
+	}
+
+	private static byte[] frame(PeerMessage message) {
+		byte[] encoded = RelayCodec.encode(message);
+		return ByteBuffer.allocate(Integer.BYTES + encoded.length).putInt(encoded.length).put(encoded).array();
+	}
+
 	private void sendUsage() throws Exception {
 		connectPeer();
 		while (onLoop(this.others.getFirst()::connectedCount) == 0) {
