--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -87,9 +87,8 @@
 		assertThat(this.arrived).hasValue(1);
 	}
 
-	// A first call leaves its connection in the pool, and the second one uses
-	// it and is reset. A library that takes this for a stale connection sends
-	// the second call again on a new one.
+	// A second call to the same server is reset. A library that keeps
+	// connections takes this for a stale one and sends the call again.
 	@Test
 	void aResetOnAReusedConnectionIsNotSentAgain() {
 		assertThat(get(this.sender, "/whole")).isInstanceOf(Exchange.Answered.class);
@@ -190,6 +189,17 @@
 		}
 	}
 
+	// Guards against an empty success of a service that stopped after the head.
+	@Test
+	void headWithoutALengthAndWithoutContentIsUnanswered() throws Exception {
+		assertUnanswered(cut("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"), Transmission.MAY_HAVE_BEEN_SENT,
+				Verdict.MAY_HAVE_RUN);
+		for (String whole : List.of("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n",
+				"HTTP/1.1 500 Error\r\n\r\n")) {
+			assertThat(cut(whole)).isInstanceOf(Exchange.Answered.class);
+		}
+	}
+
 	private Exchange cut(String response) throws Exception {
 		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
 			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/cut");
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -45,7 +45,7 @@
 				case LedgerEntry.Reserved reserved -> {
 					long writtenAt = received.writtenAt(i);
 					reserved.stream().ifPresent((attempt) -> {
-						this.state.recordStreamAttempt(reserved.request(), attempt);
+						this.state.recordStreamAttempt(reserved.run(), attempt);
 						if (received.fromLog()) {
 							this.state.recordLoggedStream(attempt, writtenAt);
 						}
@@ -54,8 +54,7 @@
 				}
 				case LedgerEntry.Settled settled -> settled(settled, received.sender());
 				case LedgerEntry.UsageRenewed renewed -> this.state.tokens.apply(renewed);
-				case LedgerEntry.UpstreamFailed failed ->
-					this.state.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+				case LedgerEntry.UpstreamFailed failed -> this.state.recordFailure(failed);
 			}
 		}
 		if (received.fromLog()) {
@@ -82,7 +81,7 @@
 	}
 
 	void usageReceived(RelayEvent.UsageReceived usage) {
-		UsagePoll poll = this.state.polls.get(usage.request());
+		UsagePoll poll = this.state.findPoll(usage.run()).orElse(null);
 		this.budgets.usageReceived(usage)
 			.ifPresent((admitted) -> dispatchOrRefuse(this.state.exchanges.get(poll.exchange()), admitted,
 					poll.refusal()));
@@ -134,8 +133,8 @@
 		if (fromLog) {
 			this.budgets.reservationCommitted(reserved);
 		}
-		Long exchangeNumber = this.state.conditionalReservations
-			.remove((fromLog && reserved.conditional()) ? reserved.request() : "");
+		Long exchangeNumber = (fromLog && reserved.conditional())
+				? this.state.conditionalReservations.remove(reserved.run()) : null;
 		if (exchangeNumber != null) {
 			Exchange exchange = this.state.exchanges.get(exchangeNumber);
 			this.budgets.decideInLogOrder(exchange)
@@ -149,22 +148,23 @@
 	}
 
 	private void applyReservation(LedgerEntry.Reserved reserved) {
-		this.state.tokens.reserve(reserved.program(), reserved.request(), reserved.maxTokens());
-		if (this.state.tokens.isOpen(reserved.program(), reserved.request())) {
+		this.state.tokens.reserve(reserved.program(), reserved.run(), reserved.maxTokens());
+		if (this.state.tokens.isOpen(reserved.program(), reserved.run())) {
 			this.state.upstreams.findIncarnation(reserved.upstream()).ifPresent((upstream) -> {
-				this.state.upstreams.requestStarted(reserved.request(), upstream, this.state.now);
+				this.state.upstreams.requestStarted(reserved.run(), upstream, this.state.now);
 				upstream.addToCache(reserved.prompt(), this.state.cacheTokens(upstream.upstream()));
 			});
 		}
 	}
 
 	private void settled(LedgerEntry.Settled settled, Optional<String> sender) {
-		this.state.tokens.settle(settled.program(), settled.request(), settled.tokens());
+		this.state.tokens.settle(settled.program(), settled.run(), settled.tokens());
 		settled.textLocation().ifPresent((location) -> {
 			this.state.turnCache.recordLocation(settled.request(), location, sender);
 			this.state.raiseTextOffset(location);
+			this.state.poisonRequests.recordAnswer(settled.request());
 		});
-		this.state.upstreams.requestEnded(settled.request());
+		this.state.upstreams.requestEnded(settled.run());
 	}
 
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -58,6 +60,11 @@
 	 */
 	private final LinkedHashMap<Long, Set<String>> disproved = new LinkedHashMap<>();
 
+	/**
+	 * The failures under each request, least recently failed first.
+	 */
+	private final LinkedHashMap<String, Set<LedgerEntry.UpstreamFailed>> byRequest = new LinkedHashMap<>();
+
 	/**
 	 * Returns the digest of a target, distinguishable from those of contents.
 	 * @param hash the hash of the target
@@ -80,6 +87,47 @@
 		return (digest & 1) != 0;
 	}
 
+	/**
+	 * Records that an upstream failed while it ran a request, or that this is taken back.
+	 * @param failed the failure
+	 * @return the number of incarnations that failed, up to the maximum
+	 */
+	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		if (failed.isTakenBack()) {
+			disprove(failed);
+			return failures(failed.digest());
+		}
+		Set<LedgerEntry.UpstreamFailed> failures = Optional.ofNullable(this.byRequest.remove(failed.request()))
+			.orElseGet(HashSet::new);
+		failures.add(failed);
+		this.byRequest.put(failed.request(), failures);
+		if (this.byRequest.size() > MAX_REQUESTS) {
+			this.byRequest.pollFirstEntry();
+		}
+		return recordFailure(failed.digest(), failed.upstream());
+	}
+
+	/**
+	 * Records that some relay has the whole answer to a request, which therefore did not
+	 * cause the failures under it.
+	 * @param request the request
+	 */
+	void recordAnswer(String request) {
+		Optional.ofNullable(this.byRequest.remove(request)).ifPresent((failures) -> failures.forEach(this::disprove));
+	}
+
+	private void disprove(LedgerEntry.UpstreamFailed failed) {
+		Set<String> remaining = new HashSet<>(remove(failed.digest()));
+		remaining.remove(failed.upstream());
+		if (!remaining.isEmpty()) {
+			put(failed.digest(), remaining);
+		}
+		if (!isPoison(failed.digest())) {
+			this.confirmedTargets.remove(failed.digest());
+		}
+		addDisproved(failed.digest(), Set.of(failed.upstream()));
+	}
+
 	/**
 	 * Records that an upstream failed while it ran a request.
 	 * @param digest the digest of the request
@@ -177,29 +225,36 @@
 	 * Records that an upstream has run a request without failing, so that the request did
 	 * not cause the earlier failures.
 	 * @param digest the digest of the request
+	 * @return the incarnations that failed while they ran the request
 	 */
-	void recordSuccess(long digest) {
+	Set<String> recordSuccess(long digest) {
 		if (isPoison(digest)) {
-			return;
+			return Set.of();
 		}
-		Set<String> failed = new HashSet<>(remove(digest));
-		if (failed.isEmpty()) {
-			return;
+		Set<String> failed = remove(digest);
+		if (!failed.isEmpty()) {
+			addDisproved(digest, failed);
 		}
-		failed.addAll(this.disproved.getOrDefault(digest, Set.of()));
-		this.disproved.putLast(digest, failed);
+		return failed;
+	}
+
+	private void addDisproved(long digest, Set<String> failed) {
+		Set<String> all = new HashSet<>(failed);
+		all.addAll(this.disproved.getOrDefault(digest, Set.of()));
+		this.disproved.putLast(digest, all);
 		if (this.disproved.size() > MAX_REQUESTS) {
 			this.disproved.pollFirstEntry();
 		}
 	}
 
 	/**
-	 * Forgets the failures under a request.
-	 * @param digest the digest of the request
+	 * Makes a target that is the cause of failures a suspect again. One more failure
+	 * confirms it, so that it can be tried without three more.
+	 * @param target the digest of the target
 	 */
-	void forget(long digest) {
-		remove(digest);
-		this.confirmedTargets.remove(digest);
+	void suspectAgain(long target) {
+		put(target, remove(target).stream().sorted().skip(1).collect(Collectors.toSet()));
+		this.confirmedTargets.remove(target);
 	}
 
 	private Set<String> remove(long digest) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/QuotaRules.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import io.lentilslip.core.quota.PermitReply;
@@ -60,6 +58,12 @@
 	 */
 	private static final Duration FAILURE_TIMEOUT = Duration.ofMillis(400);
 
+	/**
+	 * The time for which a probe without a reply, and the end of a connection, count.
+	 * Nothing is known of a coordinator that was probed longer ago.
+	 */
+	private static final Duration PROBE_EXPIRY = Duration.ofSeconds(2);
+
 	/**
 	 * The maximum number of teams with permits at this relay.
 	 */
@@ -90,8 +94,14 @@
 
 	private final Map<String, Probe> probes = new HashMap<>();
 
-	private final Set<String> disconnected = new HashSet<>();
+	/**
+	 * When the connections to relays ended that are not connected again.
+	 */
+	private final Map<String, Long> disconnectedAt = new HashMap<>();
 
+	/**
+	 * The coordinators that were requested to cover grants of this relay, by request.
+	 */
 	private final Map<Long, String> covered = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
@@ -112,6 +122,7 @@
 		this.completion = completion;
 		this.admitted = admitted;
 		this.buckets = new TeamBuckets(state.quotaTolerance);
+		this.lastRequestId = state.firstRequestId;
 	}
 
 	/**
@@ -180,7 +191,8 @@
 			admitAll(queue);
 			return;
 		}
-		queue.pending.ifPresent((pending) -> queue.replaced.put(pending.requestId(), pending.sentAt()));
+		queue.pending.ifPresent((pending) -> queue.replaced.put(pending.requestId(),
+				new ReplacedRequest(pending.peer(), pending.sentAt())));
 		this.lastRequestId++;
 		PermitRequest request = new PermitRequest(queue.team, this.lastRequestId, quota.get(), active.size(),
 				queue.permits.prefetch(this.state.now), queue.permits.takeExpired(target, this.state.now),
@@ -288,7 +300,7 @@
 	// would grant them again otherwise.
 	private void cover(String peer, Quota quota, String team, int granted) {
 		this.lastRequestId++;
-		this.covered.put(this.lastRequestId, team);
+		this.covered.put(this.lastRequestId, peer);
 		this.state
 			.emit(new RelayEffect.RequestPermits(peer, PermitRequest.cover(team, this.lastRequestId, quota, granted)));
 	}
@@ -303,7 +315,8 @@
 			}
 			Probe last = this.probes.get(relay);
 			if (last == null || this.state.now - last.sentAt() >= RESPONSE_TIMEOUT.toMillis()) {
-				long unansweredSince = (last != null) ? last.unansweredSince() : this.state.now;
+				boolean expired = last == null || this.state.now - last.sentAt() >= PROBE_EXPIRY.toMillis();
+				long unansweredSince = expired ? this.state.now : last.unansweredSince();
 				this.probes.put(relay, new Probe(unansweredSince, this.state.now));
 				this.lastRequestId++;
 				this.state.emit(new RelayEffect.RequestPermits(relay, PermitRequest.probe(this.lastRequestId)));
@@ -313,7 +326,10 @@
 
 	private boolean hasFailed(String relay) {
 		Probe probe = this.probes.get(relay);
-		Duration timeout = this.disconnected.contains(relay) ? RESPONSE_TIMEOUT : FAILURE_TIMEOUT;
+		// A connection is also closed when it has been idle.
+		boolean disconnected = this.state.now - this.disconnectedAt.getOrDefault(relay, RelayState.NEVER) < PROBE_EXPIRY
+			.toMillis();
+		Duration timeout = disconnected ? RESPONSE_TIMEOUT : FAILURE_TIMEOUT;
 		return probe != null && this.state.now - probe.unansweredSince() >= timeout.toMillis();
 	}
 
@@ -323,13 +339,13 @@
 	 */
 	void permitsGranted(RelayEvent.PermitsGranted event) {
 		this.suspectedAt.remove(event.peer());
-		this.disconnected.remove(event.peer());
+		this.disconnectedAt.remove(event.peer());
 		this.probes.remove(event.peer());
 		applyReply(event.peer(), event.reply());
 	}
 
 	private void applyReply(String peer, PermitReply reply) {
-		if (this.covered.remove(reply.requestId()) != null) {
+		if (this.covered.remove(reply.requestId(), peer)) {
 			this.buckets.cover(reply.team(), reply.total());
 			return;
 		}
@@ -337,13 +353,13 @@
 		if (queue == null) {
 			return;
 		}
-		if (queue.pending.isEmpty() || queue.pending.get().requestId() != reply.requestId()) {
-			Optional.ofNullable(queue.replaced.remove(reply.requestId()))
-				.ifPresent((sentAt) -> queue.permits.add(peer, reply.total(), sentAt));
-			admitWaiting(queue);
+		Optional<PendingRequest> pending = queue.pending
+			.filter((request) -> request.isAnsweredBy(peer, reply.requestId()));
+		if (pending.isEmpty()) {
+			applyLateReply(queue, peer, reply);
 			return;
 		}
-		PendingRequest answered = queue.pending.get();
+		PendingRequest answered = pending.get();
 		queue.pending = Optional.empty();
 		queue.permits.add(peer, reply.permits(), answered.sentAt());
 		for (int i = 0; i < Math.min(answered.starting().size(), reply.admissions().size()); i++) {
@@ -359,7 +375,12 @@
 	}
 
 	// A late reply of a coordinator admits the requests that the next one did not.
-	private void admitWaiting(TeamQueue queue) {
+	private void applyLateReply(TeamQueue queue, String peer, PermitReply reply) {
+		ReplacedRequest replaced = queue.replaced.get(reply.requestId());
+		if (replaced != null && replaced.peer().equals(peer)) {
+			queue.replaced.remove(reply.requestId());
+			queue.permits.add(peer, reply.total(), replaced.sentAt());
+		}
 		for (Exchange exchange : List.copyOf(queue.waiting.values())) {
 			OptionalLong expiry = queue.permits.acquire(this.state.now);
 			if (expiry.isEmpty()) {
@@ -470,15 +491,23 @@
 	 */
 	void peerDisconnected(String peer) {
 		if (this.state.replicas.contains(peer)) {
-			this.disconnected.add(peer);
+			this.disconnectedAt.put(peer, this.state.now);
 		}
 	}
 
+	/**
+	 * Handles a new connection to a relay, which may be slow but has not failed.
+	 * @param peer the relay
+	 */
+	void peerConnected(String peer) {
+		this.disconnectedAt.remove(peer);
+	}
+
 	/**
 	 * Handles a membership change, which may change the coordinators of teams.
 	 */
 	void membershipUpdated() {
-		this.disconnected.retainAll(this.state.replicas.addresses());
+		this.disconnectedAt.keySet().retainAll(this.state.replicas.addresses());
 		this.probes.keySet().retainAll(this.state.replicas.addresses());
 		this.buckets.membershipUpdated((team) -> coordinators(team).getFirst().equals(this.state.name), this.state.now);
 	}
@@ -503,9 +532,9 @@
 
 		private final Map<Long, Exchange> waiting = new LinkedHashMap<>();
 
-		private final Map<Long, Long> replaced = new LinkedHashMap<>() {
+		private final Map<Long, ReplacedRequest> replaced = new LinkedHashMap<>() {
 			@Override
-			protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			protected boolean removeEldestEntry(Map.Entry<Long, ReplacedRequest> eldest) {
 				return size() > MAX_REPLACED_REQUESTS;
 			}
 		};
@@ -531,6 +560,21 @@
 	private record PendingRequest(long requestId, String peer, int rank, long sentAt, List<Exchange> active,
 			List<Exchange> starting) {
 
+		boolean isAnsweredBy(String replying, long id) {
+			return this.requestId == id && this.peer.equals(replying);
+		}
+
+	}
+
+	/**
+	 * Immutable permit request whose coordinator may still reply after another one was
+	 * asked.
+	 *
+	 * @param peer the coordinator that it was sent to
+	 * @param sentAt the time at which it was sent, in milliseconds of a monotonic clock
+	 */
+	private record ReplacedRequest(String peer, long sentAt) {
+
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 import io.lentilslip.core.notice.Notice;
 import io.lentilslip.core.quota.QuotaTolerance;
@@ -29,6 +31,8 @@
 	 */
 	static final long NEVER = Long.MIN_VALUE / 2;
 
+	private static final long MAX_FIRST_REQUEST_ID = 1L << 48;
+
 	/**
 	 * The maximum number of services with streams that are remembered.
 	 */
@@ -69,6 +73,14 @@
 
 	final SplittableRandom random;
 
+	private final SplittableRandom runNumbers;
+
+	/**
+	 * The id after which the ids of permit requests begin. A random one, so that late
+	 * replies to an earlier incarnation of this relay match no request.
+	 */
+	final long firstRequestId;
+
 	final UpstreamSelector upstreamSelector;
 
 	/**
@@ -83,22 +95,22 @@
 
 	/**
 	 * The exchanges whose conditional reservations wait for their order in the log, by
-	 * request.
+	 * run.
 	 */
-	final Map<String, Long> conditionalReservations = new LinkedHashMap<>();
+	final Map<RunId, Long> conditionalReservations = new LinkedHashMap<>();
 
 	/**
-	 * The undecided usage polls of this relay, by request.
+	 * The undecided usage polls of this relay, by run.
 	 */
-	final Map<String, UsagePoll> polls = new LinkedHashMap<>();
+	final Map<RunId, UsagePoll> polls = new LinkedHashMap<>();
 
 	/**
-	 * The reservations that this relay appends to the log for other relays, by request.
+	 * The reservations that this relay appends to the log for other relays, by run.
 	 * Bounded: the oldest are dropped, and their relays retry elsewhere.
 	 */
-	final Map<String, RelayEvent.ReservationRequested> proxiedReservations = new LinkedHashMap<>() {
+	final Map<RunId, RelayEvent.ReservationRequested> proxiedReservations = new LinkedHashMap<>() {
 		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, RelayEvent.ReservationRequested> eldest) {
+		protected boolean removeEldestEntry(Map.Entry<RunId, RelayEvent.ReservationRequested> eldest) {
 			return size() > RelaySettings.MAX_PROXIED_RESERVATIONS;
 		}
 	};
@@ -123,9 +135,9 @@
 
 	/**
 	 * The exchanges whose events wait until the log has the attempts that brought them,
-	 * by request.
+	 * by run.
 	 */
-	final Map<String, Long> awaitingStreamRecord = new LinkedHashMap<>();
+	final Map<RunId, Long> awaitingStreamRecord = new LinkedHashMap<>();
 
 	/**
 	 * The services of which the log has streams from before this relay started.
@@ -201,10 +213,23 @@
 
 	Optional<RouteTable> routeTable = Optional.empty();
 
+	/**
+	 * The routes by which streams may have begun that callers may resume.
+	 */
+	final EarlierRoutes earlierRoutes = new EarlierRoutes();
+
 	/**
 	 * For how long after its start a stream may be resumed.
 	 */
-	Duration streamRetention = Duration.ZERO;
+	private Duration streamRetention = Duration.ZERO;
+
+	/**
+	 * The longer retention of an earlier route table, until streams that began under it
+	 * can't be resumed any more.
+	 */
+	private Duration earlierStreamRetention = Duration.ZERO;
+
+	private long earlierStreamsUntil = NEVER;
 
 	boolean caughtUp;
 
@@ -266,6 +291,8 @@
 		this.startedAt = NEVER;
 		this.upstreamsFollowedSince = settings.bootstrap() ? NEVER : Long.MAX_VALUE;
 		this.random = new SplittableRandom(settings.seed());
+		this.runNumbers = new SplittableRandom(~settings.seed());
+		this.firstRequestId = new SplittableRandom(settings.seed()).nextLong(MAX_FIRST_REQUEST_ID);
 		this.uncommitted = new UncommittedEntries(this.random.nextLong(RelaySettings.ADOPTION_JITTER.toMillis()));
 		this.upstreamSelector = new UpstreamSelector(settings.zone(), this.random);
 	}
@@ -321,10 +348,28 @@
 	 * @param failed the failure
 	 */
 	void upstreamFailed(LedgerEntry.UpstreamFailed failed) {
-		int failures = this.poisonRequests.recordFailure(failed.digest(), failed.upstream());
+		int failures = recordFailure(failed);
 		write(failed, (failures > 1) ? otherRelays() : List.copyOf(this.linkedPeers));
 	}
 
+	/**
+	 * Counts the failure of an upstream, at this relay or another one.
+	 * @param failed the failure
+	 * @return the number of incarnations that failed under the request, up to the maximum
+	 */
+	int recordFailure(LedgerEntry.UpstreamFailed failed) {
+		if (!failed.isTakenBack()) {
+			this.requestTargets.recordFailure(failed.digest(), this.now);
+		}
+		int failures = this.poisonRequests.recordFailure(failed);
+		if (this.turnCache.locations(failed.request()).isEmpty()) {
+			return failures;
+		}
+		// The turn has been stored, so its text is whole.
+		this.poisonRequests.recordAnswer(failed.request());
+		return this.poisonRequests.failures(failed.digest());
+	}
+
 	/**
 	 * Returns whether a request is treated as the cause of failures of upstreams.
 	 * @param exchange the exchange of the request
@@ -343,8 +388,8 @@
 				this.poisonRequests.confirm(exchange.targetDigest());
 				yield true;
 			}
-			case FORGET -> {
-				this.poisonRequests.forget(exchange.targetDigest());
+			case RETRY -> {
+				this.poisonRequests.suspectAgain(exchange.targetDigest());
 				yield false;
 			}
 		};
@@ -353,10 +398,18 @@
 	/**
 	 * Records that an upstream answered a request and has not failed.
 	 * @param exchange the exchange of the request
-	 */
-	void requestAnswered(Exchange exchange) {
-		this.poisonRequests.recordSuccess(exchange.digest());
-		this.poisonRequests.recordSuccess(exchange.targetDigest());
+	 * @param successful whether the answer is a success, so that the earlier failures of
+	 * the request are taken back at all relays
+	 */
+	void requestAnswered(Exchange exchange, boolean successful) {
+		this.failureRules.answered(exchange);
+		for (long digest : List.of(exchange.digest(), exchange.targetDigest())) {
+			for (String upstream : this.poisonRequests.recordSuccess(digest)) {
+				if (successful) {
+					write(LedgerEntry.UpstreamFailed.takenBack(digest, upstream), List.copyOf(this.linkedPeers));
+				}
+			}
+		}
 		this.requestTargets.recordAnswer(exchange);
 	}
 
@@ -371,6 +424,29 @@
 		}
 	}
 
+	/**
+	 * Sets for how long a stream may be resumed that begins now.
+	 * @param retention the time after its start
+	 */
+	void updateStreamRetention(Duration retention) {
+		Duration earlier = streamRetention();
+		if (retention.compareTo(earlier) < 0) {
+			this.earlierStreamRetention = earlier;
+			this.earlierStreamsUntil = this.now + earlier.toMillis();
+		}
+		this.streamRetention = retention;
+	}
+
+	/**
+	 * Returns for how long after its start any stream may be resumed.
+	 * @return the time
+	 */
+	Duration streamRetention() {
+		boolean earlier = this.now <= this.earlierStreamsUntil
+				&& this.earlierStreamRetention.compareTo(this.streamRetention) > 0;
+		return earlier ? this.earlierStreamRetention : this.streamRetention;
+	}
+
 	/**
 	 * Records that the complete list of upstreams was read.
 	 */
@@ -396,7 +472,7 @@
 	 * @return whether it does
 	 */
 	boolean knowsVersionHistory(String service) {
-		return this.upstreamsFollowedSince < this.now - this.streamRetention.toMillis()
+		return this.upstreamsFollowedSince < this.now - streamRetention().toMillis()
 				|| this.servicesWithHistory.contains(service);
 	}
 
@@ -411,19 +487,19 @@
 		}
 	}
 
-	void recordStreamAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.record(request, attempt, this.now, this.streamRetention);
+	void recordStreamAttempt(RunId run, StreamAttempt attempt) {
+		this.streamVersions.record(run, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
-	void recordFinalAttempt(String request, StreamAttempt attempt) {
-		this.streamVersions.recordFinal(request, attempt, this.now, this.streamRetention);
+	void recordFinalAttempt(RunId run, StreamAttempt attempt) {
+		this.streamVersions.recordFinal(run, attempt, this.now, streamRetention());
 		this.upstreams.recordVersion(attempt.version(), this.now);
 	}
 
 	Optional<StreamAttempt> findFinalAttempt(String request) {
 		return this.streamVersions.findFinal(request, this.logEndReadAt,
-				this.streamRetention.dividedBy(RelaySettings.STREAM_ATTEMPTS));
+				streamRetention().dividedBy(RelaySettings.STREAM_ATTEMPTS));
 	}
 
 	/**
@@ -494,6 +570,36 @@
 		return engine(upstream.service()).map(RouteTable.Engine::cacheTokens).orElse(0L);
 	}
 
+	/**
+	 * Returns the identity of a run that begins.
+	 * @param exchange its exchange
+	 * @return the run, after all known ones of the request
+	 */
+	RunId newRun(Exchange exchange) {
+		int number = this.runNumbers.nextInt();
+		Optional<RunId> counted = exchange.head()
+			.turn()
+			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()));
+		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()))
+			.flatMap(Optional::stream)
+			.max(Comparator.naturalOrder())
+			.map((last) -> last.next(number))
+			.orElseGet(() -> RunId.first(exchange.id(), number));
+	}
+
+	/**
+	 * Finds the poll that another relay replies to. A relay of an earlier version does
+	 * not name the run.
+	 * @param run the run in the reply
+	 * @return the poll, or empty if it is decided already
+	 */
+	Optional<UsagePoll> findPoll(RunId run) {
+		if (run.numbered()) {
+			return Optional.ofNullable(this.polls.get(run));
+		}
+		return this.polls.values().stream().filter((poll) -> poll.run().request().equals(run.request())).findFirst();
+	}
+
 	void startTimer(Exchange exchange, Duration delay, TimerKind timer) {
 		emit(new RelayEffect.StartTimer(exchange.number(), delay, timer));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -74,6 +74,7 @@
 			return;
 		}
 		Exchange exchange = new Exchange(request, route.get(), caller.get());
+		exchange.beginRun(this.state.newRun(exchange));
 		this.state.exchanges.put(request.exchange(), exchange);
 		this.state.requestTargets.recordRequest(exchange);
 		if (this.state.isPoison(exchange)) {
@@ -286,16 +287,16 @@
 		this.admissions.sent(exchange);
 		UpstreamState candidate = ranked.getFirst().state();
 		Upstream upstream = candidate.upstream();
-		boolean otherVersion = exchange.upstream()
-			.filter((previous) -> !SoftwareVersion.of(previous).isOf(upstream))
+		boolean otherVersion = this.streams.lastVersion(exchange)
+			.filter((previous) -> !previous.isOf(upstream))
 			.isPresent();
 		exchange.recordSend(upstream, this.state.now);
-		if (otherVersion && exchange.route().resumable() && exchange.head().turn().isPresent()) {
+		if (otherVersion && exchange.head().turn().isPresent()) {
 			exchange.holdEvents();
-			this.state.awaitingStreamRecord.put(exchange.id(), exchange.number());
+			this.state.awaitingStreamRecord.put(exchange.run(), exchange.number());
 		}
 		this.state.report(RelayNotices.requestPlaced(exchange, ranked, this.state));
-		this.state.upstreams.requestSent(exchange.id(), candidate, this.state.now);
+		this.state.upstreams.requestSent(exchange.run(), candidate, this.state.now);
 		List<PromptPart> prompt = exchange.head().prompt();
 		candidate.addToCache(prompt, this.state.cacheTokens(upstream));
 		Optional<StreamAttempt> attempt = this.streams.recordSend(exchange, upstream);
@@ -310,8 +311,8 @@
 
 	private void reserve(Exchange exchange, Turn turn, Upstream upstream, Optional<StreamAttempt> attempt) {
 		exchange.markReserved();
-		this.state.tokens.reserve(turn.program(), exchange.id(), turn.maxTokens());
-		this.state.write(new LedgerEntry.Reserved(exchange.id(), turn.program(), turn.maxTokens(),
+		this.state.tokens.reserve(turn.program(), exchange.run(), turn.maxTokens());
+		this.state.write(new LedgerEntry.Reserved(exchange.run(), turn.program(), turn.maxTokens(),
 				upstream.incarnationId(), exchange.head().prompt(), false, attempt));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -61,7 +61,7 @@
 	private void responseReceived(Exchange exchange, RelayEvent.ResponseReceived response) {
 		ResponseHead head = response.head();
 		Optional<UpstreamState> upstream = this.state.upstreamOf(exchange);
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		recordLoad(exchange, head);
 		if (head.notRun()) {
 			if (head.misdirected()) {
@@ -81,7 +81,7 @@
 		}
 		upstream.ifPresent(UpstreamState::recordSuccess);
 		if (!head.serverError()) {
-			this.state.requestAnswered(exchange);
+			this.state.requestAnswered(exchange, head.successful());
 		}
 		this.state.idleTimeout.recordFirstResponse(exchange);
 		this.completion.settle(exchange, Optional.empty());
@@ -149,8 +149,8 @@
 	 * @param stored the stored attempts
 	 */
 	void streamAttemptsStored(RelayEvent.StreamAttemptsStored stored) {
-		stored.attempts().forEach((request, attempt) -> {
-			Long number = this.state.awaitingStreamRecord.get(request);
+		stored.attempts().forEach((run, attempt) -> {
+			Long number = this.state.awaitingStreamRecord.get(run);
 			if (number != null) {
 				releaseEvents(this.state.exchanges.get(number), attempt);
 			}
@@ -168,9 +168,9 @@
 
 	private void streamEnded(Exchange exchange) {
 		this.state.failureRules.responded(exchange);
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		this.state.upstreamOf(exchange).ifPresent(UpstreamState::recordSuccess);
-		this.state.requestAnswered(exchange);
+		this.state.requestAnswered(exchange, true);
 		this.admissions.streamEnded(exchange);
 		if (!exchange.holdEnd()) {
 			finishStream(exchange);
@@ -205,7 +205,7 @@
 	}
 
 	private void attemptFailed(Exchange exchange, FailureCause cause) {
-		this.state.upstreams.requestEnded(exchange.id());
+		this.state.upstreams.requestEnded(exchange.run());
 		if (cause != FailureCause.EXPIRED) {
 			this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/StreamRules.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -91,15 +93,14 @@
 	 * @return the exchanges
 	 */
 	List<Exchange> takeResolved(Source source) {
-		if (this.state.awaitingVersion.isEmpty()) {
-			return List.of();
+		List<Exchange> resolved = new ArrayList<>();
+		for (Exchange exchange : List.copyOf(this.state.awaitingVersion.values())) {
+			Optional<StreamAttempt> attempt = request(exchange).flatMap(this.state::findFinalAttempt);
+			if (attempt.isPresent() && continueAt(exchange, attempt.get().version(), source)) {
+				resolved.add(exchange);
+			}
 		}
-		return List.copyOf(this.state.awaitingVersion.values())
-			.stream()
-			.filter((exchange) -> request(exchange).flatMap(this.state::findFinalAttempt)
-				.filter((attempt) -> continueAt(exchange, attempt.version(), source))
-				.isPresent())
-			.toList();
+		return resolved;
 	}
 
 	/**
@@ -118,12 +119,15 @@
 	 * @return the exchanges that can be handled further; others are refused
 	 */
 	List<Exchange> takeConfirmed(long confirmation) {
-		return List.copyOf(this.state.awaitingUpstreams.entrySet())
-			.stream()
-			.filter((waiting) -> waiting.getValue().number() <= confirmation)
-			.filter((waiting) -> confirmed(this.state.exchanges.get(waiting.getKey()), waiting.getValue().source()))
-			.map((waiting) -> this.state.exchanges.get(waiting.getKey()))
-			.toList();
+		List<Exchange> resolved = new ArrayList<>();
+		for (Map.Entry<Long, PendingConfirmation> waiting : List.copyOf(this.state.awaitingUpstreams.entrySet())) {
+			Exchange exchange = this.state.exchanges.get(waiting.getKey());
+			PendingConfirmation pending = waiting.getValue();
+			if (pending.number() <= confirmation && confirmed(exchange, pending.source())) {
+				resolved.add(exchange);
+			}
+		}
+		return resolved;
 	}
 
 	void confirmationTimedOut(Exchange exchange) {
@@ -137,7 +141,7 @@
 	 * @param received the event
 	 */
 	void versionReceived(RelayEvent.StreamVersionReceived received) {
-		this.state.recordFinalAttempt(received.request(), received.attempt());
+		this.state.recordFinalAttempt(received.run(), received.attempt());
 	}
 
 	/**
@@ -145,9 +149,10 @@
 	 * @param requested the event
 	 */
 	void versionRequested(RelayEvent.StreamVersionRequested requested) {
+		Optional<RunId> run = this.state.streamVersions.lastRun(requested.request());
 		this.state.findFinalAttempt(requested.request())
 			.ifPresent((attempt) -> this.state
-				.emit(new RelayEffect.SendStreamVersion(requested.peer(), requested.request(), attempt)));
+				.emit(new RelayEffect.SendStreamVersion(requested.peer(), run.orElseThrow(), attempt)));
 	}
 
 	/**
@@ -161,7 +166,7 @@
 			return Optional.empty();
 		}
 		StreamAttempt attempt = new StreamAttempt(SoftwareVersion.of(upstream), exchange.attempt());
-		this.state.recordFinalAttempt(exchange.id(), attempt);
+		this.state.recordFinalAttempt(exchange.run(), attempt);
 		return Optional.of(attempt);
 	}
 
@@ -191,6 +196,19 @@
 		return recordable ? List.of(sameVersion, available) : List.of(sameVersion);
 	}
 
+	/**
+	 * Returns the version of the last attempt of a stream, in this run or else in an
+	 * earlier one.
+	 * @param exchange the exchange
+	 * @return the version, or empty if there is none or the stream can't be resumed
+	 */
+	Optional<SoftwareVersion> lastVersion(Exchange exchange) {
+		return exchange.upstream()
+			.map(SoftwareVersion::of)
+			.or(() -> this.state.streamVersions.find(exchange.id()).map(StreamAttempt::version))
+			.filter((ignored) -> exchange.route().resumable());
+	}
+
 	private static List<UpstreamState> notDraining(List<UpstreamState> candidates) {
 		return candidates.stream().filter((candidate) -> !candidate.upstream().draining()).toList();
 	}
@@ -241,12 +259,13 @@
 		// before its start once it has read it.
 		boolean listCurrent = this.state.connectivity == Connectivity.LOG && this.state.caughtUp && !this.state.logStale
 				&& this.state.upstreams.initialized();
+		long since = this.state.now - this.state.streamRetention().toMillis();
 		return Optional.of(exchange.route().services())
 			.filter((services) -> listCurrent && services.size() == 1)
 			.map((services) -> services.getFirst().service())
 			.filter(this.state::knowsVersionHistory)
-			.flatMap((service) -> this.state.upstreams.onlyVersion(service,
-					this.state.now - this.state.streamRetention.toMillis()));
+			.filter((service) -> this.state.earlierRoutes.ledOnlyTo(service, exchange.head(), since))
+			.flatMap((service) -> this.state.upstreams.onlyVersion(service, since));
 	}
 
 	private boolean awaitUpstreams(Exchange exchange, Source source) {
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamRulesTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -141,7 +142,7 @@
 			.isEqualTo(new RelayEffect.RequestStreamVersion(List.of("relay-2"), "t1"));
 		assertThat(RelayFixture.ofType(effects, RelayEffect.SendRequest.class)).isEmpty();
 		List<RelayEffect> received = this.relay
-			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), "t1", attempt("v2", 1)));
+			.handle(new RelayEvent.StreamVersionReceived(this.relay.now(), RunId.unnumbered("t1"), attempt("v2", 1)));
 		assertThat(sent(received).version()).isEqualTo("v2");
 	}
 
@@ -159,7 +160,8 @@
 		start("t1", "v1");
 		List<RelayEffect> effects = this.relay
 			.handle(new RelayEvent.StreamVersionRequested(this.relay.now(), "relay-2", "t1"));
-		assertThat(effects).containsExactly(new RelayEffect.SendStreamVersion("relay-2", "t1", attempt("v1", 1)));
+		assertThat(effects)
+			.containsExactly(new RelayEffect.SendStreamVersion("relay-2", this.relay.run("t1"), attempt("v1", 1)));
 		assertThat(this.relay.handle(new RelayEvent.StreamVersionRequested(this.relay.now(), "relay-2", "t9")))
 			.isEmpty();
 	}
@@ -265,7 +267,7 @@
 	// Guards against a service to which the route no longer leads.
 	@Test
 	void streamOfAServiceThatTheRouteHasLeftIsRefused() {
-		this.relay.readFromLog(new LedgerEntry.Reserved("t1", "p", 100, "s1", List.of(), false,
+		this.relay.readFromLog(new LedgerEntry.Reserved(RunId.unnumbered("t1"), "p", 100, "s1", List.of(), false,
 				Optional.of(new StreamAttempt(new SoftwareVersion(RelayFixture.SHOP, "v1"), 1))));
 		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_GONE);
 	}
@@ -289,10 +291,10 @@
 	void expiredVersionsAreForgotten() {
 		StreamVersions versions = new StreamVersions();
 		Duration retention = Duration.ofMillis(RETENTION_MS);
-		versions.record("t1", attempt("v1", 1), 0, retention);
-		versions.record("t2", attempt("v1", 1), RETENTION_MS, retention);
+		versions.record(RunId.unnumbered("t1"), attempt("v1", 1), 0, retention);
+		versions.record(RunId.unnumbered("t2"), attempt("v1", 1), RETENTION_MS, retention);
 		assertThat(versions.find("t1")).isPresent();
-		versions.record("t3", attempt("v1", 1), RETENTION_MS + 1, retention);
+		versions.record(RunId.unnumbered("t3"), attempt("v1", 1), RETENTION_MS + 1, retention);
 		assertThat(versions.find("t1")).isEmpty();
 		assertThat(versions.size()).isEqualTo(2);
 	}
@@ -308,7 +310,7 @@
 	void numberOfVersionsIsBounded() {
 		StreamVersions versions = new StreamVersions();
 		for (int i = 0; i < 60_000; i++) {
-			versions.record("t" + i, attempt("v1", 1), 0, Duration.ofMillis(RETENTION_MS));
+			versions.record(RunId.unnumbered("t" + i), attempt("v1", 1), 0, Duration.ofMillis(RETENTION_MS));
 		}
 		assertThat(versions.size()).isEqualTo(50_000);
 		assertThat(versions.find("t59999")).isPresent();
@@ -434,6 +436,41 @@
 		return restarted;
 	}
 
+	// Guards against forgetting a version because later streams have shorter timeouts.
+	@Test
+	void shorterTimeoutsDoNotShortenEarlierStreams() {
+		list(engine("c", "v1"));
+		this.relay.advance(RETENTION_MS);
+		list(engine("d", "v2"));
+		configure(2, RelayFixture.ENGINE, Duration.ofSeconds(1));
+		this.relay.advance(RETENTION_MS);
+		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+		this.relay.advance(1);
+		assertThat(sent(resume("u2", "t1")).version()).isEqualTo("v2");
+	}
+
+	// Guards against a stream of the service to which its route led before.
+	@Test
+	void onlyVersionOfAServiceDoesNotCountForEarlierStreamsOfItsRoute() {
+		list(engine("c", "v1"),
+				new Upstream("m1", "other", "10.0.0.1", 80, "zone-a", 6, false, OptionalLong.empty(), "v1"));
+		this.relay.advance(RETENTION_MS);
+		configure(2, "other", Duration.ofSeconds(4));
+		this.relay.advance(RETENTION_MS);
+		assertThat(refusal(resume("u1", "t1")).refusal()).isEqualTo(Refusal.VERSION_UNKNOWN);
+		configure(3, "other", Duration.ofSeconds(4));
+		this.relay.advance(1);
+		assertThat(sent(resume("u2", "t1")).service()).isEqualTo("other");
+	}
+
+	private void configure(long version, String service, Duration timeout) {
+		RouteTable plain = RelayFixture.table();
+		Route draft = new Route("draft", "host", "/draft/", Repeatability.STREAM, timeout, Duration.ofMillis(200), 2, 0,
+				true, false, Duration.ofSeconds(60), false, false, List.of(new Route.WeightedService(service, 1)));
+		this.relay.handle(new RelayEvent.RouteTableUpdated(this.relay.now(),
+				new RouteTable(version, List.of(draft), plain.services(), plain.limits(), Optional.empty())));
+	}
+
 	private static List<RelayEffect> resume(RelayFixture relay, String id, String origin) {
 		return relay.confirmed(relay.sendRequest(RelayFixture.resuming(id, origin, 1), "body"));
 	}
@@ -476,7 +513,7 @@
 	}
 
 	private static LedgerEntry reserved(String request, String upstream, String version, int number) {
-		return new LedgerEntry.Reserved(request, "p", 100, upstream, List.of(), false,
+		return new LedgerEntry.Reserved(RunId.unnumbered(request), "p", 100, upstream, List.of(), false,
 				Optional.of(attempt(version, number)));
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UncommittedEntriesTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.lang.management.ManagementFactory;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import com.sun.management.ThreadMXBean;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -40,7 +42,7 @@
 
 	@Test
 	void committedEntryWithSameRequestAndTypeIsDuplicate() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("t", "p", 7, "", List.of(), false);
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("t"), "p", 7, "", List.of(), false);
 		assertThat(this.entries.committed(this.entry)).isFalse();
 		assertThat(this.entries.committed(reserved)).isFalse();
 		assertThat(this.entries.committed(this.entry)).isTrue();
@@ -57,18 +59,55 @@
 
 	@Test
 	void entriesAreFoundByProgram() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 7, "", List.of(), false);
-		LedgerEntry settled = new LedgerEntry.Settled("s", "p", 5, Optional.empty());
-		LedgerEntry other = new LedgerEntry.Settled("o", "q", 5, Optional.empty());
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 7, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled(RunId.unnumbered("s"), "p", 5, Optional.empty());
+		LedgerEntry other = new LedgerEntry.Settled(RunId.unnumbered("o"), "q", 5, Optional.empty());
 		LedgerEntry settledWithText = RelayFixture.settledTurn("k", null);
 		List.of(reserved, settledWithText, settled, other).forEach((entry) -> this.entries.add(entry, "x", 0));
 		assertThat(this.entries.entriesOf("p")).containsExactly(reserved, settledWithText, settled);
 		assertThat(this.entries.all()).containsExactly(reserved, settledWithText, settled, other);
 	}
 
+	// Callers choose the ids of requests, and two programs may use the same one.
+	@Test
+	void entryWhoseIdAnotherProgramUsesIsFoundByItsLatestProgramOnly() {
+		StreamAttempt attempt = new StreamAttempt(new SoftwareVersion("engine", "v1"), 1);
+		LedgerEntry first = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 7, "", List.of(), false);
+		LedgerEntry second = new LedgerEntry.Reserved(RunId.unnumbered("r"), "q", 5, "", List.of(), false,
+				Optional.of(attempt));
+		this.entries.add(first, "x", 0);
+		this.entries.add(second, "x", 0);
+		assertThat(this.entries.entriesOf("p")).isEmpty();
+		assertThat(this.entries.entriesOf("q")).containsExactly(second);
+		this.entries.committed(second);
+		assertThat(this.entries.entriesOf("q")).isEmpty();
+		assertThat(this.entries.size()).isZero();
+	}
+
+	// Each turn with a budget asks for the usage of its program. While the log can't be
+	// read, entries of all programs accumulate, and turns would become slower and slower.
+	@Test
+	void usageOfAProgramDoesNotDependOnEntriesOfOtherPrograms() {
+		this.entries.add(new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 7, "", List.of(), false), "x", 0);
+		usageBytes();
+		long alone = usageBytes();
+		for (int i = 0; i < 10_000; i++) {
+			this.entries.add(new LedgerEntry.Reserved(RunId.unnumbered("r" + i), "q" + i, 7, "", List.of(), false), "x",
+					0);
+		}
+		assertThat(usageBytes()).isLessThan(2 * alone + 10_000);
+	}
+
+	private long usageBytes() {
+		ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+		long before = threads.getCurrentThreadAllocatedBytes();
+		assertThat(this.entries.tokensOf("p") + this.entries.entriesOf("p").size()).isEqualTo(8);
+		return threads.getCurrentThreadAllocatedBytes() - before;
+	}
+
 	@Test
 	void localEntryIsNeverOverdueButCounts() {
-		LedgerEntry reserved = new LedgerEntry.Reserved("r", "p", 100, "", List.of(), false);
+		LedgerEntry reserved = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 100, "", List.of(), false);
 		this.entries.add(reserved, "self", 0);
 		assertThat(this.entries.takeOverdue("self", Set.of(), ALL, 9_000)).isEmpty();
 		assertThat(this.entries.tokensOf("p")).isEqualTo(100);
@@ -76,10 +115,10 @@
 
 	@Test
 	void unsettledTurnCountsWithMaximum() {
-		LedgerEntry ended = new LedgerEntry.Reserved("r", "p", 100, "", List.of(), false);
-		LedgerEntry open = new LedgerEntry.Reserved("o", "p", 100, "", List.of(), false);
-		LedgerEntry settled = new LedgerEntry.Settled("r", "p", 30, Optional.empty());
-		LedgerEntry other = new LedgerEntry.Settled("x", "q", 5, Optional.empty());
+		LedgerEntry ended = new LedgerEntry.Reserved(RunId.unnumbered("r"), "p", 100, "", List.of(), false);
+		LedgerEntry open = new LedgerEntry.Reserved(RunId.unnumbered("o"), "p", 100, "", List.of(), false);
+		LedgerEntry settled = new LedgerEntry.Settled(RunId.unnumbered("r"), "p", 30, Optional.empty());
+		LedgerEntry other = new LedgerEntry.Settled(RunId.unnumbered("x"), "q", 5, Optional.empty());
 		List.of(ended, open, settled, other).forEach((entry) -> this.entries.add(entry, "x", 0));
 		assertThat(this.entries.tokensOf("p")).isEqualTo(130);
 		this.entries.committed(settled);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -33,6 +33,7 @@
 import io.lentilslip.core.relay.RelayEffect;
 import io.lentilslip.core.relay.RelayEvent;
 import io.lentilslip.core.relay.RelaySettings;
+import io.lentilslip.core.relay.RunId;
 import io.lentilslip.core.relay.TurnLocation;
 import io.lentilslip.core.relay.TurnText;
 import io.lentilslip.core.relay.Upstream;
@@ -105,7 +106,7 @@
 
 	private final EventLoop loop = this.group.next();
 
-	private final Timers timers = new EventLoopTimers();
+	private final Timers timers = new EventLoopTimers(this.loop, this.arrivalClock, RelayProcess::monotonicMillis);
 
 	private final SplittableRandom random;
 
@@ -137,6 +138,8 @@
 
 	private final PauseDetector pauseDetector = new PauseDetector(CONNECTIVITY_CHECK_INTERVAL);
 
+	private final EventTimes eventTimes = new EventTimes();
+
 	private final TimerDelayMonitor timerDelayMonitor;
 
 	private final TrafficCounter traffic = new TrafficCounter();
@@ -160,7 +163,8 @@
 	public RelayProcess(Setup setup) {
 		this.setup = setup;
 		this.notices = setup.notices();
-		this.timerDelayMonitor = new TimerDelayMonitor(setup.measurements(), this.notices);
+		this.timerDelayMonitor = new TimerDelayMonitor(setup.measurements(), this.notices, this.eventTimes::takeLongest,
+				new CollectorTime()::takeElapsed);
 		this.random = new SplittableRandom(setup.settings().seed());
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
@@ -298,6 +302,7 @@
 			.accept(new Measurement.LinkState(Measurement.LinkState.Kind.RELAY, this.peers.connectedCount(),
 					this.peers.connectedCount() + this.peers.unreachableCount()));
 		this.traffic.publish(this.setup.measurements());
+		this.eventTimes.publish(this.setup.measurements());
 		this.setup.measurements()
 			.accept(new Measurement.CollectionSize(CollectionName.HELD_BYTES, this.setup.heldBytes().held(),
 					this.setup.heldBytes().limit()));
@@ -332,6 +337,7 @@
 	// logged, and its exchange is aborted without a statement on whether the request
 	// ran.
 	private void reduce(RelayEvent event) {
+		long startedAt = System.nanoTime();
 		try {
 			this.relay.handle(event).forEach(this::run);
 		}
@@ -343,6 +349,9 @@
 				this.exchanges.abort(exchangeEvent.exchange());
 			}
 		}
+		finally {
+			this.eventTimes.record(event.getClass(), System.nanoTime() - startedAt);
+		}
 	}
 
 	private void run(RelayEffect effect) {
@@ -366,7 +375,7 @@
 			case RelayEffect.RequestStreamVersion request ->
 				this.peers.sendRequest(request.peers(), new PeerMessage.StreamVersionRequest(request.request()));
 			case RelayEffect.SendStreamVersion response ->
-				this.peers.send(response.peer(), new PeerMessage.StreamVersion(response.request(), response.attempt()));
+				this.peers.send(response.peer(), new PeerMessage.StreamVersion(response.run(), response.attempt()));
 			case RelayEffect.RequestTexts request ->
 				this.peers.send(request.peer(), new PeerMessage.TextsRequest(Set.copyOf(request.requests())));
 			case RelayEffect.SendTexts response ->
@@ -376,15 +385,15 @@
 			case RelayEffect.AcknowledgeTurnWrite response ->
 				this.peers.send(response.peer(), new PeerMessage.TurnWriteAck(Set.of(response.request())));
 			case RelayEffect.RequestReservation request ->
-				this.peers.sendRequest(request.peers(), new PeerMessage.ReservationRequest(request.request(),
+				this.peers.sendRequest(request.peers(), new PeerMessage.ReservationRequest(request.run(),
 						request.program(), request.maxTokens(), request.budget(), false));
 			case RelayEffect.RequestSync ignored -> this.peers.sendRequest(List.of(), new PeerMessage.SyncRequest());
 			case RelayEffect.RequestLogReservation request ->
-				this.peers.send(request.peer(), new PeerMessage.ReservationRequest(request.request(), request.program(),
+				this.peers.send(request.peer(), new PeerMessage.ReservationRequest(request.run(), request.program(),
 						request.maxTokens(), request.budget(), true));
 			case RelayEffect.SendUsage response -> {
 				this.peers.replicate(response.peer(), response.entries());
-				this.peers.send(response.peer(), new PeerMessage.Usage(response.request(), response.tokens(),
+				this.peers.send(response.peer(), new PeerMessage.Usage(response.run(), response.tokens(),
 						response.uncommitted(), response.logReachable(), response.loads()));
 			}
 			case RelayEffect.RequestPermits request ->
@@ -392,9 +401,9 @@
 			case RelayEffect.GrantPermits grant ->
 				this.peers.send(grant.peer(), new PeerMessage.PermitsGranted(grant.reply()));
 			case RelayEffect.SendUsageUnavailable response ->
-				this.peers.send(response.peer(), new PeerMessage.UsageUnavailable(response.request()));
+				this.peers.send(response.peer(), new PeerMessage.UsageUnavailable(response.run()));
 			case RelayEffect.SendLogDecision response ->
-				this.peers.send(response.peer(), new PeerMessage.LogDecision(response.request(), response.admitted()));
+				this.peers.send(response.peer(), new PeerMessage.LogDecision(response.run(), response.admitted()));
 			case RelayEffect.SendSync response -> sendSync(response);
 			case RelayEffect.ReadLog ignored -> this.reader.read();
 			case RelayEffect.CatchUp ignored -> this.reader.catchUp();
@@ -429,7 +438,7 @@
 		on(new RelayEvent.RenewalsStored(this.timers.now(), requests));
 	}
 
-	private void streamAttemptsStored(Map<String, Integer> attempts) {
+	private void streamAttemptsStored(Map<RunId, Integer> attempts) {
 		on(new RelayEvent.StreamAttemptsStored(this.timers.now(), attempts));
 	}
 
@@ -505,28 +514,6 @@
 
 	}
 
-	/**
-	 * Schedules tasks on the event loop. Used by its thread.
-	 */
-	private final class EventLoopTimers implements Timers {
-
-		@Override
-		public void schedule(Duration delay, Runnable task) {
-			RelayProcess.this.loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
-		}
-
-		@Override
-		public long now() {
-			return monotonicMillis();
-		}
-
-		@Override
-		public long earliestArrival() {
-			return RelayProcess.this.arrivalClock.earliestArrival();
-		}
-
-	}
-
 	/**
 	 * Handles reads of the log. Used by the event loop's thread.
 	 */
@@ -653,8 +640,7 @@
 
 		@Override
 		public void streamVersionReceived(PeerMessage.StreamVersion version) {
-			on(new RelayEvent.StreamVersionReceived(RelayProcess.this.timers.now(), version.request(),
-					version.attempt()));
+			on(new RelayEvent.StreamVersionReceived(RelayProcess.this.timers.now(), version.run(), version.attempt()));
 		}
 
 		@Override
@@ -669,20 +655,20 @@
 
 		@Override
 		public void reservationRequested(String peer, PeerMessage.ReservationRequest request) {
-			on(new RelayEvent.ReservationRequested(RelayProcess.this.timers.now(), peer, request.request(),
+			on(new RelayEvent.ReservationRequested(RelayProcess.this.timers.now(), peer, request.run(),
 					request.program(), request.maxTokens(), request.budget(), request.throughLog()));
 		}
 
 		@Override
 		public void usageReceived(String peer, PeerMessage.Usage usage) {
 			on(new RelayEvent.LoadsReceived(RelayProcess.this.timers.now(), usage.loads()));
-			on(new RelayEvent.UsageReceived(RelayProcess.this.timers.now(), peer, usage.request(), usage.tokens(),
+			on(new RelayEvent.UsageReceived(RelayProcess.this.timers.now(), peer, usage.run(), usage.tokens(),
 					usage.uncommitted(), usage.logReachable(), RelayProcess.this.peers.knownCount()));
 		}
 
 		@Override
-		public void usageUnavailable(String peer, String request) {
-			on(new RelayEvent.UsageUnavailable(RelayProcess.this.timers.now(), peer, request));
+		public void usageUnavailable(String peer, RunId run) {
+			on(new RelayEvent.UsageUnavailable(RelayProcess.this.timers.now(), peer, run));
 		}
 
 		@Override
@@ -697,8 +683,7 @@
 
 		@Override
 		public void logDecisionReceived(PeerMessage.LogDecision decision) {
-			on(new RelayEvent.LogDecisionReceived(RelayProcess.this.timers.now(), decision.request(),
-					decision.admitted()));
+			on(new RelayEvent.LogDecisionReceived(RelayProcess.this.timers.now(), decision.run(), decision.admitted()));
 		}
 
 		@Override
