--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/StreamsAtARelayOutOfStepTests.java
@@ -57,9 +57,8 @@
 		assertRefusedAsUnknown(this.relay.confirm(confirmation));
 	}
 
-	// Guards against a stream that began elsewhere, since its route leads there by a
-	// table
-	// that the relay had not read.
+	// Guards against a stream that began at another service, to which its route led by
+	// a table that the relay had not read.
 	@Test
 	void routeThatTheLatestTableMovesIsNotTakenAsItWas() {
 		listOneVersion();
