--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -12,8 +12,6 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.Message;
-import com.google.protobuf.UnknownFieldSet;
 import io.lentilslip.core.relay.LedgerEntry;
 import io.lentilslip.core.relay.Member;
 import io.lentilslip.core.relay.PromptPart;
@@ -41,12 +39,6 @@
 	 */
 	private static final int PART_OVERHEAD_BYTES = 64;
 
-	/**
-	 * The field with the number of a run, in each message that names one. The generated
-	 * classes don't know it.
-	 */
-	private static final int RUN_FIELD = 15;
-
 	private RelayCodec() {
 	}
 
@@ -199,14 +191,16 @@
 			case PeerMessage.Texts texts ->
 				texts.turns().forEach((turn) -> builder.getTextsBuilder().addTurns(message(turn)));
 			case PeerMessage.TurnWriteAck ack -> builder.setStored(message(ack.runs()));
-			case PeerMessage.ReservationRequest request ->
-				withRun(builder.getQuestionBuilder(), request.run()).setRequest(request.run().request())
-					.setProgram(request.program())
-					.setMost(request.maxTokens())
-					.setBudget(request.budget())
-					.setPlace(request.throughLog());
+			case PeerMessage.ReservationRequest request -> builder.getQuestionBuilder()
+				.setRun(request.run().number())
+				.setRequest(request.run().request())
+				.setProgram(request.program())
+				.setMost(request.maxTokens())
+				.setBudget(request.budget())
+				.setPlace(request.throughLog());
 			case PeerMessage.Usage usage -> {
-				RelayProtocol.Taken.Builder usageBuilder = withRun(builder.getTakenBuilder(), usage.run())
+				RelayProtocol.Taken.Builder usageBuilder = builder.getTakenBuilder()
+					.setRun(usage.run().number())
 					.setRequest(usage.run().request())
 					.setTokens(usage.tokens())
 					.setUnlogged(usage.uncommitted())
@@ -219,16 +213,18 @@
 				locations.turns().forEach((turn) -> builder.getPlacesBuilder().addTurns(message(turn)));
 			case PeerMessage.StreamVersionRequest request ->
 				builder.getStreamVersionsWantedBuilder().addRequest(request.request());
-			case PeerMessage.StreamVersion version ->
-				withRun(builder.getStreamVersionsBuilder().addStreamsBuilder(), version.run())
-					.setRequest(version.run().request())
-					.setStream(message(version.attempt()));
+			case PeerMessage.StreamVersion version -> builder.getStreamVersionsBuilder()
+				.addStreamsBuilder()
+				.setRun(version.run().number())
+				.setRequest(version.run().request())
+				.setStream(message(version.attempt()));
 			case PeerMessage.UsageUnavailable unavailable ->
-				withRun(builder.getUnsureBuilder(), unavailable.run()).setRequest(unavailable.run().request());
+				builder.getUnsureBuilder().setRun(unavailable.run().number()).setRequest(unavailable.run().request());
 			case PeerMessage.SyncRequest ignored -> builder.getSyncBuilder();
-			case PeerMessage.LogDecision decision ->
-				withRun(builder.getPlaceBuilder(), decision.run()).setRequest(decision.run().request())
-					.setHeld(decision.admitted());
+			case PeerMessage.LogDecision decision -> builder.getPlaceBuilder()
+				.setRun(decision.run().number())
+				.setRequest(decision.run().request())
+				.setHeld(decision.admitted());
 			case PeerMessage.SyncComplete ignored -> builder.getToldBuilder();
 			case PeerMessage.PermitsRequest request -> builder.setPermitRequest(PermitCodec.message(request.request()));
 			case PeerMessage.PermitsGranted reply -> builder.setPermitReply(PermitCodec.message(reply.reply()));
@@ -258,11 +254,10 @@
 						message.getTexts().getTurnsList().stream().map(RelayCodec::turn).toList()));
 				case STORED -> Either.right(new PeerMessage.TurnWriteAck(runs(message.getStored())));
 				case QUESTION -> Either.right(reservationRequest(message.getQuestion()));
-				case TAKEN ->
-					Either.right(new PeerMessage.Usage(run(message.getTaken().getRequest(), message.getTaken()),
-							message.getTaken().getTokens(), message.getTaken().getUnlogged(),
-							message.getTaken().getLog(),
-							message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
+				case TAKEN -> Either.right(new PeerMessage.Usage(
+						run(message.getTaken().getRequest(), message.getTaken().getRun()),
+						message.getTaken().getTokens(), message.getTaken().getUnlogged(), message.getTaken().getLog(),
+						message.getTaken().getLoadsList().stream().map(RelayCodec::load).toList()));
 				case PLACES_WANTED -> (message.getPlacesWanted().getRequestCount() == 1)
 						? Either.right(new PeerMessage.TextLocationsRequest(message.getPlacesWanted().getRequest(0)))
 						: Either.left("text locations request must name exactly one turn");
@@ -273,12 +268,12 @@
 								new PeerMessage.StreamVersionRequest(message.getStreamVersionsWanted().getRequest(0)))
 						: Either.left("stream version request must name exactly one request");
 				case STREAM_VERSIONS -> streamVersion(message.getStreamVersions());
-				case UNSURE -> Either.right(
-						new PeerMessage.UsageUnavailable(run(message.getUnsure().getRequest(), message.getUnsure())));
+				case UNSURE -> Either.right(new PeerMessage.UsageUnavailable(
+						run(message.getUnsure().getRequest(), message.getUnsure().getRun())));
 				case SYNC -> Either.right(new PeerMessage.SyncRequest());
-				case PLACE ->
-					Either.right(new PeerMessage.LogDecision(run(message.getPlace().getRequest(), message.getPlace()),
-							message.getPlace().getHeld()));
+				case PLACE -> Either.right(
+						new PeerMessage.LogDecision(run(message.getPlace().getRequest(), message.getPlace().getRun()),
+								message.getPlace().getHeld()));
 				case TOLD -> Either.right(new PeerMessage.SyncComplete());
 				case PULSE -> Either.right(new PeerMessage.Heartbeat());
 				case PERMIT_REQUEST ->
@@ -329,8 +324,8 @@
 			return Either.left("message must have exactly one stream version");
 		}
 		RelayProtocol.VersionedStream stream = message.getStreams(0);
-		return Either
-			.right(new PeerMessage.StreamVersion(run(stream.getRequest(), stream), attempt(stream.getStream())));
+		return Either.right(
+				new PeerMessage.StreamVersion(run(stream.getRequest(), stream.getRun()), attempt(stream.getStream())));
 	}
 
 	private static RelayProtocol.StreamVersion message(StreamAttempt attempt) {
@@ -346,13 +341,15 @@
 	}
 
 	private static RelayProtocol.PlacedTurn message(TurnLocation turn) {
-		return withRun(RelayProtocol.PlacedTurn.newBuilder(), turn.run()).setRequest(turn.run().request())
+		return RelayProtocol.PlacedTurn.newBuilder()
+			.setRun(turn.run().number())
+			.setRequest(turn.run().request())
 			.setPlace(message(turn.location()))
 			.build();
 	}
 
 	private static TurnLocation turnLocation(RelayProtocol.PlacedTurn message) {
-		return new TurnLocation(run(message.getRequest(), message), textLocation(message.getPlace()));
+		return new TurnLocation(run(message.getRequest(), message.getRun()), textLocation(message.getPlace()));
 	}
 
 	private static RelayProtocol.UpstreamLoad message(UpstreamLoad load) {
@@ -381,7 +378,9 @@
 	}
 
 	private static RelayProtocol.KeptText message(TurnText turn) {
-		return withRun(RelayProtocol.KeptText.newBuilder(), turn.run()).setRequest(turn.request())
+		return RelayProtocol.KeptText.newBuilder()
+			.setRun(turn.run().number())
+			.setRequest(turn.request())
 			.setText(message(turn.text()))
 			.build();
 	}
@@ -395,7 +394,7 @@
 	}
 
 	private static TurnText turn(RelayProtocol.KeptText message) {
-		return new TurnText(run(message.getRequest(), message), text(message.getText()));
+		return new TurnText(run(message.getRequest(), message.getRun()), text(message.getText()));
 	}
 
 	private static StoredTurn text(RelayProtocol.TurnText message) {
@@ -407,42 +406,26 @@
 		return Optional.of(text).filter((name) -> !name.isEmpty());
 	}
 
-	// Versions that don't know the field ignore it, as they do every other new one.
-	private static <B extends Message.Builder> B withRun(B builder, RunId run) {
-		if (run.number() != 0) {
-			UnknownFieldSet.Field number = UnknownFieldSet.Field.newBuilder().addVarint(run.number()).build();
-			builder.setUnknownFields(UnknownFieldSet.newBuilder().addField(RUN_FIELD, number).build());
-		}
-		return builder;
-	}
-
-	private static RunId run(String request, Message message) {
-		List<Long> numbers = message.getUnknownFields().getField(RUN_FIELD).getVarintList();
-		return new RunId(request, numbers.isEmpty() ? 0 : Math.max(0, numbers.getLast()));
+	private static RunId run(String request, long number) {
+		return new RunId(request, Math.max(0, number));
 	}
 
 	private static RelayProtocol.Requests message(Set<RunId> runs) {
 		RelayProtocol.Requests.Builder builder = RelayProtocol.Requests.newBuilder();
-		UnknownFieldSet.Field.Builder numbers = UnknownFieldSet.Field.newBuilder();
-		for (RunId run : runs) {
-			builder.addRequest(run.request());
-			numbers.addVarint(run.number());
-		}
-		return builder.setUnknownFields(UnknownFieldSet.newBuilder().addField(RUN_FIELD, numbers.build()).build())
-			.build();
+		runs.forEach((run) -> builder.addRequest(run.request()).addRuns(run.number()));
+		return builder.build();
 	}
 
 	private static Set<RunId> runs(RelayProtocol.Requests message) {
-		List<Long> numbers = message.getUnknownFields().getField(RUN_FIELD).getVarintList();
 		Set<RunId> runs = new HashSet<>();
 		for (int i = 0; i < message.getRequestCount(); i++) {
-			runs.add(new RunId(message.getRequest(i), (i < numbers.size()) ? Math.max(0, numbers.get(i)) : 0));
+			runs.add(run(message.getRequest(i), (i < message.getRunsCount()) ? message.getRuns(i) : 0));
 		}
 		return runs;
 	}
 
 	private static PeerMessage reservationRequest(RelayProtocol.Question message) {
-		return new PeerMessage.ReservationRequest(run(message.getRequest(), message), message.getProgram(),
+		return new PeerMessage.ReservationRequest(run(message.getRequest(), message.getRun()), message.getProgram(),
 				message.getMost(), message.getBudget(), message.getPlace());
 	}
 
@@ -459,7 +442,8 @@
 	}
 
 	private static RelayProtocol.RelayEntry message(LedgerEntry entry) {
-		RelayProtocol.RelayEntry.Builder builder = withRun(RelayProtocol.RelayEntry.newBuilder(), entry.run())
+		RelayProtocol.RelayEntry.Builder builder = RelayProtocol.RelayEntry.newBuilder()
+			.setRun(entry.run().number())
 			.setRequest(entry.request());
 		switch (entry) {
 			case LedgerEntry.Reserved reserved -> builder.setReservation(reservation(reserved));
@@ -496,7 +480,9 @@
 		RelayProtocol.ProgramUsage.Builder builder = RelayProtocol.ProgramUsage.newBuilder()
 			.setRetention(Math.max(0, renewed.retention().toMillis()));
 		renewed.turns()
-			.forEach((run, turn) -> withRun(builder.addTurnsBuilder(), run).setRequest(run.request())
+			.forEach((run, turn) -> builder.addTurnsBuilder()
+				.setRun(run.number())
+				.setRequest(run.request())
 				.setTokens(turn.tokens())
 				.setOpen(turn.open()));
 		return builder.build();
@@ -505,7 +491,8 @@
 	private static LedgerEntry usageRenewed(String program, RelayProtocol.ProgramUsage message) {
 		Map<RunId, TurnTokens> turns = new HashMap<>();
 		for (RelayProtocol.ProgramTurn turn : message.getTurnsList()) {
-			turns.put(run(turn.getRequest(), turn), new TurnTokens(Math.max(0, turn.getTokens()), turn.getOpen()));
+			turns.put(run(turn.getRequest(), turn.getRun()),
+					new TurnTokens(Math.max(0, turn.getTokens()), turn.getOpen()));
 		}
 		return new LedgerEntry.UsageRenewed(program, turns, Duration.ofMillis(Math.max(0, message.getRetention())));
 	}
@@ -515,8 +502,10 @@
 			return Either.left("entry has no request id");
 		}
 		return switch (message.getEntryCase()) {
-			case RESERVATION -> Either.right(reserved(run(message.getRequest(), message), message.getReservation()));
-			case SETTLEMENT -> Either.right(settled(run(message.getRequest(), message), message.getSettlement()));
+			case RESERVATION ->
+				Either.right(reserved(run(message.getRequest(), message.getRun()), message.getReservation()));
+			case SETTLEMENT ->
+				Either.right(settled(run(message.getRequest(), message.getRun()), message.getSettlement()));
 			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
 			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(message.getRequest(),
 					message.getBlame().getDigest(), message.getBlame().getUpstream()));
