Let relays read the entry that takes a failure back

Cause: the entry had no request, and the codec refuses an entry without one. In the log it would have been dropped, and a link that brought it closed, each time that a request was answered after an upstream had failed under it.

Change: the entry names the upstream as its request on the wire, and a field of its own says that the failure is taken back. An earlier version reads it as the failure that it knows already.

Evidence: RelayCodecTests#failureThatIsTakenBackRoundTrips failed before (the entry could not be decoded) and passes now, for the log and for links.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -162,7 +162,7 @@
 		 * @param upstream the incarnation of the upstream
 		 * @return the entry
 		 */
-		static UpstreamFailed takenBack(long digest, String upstream) {
+		public static UpstreamFailed takenBack(long digest, String upstream) {
 			return new UpstreamFailed("", digest, upstream);
 		}
 
@@ -170,7 +170,7 @@
 		 * Returns whether an answer has shown that the request did not cause the failure.
 		 * @return whether it has
 		 */
-		boolean isTakenBack() {
+		public boolean isTakenBack() {
 			return this.request.isEmpty();
 		}
 
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -449,8 +449,15 @@
 			case LedgerEntry.Reserved reserved -> builder.setReservation(reservation(reserved));
 			case LedgerEntry.Settled settled -> builder.setSettlement(settlement(settled));
 			case LedgerEntry.UsageRenewed renewed -> builder.setUsage(usage(renewed));
-			case LedgerEntry.UpstreamFailed failed ->
-				builder.getBlameBuilder().setDigest(failed.digest()).setUpstream(failed.upstream());
+			case LedgerEntry.UpstreamFailed failed -> {
+				// Versions that don't know the field refuse an entry without a request,
+				// and count this one as the failure that they know.
+				builder.setRequest(failed.isTakenBack() ? failed.upstream() : failed.request());
+				builder.getBlameBuilder()
+					.setDigest(failed.digest())
+					.setUpstream(failed.upstream())
+					.setTakenBack(failed.isTakenBack());
+			}
 		}
 		return builder.build();
 	}
@@ -507,8 +514,7 @@
 			case SETTLEMENT ->
 				Either.right(settled(run(message.getRequest(), message.getRun()), message.getSettlement()));
 			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
-			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(message.getRequest(),
-					message.getBlame().getDigest(), message.getBlame().getUpstream()));
+			case BLAME -> Either.right(failed(message.getRequest(), message.getBlame()));
 			case ENTRY_NOT_SET -> Either.left("entry has no content");
 		};
 	}
@@ -523,6 +529,11 @@
 				message.hasStream() ? Optional.of(attempt(message.getStream())) : Optional.empty());
 	}
 
+	private static LedgerEntry failed(String request, RelayProtocol.Blame message) {
+		return message.getTakenBack() ? LedgerEntry.UpstreamFailed.takenBack(message.getDigest(), message.getUpstream())
+				: new LedgerEntry.UpstreamFailed(request, message.getDigest(), message.getUpstream());
+	}
+
 	private static LedgerEntry settled(RunId run, RelayProtocol.Settlement message) {
 		Optional<TextLocation> location = Optional.of(message)
 			.filter(RelayProtocol.Settlement::hasPlace)
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -70,6 +70,15 @@
 		}
 	}
 
+	// Guards against links that are closed because a failure is taken back.
+	@Test
+	void failureThatIsTakenBackRoundTrips() {
+		LedgerEntry entry = LedgerEntry.UpstreamFailed.takenBack(-3, "u");
+		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry()).containsExactly(entry);
+		PeerMessage batch = new PeerMessage.Batch(List.of(entry));
+		assertThat(RelayCodec.decodePeerMessage(RelayCodec.encode(batch))).containsExactly(batch);
+	}
+
 	@Property(tries = 500)
 	void malformedBytesDoNotThrow(@ForAll byte[] bytes) {
 		assertThat(RelayCodec.decodeEntry(bytes).entry()).isNotNull();
