Let a repeated turn follow the run of a known text

Cause: the number of a new run is above those that the relay counted in the budget or whose streams it knows. A relay that got the location of a text from another relay before it read the turn in the log knows the run by its location only, so a repeat had an unrelated number. If that was lower, its text was dropped as that of an earlier run and the next turn continued the output that its caller had given up.

Change: the runs of known texts and locations count as well.

Evidence: RepeatedRequestTests.repeatFollowsTheRunOfAKnownLocation failed before ("Expecting value to be true but was false") and passes, as do RepeatedRequestProperties, TurnCacheTests and TextRulesTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -580,7 +580,7 @@
 		Optional<RunId> counted = exchange.head()
 			.turn()
 			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()));
-		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()))
+		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()), this.turnCache.lastRun(exchange.id()))
 			.flatMap(Optional::stream)
 			.max(Comparator.naturalOrder())
 			.map((last) -> last.next(number))
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/TurnCache.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/TurnCache.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -133,6 +134,17 @@
 		return Optional.ofNullable(this.locations.get(request)).map(KnownLocations::run);
 	}
 
+	/**
+	 * Returns the last run of a turn whose text or location is known.
+	 * @param request the turn
+	 * @return the run, or empty if none is known
+	 */
+	Optional<RunId> lastRun(String request) {
+		return Stream.of(run(request), turn(request).map(TurnText::run))
+			.flatMap(Optional::stream)
+			.max(Comparator.naturalOrder());
+	}
+
 	/**
 	 * Returns all locations at which the log may have the text of a turn, including
 	 * uncommitted ones.
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import org.junit.jupiter.api.Test;
@@ -89,6 +91,17 @@
 			.hasSize(1);
 	}
 
+	// Guards against a chain that goes on with an earlier run of which only the location
+	// of its text was known.
+	@Test
+	void repeatFollowsTheRunOfAKnownLocation() {
+		RunId known = RunId.first("t1", -1);
+		this.relay.handle(new RelayEvent.TextLocationsReceived(this.relay.now(), "peer", List.of(new TurnLocation(known,
+				new TextLocation(Optional.empty(), 1, 0, 0, Optional.empty(), Duration.ZERO, false)))));
+		this.relay.sendTurn("t1", "chat", turn());
+		assertThat(this.relay.run("t1").follows(known)).isTrue();
+	}
+
 	private void stream(String text) {
 		int attempt = RelayFixture.ofType(this.relay.all, RelayEffect.SendRequest.class).getLast().attempt();
 		this.relay.open(attempt);
