Take back only the failures of the run that was answered

Cause: the settlement of a stored turn takes back the failures of upstreams that were recorded under its id. Runs that repeat an id have numbers since then, but failures did not, so the answer of one run took back those of all others, whose content may be another one. A failure that was recorded after the answer was dropped at once: once an id had been answered, its repeats made any number of upstreams fail, where three are the bound.

Change: a failure names its run, in the field that other entries have, and a settlement takes back those of its own run. Entries without a run stand for the first one, so the failures and settlements of earlier versions match as before. Tests that compare whole entries of failures leave the number of the run out, which did not exist before.

Evidence: RepeatedRequestTests.failuresOfARepeatCountAfterAnEarlierRunWasAnswered failed before ("Expecting actual: [] to contain exactly [BLAMED]"), and settlementOfAnEarlierRunLeavesTheFailuresOfARepeat fails if a settlement takes back all failures of its id. Both pass, as do all tests and properties of core.relay, RelayCodecTests and RelayFuzzTests.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/FailureRules.java
@@ -106,8 +106,8 @@
 	 */
 	private List<LedgerEntry.UpstreamFailed> failuresOf(Exchange exchange) {
 		String incarnation = exchange.upstream().orElseThrow().incarnationId();
-		return List.of(new LedgerEntry.UpstreamFailed(exchange.id(), exchange.targetDigest(), incarnation),
-				new LedgerEntry.UpstreamFailed(exchange.id(), exchange.digest(), incarnation));
+		return List.of(new LedgerEntry.UpstreamFailed(exchange.run(), exchange.targetDigest(), incarnation),
+				new LedgerEntry.UpstreamFailed(exchange.run(), exchange.digest(), incarnation));
 	}
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerEntry.java
@@ -144,16 +144,22 @@
 	 * Records that an upstream failed while it ran a request, or takes that back. A relay
 	 * of an earlier version reads the latter as a failure that it knows already.
 	 *
-	 * @param request the id of the caller's attempt; empty if the failure is taken back
+	 * @param run the run; its request is empty if the failure is taken back
 	 * @param digest the digest of the request's content, equal for all retries, or of its
 	 * target
 	 * @param upstream the incarnation of the upstream
 	 */
-	record UpstreamFailed(String request, long digest, String upstream) implements LedgerEntry {
+	record UpstreamFailed(RunId run, long digest, String upstream) implements LedgerEntry {
 
-		@Override
-		public RunId run() {
-			return RunId.unnumbered(this.request);
+		/**
+		 * Creates an entry that does not name the run, as those of earlier versions.
+		 * @param request the id of the caller's attempt; empty if the failure is taken
+		 * back
+		 * @param digest the digest of the request's content or of its target
+		 * @param upstream the incarnation of the upstream
+		 */
+		public UpstreamFailed(String request, long digest, String upstream) {
+			this(RunId.unnumbered(request), digest, upstream);
 		}
 
 		/**
@@ -171,7 +177,7 @@
 		 * @return whether it has
 		 */
 		boolean isTakenBack() {
-			return this.request.isEmpty();
+			return request().isEmpty();
 		}
 
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/LedgerRules.java
@@ -162,7 +162,7 @@
 		settled.textLocation().ifPresent((location) -> {
 			this.state.turnCache.recordLocation(settled.run(), location, sender);
 			this.state.raiseTextOffset(location);
-			this.state.poisonRequests.recordAnswer(settled.request());
+			this.state.poisonRequests.recordAnswer(settled.run());
 		});
 		this.state.upstreams.requestEnded(settled.run());
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/PoisonRequests.java
@@ -108,12 +108,21 @@
 	}
 
 	/**
-	 * Records that some relay has the whole answer to a request, which therefore did not
-	 * cause the failures under it.
-	 * @param request the request
+	 * Records that some relay has the whole answer to a run of a request, which therefore
+	 * did not cause the failures under it. Other runs of the request may have another
+	 * content.
+	 * @param run the run
 	 */
-	void recordAnswer(String request) {
-		Optional.ofNullable(this.byRequest.remove(request)).ifPresent((failures) -> failures.forEach(this::disprove));
+	void recordAnswer(RunId run) {
+		Set<LedgerEntry.UpstreamFailed> failures = this.byRequest.getOrDefault(run.request(), new HashSet<>());
+		List<LedgerEntry.UpstreamFailed> disproved = failures.stream()
+			.filter((failed) -> failed.run().matches(run))
+			.toList();
+		failures.removeAll(disproved);
+		if (failures.isEmpty()) {
+			this.byRequest.remove(run.request());
+		}
+		disproved.forEach(this::disprove);
 	}
 
 	private void disprove(LedgerEntry.UpstreamFailed failed) {
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -362,11 +362,11 @@
 			this.requestTargets.recordFailure(failed.digest(), this.now);
 		}
 		int failures = this.poisonRequests.recordFailure(failed);
-		if (this.turnCache.locations(failed.request()).isEmpty()) {
+		if (this.turnCache.run(failed.request()).filter(failed.run()::matches).isEmpty()) {
 			return failures;
 		}
-		// The turn has been stored, so its text is whole.
-		this.poisonRequests.recordAnswer(failed.request());
+		// The run has been stored, so its text is whole.
+		this.poisonRequests.recordAnswer(failed.run());
 		return this.poisonRequests.failures(failed.digest());
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayFixture.java
@@ -437,6 +437,18 @@
 		return effects.stream().filter(type::isInstance).map(type::cast).toList();
 	}
 
+	/**
+	 * Returns the entries that were written, failures without the numbers of their runs.
+	 * @param effects the effects
+	 * @return the entries
+	 */
+	static List<LedgerEntry> writtenWithoutRuns(List<RelayEffect> effects) {
+		return written(effects).stream()
+			.map((entry) -> (entry instanceof LedgerEntry.UpstreamFailed failed)
+					? new LedgerEntry.UpstreamFailed(failed.request(), failed.digest(), failed.upstream()) : entry)
+			.toList();
+	}
+
 	static List<LedgerEntry> written(List<RelayEffect> effects) {
 		return ofType(effects, RelayEffect.AppendEntry.class).stream().map(RelayEffect.AppendEntry::entry).toList();
 	}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
@@ -91,6 +91,41 @@
 			.hasSize(1);
 	}
 
+	// Guards against a request that fails upstreams without end since its id was answered
+	// before.
+	@Test
+	void failuresOfARepeatCountAfterAnEarlierRunWasAnswered() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "chat", turn());
+		stream("a");
+		this.relay.stored("t1");
+		for (String upstream : List.of("b", "c", "d")) {
+			list(engine(upstream, "v1"));
+			this.relay.sendTurn("t1", "chat", turn());
+			this.relay.crash(1);
+		}
+		list(engine("e", "v1"));
+		assertThat(RelayFixture.ofType(this.relay.sendTurn("t1", "chat", turn()), RelayEffect.Refuse.class))
+			.extracting(RelayEffect.Refuse::refusal)
+			.containsExactly(Refusal.BLAMED);
+	}
+
+	// Guards against a settlement that is read late and takes back the failures of a
+	// later
+	// run.
+	@Test
+	void settlementOfAnEarlierRunLeavesTheFailuresOfARepeat() {
+		RunId first = RunId.first("t1", 7);
+		for (String upstream : List.of("u1", "u2", "u3")) {
+			this.relay
+				.readFromLog(new LedgerEntry.UpstreamFailed(first.next(7), RelayFixture.digest("/chat/x"), upstream));
+		}
+		this.relay.readFromLog(new LedgerEntry.Settled(first, "p", 10, Optional.of(RelayFixture.location(null))));
+		assertThat(RelayFixture.ofType(this.relay.sendTurn("t1", "chat", turn()), RelayEffect.Refuse.class))
+			.extracting(RelayEffect.Refuse::refusal)
+			.containsExactly(Refusal.BLAMED);
+	}
+
 	// Guards against a chain that goes on with an earlier run of which only the location
 	// of its text was known.
 	@Test
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -518,7 +518,7 @@
 			case RESERVATION -> Either.right(reserved(run(message.getRequest(), message), message.getReservation()));
 			case SETTLEMENT -> Either.right(settled(run(message.getRequest(), message), message.getSettlement()));
 			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
-			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(message.getRequest(),
+			case BLAME -> Either.right(new LedgerEntry.UpstreamFailed(run(message.getRequest(), message),
 					message.getBlame().getDigest(), message.getBlame().getUpstream()));
 			case ENTRY_NOT_SET -> Either.left("entry has no content");
 		};
