--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RepeatedRequestTests.java
@@ -1,6 +1,8 @@
 package io.lentilslip.core.relay;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import org.junit.jupiter.api.Test;
@@ -89,6 +91,52 @@
 			.hasSize(1);
 	}
 
+	// Guards against a request that fails upstreams without end since its id was answered
+	// before.
+	@Test
+	void failuresOfARepeatCountAfterAnEarlierRunWasAnswered() {
+		list(engine("a", "v1"));
+		this.relay.sendTurn("t1", "chat", turn());
+		stream("a");
+		this.relay.stored("t1");
+		for (String upstream : List.of("b", "c", "d")) {
+			list(engine(upstream, "v1"));
+			this.relay.sendTurn("t1", "chat", turn());
+			this.relay.crash(1);
+		}
+		list(engine("e", "v1"));
+		assertThat(RelayFixture.ofType(this.relay.sendTurn("t1", "chat", turn()), RelayEffect.Refuse.class))
+			.extracting(RelayEffect.Refuse::refusal)
+			.containsExactly(Refusal.BLAMED);
+	}
+
+	// Guards against a settlement that is read late and takes back the failures of a
+	// later
+	// run.
+	@Test
+	void settlementOfAnEarlierRunLeavesTheFailuresOfARepeat() {
+		RunId first = RunId.first("t1", 7);
+		for (String upstream : List.of("u1", "u2", "u3")) {
+			this.relay
+				.readFromLog(new LedgerEntry.UpstreamFailed(first.next(7), RelayFixture.digest("/chat/x"), upstream));
+		}
+		this.relay.readFromLog(new LedgerEntry.Settled(first, "p", 10, Optional.of(RelayFixture.location(null))));
+		assertThat(RelayFixture.ofType(this.relay.sendTurn("t1", "chat", turn()), RelayEffect.Refuse.class))
+			.extracting(RelayEffect.Refuse::refusal)
+			.containsExactly(Refusal.BLAMED);
+	}
+
+	// Guards against a chain that goes on with an earlier run of which only the location
+	// of its text was known.
+	@Test
+	void repeatFollowsTheRunOfAKnownLocation() {
+		RunId known = RunId.first("t1", -1);
+		this.relay.handle(new RelayEvent.TextLocationsReceived(this.relay.now(), "peer", List.of(new TurnLocation(known,
+				new TextLocation(Optional.empty(), 1, 0, 0, Optional.empty(), Duration.ZERO, false)))));
+		this.relay.sendTurn("t1", "chat", turn());
+		assertThat(this.relay.run("t1").follows(known)).isTrue();
+	}
+
 	private void stream(String text) {
 		int attempt = RelayFixture.ofType(this.relay.all, RelayEffect.SendRequest.class).getLast().attempt();
 		this.relay.open(attempt);
--- a/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
+++ b/lentilslip-wire/src/main/java/io/lentilslip/wire/relay/RelayCodec.java
@@ -514,7 +514,7 @@
 			case SETTLEMENT ->
 				Either.right(settled(run(message.getRequest(), message.getRun()), message.getSettlement()));
 			case USAGE -> Either.right(usageRenewed(message.getRequest(), message.getUsage()));
-			case BLAME -> Either.right(failed(message.getRequest(), message.getBlame()));
+			case BLAME -> Either.right(failed(run(message.getRequest(), message.getRun()), message.getBlame()));
 			case ENTRY_NOT_SET -> Either.left("entry has no content");
 		};
 	}
@@ -529,9 +529,9 @@
 				message.hasStream() ? Optional.of(attempt(message.getStream())) : Optional.empty());
 	}
 
-	private static LedgerEntry failed(String request, RelayProtocol.Blame message) {
+	private static LedgerEntry failed(RunId run, RelayProtocol.Blame message) {
 		return message.getTakenBack() ? LedgerEntry.UpstreamFailed.takenBack(message.getDigest(), message.getUpstream())
-				: new LedgerEntry.UpstreamFailed(request, message.getDigest(), message.getUpstream());
+				: new LedgerEntry.UpstreamFailed(run, message.getDigest(), message.getUpstream());
 	}
 
 	private static LedgerEntry settled(RunId run, RelayProtocol.Settlement message) {
