Wait for all relays when the log is found unreachable

Cause: the timers of a decision on a budget are counted, so that one of an earlier stage does not end the next stage. A change of connectivity was handled as a timer that fires. A turn whose relays were being asked was refused at once when the outage was detected, and one that asked them for that reason was refused when the timer of the log fired, before the relays had their time.

Change: a lost log asks all relays unless they have been asked, and leaves the timers counted. A relay that reaches nothing refuses as before.

Evidence: turnThatAsksAllRelaysIsNotRefusedWhenTheLogIsFoundUnreachable and timeoutOfTheLogDoesNotEndTheWaitForAllRelays failed before ("Expecting an empty Optional but was containing value: LOG_LOST") and pass, as do all 370 tests and properties of core.relay.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/BudgetRules.java
@@ -249,6 +249,30 @@
 		this.completion.budgetUndecided(exchange);
 	}
 
+	/**
+	 * Asks all relays about a turn that waits for the log, which this relay can't reach
+	 * now, unless they have been asked already.
+	 * @param exchange the exchange
+	 */
+	void logLost(Exchange exchange) {
+		if (exchange.phase() != Phase.WAITING_FOR_BUDGET) {
+			return;
+		}
+		if (this.state.connectivity == Connectivity.NOTHING) {
+			this.completion.budgetUndecided(exchange);
+			return;
+		}
+		Optional<UsagePoll> poll = Optional.ofNullable(this.state.polls.get(exchange.run()));
+		if (poll.filter((known) -> known.stage() == UsagePoll.Stage.RELAYS).isPresent()) {
+			return;
+		}
+		reserveOnAllRelays(exchange);
+		if (poll.isEmpty()) {
+			// The timer of the log is still pending.
+			this.state.polls.get(exchange.run()).timerStarted();
+		}
+	}
+
 	/**
 	 * Decides a turn of this relay at the position of its reservation in the log. All
 	 * entries before that position have been applied, and no relay counts later ones
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -201,7 +201,7 @@
 		this.state.report(RelayNotices.connectivityChanged(connectivity));
 		if (connectivity != Connectivity.LOG) {
 			List.copyOf(this.state.conditionalReservations.values())
-				.forEach((number) -> this.budgets.decisionTimedOut(this.state.exchanges.get(number)));
+				.forEach((number) -> this.budgets.logLost(this.state.exchanges.get(number)));
 		}
 	}
 
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/RelayTests.java
@@ -605,6 +605,30 @@
 		assertThat(sends(relay.sendTurn("t3", "draft", RelayFixture.turn("r", 1000, 100, null)))).hasSize(1);
 	}
 
+	// Guards against refusing the turns whose relays are being asked when the outage of
+	// the log is detected.
+	@Test
+	void turnThatAsksAllRelaysIsNotRefusedWhenTheLogIsFoundUnreachable() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		assertThat(
+				RelayFixture.ofType(relay.fireTimer(TimerKind.BUDGET_DECISION), RelayEffect.RequestReservation.class))
+			.hasSize(1);
+		assertThat(refusal(relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS))))
+			.isEmpty();
+		assertThat(refusal(relay.fireTimer(TimerKind.BUDGET_DECISION))).contains(Refusal.LOG_LOST);
+	}
+
+	// Guards against the timeout of the log that ends the wait for the other relays.
+	@Test
+	void timeoutOfTheLogDoesNotEndTheWaitForAllRelays() {
+		RelayFixture relay = RelayFixture.ready();
+		relay.sendTurn("t1", "draft", RelayFixture.turn("p", 100, 100, null));
+		relay.handle(new RelayEvent.ConnectivityChanged(relay.now(), Connectivity.RELAYS));
+		assertThat(refusal(relay.fireTimer(TimerKind.BUDGET_DECISION))).isEmpty();
+		assertThat(refusal(relay.fireTimer(TimerKind.BUDGET_DECISION))).contains(Refusal.LOG_LOST);
+	}
+
 	@Test
 	void turnRunsWithoutTheLogIfAMajorityReportsLessThanHalfOfTheBudget() {
 		RelayFixture relay = RelayFixture.ready();
