--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -362,11 +362,11 @@
 			this.requestTargets.recordFailure(failed.digest(), this.now);
 		}
 		int failures = this.poisonRequests.recordFailure(failed);
-		if (this.turnCache.locations(failed.request()).isEmpty()) {
+		if (this.turnCache.run(failed.request()).filter(failed.run()::matches).isEmpty()) {
 			return failures;
 		}
-		// The turn has been stored, so its text is whole.
-		this.poisonRequests.recordAnswer(failed.request());
+		// The run has been stored, so its text is whole.
+		this.poisonRequests.recordAnswer(failed.run());
 		return this.poisonRequests.failures(failed.digest());
 	}
 
@@ -580,7 +580,7 @@
 		Optional<RunId> counted = exchange.head()
 			.turn()
 			.flatMap((turn) -> this.tokens.lastRun(turn.program(), exchange.id()));
-		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()))
+		return Stream.of(counted, this.streamVersions.lastRun(exchange.id()), this.turnCache.lastRun(exchange.id()))
 			.flatMap(Optional::stream)
 			.max(Comparator.naturalOrder())
 			.map((last) -> last.next(number))
--- a/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
+++ b/lentilslip-wire/src/test/java/io/lentilslip/wire/relay/RelayCodecTests.java
@@ -70,6 +70,15 @@
 		}
 	}
 
+	// Guards against links that are closed because a failure is taken back.
+	@Test
+	void failureThatIsTakenBackRoundTrips() {
+		LedgerEntry entry = LedgerEntry.UpstreamFailed.takenBack(-3, "u");
+		assertThat(RelayCodec.decodeEntry(RelayCodec.encode(entry)).entry()).containsExactly(entry);
+		PeerMessage batch = new PeerMessage.Batch(List.of(entry));
+		assertThat(RelayCodec.decodePeerMessage(RelayCodec.encode(batch))).containsExactly(batch);
+	}
+
 	@Property(tries = 500)
 	void malformedBytesDoNotThrow(@ForAll byte[] bytes) {
 		assertThat(RelayCodec.decodeEntry(bytes).entry()).isNotNull();
@@ -134,7 +143,8 @@
 	@Test
 	void linkMessagesRoundTrip() {
 		List<PeerMessage> messages = List.of(new PeerMessage.Greeting("10.0.0.1:7"),
-				new PeerMessage.Batch(List.of(new LedgerEntry.UpstreamFailed("r", -3, "u"))),
+				new PeerMessage.Batch(List.of(new LedgerEntry.UpstreamFailed("r", -3, "u"),
+						new LedgerEntry.UpstreamFailed(new RunId("r", 1L << 40), -3, "u"))),
 				new PeerMessage.TextsRequest(Set.of("a", "b")),
 				new PeerMessage.TurnWriteAck(Set.of(new RunId("a", 1L << 40), RunId.unnumbered("b"))),
 				new PeerMessage.Heartbeat(),
