Count decoded lines, decode one request at a time, evict the largest

Callers saw: a relay ended (out of memory) and with it all their requests, once some callers sent heads of very many short lines; or ordinary callers were refused for as long as others left their bodies incomplete.

Cause: HeldBytes counted bytes of bodies alone. A decoded line takes some 140 bytes of the heap whatever its length (a legal head of 32 KB takes 768 KB), and up to 32 decoded heads waited behind each response. And whoever came first kept what it held, so that a crowd kept out the others.

Change: what a connection receives is held on an account: the input buffer, decoded lines as they are added (CountedHeaders, trailers too) and the body. While a response is due nothing further is decoded; reading pauses at the size of a head. If the budget is used up, the largest account is evicted in favor of a smaller one: 503 with Retry-After, since nothing was passed on, or a close. E3018 and a counter tell of it. No limit on lines is added: a single request inside the limits is served.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/Measurement.java
@@ -805,6 +805,40 @@
 
 	}
 
+	/**
+	 * A relay refused a caller or closed its connection for lack of a resource.
+	 *
+	 * @param cause the resource
+	 */
+	record CallerShed(Cause cause) implements Measurement {
+
+		/**
+		 * Creates a measurement.
+		 * @param cause the resource
+		 */
+		public CallerShed {
+			Objects.requireNonNull(cause, "cause");
+		}
+
+		/**
+		 * The resource that is used up. Safe for use by several threads.
+		 */
+		public enum Cause implements Label {
+
+			/**
+			 * The memory for what callers send and don't read.
+			 */
+			MEMORY,
+
+			/**
+			 * The descriptors for connections of callers.
+			 */
+			CONNECTIONS
+
+		}
+
+	}
+
 	/**
 	 * A relay dropped entries that were queued for the store.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -278,6 +278,14 @@
 			"If it repeats, compare the delay with the longest event and the time of collections; if both are short, find out what uses the processor of its VM, or give the relay more processor time.",
 			FieldName.MILLISECONDS, FieldName.EVENT, FieldName.EVENT_MILLISECONDS, FieldName.COLLECTOR_MILLISECONDS),
 
+	/**
+	 * Written for each caller; {@code COUNT} is the number of connections of callers.
+	 */
+	CALLER_SHED(3018, Level.WARN,
+			"Callers hold all memory or descriptors that a relay has for them, so it refuses the one that holds most, or closes the connection that has been without a request the longest. Nothing of its request was passed on.",
+			"Compare the collection HELD_BYTES with its bound, and the number of connections with the descriptors of the VM; if ordinary callers reach them, add relays, otherwise find out who sends costly requests.",
+			FieldName.REASON, FieldName.COUNT),
+
 	/**
 	 * Written when the claim is read back from the log as valid.
 	 */
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -3,15 +3,16 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.lentilslip.core.call.Header;
+import io.lentilslip.core.measurement.Measurement.CallerShed.Cause;
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.relay.net.HeldBytes;
@@ -42,16 +43,17 @@
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * Connection of a caller. Handles one request at a time: pipelined requests are queued,
- * and reading is paused when the queue is full. An invalid request gets an error
- * response, after which the connection is closed. Used by the event loop's thread.
+ * Connection of a caller. Handles one request at a time: pipelined requests wait as they
+ * were received, and reading is paused when many bytes wait. An invalid request gets an
+ * error response, after which the connection is closed. What is held of a request that
+ * was not passed on may be evicted, which refuses it. Used by the event loop's thread.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
 
 	/**
-	 * The queue size at which reading is paused.
+	 * The bytes that a head takes besides its lines.
 	 */
-	private static final int MAX_QUEUED_MESSAGES = 64;
+	private static final int HEAD_BYTES = 512;
 
 	/**
 	 * The retry delay of a caller for whose body there is no memory; the time in which
@@ -69,12 +71,22 @@
 
 	private final HeldBytes heldBytes;
 
-	private final Deque<Object> queue = new ArrayDeque<>();
+	private final Consumer<Cause> shedListener;
 
 	/**
-	 * When the heads in the queue arrived.
+	 * What is held of the request that is being received, and of those behind it.
 	 */
-	private final Deque<Long> queuedHeadTimes = new ArrayDeque<>();
+	private final HeldBytes.Account input;
+
+	private final ArrivalTimes arrivalTimes = new ArrivalTimes();
+
+	private Optional<StrictRequestDecoder> decoder = Optional.empty();
+
+	private int waitingBytes;
+
+	private int decodedBytes;
+
+	private boolean inputDropped;
 
 	private long headReadAt;
 
@@ -109,7 +121,9 @@
 	private long held;
 
 	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
-			BooleanSupplier draining, HeldBytes heldBytes) {
+			BooleanSupplier draining, HeldBytes heldBytes, Consumer<Cause> shedListener) {
+		this.shedListener = shedListener;
+		this.input = heldBytes.open(this::evict);
 		this.listener = listener;
 		this.timers = timers;
 		this.limits = limits;
@@ -221,18 +235,87 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
+		this.headReadAt = (message instanceof HttpRequest) ? headArrivedAt() : this.headReadAt;
+		process(message);
+	}
+
+	void setDecoder(StrictRequestDecoder requestDecoder) {
+		this.decoder = Optional.of(requestDecoder);
+	}
+
+	/**
+	 * Called when bytes were received, before they are decoded.
+	 * @param bytes the number of bytes
+	 */
+	void bytesReceived(int bytes) {
+		this.arrivalTimes.record(bytes, earliestArrival());
+	}
+
+	/**
+	 * Called when the decoder has decoded what it may for now.
+	 * @param bytes the number of bytes that wait
+	 * @param capacity the size of the buffer that they are in
+	 */
+	void bytesWaiting(int bytes, int capacity) {
+		if (this.closing) {
+			return;
+		}
+		this.waitingBytes = capacity;
+		if (!holdInput()) {
+			evict();
+			return;
+		}
+		if (this.responding && bytes >= this.limits.get().maxHeaderBytes()) {
+			this.context.channel().config().setAutoRead(false);
+		}
+	}
+
+	/**
+	 * Holds decoded bytes of the request that is being received.
+	 * @param bytes the number of bytes
+	 * @return whether there is room for them
+	 */
+	boolean holdDecoded(int bytes) {
+		this.decodedBytes += bytes;
+		return holdInput();
+	}
+
+	StrictRequestDecoder.InputState inputState() {
+		if (this.closing || this.inputDropped) {
+			return StrictRequestDecoder.InputState.DROPPED;
+		}
+		return this.responding ? StrictRequestDecoder.InputState.WAITING : StrictRequestDecoder.InputState.ACCEPTED;
+	}
+
+	private boolean holdInput() {
+		return this.input.tryResize((long) this.waitingBytes + this.decodedBytes + this.body.size());
+	}
+
+	// Nothing of it has been passed on, so it has not run and never will.
+	private void evict() {
+		if (this.closing) {
+			return;
+		}
+		if (this.decodedBytes > 0) {
+			reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			return;
+		}
+		this.shedListener.accept(Cause.MEMORY);
 		if (this.responding) {
-			this.queue.add(message);
-			if (message instanceof HttpRequest) {
-				this.queuedHeadTimes.add(earliestArrival());
-			}
-			if (this.queue.size() >= MAX_QUEUED_MESSAGES) {
-				ctx.channel().config().setAutoRead(false);
-			}
+			this.inputDropped = true;
+			this.closeAfterResponse = true;
+			decodeNext();
 			return;
 		}
-		this.headReadAt = (message instanceof HttpRequest) ? earliestArrival() : this.headReadAt;
-		process(message);
+		this.closing = true;
+		releaseHeld();
+		this.context.close();
+	}
+
+	private long headArrivedAt() {
+		return this.decoder.map((used) -> this.arrivalTimes.decoded(used.waitingBytes()))
+			.orElseGet(OptionalLong::empty)
+			.orElseGet(this::earliestArrival);
 	}
 
 	// If the sockets were not polled since the connection was accepted, the request may
@@ -253,8 +336,6 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		cancelTimer();
 		releaseHeld();
-		this.queue.forEach(ReferenceCountUtil::release);
-		this.queue.clear();
 		if (this.responding) {
 			this.responding = false;
 			this.listener.onDisconnect(this.exchange);
@@ -282,6 +363,10 @@
 			reject(statusFor(received.decoderResult().cause()));
 			return;
 		}
+		if (!holdDecoded(HEAD_BYTES + received.uri().length())) {
+			reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			return;
+		}
 		// The path is decoded and encoded by different character sets.
 		if (!isTransferEncodingSupported(received)
 				|| !StandardCharsets.US_ASCII.newEncoder().canEncode(received.uri())) {
@@ -323,12 +408,11 @@
 				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 				return;
 			}
-			if (!this.heldBytes.tryHold(bytes.readableBytes())) {
+			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
+			if (!holdInput()) {
 				reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
 				return;
 			}
-			this.held += bytes.readableBytes();
-			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 			if (content instanceof LastHttpContent) {
 				completeRequest();
 			}
@@ -342,14 +426,29 @@
 		HttpRequest completed = this.request.orElseThrow();
 		this.request = Optional.empty();
 		cancelTimer();
+		long size = this.decodedBytes + (long) this.body.size();
+		byte[] content = this.body.toByteArray();
+		clearInput();
+		if (!this.heldBytes.tryHold(size)) {
+			reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			return;
+		}
+		this.held += size;
 		this.responding = true;
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
 		this.headRequest = completed.method().equals(HttpMethod.HEAD);
 		this.closeAfterResponse = this.closeAfterResponse || !HttpUtil.isKeepAlive(completed);
-		this.exchange = this.listener.onRequest(this, completed, this.body.toByteArray(), this.headReadAt);
+		this.exchange = this.listener.onRequest(this, completed, content, this.headReadAt);
+	}
+
+	private void clearInput() {
+		this.decodedBytes = 0;
+		this.body = new ByteArrayOutputStream();
+		this.input.clear();
 	}
 
 	private void releaseHeld() {
+		clearInput();
 		this.heldBytes.release(this.held);
 		this.held = 0;
 	}
@@ -363,13 +462,20 @@
 			return;
 		}
 		startTimer(this.limits.get().idleTimeout());
-		while (!this.responding && !this.closing && !this.queue.isEmpty()) {
-			Object next = this.queue.pollFirst();
-			this.headReadAt = (next instanceof HttpRequest) ? this.queuedHeadTimes.pollFirst() : this.headReadAt;
-			process(next);
+		this.context.channel().config().setAutoRead(true);
+		decodeNext();
+	}
+
+	private void decodeNext() {
+		if (this.decoder.isEmpty()) {
+			return;
 		}
-		if (this.queue.isEmpty()) {
-			this.context.channel().config().setAutoRead(true);
+		try {
+			this.decoder.get().resume(this.context.pipeline().context(this.decoder.get()));
+		}
+		catch (Exception ex) {
+			this.context.fireExceptionCaught(ex);
+			this.context.close();
 		}
 	}
 
@@ -379,6 +485,7 @@
 		releaseHeld();
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
 		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+			this.shedListener.accept(Cause.MEMORY);
 			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
 		}
 		HttpUtil.setContentLength(response, 0);
@@ -387,6 +494,9 @@
 	}
 
 	private static HttpResponseStatus statusFor(Throwable cause) {
+		if (cause instanceof CountedHeaders.NoRoomException) {
+			return HttpResponseStatus.SERVICE_UNAVAILABLE;
+		}
 		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
 			return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
 		}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
+import io.lentilslip.core.measurement.Measurement.CallerShed.Cause;
 import io.lentilslip.core.relay.RouteTable;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.net.Sockets;
@@ -26,6 +28,8 @@
 
 	private final HeldBytes heldBytes;
 
+	private final Consumer<Cause> shedListener;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private RouteTable.Limits limits = RouteTable.Limits.defaults();
@@ -38,10 +42,13 @@
 	 * Creates a server that is not yet bound.
 	 * @param listener receives the requests
 	 * @param timers the clock
-	 * @param heldBytes bounds what is held for slow callers
+	 * @param heldBytes bounds what is held for callers
+	 * @param shedListener is called when a caller is refused or its connection closed for
+	 * lack of resources
 	 */
-	public CallerServer(CallerListener listener, Timers timers, HeldBytes heldBytes) {
+	public CallerServer(CallerListener listener, Timers timers, HeldBytes heldBytes, Consumer<Cause> shedListener) {
 		this.heldBytes = heldBytes;
+		this.shedListener = shedListener;
 		this.listener = listener;
 		this.timers = timers;
 	}
@@ -94,12 +101,12 @@
 
 	private void accept(Channel channel) {
 		CallerConnection connection = new CallerConnection(this.listener, this.timers, () -> this.limits,
-				() -> this.draining, this.heldBytes);
+				() -> this.draining, this.heldBytes, this.shedListener);
 		this.connections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
 		channel.pipeline()
-			.addLast(new HeaderTimeoutHandler(() -> this.limits.headerTimeout()), new StrictRequestDecoder(this.limits),
-					new HttpResponseEncoder(), connection);
+			.addLast(new HeaderTimeoutHandler(() -> this.limits.headerTimeout()),
+					StrictRequestDecoder.of(this.limits, connection), new HttpResponseEncoder(), connection);
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
@@ -1,32 +1,58 @@
 package io.lentilslip.relay.net;
 
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
 /**
- * Bytes of requests and responses that a process holds in memory for callers that send or
- * read slowly, with a limit. At the limit new requests are refused, and large responses
- * are not read further; a small response of an accepted request is always held. Used by
+ * Budget of the memory that a process holds for callers: for what they have sent and for
+ * responses that they have not read. What is received before it is passed on is held on
+ * an account of its connection and may be evicted: if the budget is used up, the largest
+ * accounts are evicted in favor of smaller ones, so that many costly requests don't keep
+ * out an ordinary one. A small response of an accepted request is always held. Used by
  * the event loop's thread.
  */
 public final class HeldBytes {
 
 	private final long limit;
 
+	/**
+	 * The accounts by the bit length of their size, in the order in which they have
+	 * reached it.
+	 */
+	private final List<Set<Account>> bySize = new ArrayList<>();
+
 	private long held;
 
 	/**
-	 * Creates a counter of held bytes.
+	 * Creates an empty budget.
 	 * @param limit the number of bytes from which on nothing more is accepted
 	 */
 	public HeldBytes(long limit) {
 		this.limit = limit;
+		for (int length = 0; length <= Long.SIZE; length++) {
+			this.bySize.add(new LinkedHashSet<>());
+		}
 	}
 
 	/**
-	 * Holds bytes of a request if the limit allows it.
+	 * Opens an account, which is empty.
+	 * @param eviction drops what is held on the account
+	 * @return the account
+	 */
+	public Account open(Runnable eviction) {
+		return new Account(eviction);
+	}
+
+	/**
+	 * Holds bytes if the limit allows it, perhaps after accounts were evicted.
 	 * @param bytes the number of bytes
 	 * @return whether they are held
 	 */
 	public boolean tryHold(long bytes) {
-		if (this.held + bytes > this.limit) {
+		if (!makeRoom(bytes, 0)) {
 			return false;
 		}
 		this.held += bytes;
@@ -65,4 +91,98 @@
 		return this.limit;
 	}
 
+	/**
+	 * Evicts accounts until there is room.
+	 * @param bytes the number of bytes that are needed
+	 * @param evictedAbove the size above which an account is evicted
+	 * @return whether there is room
+	 */
+	private boolean makeRoom(long bytes, long evictedAbove) {
+		while (this.held + bytes > this.limit) {
+			Optional<Account> largest = largest().filter((account) -> account.size > evictedAbove);
+			if (largest.isEmpty()) {
+				return false;
+			}
+			largest.get().evict();
+		}
+		return true;
+	}
+
+	private Optional<Account> largest() {
+		for (Set<Account> accounts : this.bySize.reversed()) {
+			if (!accounts.isEmpty()) {
+				return Optional.of(accounts.iterator().next());
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static int sizeClass(long size) {
+		return Long.SIZE - Long.numberOfLeadingZeros(size);
+	}
+
+	/**
+	 * What is held for one connection and may be evicted. Used by the event loop's
+	 * thread.
+	 */
+	public final class Account {
+
+		private final Runnable eviction;
+
+		private long size;
+
+		private Account(Runnable eviction) {
+			this.eviction = eviction;
+		}
+
+		/**
+		 * Changes the size of the account. More bytes are held only if the limit allows
+		 * it, perhaps after larger accounts were evicted.
+		 * @param bytes the new size
+		 * @return whether the account has the size
+		 */
+		public boolean tryResize(long bytes) {
+			if (bytes > this.size && !makeRoom(bytes - this.size, bytes)) {
+				return false;
+			}
+			resize(bytes);
+			return true;
+		}
+
+		/**
+		 * Returns the size of the account.
+		 * @return the number of bytes
+		 */
+		public long size() {
+			return this.size;
+		}
+
+		/**
+		 * Releases what is held on the account.
+		 */
+		public void clear() {
+			resize(0);
+		}
+
+		private void resize(long bytes) {
+			HeldBytes.this.held += bytes - this.size;
+			int before = sizeClass(this.size);
+			int after = sizeClass(bytes);
+			this.size = bytes;
+			if (before == after) {
+				return;
+			}
+			HeldBytes.this.bySize.get(before).remove(this);
+			if (bytes > 0) {
+				HeldBytes.this.bySize.get(after).add(this);
+			}
+		}
+
+		private void evict() {
+			this.eviction.run();
+			clear();
+		}
+
+	}
+
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -23,6 +23,7 @@
 
 import io.lentilslip.core.measurement.CollectionName;
 import io.lentilslip.core.measurement.Measurement;
+import io.lentilslip.core.measurement.Measurement.CallerShed.Cause;
 import io.lentilslip.core.notice.FieldName;
 import io.lentilslip.core.notice.NoticeCode;
 import io.lentilslip.core.quota.PermitReply;
@@ -173,7 +174,7 @@
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes(),
 				this::responseUnmatched);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
-		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes());
+		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes(), this::callerShed);
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
@@ -457,6 +458,12 @@
 		on(new RelayEvent.CaughtUp(this.timers.now(), offset, duration, idle));
 	}
 
+	private void callerShed(Cause cause) {
+		this.setup.measurements().accept(new Measurement.CallerShed(cause));
+		this.notices.write(NoticeCode.CALLER_SHED.with(FieldName.REASON, cause)
+			.with(FieldName.COUNT, this.callers.connectionCount()));
+	}
+
 	private void responseUnmatched(UnmatchedResponse unmatched) {
 		this.setup.measurements().accept(new Measurement.ResponseUnmatched(unmatched.kind()));
 		OptionalInt status = unmatched.status();
--- a/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
+++ b/lentilslip-telemetry/src/main/java/io/lentilslip/telemetry/Metrics.java
@@ -138,6 +138,9 @@
 	private final Counter responsesUnmatched = counter("lentilslip_relay_responses_unmatched_total",
 			"Responses and bytes of upstreams that belong to no request in flight.", "kind");
 
+	private final Counter callersShed = counter("lentilslip_relay_callers_shed_total",
+			"Callers that were refused, or whose connections were closed, for lack of a resource.", "cause");
+
 	private final BoundedLabels services = new BoundedLabels(ROUTE_LIMIT);
 
 	private final Gauge admittedFraction = gauge("lentilslip_service_admitted_fraction",
@@ -253,6 +256,8 @@
 				this.streamsResumed.labelValues(source.label()).inc();
 			case Measurement.ResponseUnmatched(Measurement.ResponseUnmatched.Kind kind) ->
 				this.responsesUnmatched.labelValues(kind.label()).inc();
+			case Measurement.CallerShed(Measurement.CallerShed.Cause cause) ->
+				this.callersShed.labelValues(cause.label()).inc();
 			case Measurement.ServiceAdmission admission -> apply(admission);
 			case Measurement.TimerRan(Duration late) -> this.timerLateness.observe(seconds(late));
 			case Measurement.EventsHandled(String kind, long count, Duration time) -> {
--- a/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
+++ b/lentilslip-telemetry/src/test/java/io/lentilslip/telemetry/DocumentationTests.java
@@ -54,6 +54,7 @@
 			new Measurement.ServiceAdmission("engine", 0.5, Duration.ofMillis(1)), new Measurement.TurnRenewed(1),
 			new Measurement.StreamResumed(Measurement.StreamResumed.Source.LEDGER),
 			new Measurement.ResponseUnmatched(Measurement.ResponseUnmatched.Kind.IDLE),
+			new Measurement.CallerShed(Measurement.CallerShed.Cause.MEMORY),
 			new Measurement.TimerRan(Duration.ofMillis(1)), new Measurement.RequestWritten(Duration.ofMillis(1)),
 			new Measurement.EventsHandled("TimerFired", 1, Duration.ofMillis(1)), new Measurement.EntriesGivenUp(1),
 			new Measurement.RelayTraffic(Measurement.RelayTraffic.Kind.LINKS_IN, 1, 1),
