Leave room for small requests beside large ones that wait

Callers saw: 503 to each request with a body, for as long as others waited for their responses with bodies that together filled the budget.

Cause: a body counted by its bytes until its response was complete, first come, first served. It took up to four times that: the array that grew (kept until the next request), a copy, and the message to the upstream, which was built when the attempt began and kept while it was connected.

Change: a request that is passed on is accepted in the budget; those above a 1,024th of it take at most half together. BodyBuffer grows with what is received, ends at the announced length and hands out its array. The message to the upstream is built when it is written, so neither its lines nor its body are held twice while a connection is opened.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -1,10 +1,10 @@
 package io.lentilslip.relay.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -18,7 +18,6 @@
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -102,7 +101,7 @@
 
 	private Optional<HttpRequest> request = Optional.empty();
 
-	private ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private BodyBuffer body = new BodyBuffer(OptionalInt.empty());
 
 	private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
@@ -118,6 +117,11 @@
 
 	private long exchange;
 
+	/**
+	 * The bytes of the request that was passed on, and of its response.
+	 */
+	private long accepted;
+
 	private long held;
 
 	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
@@ -288,7 +292,7 @@
 	}
 
 	private boolean holdInput() {
-		return this.input.tryResize((long) this.waitingBytes + this.decodedBytes + this.body.size());
+		return this.input.tryResize((long) this.waitingBytes + this.decodedBytes + this.body.capacity());
 	}
 
 	// Nothing of it has been passed on, so it has not run and never will.
@@ -374,7 +378,7 @@
 			return;
 		}
 		this.request = Optional.of(received);
-		this.body = new ByteArrayOutputStream();
+		this.body = new BodyBuffer(announcedLength(received));
 		startTimer(this.limits.get().idleTimeout());
 		if (HttpUtil.getContentLength(received, 0L) > this.limits.get().maxBodyBytes()) {
 			reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
@@ -394,6 +398,12 @@
 				|| (codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst()));
 	}
 
+	// A longer body is refused before any of it is held.
+	private OptionalInt announcedLength(HttpRequest received) {
+		int length = HttpUtil.getContentLength(received, -1);
+		return (length >= 0) ? OptionalInt.of(length) : OptionalInt.empty();
+	}
+
 	private void addContent(HttpContent content) {
 		ByteBuf bytes = content.content();
 		try {
@@ -408,7 +418,7 @@
 				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 				return;
 			}
-			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
+			this.body.append(bytes);
 			if (!holdInput()) {
 				reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
 				return;
@@ -427,13 +437,13 @@
 		this.request = Optional.empty();
 		cancelTimer();
 		long size = this.decodedBytes + (long) this.body.size();
-		byte[] content = this.body.toByteArray();
+		byte[] content = this.body.toBytes();
 		clearInput();
-		if (!this.heldBytes.tryHold(size)) {
+		if (!this.heldBytes.tryAccept(size)) {
 			reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
 			return;
 		}
-		this.held += size;
+		this.accepted = size;
 		this.responding = true;
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
 		this.headRequest = completed.method().equals(HttpMethod.HEAD);
@@ -443,12 +453,14 @@
 
 	private void clearInput() {
 		this.decodedBytes = 0;
-		this.body = new ByteArrayOutputStream();
+		this.body = new BodyBuffer(OptionalInt.empty());
 		this.input.clear();
 	}
 
 	private void releaseHeld() {
 		clearInput();
+		this.heldBytes.releaseAccepted(this.accepted);
+		this.accepted = 0;
 		this.heldBytes.release(this.held);
 		this.held = 0;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
@@ -11,11 +11,22 @@
  * responses that they have not read. What is received before it is passed on is held on
  * an account of its connection and may be evicted: if the budget is used up, the largest
  * accounts are evicted in favor of smaller ones, so that many costly requests don't keep
- * out an ordinary one. A small response of an accepted request is always held. Used by
- * the event loop's thread.
+ * out an ordinary one. A request that is passed on is held until its response is
+ * complete; large ones together take at most half of the budget. A small response is
+ * always held. Used by the event loop's thread.
  */
 public final class HeldBytes {
 
+	/**
+	 * The divisor of the limit that gives the size above which a request is large.
+	 */
+	private static final int LARGE_DIVISOR = 1024;
+
+	/**
+	 * The divisor of the limit that gives what large requests take together.
+	 */
+	private static final int LARGE_SHARE_DIVISOR = 2;
+
 	private final long limit;
 
 	/**
@@ -26,6 +37,8 @@
 
 	private long held;
 
+	private long heldByLargeRequests;
+
 	/**
 	 * Creates an empty budget.
 	 * @param limit the number of bytes from which on nothing more is accepted
@@ -59,6 +72,37 @@
 		return true;
 	}
 
+	/**
+	 * Holds the bytes of a request that is about to be passed on, if the limit allows it,
+	 * perhaps after larger accounts were evicted.
+	 * @param bytes the number of bytes
+	 * @return whether they are held
+	 */
+	public boolean tryAccept(long bytes) {
+		if (isLarge(bytes) && this.heldByLargeRequests + bytes > this.limit / LARGE_SHARE_DIVISOR) {
+			return false;
+		}
+		if (!makeRoom(bytes, bytes)) {
+			return false;
+		}
+		this.held += bytes;
+		this.heldByLargeRequests += isLarge(bytes) ? bytes : 0;
+		return true;
+	}
+
+	/**
+	 * Releases the bytes of a request that was accepted.
+	 * @param bytes the number of bytes, as accepted
+	 */
+	public void releaseAccepted(long bytes) {
+		this.held -= bytes;
+		this.heldByLargeRequests -= isLarge(bytes) ? bytes : 0;
+	}
+
+	private boolean isLarge(long bytes) {
+		return bytes > this.limit / LARGE_DIVISOR;
+	}
+
 	/**
 	 * Holds bytes of a response.
 	 * @param bytes the number of bytes
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,18 +75,24 @@
 	 */
 	public void send(RelayEffect.SendRequest send, String id, HttpRequest request, byte[] body,
 			AttemptListener listener) {
-		DefaultFullHttpRequest outgoing = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-				request.uri(), Unpooled.wrappedBuffer(send.prefix(), body));
-		this.dialect.writeUpstreamHeaders(request, send, outgoing.headers());
-		if (body.length > 0 || send.prefix().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-			HttpUtil.setContentLength(outgoing, outgoing.content().readableBytes());
-		}
 		AttemptKey key = new AttemptKey(send.exchange(), send.attempt());
 		UpstreamPool.Attempt attempt = new UpstreamPool.Attempt();
 		// An attempt may fail before the call returns.
 		this.attempts.put(key, attempt);
-		pool(send.upstream()).send(new UpstreamConnection.OutgoingRequest(id, outgoing, send.deadline(), send.stream(),
-				new AttemptTracker(key, listener)), attempt);
+		pool(send.upstream()).send(new UpstreamConnection.OutgoingRequest(id, request.method(),
+				() -> message(send, request, body), send.deadline(), send.stream(), new AttemptTracker(key, listener)),
+				attempt);
+	}
+
+	private DefaultFullHttpRequest message(RelayEffect.SendRequest send, HttpRequest request, byte[] body) {
+		DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+				request.uri(), Unpooled.wrappedBuffer(send.prefix(), body));
+		this.dialect.writeUpstreamHeaders(request, send, message.headers());
+		if (body.length > 0 || send.prefix().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			HttpUtil.setContentLength(message, message.content().readableBytes());
+		}
+		this.dialect.writeTimeout(Duration.ofMillis(send.deadline() - this.timers.now()), message.headers());
+		return message;
 	}
 
 	/**
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -136,7 +136,7 @@
 
 	void send(OutgoingRequest outgoing) {
 		this.current = Optional.of(outgoing);
-		this.carried.add(outgoing.id(), outgoing.request().method());
+		this.carried.add(outgoing.id(), outgoing.method());
 		this.head = Optional.empty();
 		this.skippedResponses = 0;
 		this.informationalResponses = 0;
@@ -146,7 +146,7 @@
 		// paused the reading.
 		setReading(true);
 		outgoing.listener().onWritten();
-		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.request()));
+		this.writeFuture = Optional.of(this.context.writeAndFlush(outgoing.message().get()));
 	}
 
 	/**
@@ -193,11 +193,11 @@
 	 * @return whether the connection may carry it
 	 */
 	boolean mayCarry(OutgoingRequest outgoing) {
-		return this.carried.isDistinctFrom(outgoing.id(), outgoing.request().method());
+		return this.carried.isDistinctFrom(outgoing.id(), outgoing.method());
 	}
 
 	boolean expectsNoBody() {
-		return this.current.isPresent() && this.current.get().request().method().equals(HttpMethod.HEAD);
+		return this.current.isPresent() && this.current.get().method().equals(HttpMethod.HEAD);
 	}
 
 	Optional<Duration> keepAliveTimeout() {
@@ -466,18 +466,16 @@
 	 * A request to an upstream. Immutable.
 	 *
 	 * @param id the request id that the response must carry
-	 * @param request the request, without its timeout
+	 * @param method the method
+	 * @param message creates the message when it is written: the time that the upstream
+	 * has is known only then, and until then the lines of the head are not held twice
 	 * @param deadline the time at which the caller stops waiting, in milliseconds of the
 	 * monotonic clock
 	 * @param stream whether a successful response is streamed
 	 * @param listener receives the outcome
 	 */
-	record OutgoingRequest(String id, DefaultFullHttpRequest request, long deadline, boolean stream,
-			AttemptListener listener) {
-
-		void release() {
-			ReferenceCountUtil.release(this.request);
-		}
+	record OutgoingRequest(String id, HttpMethod method, Supplier<DefaultFullHttpRequest> message, long deadline,
+			boolean stream, AttemptListener listener) {
 
 	}
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -113,20 +113,11 @@
 	}
 
 	private static void expire(UpstreamConnection.OutgoingRequest outgoing) {
-		outgoing.release();
 		outgoing.listener().onFailure(FailureCause.EXPIRED);
 	}
 
-	/**
-	 * Writes a request. The timeout is computed here, since any time may have passed
-	 * until the connection was established.
-	 * @param outgoing the request
-	 * @param connection an established connection
-	 * @param attempt the attempt
-	 */
-	private void write(UpstreamConnection.OutgoingRequest outgoing, UpstreamConnection connection, Attempt attempt) {
-		Duration timeout = Duration.ofMillis(outgoing.deadline() - this.timers.now());
-		this.dialect.writeTimeout(timeout, outgoing.request().headers());
+	private static void write(UpstreamConnection.OutgoingRequest outgoing, UpstreamConnection connection,
+			Attempt attempt) {
 		attempt.connection = Optional.of(connection);
 		connection.send(outgoing);
 	}
@@ -185,11 +176,9 @@
 		future.addListener((done) -> {
 			if (attempt.cancelled) {
 				future.channel().close();
-				outgoing.release();
 				return;
 			}
 			if (!done.isSuccess()) {
-				outgoing.release();
 				outgoing.listener().onFailure(FailureCause.NOT_CONNECTED);
 				return;
 			}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/CutResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/CutResponseTests.java
@@ -130,9 +130,9 @@
 		}
 
 		private void send(boolean stream) {
-			this.connection.send(new UpstreamConnection.OutgoingRequest("r",
-					new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE, stream,
-					this));
+			this.connection.send(new UpstreamConnection.OutgoingRequest("r", HttpMethod.GET,
+					() -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE,
+					stream, this));
 		}
 
 		void receive(String bytes) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -291,8 +291,9 @@
 	}
 
 	private UpstreamConnection.OutgoingRequest outgoing(String id, boolean stream) {
-		return new UpstreamConnection.OutgoingRequest(id,
-				new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE, stream, this);
+		return new UpstreamConnection.OutgoingRequest(id, HttpMethod.GET,
+				() -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"), Long.MAX_VALUE, stream,
+				this);
 	}
 
 	private static ByteBuf bytes(String text) {
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -126,8 +126,8 @@
 
 	private void send(String id) {
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
-		this.connection
-			.send(new UpstreamConnection.OutgoingRequest(id, request, Long.MAX_VALUE, false, new RecordingListener()));
+		this.connection.send(new UpstreamConnection.OutgoingRequest(id, HttpMethod.GET, () -> request, Long.MAX_VALUE,
+				false, new RecordingListener()));
 	}
 
 	private static FullHttpResponse response() {
