Bound the connections of callers by the descriptors of the VM

Callers saw: no answer at all, for as long as others kept connections open on which they sent almost nothing.

Cause: connections of callers had no bound but the process's descriptors. Once they had all, no connection could be accepted, nor opened to an upstream, the store or another relay.

At the bound the connection that has been without a request the longest is closed, or the new one if all have requests that were passed on.

Why it works: an ordinary request needs its connection only from accept to its last byte, and the crowd's connections are older.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.lentilslip.core.call.Header;
@@ -70,7 +69,7 @@
 
 	private final HeldBytes heldBytes;
 
-	private final Consumer<Cause> shedListener;
+	private final Owner owner;
 
 	/**
 	 * What is held of the request that is being received, and of those behind it.
@@ -125,8 +124,8 @@
 	private long held;
 
 	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
-			BooleanSupplier draining, HeldBytes heldBytes, Consumer<Cause> shedListener) {
-		this.shedListener = shedListener;
+			BooleanSupplier draining, HeldBytes heldBytes, Owner owner) {
+		this.owner = owner;
 		this.input = heldBytes.open(this::evict);
 		this.listener = listener;
 		this.timers = timers;
@@ -221,6 +220,17 @@
 		}
 	}
 
+	/**
+	 * Closes a connection of whose request nothing was passed on.
+	 */
+	void shed() {
+		this.owner.shed(Cause.CONNECTIONS);
+		this.closing = true;
+		cancelTimer();
+		releaseHeld();
+		this.context.close();
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.context = ctx;
@@ -304,7 +314,7 @@
 			reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
 			return;
 		}
-		this.shedListener.accept(Cause.MEMORY);
+		this.owner.shed(Cause.MEMORY);
 		if (this.responding) {
 			this.inputDropped = true;
 			this.closeAfterResponse = true;
@@ -445,6 +455,7 @@
 		}
 		this.accepted = size;
 		this.responding = true;
+		this.owner.requestAccepted(this);
 		this.supportsChunked = completed.protocolVersion().isKeepAliveDefault();
 		this.headRequest = completed.method().equals(HttpMethod.HEAD);
 		this.closeAfterResponse = this.closeAfterResponse || !HttpUtil.isKeepAlive(completed);
@@ -474,6 +485,7 @@
 			return;
 		}
 		startTimer(this.limits.get().idleTimeout());
+		this.owner.responseSent(this);
 		this.context.channel().config().setAutoRead(true);
 		decodeNext();
 	}
@@ -497,7 +509,7 @@
 		releaseHeld();
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
 		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-			this.shedListener.accept(Cause.MEMORY);
+			this.owner.shed(Cause.MEMORY);
 			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
 		}
 		HttpUtil.setContentLength(response, 0);
@@ -556,4 +568,30 @@
 		this.timer = Optional.empty();
 	}
 
+	/**
+	 * Receives state changes of a connection. Used by the event loop's thread.
+	 */
+	interface Owner {
+
+		/**
+		 * Called when a request was received completely and is passed on.
+		 * @param connection the connection
+		 */
+		void requestAccepted(CallerConnection connection);
+
+		/**
+		 * Called when the response was sent and the connection stays open.
+		 * @param connection the connection
+		 */
+		void responseSent(CallerConnection connection);
+
+		/**
+		 * Called when a request is refused, or a connection closed, for lack of a
+		 * resource.
+		 * @param cause the resource
+		 */
+		void shed(Cause cause);
+
+	}
+
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -18,7 +19,10 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
- * HTTP server for callers. Used by the event loop's thread.
+ * HTTP server for callers. The number of connections is bounded, so that descriptors
+ * remain for connections to upstreams, the store and other relays: at the bound the
+ * connection that has been without a request the longest is closed. Used by the event
+ * loop's thread.
  */
 public final class CallerServer {
 
@@ -28,10 +32,19 @@
 
 	private final HeldBytes heldBytes;
 
+	private final int maxConnections;
+
 	private final Consumer<Cause> shedListener;
 
+	private final CallerConnection.Owner connectionOwner = new ConnectionOwner();
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
+	/**
+	 * The connections without a request that was passed on, since the longest time first.
+	 */
+	private final Set<CallerConnection> idle = new LinkedHashSet<>();
+
 	private RouteTable.Limits limits = RouteTable.Limits.defaults();
 
 	private volatile Optional<Channel> serverChannel = Optional.empty();
@@ -43,10 +56,13 @@
 	 * @param listener receives the requests
 	 * @param timers the clock
 	 * @param heldBytes bounds what is held for callers
+	 * @param maxConnections the maximum number of connections
 	 * @param shedListener is called when a caller is refused or its connection closed for
 	 * lack of resources
 	 */
-	public CallerServer(CallerListener listener, Timers timers, HeldBytes heldBytes, Consumer<Cause> shedListener) {
+	public CallerServer(CallerListener listener, Timers timers, HeldBytes heldBytes, int maxConnections,
+			Consumer<Cause> shedListener) {
+		this.maxConnections = maxConnections;
 		this.heldBytes = heldBytes;
 		this.shedListener = shedListener;
 		this.listener = listener;
@@ -100,13 +116,55 @@
 	}
 
 	private void accept(Channel channel) {
+		if (this.connections.size() >= this.maxConnections && !closeIdle()) {
+			this.shedListener.accept(Cause.CONNECTIONS);
+			channel.close();
+			return;
+		}
 		CallerConnection connection = new CallerConnection(this.listener, this.timers, () -> this.limits,
-				() -> this.draining, this.heldBytes, this.shedListener);
+				() -> this.draining, this.heldBytes, this.connectionOwner);
 		this.connections.add(connection);
-		channel.closeFuture().addListener((closed) -> this.connections.remove(connection));
+		this.idle.add(connection);
+		channel.closeFuture().addListener((closed) -> remove(connection));
 		channel.pipeline()
 			.addLast(new HeaderTimeoutHandler(() -> this.limits.headerTimeout()),
 					StrictRequestDecoder.of(this.limits, connection), new HttpResponseEncoder(), connection);
 	}
 
+	private boolean closeIdle() {
+		Optional<CallerConnection> oldest = this.idle.stream().findFirst();
+		oldest.ifPresent((connection) -> {
+			remove(connection);
+			connection.shed();
+		});
+		return oldest.isPresent();
+	}
+
+	private void remove(CallerConnection connection) {
+		this.connections.remove(connection);
+		this.idle.remove(connection);
+	}
+
+	/**
+	 * Tracks which connections have a request. Used by the event loop's thread.
+	 */
+	private final class ConnectionOwner implements CallerConnection.Owner {
+
+		@Override
+		public void requestAccepted(CallerConnection connection) {
+			CallerServer.this.idle.remove(connection);
+		}
+
+		@Override
+		public void responseSent(CallerConnection connection) {
+			CallerServer.this.idle.add(connection);
+		}
+
+		@Override
+		public void shed(Cause cause) {
+			CallerServer.this.shedListener.accept(cause);
+		}
+
+	}
+
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -174,7 +174,8 @@
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes(),
 				this::responseUnmatched);
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
-		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes(), this::callerShed);
+		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes(), setup.maxCallerConnections(),
+				this::callerShed);
 		this.peers = new Peers(this.loop, new PeerEvents(), this.timers, this.traffic);
 		this.connectivityMonitor = new ConnectivityMonitor(this.timers, this.peers, this::on);
 		DroppedEntryReporter dropReporter = new DroppedEntryReporter(this.timers, this.notices, setup.measurements());
@@ -516,11 +517,13 @@
 	 * @param notices receives notices
 	 * @param measurements receives measurements
 	 * @param metrics returns the metrics page
-	 * @param heldBytes bounds what is held for slow callers
+	 * @param heldBytes bounds what is held for callers
+	 * @param maxCallerConnections the maximum number of connections of callers
 	 */
 	public record Setup(RelaySettings settings, RelayAddresses addresses, Duration drainLimit, Dialect dialect,
 			StoreDecoder storeDecoder, Function<EventLoop, Store> store, Notices notices,
-			Consumer<Measurement> measurements, Supplier<String> metrics, HeldBytes heldBytes) {
+			Consumer<Measurement> measurements, Supplier<String> metrics, HeldBytes heldBytes,
+			int maxCallerConnections) {
 
 	}
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -284,7 +284,7 @@
 
 	private CallerConnection newConnection() {
 		return new CallerConnection(this.listener, this.timers, RouteTable.Limits::defaults, () -> false,
-				this.heldBytes, this.shed::add);
+				this.heldBytes, new RecordingOwner());
 	}
 
 	private static EmbeddedChannel decodingChannel(CallerConnection connection) {
@@ -356,4 +356,24 @@
 
 	}
 
+	/**
+	 * Owner that records why callers are refused.
+	 */
+	private final class RecordingOwner implements CallerConnection.Owner {
+
+		@Override
+		public void requestAccepted(CallerConnection accepted) {
+		}
+
+		@Override
+		public void responseSent(CallerConnection answered) {
+		}
+
+		@Override
+		public void shed(Cause cause) {
+			CallerConnectionTests.this.shed.add(cause);
+		}
+
+	}
+
 }
