Bound the length of ids that outlive their requests

Callers saw: relays ended (out of memory), also those that no caller had sent anything, after some thousand turns with ids of kilobytes.

Cause: ids of requests, programs and earlier turns have no bound but that of a head. They are kept at every relay for the retention of a route, in indexes bounded by number alone, and stand in the log and in log lines.

Change: an id above 128 characters is replaced by its digest once its head is decoded, and where an upstream's response names it, so that all relays know the object under the same name. The upstream gets it as it was sent. Ids that the users' pages show have 16 characters.

Evidence: CostlyRequestTests.turnsWithLongNames (3,000 turns, ids of 7,000 characters) ended the process at turn 1,158; now it lives. A first form bounded names wherever a head is created, and so a second time when a team's name was added: earlier turns of teams with ids near the bound were not found. BoundedNameTests.previousTurnOfATeamIsFoundUnderItsId guards against it.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
@@ -52,6 +52,20 @@
 		return this.origin.program();
 	}
 
+	/**
+	 * Returns a copy in which the names that outlive the request have a bounded length.
+	 * @return the copy
+	 */
+	public RequestHead bounded() {
+		return new RequestHead(BoundedName.of(this.id), this.host, this.path, this.callerTimeout,
+				this.turn.map((turn) -> new Turn(BoundedName.of(turn.program()), turn.budget(), turn.maxTokens(),
+						turn.previous().map(BoundedName::of))),
+				this.prompt, this.promptTokens,
+				this.resumption
+					.map((resumed) -> new Resumption(resumed.lastEvent(), resumed.request().map(BoundedName::of))),
+				this.affinityKey, new Origin(this.origin.program().map(BoundedName::of), this.origin.key()));
+	}
+
 	/**
 	 * Returns a copy whose program, previous turn, resumed request and affinity key are
 	 * scoped to a team, so that equal names of other teams refer to other objects. The
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/Dialect.java
@@ -53,7 +53,7 @@
 	/**
 	 * Returns the id of the request that a response names.
 	 * @param response the response
-	 * @return the id, or empty if the response names no request
+	 * @return the id as in a decoded head, or empty if the response names no request
 	 */
 	Optional<String> requestId(HttpResponse response);
 
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/Exchanges.java
@@ -53,7 +53,7 @@
 	@Override
 	public long onRequest(CallerConnection connection, HttpRequest request, byte[] body, long headReadAt) {
 		this.lastExchange++;
-		RequestHead head = this.dialect.decodeRequest(request);
+		RequestHead head = this.dialect.decodeRequest(request).bounded();
 		this.open.put(this.lastExchange, new OpenExchange(connection, request, body, head.id()));
 		this.events.on(new RelayEvent.RequestReceived(this.timers.now(), headReadAt, this.lastExchange, head, body,
 				digest(request, body)));
