Bound the index of prompt parts by their number

Callers saw: relays ended (out of memory), also those that no caller had sent anything, after some hundred turns whose prompts were listed in thousands of parts.

Cause: the index of what an engine has cached was bounded by the sum of the parts' tokens, which callers choose. Parts of no tokens are never dropped; one of a negative number makes the bound void. Reservations brought all parts to all relays.

Change: of a prompt, the first 1,024 parts that have tokens guide the selection of an upstream. An index has at most 64 parts and one for each 128 tokens of the cache, whatever their sum.

UpstreamsTests.indexOfPartsIsBoundedWhateverTheirTokens: parts of one, no and negative tokens. The users' parts have hundreds of tokens.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestHead.java
@@ -25,6 +25,11 @@
 		List<PromptPart> prompt, int promptTokens, Optional<Resumption> resumption, Optional<String> affinityKey,
 		Origin origin) {
 
+	/**
+	 * The maximum number of parts of a prompt; the first ones guide the selection.
+	 */
+	static final int MAX_PROMPT_PARTS = 1024;
+
 	/**
 	 * Creates a head.
 	 * @param id the request id, unique for each attempt of the caller
@@ -53,14 +58,16 @@
 	}
 
 	/**
-	 * Returns a copy in which the names that outlive the request have a bounded length.
+	 * Returns a copy in which what outlives the request is bounded: the length of names,
+	 * and the parts of the prompt, which only guide the selection of an upstream.
 	 * @return the copy
 	 */
 	public RequestHead bounded() {
 		return new RequestHead(BoundedName.of(this.id), this.host, this.path, this.callerTimeout,
 				this.turn.map((turn) -> new Turn(BoundedName.of(turn.program()), turn.budget(), turn.maxTokens(),
 						turn.previous().map(BoundedName::of))),
-				this.prompt, this.promptTokens,
+				this.prompt.stream().filter((part) -> part.tokens() > 0).limit(MAX_PROMPT_PARTS).toList(),
+				this.promptTokens,
 				this.resumption
 					.map((resumed) -> new Resumption(resumed.lastEvent(), resumed.request().map(BoundedName::of))),
 				this.affinityKey, new Origin(this.origin.program().map(BoundedName::of), this.origin.key()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Upstreams.java
@@ -369,6 +369,18 @@
 		 */
 		private int sentSinceReport;
 
+		/**
+		 * The size of the parts of a cache that is indexed whole. Bounds the number of
+		 * parts, since parts of few tokens, or none, take little room of the cache but as
+		 * much memory as others.
+		 */
+		private static final int TOKENS_PER_INDEXED_PART = 128;
+
+		/**
+		 * The number of parts that is indexed of the smallest cache.
+		 */
+		private static final int MIN_INDEXED_PARTS = 64;
+
 		private final LinkedHashMap<Long, Integer> cache = new LinkedHashMap<>(64, 0.75f, true);
 
 		private long cachedTokens;
@@ -533,11 +545,20 @@
 				Integer previous = this.cache.put(part.id(), part.tokens());
 				this.cachedTokens += part.tokens() - ((previous != null) ? previous : 0);
 			}
-			while (this.cachedTokens > capacity && !this.cache.isEmpty()) {
+			long maxParts = MIN_INDEXED_PARTS + capacity / TOKENS_PER_INDEXED_PART;
+			while (!this.cache.isEmpty() && (this.cachedTokens > capacity || this.cache.size() > maxParts)) {
 				this.cachedTokens -= this.cache.pollFirstEntry().getValue();
 			}
 		}
 
+		/**
+		 * Returns the number of parts that are assumed to be in the cache.
+		 * @return the number
+		 */
+		int indexedParts() {
+			return this.cache.size();
+		}
+
 		/**
 		 * Returns the number of tokens of a prompt that have to be prefilled. A part
 		 * counts as cached only if all preceding parts are.
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/BoundedNameTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/BoundedHeadTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -12,7 +13,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class BoundedNameTests {
+class BoundedHeadTests {
 
 	private static final String LONG = "n".repeat(15_000);
 
@@ -60,4 +61,20 @@
 		assertThat(head.resumption().orElseThrow().request()).contains(BoundedName.of(LONG + 4));
 	}
 
+	// Guards against reservations with thousands of parts, which all relays read.
+	@Test
+	void partsOfAPromptAreBoundedAndHaveTokens() {
+		List<PromptPart> parts = new ArrayList<>();
+		for (int id = 0; id < 4_000; id++) {
+			parts.add(new PromptPart(id, id % 3 - 1));
+		}
+		RequestHead head = new RequestHead("r", "h", "/x", Optional.empty(), Optional.empty(), parts, 0,
+				Optional.empty(), Optional.empty(), Origin.UNKNOWN)
+			.bounded();
+		assertThat(head.prompt()).hasSize(RequestHead.MAX_PROMPT_PARTS)
+			.allMatch((part) -> part.tokens() == 1)
+			.first()
+			.isEqualTo(new PromptPart(2, 1));
+	}
+
 }
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/UpstreamsTests.java
@@ -39,6 +39,20 @@
 		assertThat(this.upstreams.find("a").orElseThrow().uncachedTokens(PROMPT)).isZero();
 	}
 
+	// Guards against an index that grows without end, since parts of few tokens, of none
+	// or of a negative number take no room of the cache.
+	@Test
+	void indexOfPartsIsBoundedWhateverTheirTokens() {
+		for (int tokens : new int[] { 1, 0, -5, Integer.MIN_VALUE }) {
+			this.upstreams.put(RelayFixture.withStartTime("a", "s", 30 + Math.abs(tokens % 7)), 0);
+			Upstreams.UpstreamState engine = this.upstreams.find("a").orElseThrow();
+			for (long id = 1; id <= 100_000; id++) {
+				engine.addToCache(List.of(new PromptPart(id, tokens)), 1_000_000);
+			}
+			assertThat(engine.indexedParts()).as("parts of %d tokens", tokens).isLessThan(10_000);
+		}
+	}
+
 	// Guards against connecting to the outdated address of an earlier incarnation, whose
 	// record is read late or has no start time.
 	@Test
