Bound connections and heads at the port for readiness checks

Callers saw: a relay ended (out of memory) if the port for readiness checks was reached by others than the platform.

Cause: it had no bound on connections and decoded heads of 8 KB, of which 4,000 short lines take some 400 KB each.

Change: 16 connections, the oldest is closed for a new one; heads of 4 KB. The platform asks once a second.

Evidence: CostlyRequestTests.incompleteHeadsAtThePortForReadinessChecks (800 connections) ended the process before; it lives now, the relay counts as ready beside the crowd, and ordinary callers are answered.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/ReadinessServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/ReadinessServer.java
@@ -2,11 +2,14 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.lentilslip.relay.net.Sockets;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
@@ -22,8 +25,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /**
- * HTTP server for the platform's readiness checks and for metrics. Used by the event
- * loop's thread.
+ * HTTP server for the platform's readiness checks and for metrics. The number of
+ * connections and the size of a request are bounded, as a process may be reached here by
+ * others too; at the bound the oldest connection is closed. Used by the event loop's
+ * thread.
  */
 public final class ReadinessServer {
 
@@ -34,6 +39,15 @@
 
 	private static final int MAX_REQUEST_BYTES = 4096;
 
+	private static final int MAX_CHUNK_BYTES = 4096;
+
+	private static final int MAX_CONNECTIONS = 16;
+
+	/**
+	 * The open connections, oldest first.
+	 */
+	private final Set<Channel> connections = new LinkedHashSet<>();
+
 	private final BooleanSupplier ready;
 
 	private final Supplier<String> metrics;
@@ -55,10 +69,21 @@
 	 * @return the future of the server socket
 	 */
 	public ChannelFuture bind(EventLoopGroup loop, InetSocketAddress address) {
-		return Sockets.bind(loop, address,
-				(channel) -> channel.pipeline()
-					.addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler(),
-							new HttpObjectAggregator(MAX_REQUEST_BYTES), new RequestHandler()));
+		return Sockets.bind(loop, address, this::accept);
+	}
+
+	private void accept(Channel channel) {
+		if (this.connections.size() >= MAX_CONNECTIONS) {
+			Channel oldest = this.connections.iterator().next();
+			this.connections.remove(oldest);
+			oldest.close();
+		}
+		this.connections.add(channel);
+		channel.closeFuture().addListener((closed) -> this.connections.remove(channel));
+		channel.pipeline()
+			.addLast(new HttpServerCodec(MAX_REQUEST_BYTES, MAX_REQUEST_BYTES, MAX_CHUNK_BYTES),
+					new HttpServerKeepAliveHandler(), new HttpObjectAggregator(MAX_REQUEST_BYTES),
+					new RequestHandler());
 	}
 
 	/**
