Count events that callers have not read

HeldBytes counted bodies of responses but not events of streams, which wait up to the high-water mark of a socket, and one event beyond it, for each caller that doesn't read. They now count until they are written, so that costly requests are refused before unread streams and they together exceed the heap. CallerConnectionTests.eventIsHeldUntilItIsWritten: nothing was counted before.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -190,7 +190,9 @@
 	 * @param bytes the bytes to send
 	 */
 	public void writeContent(byte[] bytes) {
-		this.context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+		this.heldBytes.hold(bytes.length);
+		this.context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+			.addListener((done) -> this.heldBytes.release(bytes.length));
 	}
 
 	/**
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/CallerConnectionTests.java
@@ -1,5 +1,6 @@
 package io.lentilslip.relay.http;
 
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,6 +15,9 @@
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -207,6 +211,31 @@
 		return text;
 	}
 
+	// Guards against events that callers don't read and that nothing counts.
+	@Test
+	void eventIsHeldUntilItIsWritten() {
+		List<ChannelPromise> writes = new ArrayList<>();
+		this.channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+
+			@Override
+			public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+				ReferenceCountUtil.release(message);
+				writes.add(promise);
+			}
+
+		});
+		this.channel.writeInbound(head(), LastHttpContent.EMPTY_LAST_CONTENT);
+		long before = this.heldBytes.held();
+		this.connection.startStream(RESPONSE);
+		this.connection.writeContent(new byte[700]);
+		assertThat(this.heldBytes.held()).isEqualTo(before + 700);
+		writes.getLast().setSuccess();
+		assertThat(this.heldBytes.held()).isEqualTo(before);
+		this.connection.writeContent(new byte[70]);
+		writes.getLast().setFailure(new ClosedChannelException());
+		assertThat(this.heldBytes.held()).isEqualTo(before);
+	}
+
 	// Guards against buffering the whole stream of a caller that does not read.
 	@Test
 	void listenerIsNotifiedWhenACallerDoesNotRead() {
