Close callers that don't read, before ordinary ones are kept out

Callers saw: new connections closed at once, for as long as others took all connections and didn't read their streams; and what waits for those was held whatever the budget.

Cause: at the bound of connections only those without a request were closed. Unread events counted in the budget but on no account, so that no eviction could reach them.

Change: at the bound, if all connections have requests, the one whose caller has not read its response the longest is closed, and its request cancelled at the upstream. Unread events are held on an account: beyond the limit the largest account is evicted, which closes that connection.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -53,6 +53,12 @@
 	 */
 	private static final int HEAD_BYTES = 512;
 
+	/**
+	 * What unread bytes of a stream take: as much again waits behind them at the
+	 * connection to the upstream.
+	 */
+	private static final int UNREAD_FACTOR = 2;
+
 	/**
 	 * The retry delay of a caller for whose body there is no memory; the time in which
 	 * most responses end.
@@ -76,6 +82,13 @@
 	 */
 	private final HeldBytes.Account input;
 
+	/**
+	 * What is held of a streaming response that the caller has not read.
+	 */
+	private final HeldBytes.Account output;
+
+	private long unreadBytes;
+
 	private final ArrivalTimes arrivalTimes = new ArrivalTimes();
 
 	private Optional<StrictRequestDecoder> decoder = Optional.empty();
@@ -127,6 +140,7 @@
 			BooleanSupplier draining, HeldBytes heldBytes, Owner owner) {
 		this.owner = owner;
 		this.input = heldBytes.open(this::evict);
+		this.output = heldBytes.open(this::cutOff);
 		this.listener = listener;
 		this.timers = timers;
 		this.limits = limits;
@@ -190,9 +204,18 @@
 	 * @param bytes the bytes to send
 	 */
 	public void writeContent(byte[] bytes) {
-		this.heldBytes.hold(bytes.length);
-		this.context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-			.addListener((done) -> this.heldBytes.release(bytes.length));
+		this.unreadBytes += bytes.length;
+		this.context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))).addListener((done) -> {
+			this.unreadBytes -= bytes.length;
+			holdOutput();
+		});
+		holdOutput();
+	}
+
+	private void holdOutput() {
+		if (this.context.channel().isOpen()) {
+			this.output.hold(UNREAD_FACTOR * this.unreadBytes);
+		}
 	}
 
 	/**
@@ -223,13 +246,11 @@
 	}
 
 	/**
-	 * Closes a connection of whose request nothing was passed on.
+	 * Closes a connection that has no request that was passed on, or whose caller does
+	 * not read its response.
 	 */
 	void shed() {
 		this.owner.shed(Cause.CONNECTIONS);
-		this.closing = true;
-		cancelTimer();
-		releaseHeld();
 		this.context.close();
 	}
 
@@ -328,6 +349,12 @@
 		this.context.close();
 	}
 
+	// The upstream runs the request for a caller that doesn't read its response.
+	private void cutOff() {
+		this.owner.shed(Cause.MEMORY);
+		this.context.close();
+	}
+
 	private long headArrivedAt() {
 		return this.decoder.map((used) -> this.arrivalTimes.decoded(used.waitingBytes()))
 			.orElseGet(OptionalLong::empty)
@@ -344,6 +371,7 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		if (this.responding) {
+			this.owner.readingChanged(this, ctx.channel().isWritable());
 			this.listener.onWritabilityChanged(this.exchange, ctx.channel().isWritable());
 		}
 	}
@@ -352,6 +380,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		cancelTimer();
 		releaseHeld();
+		this.output.clear();
 		if (this.responding) {
 			this.responding = false;
 			this.listener.onDisconnect(this.exchange);
@@ -587,6 +616,13 @@
 		 */
 		void responseSent(CallerConnection connection);
 
+		/**
+		 * Called when a caller stops reading its response, or goes on.
+		 * @param connection the connection
+		 * @param reading whether it reads
+		 */
+		void readingChanged(CallerConnection connection, boolean reading);
+
 		/**
 		 * Called when a request is refused, or a connection closed, for lack of a
 		 * resource.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -21,8 +21,8 @@
 /**
  * HTTP server for callers. The number of connections is bounded, so that descriptors
  * remain for connections to upstreams, the store and other relays: at the bound the
- * connection that has been without a request the longest is closed. Used by the event
- * loop's thread.
+ * connection that has been without a request the longest is closed, or else the one whose
+ * caller has not read its response the longest. Used by the event loop's thread.
  */
 public final class CallerServer {
 
@@ -45,6 +45,12 @@
 	 */
 	private final Set<CallerConnection> idle = new LinkedHashSet<>();
 
+	/**
+	 * The connections whose callers don't read their responses, since the longest time
+	 * first.
+	 */
+	private final Set<CallerConnection> blocked = new LinkedHashSet<>();
+
 	private RouteTable.Limits limits = RouteTable.Limits.defaults();
 
 	private volatile Optional<Channel> serverChannel = Optional.empty();
@@ -116,7 +122,7 @@
 	}
 
 	private void accept(Channel channel) {
-		if (this.connections.size() >= this.maxConnections && !closeIdle()) {
+		if (this.connections.size() >= this.maxConnections && !closeOne()) {
 			this.shedListener.accept(Cause.CONNECTIONS);
 			channel.close();
 			return;
@@ -131,8 +137,8 @@
 					StrictRequestDecoder.of(this.limits, connection), new HttpResponseEncoder(), connection);
 	}
 
-	private boolean closeIdle() {
-		Optional<CallerConnection> oldest = this.idle.stream().findFirst();
+	private boolean closeOne() {
+		Optional<CallerConnection> oldest = this.idle.stream().findFirst().or(() -> this.blocked.stream().findFirst());
 		oldest.ifPresent((connection) -> {
 			remove(connection);
 			connection.shed();
@@ -143,6 +149,7 @@
 	private void remove(CallerConnection connection) {
 		this.connections.remove(connection);
 		this.idle.remove(connection);
+		this.blocked.remove(connection);
 	}
 
 	/**
@@ -157,9 +164,19 @@
 
 		@Override
 		public void responseSent(CallerConnection connection) {
+			CallerServer.this.blocked.remove(connection);
 			CallerServer.this.idle.add(connection);
 		}
 
+		@Override
+		public void readingChanged(CallerConnection connection, boolean reading) {
+			if (reading) {
+				CallerServer.this.blocked.remove(connection);
+				return;
+			}
+			CallerServer.this.blocked.add(connection);
+		}
+
 		@Override
 		public void shed(Cause cause) {
 			CallerServer.this.shedListener.accept(cause);
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
@@ -193,6 +193,19 @@
 			return true;
 		}
 
+		/**
+		 * Changes the size of the account to what is already held. If the limit is
+		 * exceeded, the largest accounts are evicted, this one too if it is the largest.
+		 * @param bytes the new size
+		 */
+		public void hold(long bytes) {
+			boolean grows = bytes > this.size;
+			resize(bytes);
+			if (grows) {
+				makeRoom(0, 0);
+			}
+		}
+
 		/**
 		 * Returns the size of the account.
 		 * @return the number of bytes
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/net/HeldBytesTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/net/HeldBytesTests.java
@@ -75,6 +75,20 @@
 		assertThat(this.evicted).containsExactly("incomplete");
 	}
 
+	// Guards against output that is held whatever the limit.
+	@Test
+	void outputThatIsHeldAnywayEvictsTheLargestAccounts() {
+		open("input", 100);
+		HeldBytes.Account first = open("first", 700);
+		HeldBytes.Account second = open("second", 100);
+		second.hold(400);
+		assertThat(this.evicted).containsExactly("first");
+		assertThat(first.size()).isZero();
+		second.hold(950);
+		assertThat(this.evicted).containsExactly("first", "second");
+		assertThat(this.heldBytes.held()).isEqualTo(100);
+	}
+
 	// Guards against bytes that stay counted.
 	@Property(tries = 300)
 	void nothingIsHeldOnceAllIsCleared(@ForAll @Size(max = 60) List<@IntRange(max = 1200) Integer> sizes) {
