--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerConnection.java
@@ -93,8 +93,14 @@
 
 	private Optional<StrictRequestDecoder> decoder = Optional.empty();
 
+	/**
+	 * The size of the buffer with bytes that wait to be decoded.
+	 */
 	private int waitingBytes;
 
+	/**
+	 * What the decoded lines of the request take that is being received.
+	 */
 	private int decodedBytes;
 
 	private boolean inputDropped;
@@ -130,10 +136,13 @@
 	private long exchange;
 
 	/**
-	 * The bytes of the request that was passed on, and of its response.
+	 * The bytes of the request that was passed on.
 	 */
 	private long accepted;
 
+	/**
+	 * The bytes of the body of its response.
+	 */
 	private long held;
 
 	CallerConnection(CallerListener listener, Timers timers, Supplier<RouteTable.Limits> limits,
@@ -440,7 +449,7 @@
 	}
 
 	// A longer body is refused before any of it is held.
-	private OptionalInt announcedLength(HttpRequest received) {
+	private static OptionalInt announcedLength(HttpRequest received) {
 		int length = HttpUtil.getContentLength(received, -1);
 		return (length >= 0) ? OptionalInt.of(length) : OptionalInt.empty();
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/CallerServer.java
@@ -170,7 +170,7 @@
 
 		@Override
 		public void readingChanged(CallerConnection connection, boolean reading) {
-			if (reading) {
+			if (reading || !CallerServer.this.connections.contains(connection)) {
 				CallerServer.this.blocked.remove(connection);
 				return;
 			}
