Parse events by lines instead of bytes

Callers saw: no answer for a minute while some hundred streams of large events began that nobody read.

Cause: the event loop was busy with EventParser (stack samples): each byte was read and written by calls that check its buffer, and lines were split by a regular expression.

Change: the end of a line is searched for, and a part of a line is copied as a whole. Lines are split where they end.

EventParserTests hold what is parsed, at all chunk boundaries.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
@@ -29,7 +29,7 @@
 
 	private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
-	private int lineLength;
+	private boolean lineHasText;
 
 	private int emptyEvents;
 
@@ -44,19 +44,19 @@
 	 */
 	boolean read(ByteBuf bytes, Sink sink) {
 		while (bytes.isReadable()) {
-			byte next = bytes.readByte();
-			this.buffer.write(next);
-			if (next == '\r') {
-				continue;
+			int lineLength = bytes.bytesBefore((byte) '\n');
+			boolean ended = lineLength >= 0;
+			byte[] part = new byte[ended ? lineLength + 1 : bytes.readableBytes()];
+			bytes.readBytes(part);
+			this.buffer.writeBytes(part);
+			this.lineHasText = this.lineHasText || hasText(part);
+			if (!ended) {
+				break;
 			}
-			if (next != '\n') {
-				this.lineLength++;
-				continue;
-			}
-			if (this.lineLength == 0 && !dispatch(sink)) {
+			if (!this.lineHasText && !dispatch(sink)) {
 				return false;
 			}
-			this.lineLength = 0;
+			this.lineHasText = false;
 		}
 		return this.buffer.size() <= MAX_EVENT_BYTES;
 	}
@@ -76,7 +76,8 @@
 		StringBuilder data = new StringBuilder();
 		boolean hasData = false;
 		long eventNumber = this.lastNumber + 1;
-		for (String line : text.split("\r?\n")) {
+		for (int start = 0; start < text.length(); start = text.indexOf('\n', start) + 1) {
+			String line = line(text, start);
 			if (line.startsWith(ID_FIELD)) {
 				try {
 					eventNumber = Long.parseLong(line.substring(ID_FIELD.length()).strip());
@@ -100,6 +101,21 @@
 		return this.emptyEvents <= MAX_EMPTY_EVENTS;
 	}
 
+	private static boolean hasText(byte[] part) {
+		for (byte next : part) {
+			if (next != '\r' && next != '\n') {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	// The text ends with a line feed.
+	private static String line(String text, int start) {
+		int end = text.indexOf('\n', start);
+		return text.substring(start, (end > start && text.charAt(end - 1) == '\r') ? end - 1 : end);
+	}
+
 	private static String value(String line) {
 		String value = line.substring(DATA_FIELD.length());
 		return value.startsWith(" ") ? value.substring(1) : value;
