--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -282,7 +282,7 @@
 	 * Written for each caller; {@code COUNT} is the number of connections of callers.
 	 */
 	CALLER_SHED(3018, Level.WARN,
-			"Callers hold all memory or descriptors that a relay has for them, so it refuses the one that holds most, or closes the connection that has been without a request the longest. Nothing of its request was passed on.",
+			"Callers hold all memory or descriptors that a relay has for them, so it refuses the one that holds most, or closes the connection that has been without a request, or whose caller has not read its response, the longest. Nothing of a refused request was passed on.",
 			"Compare the collection HELD_BYTES with its bound, and the number of connections with the descriptors of the VM; if ordinary callers reach them, add relays, otherwise find out who sends costly requests.",
 			FieldName.REASON, FieldName.COUNT),
 
