Pass a response on only if its status line is valid

Callers saw: a runner's "HTTP/1.1 000 Trouble" arrived as an answer with status 000; likewise 099, 600, 20, 0200, +200 and -20, HTTP/1.10, two blanks or a tab before the status, and a control byte in the reason.

Cause: the HTTP decoder takes any number for a status and trims what is around it, and nobody looked at the result. OkHttp takes any three digits.

Fix: StrictResponseDecoder checks the line as it was received, before it is decoded, wherever a relay reads responses; AnswerValidation checks the library's result for all calls of HttpSender. A response that is not valid fails its attempt as UNREADABLE: the request may have run, so one that may not be repeated is answered 502 and reaches one runner only, others go to another runner. E4029 tells which part was not valid, by a name and not by its text. What such a response says, also that it has not run the request, is not believed.

RFC 9110, 15, lets a client treat such a status as a 5xx; 502 is one.

--- /dev/null
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
@@ -0,0 +1,24 @@
+package io.lentilslip.client.http;
+
+import java.io.IOException;
+
+import io.lentilslip.core.http.ResponseSyntax;
+import okhttp3.Interceptor;
+import okhttp3.Response;
+
+/**
+ * An interceptor that fails calls whose answers are not valid. The library takes any
+ * status of three digits. Safe for use by several threads.
+ */
+final class AnswerValidation implements Interceptor {
+
+	@Override
+	public Response intercept(Chain chain) throws IOException {
+		Response response = chain.proceed(chain.request());
+		if (!ResponseSyntax.isFinalStatus(response.code()) || !ResponseSyntax.isFieldValue(response.message())) {
+			throw new InvalidAnswerException("the status line is not valid; its status is " + response.code());
+		}
+		return response;
+	}
+
+}
--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/FailureKind.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/FailureKind.java
@@ -31,6 +31,11 @@
 	 */
 	TOO_LONG,
 
+	/**
+	 * What came was no valid answer.
+	 */
+	UNREADABLE,
+
 	/**
 	 * This process gave the attempt up.
 	 */
--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
@@ -84,6 +84,7 @@
 			.followSslRedirects(false)
 			.eventListenerFactory(TransmissionRecorder.factory())
 			.addNetworkInterceptor(HttpSender::withholdImmediateRetry)
+			.addNetworkInterceptor(new AnswerValidation())
 			.build();
 	}
 
@@ -262,6 +263,9 @@
 			if (ex instanceof InterruptedIOException || this.call.isCanceled()) {
 				return FailureKind.TIMED_OUT;
 			}
+			if (ex instanceof InvalidAnswerException) {
+				return FailureKind.UNREADABLE;
+			}
 			boolean sent = this.recorder.transmission() == Transmission.MAY_HAVE_BEEN_SENT;
 			return sent ? FailureKind.BROKEN_OFF : FailureKind.NOT_CONNECTED;
 		}
--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -14,12 +14,15 @@
 import io.jooby.Context;
 import io.jooby.StatusCode;
 import io.lentilslip.core.verdict.Verdict;
+import io.lentilslip.standin.http.MalformedResponse;
 import io.lentilslip.standin.http.StandInServer;
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -200,7 +203,19 @@
 		}
 	}
 
+	// Guards against passing on a response with what it says, or with a body that another
+	// reader of it would end elsewhere.
+	@ParameterizedTest
+	@EnumSource
+	void malformedResponseIsUnanswered(MalformedResponse response) throws Exception {
+		assertUnanswered(respond(response.bytes("")), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+	}
+
 	private Exchange cut(String response) throws Exception {
+		return respond(response.getBytes(StandardCharsets.ISO_8859_1));
+	}
+
+	private Exchange respond(byte[] response) throws Exception {
 		try (ServerSocket upstream = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
 			HttpUrl url = HttpUrl.get("http://127.0.0.1:" + upstream.getLocalPort() + "/cut");
 			CompletableFuture<Exchange> outcome = this.sender.send(new Request.Builder().url(url))
@@ -208,7 +223,7 @@
 			try (Socket connection = upstream.accept()) {
 				byte[] request = new byte[1024];
 				assertThat(connection.getInputStream().read(request)).isPositive();
-				connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+				connection.getOutputStream().write(response);
 			}
 			return outcome.get(60, TimeUnit.SECONDS);
 		}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/http/ResponseSyntax.java
@@ -0,0 +1,95 @@
+package io.lentilslip.core.http;
+
+/**
+ * The syntax of responses by RFC 9110 and RFC 9112. Libraries are lenient: they take any
+ * number for a status. Characters stand for bytes. Stateless and safe for use by several
+ * threads.
+ */
+public final class ResponseSyntax {
+
+	private static final String VERSION = "HTTP/1.";
+
+	/**
+	 * The position of the status in a status line, behind a version of one digit and a
+	 * blank.
+	 */
+	private static final int STATUS_START = VERSION.length() + 2;
+
+	private static final int STATUS_DIGITS = 3;
+
+	private static final int DECIMAL = 10;
+
+	private static final int FIRST_INFORMATIONAL = 100;
+
+	private static final int FIRST_FINAL = 200;
+
+	private static final int LAST = 599;
+
+	private static final int SWITCHING_PROTOCOLS = 101;
+
+	private static final int DELETE = 0x7f;
+
+	private ResponseSyntax() {
+	}
+
+	/**
+	 * Returns whether a line is a status line. The blank before an empty reason may be
+	 * missing.
+	 * @param line the line without its end
+	 * @return whether it is one
+	 */
+	public static boolean isStatusLine(CharSequence line) {
+		int end = STATUS_START + STATUS_DIGITS;
+		if (line.length() < end || !VERSION.contentEquals(line.subSequence(0, VERSION.length()))
+				|| !isDigit(line.charAt(VERSION.length())) || line.charAt(STATUS_START - 1) != ' ') {
+			return false;
+		}
+		int status = 0;
+		for (int i = STATUS_START; i < end; i++) {
+			if (!isDigit(line.charAt(i))) {
+				return false;
+			}
+			status = DECIMAL * status + line.charAt(i) - '0';
+		}
+		boolean separated = line.length() == end || line.charAt(end) == ' ';
+		return separated && isStatus(status) && isFieldValue(line.subSequence(end, line.length()));
+	}
+
+	/**
+	 * Returns whether a client that asks for no other protocol may receive a status.
+	 * @param status the status
+	 * @return whether it may
+	 */
+	public static boolean isStatus(int status) {
+		return status >= FIRST_INFORMATIONAL && status <= LAST && status != SWITCHING_PROTOCOLS;
+	}
+
+	/**
+	 * Returns whether a status is that of a final response.
+	 * @param status the status
+	 * @return whether it is
+	 */
+	public static boolean isFinalStatus(int status) {
+		return status >= FIRST_FINAL && status <= LAST;
+	}
+
+	/**
+	 * Returns whether a text can be the value of a field, or a reason.
+	 * @param value the text
+	 * @return whether it can
+	 */
+	public static boolean isFieldValue(CharSequence value) {
+		for (int i = 0; i < value.length(); i++) {
+			char next = value.charAt(i);
+			if ((next < ' ' && next != '\t') || next == DELETE) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static boolean isDigit(int character) {
+		return character >= '0' && character <= '9';
+	}
+
+}
--- /dev/null
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Rules of HTTP that all readers of responses share. Without I/O.
+ */
+package io.lentilslip.core.http;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/notice/NoticeCode.java
@@ -509,6 +509,14 @@
 			FieldName.REQUEST, FieldName.EXPECTED, FieldName.UPSTREAM, FieldName.REASON, FieldName.STATUS,
 			FieldName.COUNT),
 
+	/**
+	 * {@code REASON} is the first part of the response that is not valid.
+	 */
+	RESPONSE_INVALID(4029, Level.WARN,
+			"An upstream sent a response that is not valid by HTTP, and nothing of it was passed on.",
+			"If it repeats, examine the upstream; the attempt has failed with UNREADABLE.", FieldName.REQUEST,
+			FieldName.UPSTREAM, FieldName.REASON),
+
 	/**
 	 * Written once for each group and period.
 	 */
--- /dev/null
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/InvalidPart.java
@@ -0,0 +1,23 @@
+package io.lentilslip.relay.http;
+
+/**
+ * A part of a response that is not valid. Safe for use by several threads.
+ */
+public enum InvalidPart {
+
+	/**
+	 * The line with the version and the status.
+	 */
+	STATUS_LINE,
+
+	/**
+	 * The end of a line.
+	 */
+	LINE_END,
+
+	/**
+	 * The size of the head.
+	 */
+	HEAD_SIZE
+
+}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/SerialHttpClient.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
@@ -189,7 +188,7 @@
 	 * Response decoder that knows whether bytes follow a response. Used by one
 	 * connection.
 	 */
-	private static final class ResponseDecoder extends HttpResponseDecoder {
+	private static final class ResponseDecoder extends StrictResponseDecoder {
 
 		boolean hasUnreadBytes() {
 			return actualReadableBytes() > 0;
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -41,6 +41,7 @@
 import io.lentilslip.core.relay.UpstreamRecordError;
 import io.lentilslip.relay.http.CallerServer;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.http.InvalidPart;
 import io.lentilslip.relay.http.ReadinessServer;
 import io.lentilslip.relay.net.ArrivalClock;
 import io.lentilslip.relay.net.HeldBytes;
@@ -57,6 +58,7 @@
 import io.lentilslip.relay.store.TextWriter;
 import io.lentilslip.relay.store.Timers;
 import io.lentilslip.relay.store.Topic;
+import io.lentilslip.relay.upstream.ResponseProblemListener;
 import io.lentilslip.relay.upstream.UnmatchedResponse;
 import io.lentilslip.relay.upstream.UpstreamClient;
 import io.lentilslip.telemetry.Notices;
@@ -172,7 +174,7 @@
 		this.relay = new Relay(setup.settings());
 		this.store = new MeteredStore(setup.store().apply(this.loop), this.traffic);
 		this.upstreams = new UpstreamClient(this.loop, setup.dialect(), this.timers, setup.heldBytes(),
-				this::responseUnmatched);
+				new UpstreamProblems());
 		this.exchanges = new Exchanges(setup.dialect(), this.upstreams, this.timers, this::on);
 		this.callers = new CallerServer(this.exchanges, this.timers, setup.heldBytes(), setup.maxCallerConnections(),
 				this::callerShed);
@@ -465,17 +467,6 @@
 			.with(FieldName.COUNT, this.callers.connectionCount()));
 	}
 
-	private void responseUnmatched(UnmatchedResponse unmatched) {
-		this.setup.measurements().accept(new Measurement.ResponseUnmatched(unmatched.kind()));
-		OptionalInt status = unmatched.status();
-		this.notices.write(NoticeCode.RESPONSE_UNMATCHED.with(FieldName.REQUEST, unmatched.named().orElse(NONE))
-			.with(FieldName.EXPECTED, unmatched.expected().orElse(NONE))
-			.with(FieldName.UPSTREAM, unmatched.upstream())
-			.with(FieldName.REASON, unmatched.kind())
-			.with(FieldName.STATUS, status.isPresent() ? status.getAsInt() : NONE)
-			.with(FieldName.COUNT, unmatched.requestCount()));
-	}
-
 	private void beginDrain() {
 		this.draining = true;
 		this.callers.drain();
@@ -544,6 +535,33 @@
 
 	}
 
+	/**
+	 * Reports what upstreams send that is not passed on. Used by the event loop's thread.
+	 */
+	private final class UpstreamProblems implements ResponseProblemListener {
+
+		@Override
+		public void onUnmatched(UnmatchedResponse unmatched) {
+			RelayProcess.this.setup.measurements().accept(new Measurement.ResponseUnmatched(unmatched.kind()));
+			OptionalInt status = unmatched.status();
+			RelayProcess.this.notices
+				.write(NoticeCode.RESPONSE_UNMATCHED.with(FieldName.REQUEST, unmatched.named().orElse(NONE))
+					.with(FieldName.EXPECTED, unmatched.expected().orElse(NONE))
+					.with(FieldName.UPSTREAM, unmatched.upstream())
+					.with(FieldName.REASON, unmatched.kind())
+					.with(FieldName.STATUS, status.isPresent() ? status.getAsInt() : NONE)
+					.with(FieldName.COUNT, unmatched.requestCount()));
+		}
+
+		@Override
+		public void onInvalid(String upstream, String request, InvalidPart part) {
+			RelayProcess.this.notices.write(NoticeCode.RESPONSE_INVALID.with(FieldName.REQUEST, request)
+				.with(FieldName.UPSTREAM, upstream)
+				.with(FieldName.REASON, part));
+		}
+
+	}
+
 	/**
 	 * Handles changes of the route table. Used by the event loop's thread.
 	 */
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamClient.java
@@ -42,7 +42,7 @@
 
 	private final HeldBytes heldBytes;
 
-	private final Consumer<UnmatchedResponse> unmatchedResponses;
+	private final ResponseProblemListener problems;
 
 	private final Map<String, UpstreamPool> pools = new HashMap<>();
 
@@ -54,15 +54,15 @@
 	 * @param dialect the upstreams' header names and formats
 	 * @param timers the clock
 	 * @param heldBytes bounds the bytes of responses that are not complete
-	 * @param unmatchedResponses receives data that belongs to no request in flight
+	 * @param problems receives what upstreams send that is not passed on
 	 */
 	public UpstreamClient(EventLoop loop, Dialect dialect, Timers timers, HeldBytes heldBytes,
-			Consumer<UnmatchedResponse> unmatchedResponses) {
+			ResponseProblemListener problems) {
 		this.loop = loop;
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
-		this.unmatchedResponses = unmatchedResponses;
+		this.problems = problems;
 	}
 
 	/**
@@ -162,7 +162,7 @@
 		}
 		removeUpstream(upstream.id());
 		UpstreamPool pool = new UpstreamPool(this.loop, upstream, this.dialect, this.timers, this.heldBytes,
-				this.unmatchedResponses);
+				this.problems);
 		this.pools.put(upstream.id(), pool);
 		return pool;
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -13,6 +13,8 @@
 import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.http.InvalidPart;
+import io.lentilslip.relay.http.StrictResponseDecoder;
 import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -28,7 +30,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -257,6 +258,8 @@
 
 	private void beginResponse(HttpResponse response) {
 		if (response.decoderResult().isFailure()) {
+			StrictResponseDecoder.invalidPart(response)
+				.ifPresent((part) -> this.listener.onInvalid(this.current.orElseThrow().id(), part));
 			boolean closed = response.decoderResult().cause() instanceof PrematureChannelClosureException;
 			fail(closed ? FailureCause.BROKEN : FailureCause.UNREADABLE);
 			return;
@@ -317,7 +320,7 @@
 
 	// The bytes may be a part of a response, or none.
 	private Optional<String> namedBy(ByteBuf bytes) {
-		EmbeddedChannel decoding = new EmbeddedChannel(new HttpResponseDecoder());
+		EmbeddedChannel decoding = new EmbeddedChannel(new StrictResponseDecoder());
 		try {
 			decoding.writeInbound(bytes.retainedDuplicate());
 			return Optional.ofNullable(decoding.<HttpResponse>readInbound())
@@ -505,6 +508,14 @@
 		 */
 		void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried);
 
+		/**
+		 * Called when the upstream has sent a response that is not valid.
+		 * @param request the id of the request in flight
+		 * @param part the first part that is not valid
+		 */
+		default void onInvalid(String request, InvalidPart part) {
+		}
+
 	}
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamPool.java
@@ -6,12 +6,13 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.function.Consumer;
 
 import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.http.Dialect;
+import io.lentilslip.relay.http.InvalidPart;
+import io.lentilslip.relay.http.StrictResponseDecoder;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.net.Sockets;
 import io.lentilslip.relay.store.Timers;
@@ -21,7 +22,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
  * Pool of connections to one incarnation of an upstream. A connection expires shortly
@@ -70,7 +70,7 @@
 
 	private final HeldBytes heldBytes;
 
-	private final Consumer<UnmatchedResponse> unmatchedResponses;
+	private final ResponseProblemListener problems;
 
 	private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
@@ -83,7 +83,7 @@
 	private Optional<Duration> announcedTimeout = Optional.empty();
 
 	UpstreamPool(EventLoop loop, Upstream upstream, Dialect dialect, Timers timers, HeldBytes heldBytes,
-			Consumer<UnmatchedResponse> unmatchedResponses) {
+			ResponseProblemListener problems) {
 		this.loop = loop;
 		this.upstreamId = upstream.id();
 		this.incarnationId = upstream.incarnationId();
@@ -91,7 +91,7 @@
 		this.dialect = dialect;
 		this.timers = timers;
 		this.heldBytes = heldBytes;
-		this.unmatchedResponses = unmatchedResponses;
+		this.problems = problems;
 	}
 
 	/**
@@ -218,10 +218,15 @@
 
 		@Override
 		public void onUnmatched(Kind kind, Optional<String> named, OptionalInt status, CarriedRequests carried) {
-			UpstreamPool.this.unmatchedResponses.accept(new UnmatchedResponse(kind, UpstreamPool.this.upstreamId, named,
+			UpstreamPool.this.problems.onUnmatched(new UnmatchedResponse(kind, UpstreamPool.this.upstreamId, named,
 					carried.last(), status, carried.count()));
 		}
 
+		@Override
+		public void onInvalid(String request, InvalidPart part) {
+			UpstreamPool.this.problems.onInvalid(UpstreamPool.this.upstreamId, request, part);
+		}
+
 	}
 
 	/**
@@ -238,7 +243,7 @@
 	 * Response decoder that expects no body in responses to HEAD requests and decodes
 	 * only bytes that the connection accepts. Used by one connection.
 	 */
-	private static final class ResponseDecoder extends HttpResponseDecoder {
+	private static final class ResponseDecoder extends StrictResponseDecoder {
 
 		private final UpstreamConnection connection;
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilslip.standin.http.MalformedResponse;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -24,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -97,13 +100,26 @@
 		}
 	}
 
+	// Guards against taking an append for stored, or a list for empty, because of a
+	// response
+	// that is none.
+	@ParameterizedTest
+	@EnumSource
+	void malformedResponseFails(MalformedResponse response) {
+		assertThat(respond(response.bytes(""), true)).isEmpty();
+	}
+
 	private Optional<String> cut(String response, boolean orderly) {
+		return respond(bytes(response), orderly);
+	}
+
+	private Optional<String> respond(byte[] response, boolean orderly) {
 		try {
 			call(0);
 			try (Socket connection = this.server.accept()) {
 				byte[] request = new byte[1024];
 				assertThat(connection.getInputStream().read(request)).isPositive();
-				connection.getOutputStream().write(bytes(response));
+				connection.getOutputStream().write(response);
 				connection.setSoLinger(!orderly, 0);
 			}
 			return this.responses.poll(60, TimeUnit.SECONDS);
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/CutResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/CutResponseTests.java
@@ -10,13 +10,13 @@
 import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
+import io.lentilslip.relay.http.StrictResponseDecoder;
 import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -115,7 +115,7 @@
 		private final UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(),
 				this, new HeldBytes(1_000_000));
 
-		private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), this.connection);
+		private final EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder(), this.connection);
 
 		private final List<String> outcomes = new ArrayList<>();
 
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
@@ -5,7 +5,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -17,7 +16,6 @@
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.Upstream;
 import io.lentilslip.relay.net.HeldBytes;
-import io.lentilslip.relay.store.Timers;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -288,21 +286,4 @@
 
 	}
 
-	/**
-	 * Clock that stands still.
-	 */
-	private static final class FixedClock implements Timers {
-
-		@Override
-		public void schedule(Duration delay, Runnable task) {
-			throw new UnsupportedOperationException();
-		}
-
-		@Override
-		public long now() {
-			return 0;
-		}
-
-	}
-
 }
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/RepeatedResponseTests.java
@@ -21,6 +21,7 @@
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
 import io.lentilslip.core.relay.Upstream;
+import io.lentilslip.relay.http.StrictResponseDecoder;
 import io.lentilslip.relay.net.HeldBytes;
 import io.lentilslip.relay.store.Timers;
 import io.netty.buffer.ByteBuf;
@@ -31,7 +32,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -261,7 +261,7 @@
 		for (int cut = 1; cut < late.length() + due.length(); cut++) {
 			UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
 					new HeldBytes(1_000_000));
-			EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), connection);
+			EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder(), connection);
 			connection.send(outgoing("a", false));
 			channel.writeInbound(bytes(response("a", 503, "")));
 			connection.send(outgoing("b", true));
@@ -279,7 +279,7 @@
 	void lateResponseWithoutALengthFailsTheAttempt() {
 		UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
 				new HeldBytes(1_000_000));
-		EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), connection);
+		EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder(), connection);
 		connection.send(outgoing("a", false));
 		channel.writeInbound(bytes(response("a", 503, "")));
 		connection.send(outgoing("b", false));
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -9,6 +9,7 @@
 import io.lentilslip.core.measurement.Measurement.ResponseUnmatched.Kind;
 import io.lentilslip.core.relay.RelayEvent.FailureCause;
 import io.lentilslip.core.relay.ResponseHead;
+import io.lentilslip.relay.http.StrictResponseDecoder;
 import io.lentilslip.relay.net.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,7 +19,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -102,7 +102,7 @@
 	private EmbeddedChannel decodingChannel() {
 		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
 				new HeldBytes(1_000_000));
-		this.channel = new EmbeddedChannel(new HttpResponseDecoder(), this.connection);
+		this.channel = new EmbeddedChannel(new StrictResponseDecoder(), this.connection);
 		return this.channel;
 	}
 
--- /dev/null
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/http/MalformedResponse.java
@@ -0,0 +1,151 @@
+package io.lentilslip.standin.http;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A response that violates RFC 9110 or RFC 9112, so that no recipient may pass it on. It
+ * is otherwise a success with a short body. Immutable and safe for use by several
+ * threads.
+ */
+public enum MalformedResponse {
+
+	/**
+	 * A status below the classes.
+	 */
+	STATUS_000("HTTP/1.1 000 Trouble", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status below the classes.
+	 */
+	STATUS_099("HTTP/1.1 099 Trouble", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status above the classes.
+	 */
+	STATUS_600("HTTP/1.1 600 Trouble", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status that is too short.
+	 */
+	STATUS_OF_TWO_DIGITS("HTTP/1.1 20 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status that is too long.
+	 */
+	STATUS_OF_FOUR_DIGITS("HTTP/1.1 0200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status with a sign.
+	 */
+	STATUS_WITH_SIGN("HTTP/1.1 +200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A negative status.
+	 */
+	STATUS_NEGATIVE("HTTP/1.1 -20 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status that is no number.
+	 */
+	STATUS_NO_NUMBER("HTTP/1.1 2OO OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A status line without a status.
+	 */
+	STATUS_MISSING("HTTP/1.1", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A version of another major number.
+	 */
+	VERSION_UNSUPPORTED("HTTP/2.0 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A version of another protocol.
+	 */
+	VERSION_OF_ANOTHER_PROTOCOL("RTSP/1.1 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A version in lower case.
+	 */
+	VERSION_IN_LOWER_CASE("http/1.1 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A version with a number of two digits.
+	 */
+	VERSION_WITH_A_LONG_NUMBER("HTTP/1.10 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * Two blanks in the status line.
+	 */
+	BLANKS_BEFORE_STATUS("HTTP/1.1  200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A tab in the status line.
+	 */
+	TAB_BEFORE_STATUS("HTTP/1.1\t200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A blank before the status line.
+	 */
+	BLANK_BEFORE_VERSION(" HTTP/1.1 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A control byte before the status line.
+	 */
+	CONTROL_BEFORE_VERSION("\u0001HTTP/1.1 200 OK", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A control byte in the reason phrase.
+	 */
+	CONTROL_IN_REASON("HTTP/1.1 200 O\u0000K", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A switch to another protocol that nobody asked for.
+	 */
+	SWITCH_OF_PROTOCOLS("HTTP/1.1 101 Switching Protocols", "Upgrade: other\r\nConnection: upgrade\r\n", Part.BODY),
+
+	/**
+	 * Text that is no response.
+	 */
+	TEXT("Internal error", "", Part.BODY);
+
+	private final String statusLine;
+
+	private final String fields;
+
+	private final String content;
+
+	MalformedResponse(String statusLine, String fields, String content) {
+		this.statusLine = statusLine;
+		this.fields = fields;
+		this.content = content;
+	}
+
+	/**
+	 * Returns the bytes of the response.
+	 * @param moreFields well-formed lines to put before its own fields, each with its end
+	 * @return the bytes
+	 */
+	public byte[] bytes(String moreFields) {
+		return (this.statusLine + "\r\n" + moreFields + this.fields + "\r\n" + this.content)
+			.getBytes(StandardCharsets.ISO_8859_1);
+	}
+
+	/**
+	 * Well-formed parts.
+	 */
+	private static final class Part {
+
+		static final String OK = "HTTP/1.1 200 OK";
+
+		static final String LENGTH = "Content-Length: 4\r\n";
+
+		static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+
+		static final String BODY = "body";
+
+		static final String CHUNKS = "4\r\nbody\r\n0\r\n\r\n";
+
+	}
+
+}
