Pass a response on only if its fields are fields

Callers saw: a response with "X-Field one: value" arrived as "X-Field: value", and one with "Content-Length of: 2" or "Content-Length : 4" was cut by that line and arrived as whole: 2 of 4 bytes. On the own interface names with control bytes, empty ones, lines without a colon and values with control bytes arrived too.

Cause: the decoder ends the name of a response's field at the first blank and drops the rest up to the colon; a control byte in a name it refuses. OkHttp checks neither names nor values.

Evidence: the forms of MalformedResponse with a name or a value, sent to the four readers.

Fix: the lines of a head are checked as they were received, before the decoder makes something of them, so it does not matter what it would trim. A line that continues a value is joined, as RFC 9112, 5.2, allows. RFC 9112, 5.1, wants a blank before the colon removed before a response is forwarded; a response with one is not forwarded at all, since that line may frame the body for one reader and not for another.

An informational response with such a name is not seen on the own interface, where the library drops it; nothing of it is passed on.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 
 import io.lentilslip.core.http.ResponseSyntax;
+import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.Response;
 
 /**
  * An interceptor that fails calls whose answers are not valid. The library takes any
- * status of three digits. Safe for use by several threads.
+ * status of three digits, and any names and values of fields. Safe for use by several
+ * threads.
  */
 final class AnswerValidation implements Interceptor {
 
@@ -18,7 +20,19 @@
 		if (!ResponseSyntax.isFinalStatus(response.code()) || !ResponseSyntax.isFieldValue(response.message())) {
 			throw new InvalidAnswerException("the status line is not valid; its status is " + response.code());
 		}
+		if (!hasValidFields(response.headers())) {
+			throw new InvalidAnswerException("a field is not valid");
+		}
 		return response;
 	}
 
+	private static boolean hasValidFields(Headers fields) {
+		for (int i = 0; i < fields.size(); i++) {
+			if (!ResponseSyntax.isFieldName(fields.name(i)) || !ResponseSyntax.isFieldValue(fields.value(i))) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/http/ResponseSyntax.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/http/ResponseSyntax.java
@@ -2,7 +2,8 @@
 
 /**
  * The syntax of responses by RFC 9110 and RFC 9112. Libraries are lenient: they take any
- * number for a status. Characters stand for bytes. Stateless and safe for use by several
+ * number for a status and shorten names at a blank, so that what is passed on would not
+ * be what was received. Characters stand for bytes. Stateless and safe for use by several
  * threads.
  */
 public final class ResponseSyntax {
@@ -29,6 +30,8 @@
 
 	private static final int DELETE = 0x7f;
 
+	private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
+
 	private ResponseSyntax() {
 	}
 
@@ -73,6 +76,22 @@
 		return status >= FIRST_FINAL && status <= LAST;
 	}
 
+	/**
+	 * Returns whether a text can be the name of a field.
+	 * @param name the text, all that stands before the colon
+	 * @return whether it can
+	 */
+	public static boolean isFieldName(CharSequence name) {
+		for (int i = 0; i < name.length(); i++) {
+			char next = name.charAt(i);
+			boolean letter = (next >= 'a' && next <= 'z') || (next >= 'A' && next <= 'Z');
+			if (!letter && !isDigit(next) && NAME_SYMBOLS.indexOf(next) < 0) {
+				return false;
+			}
+		}
+		return !name.isEmpty();
+	}
+
 	/**
 	 * Returns whether a text can be the value of a field, or a reason.
 	 * @param value the text
@@ -88,6 +107,24 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether a line is a field, or continues the one before it.
+	 * @param line the line without its end
+	 * @param first whether no field stands before it
+	 * @return whether it is one
+	 */
+	public static boolean isFieldLine(CharSequence line, boolean first) {
+		if (line.charAt(0) == ' ' || line.charAt(0) == '\t') {
+			return !first && isFieldValue(line);
+		}
+		int colon = 0;
+		while (colon < line.length() && line.charAt(colon) != ':') {
+			colon++;
+		}
+		return colon < line.length() && isFieldName(line.subSequence(0, colon))
+				&& isFieldValue(line.subSequence(colon, line.length()));
+	}
+
 	private static boolean isDigit(int character) {
 		return character >= '0' && character <= '9';
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/InvalidPart.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/InvalidPart.java
@@ -10,6 +10,11 @@
 	 */
 	STATUS_LINE,
 
+	/**
+	 * A line with a field.
+	 */
+	FIELD,
+
 	/**
 	 * The end of a line.
 	 */
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/http/MalformedResponse.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/http/MalformedResponse.java
@@ -99,11 +99,117 @@
 	 */
 	CONTROL_IN_REASON("HTTP/1.1 200 O\u0000K", Part.LENGTH, Part.BODY),
 
+	/**
+	 * A field name with a blank in it.
+	 */
+	BLANK_IN_NAME(Part.OK, "X-Field one: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a blank in it, of which the first part frames the body.
+	 */
+	BLANK_IN_NAME_OF_LENGTH(Part.OK, "Content-Length of: 2\r\n", Part.BODY),
+
+	/**
+	 * A blank between a field name and its colon.
+	 */
+	BLANK_AFTER_NAME(Part.OK, "X-Field : value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A blank between the name of the length and its colon.
+	 */
+	BLANK_AFTER_NAME_OF_LENGTH(Part.OK, "Content-Length : 4\r\n", Part.BODY),
+
+	/**
+	 * A blank before the first field name.
+	 */
+	BLANK_BEFORE_FIRST_NAME(Part.OK + "\r\n X-Field: value", Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a tab in it.
+	 */
+	TAB_IN_NAME(Part.OK, "X-Field\tone: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a control byte in it.
+	 */
+	CONTROL_IN_NAME(Part.OK, "X-\u0001Field: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A control byte before a field name.
+	 */
+	CONTROL_BEFORE_NAME(Part.OK, "\u0001X-Field: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A control byte after a field name.
+	 */
+	CONTROL_AFTER_NAME(Part.OK, "X-Field\u001f: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a NUL in it.
+	 */
+	NUL_IN_NAME(Part.OK, "X-\u0000Field: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a DEL in it.
+	 */
+	DELETE_IN_NAME(Part.OK, "X-\u007fField: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a carriage return in it.
+	 */
+	CARRIAGE_RETURN_IN_NAME(Part.OK, "X-\rField: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name with a separator in it.
+	 */
+	SEPARATOR_IN_NAME(Part.OK, "X(Field): value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field name beyond ASCII.
+	 */
+	NAME_NOT_ASCII(Part.OK, "X-F\u00efeld: value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * An empty field name.
+	 */
+	NAME_EMPTY(Part.OK, ": value\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A line without a colon.
+	 */
+	NO_COLON(Part.OK, "X-Field\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field value with a NUL in it.
+	 */
+	NUL_IN_VALUE(Part.OK, "X-Field: va\u0000lue\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field value with a control byte in it.
+	 */
+	CONTROL_IN_VALUE(Part.OK, "X-Field: va\u0001lue\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field value with a DEL in it.
+	 */
+	DELETE_IN_VALUE(Part.OK, "X-Field: va\u007flue\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * A field value with a carriage return in it.
+	 */
+	CARRIAGE_RETURN_IN_VALUE(Part.OK, "X-Field: va\rlue\r\n" + Part.LENGTH, Part.BODY),
+
 	/**
 	 * A switch to another protocol that nobody asked for.
 	 */
 	SWITCH_OF_PROTOCOLS("HTTP/1.1 101 Switching Protocols", "Upgrade: other\r\nConnection: upgrade\r\n", Part.BODY),
 
+	/**
+	 * An informational response with a blank in a field name.
+	 */
+	INFORMATIONAL_WITH_BLANK_IN_NAME("HTTP/1.1 103 Early Hints\r\nX-Field one: value\r\n\r\n" + Part.OK, Part.LENGTH,
+			Part.BODY),
+
 	/**
 	 * Text that is no response.
 	 */
