Pass a response on only if its body is framed in one way

Callers saw: the body of "Transfer-Encoding: gzip" and "gzip, chunked", as if it was not coded; chunks in chunks; a length beside an empty coding. On the own interface also bodies of lengths that are none, or that differ, of a length beside chunks, and of chunks in HTTP/1.0. There a negative length ended in an exception on the library's thread: the call never completed and its place among the calls was lost.

Cause: a transfer coding that the reader does not know counts as none, and the field that names it is dropped with those of the connection, so nobody behind can undo it. OkHttp takes a length that is no number for none and the last of several.

Evidence: the forms of MalformedResponse with a length, a coding or a chunk.

Fix: a response has one length of digits, or "chunked" once and alone in HTTP/1.1 (RFC 9112, 6.1 and 6.3), or is refused.

KNOWN-RED: on the own interface bytes between a chunk and its line end are dropped by the library, so that a part of a malformed body is taken for the whole. The relay's decoder refuses them.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
@@ -5,12 +5,13 @@
 import io.lentilslip.core.http.ResponseSyntax;
 import okhttp3.Headers;
 import okhttp3.Interceptor;
+import okhttp3.Protocol;
 import okhttp3.Response;
 
 /**
  * An interceptor that fails calls whose answers are not valid. The library takes any
- * status of three digits, and any names and values of fields. Safe for use by several
- * threads.
+ * status of three digits, any names and values of fields, and lengths that are none. Safe
+ * for use by several threads.
  */
 final class AnswerValidation implements Interceptor {
 
@@ -23,6 +24,10 @@
 		if (!hasValidFields(response.headers())) {
 			throw new InvalidAnswerException("a field is not valid");
 		}
+		if (!ResponseSyntax.isFramed(response.headers("Content-Length"), response.headers("Transfer-Encoding"),
+				response.protocol() != Protocol.HTTP_1_0)) {
+			throw new InvalidAnswerException("the body is not framed in one way");
+		}
 		return response;
 	}
 
--- a/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/http/HttpSenderTests.java
@@ -206,11 +206,20 @@
 	// Guards against passing on a response with what it says, or with a body that another
 	// reader of it would end elsewhere.
 	@ParameterizedTest
-	@EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "INFORMATIONAL_WITH_BLANK_IN_NAME")
+	@EnumSource(mode = EnumSource.Mode.EXCLUDE,
+			names = { "CHUNK_LONGER_THAN_ITS_SIZE", "INFORMATIONAL_WITH_BLANK_IN_NAME" })
 	void malformedResponseIsUnanswered(MalformedResponse response) throws Exception {
 		assertUnanswered(respond(response.bytes("")), Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
 	}
 
+	// Guards against a part of a body that is taken for the whole: the library drops what
+	// follows a chunk up to the end of the line.
+	@Test
+	void chunkThatGoesOnAfterItsSizeIsUnanswered() throws Exception {
+		assertUnanswered(respond(MalformedResponse.CHUNK_LONGER_THAN_ITS_SIZE.bytes("")),
+				Transmission.MAY_HAVE_BEEN_SENT, Verdict.MAY_HAVE_RUN);
+	}
+
 	private Exchange cut(String response) throws Exception {
 		return respond(response.getBytes(StandardCharsets.ISO_8859_1));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/http/ResponseSyntax.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/http/ResponseSyntax.java
@@ -1,10 +1,12 @@
 package io.lentilslip.core.http;
 
+import java.util.List;
+
 /**
  * The syntax of responses by RFC 9110 and RFC 9112. Libraries are lenient: they take any
- * number for a status and shorten names at a blank, so that what is passed on would not
- * be what was received. Characters stand for bytes. Stateless and safe for use by several
- * threads.
+ * number for a status, shorten names at a blank and ignore codings that they don't know,
+ * so that what is passed on would not be what was received. Characters stand for bytes.
+ * Stateless and safe for use by several threads.
  */
 public final class ResponseSyntax {
 
@@ -32,6 +34,8 @@
 
 	private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
 
+	private static final String CHUNKED = "chunked";
+
 	private ResponseSyntax() {
 	}
 
@@ -125,6 +129,36 @@
 				&& isFieldValue(line.subSequence(colon, line.length()));
 	}
 
+	/**
+	 * Returns whether the fields of a response say in one way how its body is framed, and
+	 * none of its codings would have to be undone.
+	 * @param lengths the values of {@code Content-Length}
+	 * @param codings the values of {@code Transfer-Encoding}
+	 * @param chunksSupported whether the version of the response has chunks
+	 * @return whether they do
+	 */
+	public static boolean isFramed(List<String> lengths, List<String> codings, boolean chunksSupported) {
+		if (codings.isEmpty()) {
+			return lengths.isEmpty() || (lengths.size() == 1 && isLength(lengths.getFirst()));
+		}
+		return lengths.isEmpty() && chunksSupported && codings.size() == 1
+				&& CHUNKED.equalsIgnoreCase(codings.getFirst());
+	}
+
+	private static boolean isLength(String value) {
+		return !value.isEmpty() && value.chars().allMatch(ResponseSyntax::isDigit) && isLong(value);
+	}
+
+	private static boolean isLong(String digits) {
+		try {
+			Long.parseLong(digits);
+			return true;
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
+	}
+
 	private static boolean isDigit(int character) {
 		return character >= '0' && character <= '9';
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/InvalidPart.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/InvalidPart.java
@@ -23,6 +23,11 @@
 	/**
 	 * The size of the head.
 	 */
-	HEAD_SIZE
+	HEAD_SIZE,
+
+	/**
+	 * The fields that frame the body.
+	 */
+	FRAMING
 
 }
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/StrictResponseDecoder.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/StrictResponseDecoder.java
@@ -8,11 +8,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Response decoder for all connections on which responses are read. The lines of a head
@@ -52,6 +54,12 @@
 		}
 		super.decode(ctx, buffer, out);
 		for (Object message : out) {
+			if (message instanceof HttpResponse response && !isFramed(response)) {
+				out.forEach(ReferenceCountUtil::release);
+				out.clear();
+				fail(buffer, out, InvalidPart.FRAMING);
+				return;
+			}
 			this.invalid = this.invalid || ((HttpObject) message).decoderResult().isFailure();
 			this.atHead = message instanceof LastHttpContent;
 		}
@@ -108,6 +116,13 @@
 				: ResponseSyntax.isFieldLine(line, this.checkedLines == 1);
 	}
 
+	private static boolean isFramed(HttpResponse response) {
+		return response.decoderResult().isFailure()
+				|| ResponseSyntax.isFramed(response.headers().getAll(HttpHeaderNames.CONTENT_LENGTH),
+						response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING),
+						response.protocolVersion().minorVersion() > 0);
+	}
+
 	private void fail(ByteBuf buffer, List<Object> out, InvalidPart part) {
 		this.invalid = true;
 		buffer.skipBytes(buffer.readableBytes());
--- a/lentilslip-standin/src/main/java/io/lentilslip/standin/http/MalformedResponse.java
+++ b/lentilslip-standin/src/main/java/io/lentilslip/standin/http/MalformedResponse.java
@@ -199,6 +199,116 @@
 	 */
 	CARRIAGE_RETURN_IN_VALUE(Part.OK, "X-Field: va\rlue\r\n" + Part.LENGTH, Part.BODY),
 
+	/**
+	 * A negative length.
+	 */
+	LENGTH_NEGATIVE(Part.OK, "Content-Length: -4\r\n", Part.BODY),
+
+	/**
+	 * A length with a sign.
+	 */
+	LENGTH_WITH_SIGN(Part.OK, "Content-Length: +4\r\n", Part.BODY),
+
+	/**
+	 * A length in hexadecimal digits.
+	 */
+	LENGTH_IN_HEX(Part.OK, "Content-Length: 0x4\r\n", Part.BODY),
+
+	/**
+	 * An empty length.
+	 */
+	LENGTH_EMPTY(Part.OK, "Content-Length:\r\n", Part.BODY),
+
+	/**
+	 * A length that is no number.
+	 */
+	LENGTH_NO_NUMBER(Part.OK, "Content-Length: four\r\n", Part.BODY),
+
+	/**
+	 * A length of two numbers.
+	 */
+	LENGTH_OF_TWO_NUMBERS(Part.OK, "Content-Length: 4 4\r\n", Part.BODY),
+
+	/**
+	 * A length beyond any range.
+	 */
+	LENGTH_TOO_LARGE(Part.OK, "Content-Length: 99999999999999999999\r\n", Part.BODY),
+
+	/**
+	 * Two lengths.
+	 */
+	LENGTHS_THAT_DIFFER(Part.OK, "Content-Length: 4\r\nContent-Length: 3\r\n", Part.BODY),
+
+	/**
+	 * A list of two lengths.
+	 */
+	LENGTHS_THAT_DIFFER_IN_A_LIST(Part.OK, "Content-Length: 4, 3\r\n", Part.BODY),
+
+	/**
+	 * Both a length and a coding.
+	 */
+	LENGTH_AND_CODING(Part.OK, Part.LENGTH + Part.CHUNKED, Part.CHUNKS),
+
+	/**
+	 * A coding that is not known.
+	 */
+	CODING_UNKNOWN(Part.OK, "Transfer-Encoding: gzip\r\n", Part.BODY),
+
+	/**
+	 * A coding under chunks.
+	 */
+	CODING_BEFORE_CHUNKED(Part.OK, "Transfer-Encoding: gzip, chunked\r\n", Part.CHUNKS),
+
+	/**
+	 * A coding over chunks.
+	 */
+	CODING_AFTER_CHUNKED(Part.OK, "Transfer-Encoding: chunked, gzip\r\n", Part.BODY),
+
+	/**
+	 * Chunks in chunks.
+	 */
+	CODING_TWICE(Part.OK, Part.CHUNKED + Part.CHUNKED, Part.CHUNKS),
+
+	/**
+	 * An empty coding.
+	 */
+	CODING_EMPTY(Part.OK, "Transfer-Encoding:\r\n" + Part.LENGTH, Part.BODY),
+
+	/**
+	 * Chunks in a version without them.
+	 */
+	CODING_OF_AN_OLD_VERSION("HTTP/1.0 200 OK", Part.CHUNKED, Part.CHUNKS),
+
+	/**
+	 * A negative chunk size.
+	 */
+	CHUNK_SIZE_NEGATIVE(Part.OK, Part.CHUNKED, "-4\r\nbody\r\n0\r\n\r\n"),
+
+	/**
+	 * A chunk size with a sign.
+	 */
+	CHUNK_SIZE_WITH_SIGN(Part.OK, Part.CHUNKED, "+4\r\nbody\r\n0\r\n\r\n"),
+
+	/**
+	 * A chunk size with a prefix.
+	 */
+	CHUNK_SIZE_WITH_PREFIX(Part.OK, Part.CHUNKED, "0x4\r\nbody\r\n0\r\n\r\n"),
+
+	/**
+	 * An empty chunk size.
+	 */
+	CHUNK_SIZE_EMPTY(Part.OK, Part.CHUNKED, "\r\nbody\r\n0\r\n\r\n"),
+
+	/**
+	 * A chunk size beyond any range.
+	 */
+	CHUNK_SIZE_TOO_LARGE(Part.OK, Part.CHUNKED, "fffffffffffffffff4\r\nbody\r\n0\r\n\r\n"),
+
+	/**
+	 * A chunk that goes on after its size.
+	 */
+	CHUNK_LONGER_THAN_ITS_SIZE(Part.OK, Part.CHUNKED, "4\r\nbody and more\r\n0\r\n\r\n"),
+
 	/**
 	 * A switch to another protocol that nobody asked for.
 	 */
