Fail a response without a length that ends during the upload

Callers saw: an upstream answered a long request at once with a 200 without a length, sent a part of its body and ended its side while the request was still being written; the part arrived as a complete answer.

Cause: an orderly end completes a response without a length. While the request is being written it does not show that: an upstream that leaves bytes of the request unread resets the connection after it, and the end of its process looks the same.

Evidence: responseWithoutALengthThatEndsDuringTheUploadIsNotComplete, 200 before. A response with a length that is complete before its request is written is still passed on, and its connection closed after it (responseWithALengthDuringTheUploadIsComplete).

Fix: such a response is complete only if the request was written wholly; otherwise the attempt has failed and the request may have run. OkHttp reads a response only after the request was written, or could not be, which HttpSender already takes for a failure.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -362,9 +362,15 @@
 
 	// The decoder ends a response without a length however the connection ends. A failed
 	// write after a reset closes the channel before a read could fail, so only an orderly
-	// end, after which the channel is still active, shows that nothing is missing.
+	// end, after which the channel is still active, shows that nothing is missing. An
+	// upstream that ends while the request is being written may have been about to reset
+	// the connection, since it leaves bytes unread.
 	private boolean endedByClose() {
-		return !isFramed(this.head.orElseThrow()) && !this.context.channel().isActive();
+		return !isFramed(this.head.orElseThrow()) && (!this.context.channel().isActive() || !isRequestWritten());
+	}
+
+	private boolean isRequestWritten() {
+		return this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
 	}
 
 	// An upstream that stops after the head of a response without a length ends its
@@ -438,14 +444,13 @@
 	}
 
 	private void returnToPool(HttpResponse response) {
-		boolean sent = this.writeFuture.map(ChannelFuture::isSuccess).orElse(false);
 		ByteBuf unread = this.unreadBytes.get();
 		if (unread.isReadable()) {
 			report(Kind.AFTER_RESPONSE, namedBy(unread), statusOf(unread));
 		}
 		// If the request is not fully written, the upstream would read the next request
 		// as the rest of its body. Bytes that follow the response belong to no request.
-		if (!isFramed(response) || !sent || unread.isReadable() || !HttpUtil.isKeepAlive(response)
+		if (!isFramed(response) || !isRequestWritten() || unread.isReadable() || !HttpUtil.isKeepAlive(response)
 				|| this.carried.isFull() || response.headers().contains(HttpHeaderNames.UPGRADE)) {
 			this.context.close();
 			return;
