Hold what is kept of an event that is not complete

Callers saw: an upstream that sent one event without end to many callers at once, or one as long as it may be, ended the relay: "Java heap space". The requests of all other callers ended with it.

Cause: an event is kept until it is complete, up to 1 MiB for each stream, outside the budget of held bytes that bounds bodies together.

Fix: the event that is not complete is held in the same budget, small ones always, larger ones only if there is room, and is released when it is complete or the attempt ends.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/EventParser.java
@@ -62,11 +62,11 @@
 	}
 
 	/**
-	 * Returns whether an incomplete event is buffered.
-	 * @return whether an incomplete event is buffered
+	 * Returns the size of the event that is not complete.
+	 * @return the number of bytes; zero if there is none
 	 */
-	boolean hasPartialEvent() {
-		return this.buffer.size() > 0;
+	int partialBytes() {
+		return this.buffer.size();
 	}
 
 	private boolean dispatch(Sink sink) {
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -211,7 +211,7 @@
 	 */
 	void cancel() {
 		this.current = Optional.empty();
-		releaseBody();
+		releaseResponse();
 		this.context.close();
 	}
 
@@ -389,12 +389,11 @@
 	private void consume(ByteBuf bytes) {
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		if (this.eventParser.isPresent()) {
-			if (!this.eventParser.get().read(bytes, (number, raw, data) -> forward(outgoing, number, raw, data))) {
-				fail(FailureCause.UNREADABLE);
-			}
+			consumeEvents(outgoing, this.eventParser.get(), bytes);
 			return;
 		}
-		if (this.body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES || !hold(bytes.readableBytes())) {
+		if (this.body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES
+				|| !hold(this.body.size() + bytes.readableBytes())) {
 			fail(FailureCause.UNREADABLE);
 			return;
 		}
@@ -402,21 +401,36 @@
 		this.body.writeBytes(ByteBufUtil.getBytes(bytes));
 	}
 
+	private void consumeEvents(OutgoingRequest outgoing, EventParser parser, ByteBuf bytes) {
+		boolean valid = parser.read(bytes, (number, raw, data) -> forward(outgoing, number, raw, data));
+		// An event may have ended the attempt.
+		if (this.current.isPresent() && !(valid && hold(parser.partialBytes()))) {
+			fail(FailureCause.UNREADABLE);
+		}
+	}
+
+	/**
+	 * Holds what is kept of the response: its body, or the event that is not complete.
+	 * @param bytes the number of bytes
+	 * @return whether they are held
+	 */
 	private boolean hold(int bytes) {
-		if (this.body.size() + bytes <= SMALL_RESPONSE_BYTES) {
-			this.heldBytes.hold(bytes);
+		long more = bytes - this.held;
+		if (more <= 0 || bytes <= SMALL_RESPONSE_BYTES) {
+			this.heldBytes.hold(more);
 		}
-		else if (!this.heldBytes.tryHold(bytes)) {
+		else if (!this.heldBytes.tryHold(more)) {
 			return false;
 		}
-		this.held += bytes;
+		this.held = bytes;
 		return true;
 	}
 
-	private void releaseBody() {
+	private void releaseResponse() {
 		this.heldBytes.release(this.held);
 		this.held = 0;
 		this.body = new ByteArrayOutputStream();
+		this.eventParser = Optional.empty();
 	}
 
 	private void forward(OutgoingRequest outgoing, long number, byte[] raw, byte[] data) {
@@ -428,18 +442,19 @@
 	private void completeResponse() {
 		OutgoingRequest outgoing = this.current.orElseThrow();
 		HttpResponse response = this.head.orElseThrow();
-		if (this.eventParser.isPresent() && this.eventParser.get().hasPartialEvent()) {
+		boolean stream = this.eventParser.isPresent();
+		if (stream && this.eventParser.get().partialBytes() > 0) {
 			fail(FailureCause.BROKEN);
 			return;
 		}
 		this.current = Optional.empty();
+		byte[] whole = this.body.toByteArray();
+		releaseResponse();
 		returnToPool(response);
-		if (this.eventParser.isPresent()) {
+		if (stream) {
 			outgoing.listener().onStreamEnd();
 			return;
 		}
-		byte[] whole = this.body.toByteArray();
-		releaseBody();
 		outgoing.listener().onResponse(this.dialect.decodeResponse(response), whole);
 	}
 
@@ -465,7 +480,7 @@
 		}
 		OutgoingRequest outgoing = this.current.get();
 		this.current = Optional.empty();
-		releaseBody();
+		releaseResponse();
 		this.context.close();
 		outgoing.listener().onFailure(cause);
 	}
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EventParserTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EventParserTests.java
@@ -29,7 +29,7 @@
 			assertThat(chunked.read(STREAM.substring(at, Math.min(STREAM.length(), at + size)))).isTrue();
 		}
 		assertThat(chunked.events).containsExactly("1=one", "2=a\nb", "3=three");
-		assertThat(chunked.parser.hasPartialEvent()).isFalse();
+		assertThat(chunked.parser.partialBytes()).isZero();
 	}
 
 	@Test
@@ -44,7 +44,7 @@
 	void partialEventIsBuffered() {
 		read("id: 1\ndata: one\n\nid: 2\nda");
 		assertThat(this.events).containsExactly("1=one");
-		assertThat(this.parser.hasPartialEvent()).isTrue();
+		assertThat(this.parser.partialBytes()).isPositive();
 	}
 
 	@Test
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/UpstreamConnectionTests.java
@@ -29,8 +29,10 @@
 
 class UpstreamConnectionTests implements UpstreamConnection.Listener {
 
+	private final HeldBytes heldBytes = new HeldBytes(1_000_000);
+
 	private UpstreamConnection connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
-			new HeldBytes(1_000_000));
+			this.heldBytes);
 
 	private EmbeddedChannel channel = new EmbeddedChannel(this.connection);
 
@@ -99,9 +101,36 @@
 		assertThat(decoding.isOpen()).isFalse();
 	}
 
+	// Guards against what is held of a stream that is over.
+	@Test
+	void eventIsHeldUntilItIsCompleteOrItsAttemptHasEnded() {
+		EmbeddedChannel decoding = decodingChannel();
+		sendStream("r1");
+		decoding.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: "));
+		assertThat(this.heldBytes.held()).isEqualTo(12);
+		decoding.writeInbound(bytes("whole\n\n"));
+		assertThat(this.heldBytes.held()).isZero();
+		decoding.writeInbound(bytes("id: 2\n"));
+		assertThat(this.heldBytes.held()).isEqualTo(6);
+		this.connection.cancel();
+		assertThat(this.heldBytes.held()).isZero();
+	}
+
+	// Guards against events without end on many connections that fill the heap.
+	@Test
+	void largeEventFailsItsAttemptWhileTooMuchIsHeld() {
+		this.heldBytes.hold(this.heldBytes.limit());
+		EmbeddedChannel decoding = decodingChannel();
+		sendStream("r1");
+		decoding.writeInbound(bytes("HTTP/1.1 200 OK\r\n\r\ndata: " + "x".repeat(60 * 1024)));
+		assertThat(this.outcomes).isEmpty();
+		decoding.writeInbound(bytes("x".repeat(8 * 1024)));
+		assertThat(this.outcomes).containsExactly("failure UNREADABLE");
+		assertThat(this.heldBytes.held()).isEqualTo(this.heldBytes.limit());
+	}
+
 	private EmbeddedChannel decodingChannel() {
-		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this,
-				new HeldBytes(1_000_000));
+		this.connection = new UpstreamConnection(new UpstreamClientTests.PlainDialect(), this, this.heldBytes);
 		this.channel = new EmbeddedChannel(new StrictResponseDecoder(), this.connection);
 		return this.channel;
 	}
@@ -125,9 +154,17 @@
 	}
 
 	private void send(String id) {
+		send(id, false);
+	}
+
+	private void sendStream(String id) {
+		send(id, true);
+	}
+
+	private void send(String id, boolean stream) {
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
 		this.connection.send(new UpstreamConnection.OutgoingRequest(id, HttpMethod.GET, () -> request, Long.MAX_VALUE,
-				false, new RecordingListener()));
+				stream, new RecordingListener()));
 	}
 
 	private static FullHttpResponse response() {
