Bound what is kept of the texts of turns in flight

Callers saw: an upstream that sent well-formed events without end to turns that are stored kept a relay busy with its collector until callers of other runners got no answer within 60 s.

Cause: the text of a stored turn is kept until the turn ends, without a bound; likewise events that wait for the log.

Fix: what is kept of all streams in flight together has the bound of the cache of turns; the largest stream in flight gives way, which is the one without end. Its connection is aborted and its upstream counts as failed. Well-formed events that are not kept still pass until the timeout.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/measurement/CollectionName.java
@@ -103,7 +103,14 @@
 	STREAM_VERSIONS,
 
 	/**
-	 * Bytes of requests and responses that a relay holds for slow callers.
+	 * Bytes that a relay keeps of streams in flight: texts of turns, and events that wait
+	 * for the log.
+	 */
+	KEPT_RESPONSES,
+
+	/**
+	 * Bytes of requests and responses that a relay holds for slow callers, and of
+	 * responses that are not complete.
 	 */
 	HELD_BYTES
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Exchange.java
@@ -62,6 +62,8 @@
 	 */
 	private final List<byte[]> heldEvents = new ArrayList<>();
 
+	private long heldBytes;
+
 	private OptionalInt heldAttempt = OptionalInt.empty();
 
 	private boolean endHeld;
@@ -530,7 +532,11 @@
 	 * @return whether it is held
 	 */
 	boolean holdEvent(byte[] raw) {
-		return this.heldAttempt.isPresent() && this.heldEvents.add(raw);
+		if (this.heldAttempt.isEmpty()) {
+			return false;
+		}
+		this.heldBytes += raw.length;
+		return this.heldEvents.add(raw);
 	}
 
 	/**
@@ -558,9 +564,18 @@
 		this.heldAttempt = OptionalInt.empty();
 		List<byte[]> released = List.copyOf(this.heldEvents);
 		this.heldEvents.clear();
+		this.heldBytes = 0;
 		return released;
 	}
 
+	/**
+	 * Returns the size of what is kept of the response.
+	 * @return the bytes of the text of the turn and of the events that are held
+	 */
+	long keptBytes() {
+		return this.output.size() + this.heldBytes;
+	}
+
 	byte[] output() {
 		return this.output.toByteArray();
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -72,6 +72,7 @@
 
 	private void remove(Exchange exchange) {
 		this.onRemoved.accept(exchange);
+		this.state.keptResponses.remove(exchange);
 		this.state.exchanges.remove(exchange.number());
 		this.state.awaitingChain.remove(exchange.number());
 		this.state.awaitingVersion.remove(exchange.number());
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -176,6 +176,8 @@
 		return List.of(
 				new Measurement.CollectionSize(CollectionName.STREAM_VERSIONS, this.state.streamVersions.size(),
 						StreamVersions.MAX_STREAMS),
+				new Measurement.CollectionSize(CollectionName.KEPT_RESPONSES, this.state.keptResponses.total(),
+						this.state.keptResponses.limit()),
 				new Measurement.CollectionSize(CollectionName.RETAINED_TURNS, this.state.retainedTurns.size(),
 						RetainedTurns.MAX_TURNS),
 				new Measurement.CollectionSize(CollectionName.RETAINED_PROGRAMS, this.state.retainedPrograms.size(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -48,6 +48,8 @@
 
 	final RequestTargets requestTargets = new RequestTargets();
 
+	final KeptResponses keptResponses;
+
 	/**
 	 * The turns that the log has, by the age of their records.
 	 */
@@ -286,6 +288,7 @@
 		this.tokens = new ProgramTokens(settings.maxPrograms());
 		this.retainedPrograms = new RetainedPrograms(settings.maxPrograms());
 		this.turnCache = new TurnCache(settings.turnCacheBytes());
+		this.keptResponses = new KeptResponses(settings.turnCacheBytes());
 		this.ledgerComplete = settings.bootstrap();
 		this.started = settings.bootstrap();
 		this.startedAt = NEVER;
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -142,6 +142,16 @@
 		if (!exchange.holdEvent(event.raw())) {
 			this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event.raw()));
 		}
+		if (exchange.keptBytes() > 0) {
+			this.state.keptResponses.update(exchange).ifPresent(this::abandon);
+		}
+	}
+
+	private void abandon(Exchange exchange) {
+		this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
+		this.state.report(RelayNotices.attemptFailed(exchange, FailureCause.UNREADABLE, this.state));
+		this.completion.cancelAttempt(exchange);
+		this.completion.giveUp(exchange, Refusal.ANSWER_LOST);
 	}
 
 	/**
@@ -161,6 +171,7 @@
 		for (byte[] event : exchange.releaseEvents(attempt)) {
 			this.state.emit(new RelayEffect.ForwardStreamEvent(exchange.number(), event));
 		}
+		this.state.keptResponses.update(exchange);
 		if (exchange.endHeld() && !exchange.holdEnd()) {
 			finishStream(exchange);
 		}
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/ResponseRulesTests.java
@@ -40,6 +40,37 @@
 			.hasSize(1);
 	}
 
+	// Guards against texts of turns without end that fill the memory.
+	@Test
+	void largestStreamGivesWayIfTooMuchIsKept() {
+		RelayFixture relay = RelayFixture.ready();
+		long ordinary = beginTurn(relay, "t1");
+		long endless = beginTurn(relay, "t2");
+		assertThat(aborted(relay, event(ordinary, 1, 400_000))).isEmpty();
+		assertThat(aborted(relay, event(endless, 1, 500_000))).isEmpty();
+		assertThat(aborted(relay, event(endless, 2, 100_000))).containsExactly(endless);
+		assertThat(aborted(relay, event(ordinary, 2, 500_000))).isEmpty();
+	}
+
+	private static long beginTurn(RelayFixture relay, String id) {
+		relay.sendTurn(id, "chat", RelayFixture.turn(id, 10_000, 100, null));
+		relay.written(1);
+		relay.open(1);
+		return relay.exchange();
+	}
+
+	private static RelayEvent event(long exchange, long number, int bytes) {
+		byte[] data = new byte[bytes];
+		return new RelayEvent.StreamEventReceived(1000, exchange, 1, number, data, data);
+	}
+
+	private static List<Long> aborted(RelayFixture relay, RelayEvent event) {
+		return RelayFixture.ofType(relay.handle(event), RelayEffect.AbortConnection.class)
+			.stream()
+			.map(RelayEffect.AbortConnection::exchange)
+			.toList();
+	}
+
 	// The extension is granted once: an upstream that stays idle is replaced.
 	@Test
 	void idleTimeoutIsExtendedOnce() {
