Bound what is read of an answer without progress

What was kept: on the own interface a service that sent the size, the extension or the line end of a chunk without end was read until the call timed out, and all of it was kept in memory; of a stream, without a bound.

Cause: OkHttp reads the line of a chunk's size, and what follows a chunk, up to its end without a limit.

Fix: the socket of a call counts the bytes that it reads and starts again with each part of a body that is passed on; beyond 1 MiB the call fails as UNREADABLE and the request may have run. This holds for streams as well, which have no other bound.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/HttpSender.java
@@ -84,7 +84,9 @@
 			.followSslRedirects(false)
 			.eventListenerFactory(TransmissionRecorder.factory())
 			.addNetworkInterceptor(HttpSender::withholdImmediateRetry)
+			.addNetworkInterceptor(new AnswerProgress())
 			.addNetworkInterceptor(new AnswerValidation())
+			.socketFactory(new BoundedSocket.Factory())
 			.build();
 	}
 
