Decide at the moment of sending what a draining relay still sends

Callers saw: an order whose last byte came late in the grace period of a planned stop was sent to its runner and cut off without a response at the end (LOST); among them orders that may not be repeated.

Cause: the drain bounds until when connections are taken, not until when requests are sent. A request that is received slowly, or that waits for the log, its budget, its version, its permit or its chain, or is retried, moved from an idle upstream or resumed, was sent at any time, and its deadline may lie behind the end of the process.

Fix: one question for all ways, where a request is sent: does it end before the process does. While callers are still routed here, for 2.6 s at most, that is what its route usually takes (mean and twice the mean deviation); later its deadline must ensure it. If not, a request that has not run is refused as DRAINING, a 503 with Retry-After and Connection: close; one that may have run is answered 502 and not sent again; a stream is aborted, and its caller resumes it elsewhere. A grace period that is shorter than these times shortens them.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -53,6 +53,9 @@
 
 	void recordOutcome(Exchange exchange, Outcome outcome) {
 		Duration latency = Duration.ofMillis(this.state.now - exchange.request().now());
+		if (outcome == Outcome.ANSWERED) {
+			this.state.responseTimes.record(exchange.route().name(), latency);
+		}
 		this.state.emit(new RelayEffect.RecordMeasurement(new Measurement.RouteRequestEnded(exchange.route().name(),
 				outcome, latency, exchange.timeToFirstEvent())));
 	}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Refusal.java
@@ -79,6 +79,11 @@
 	 */
 	VERSION_UNKNOWN(Verdict.NOT_RUN),
 
+	/**
+	 * The relay is draining, and the request might not end before the relay does.
+	 */
+	DRAINING(Verdict.NOT_RUN),
+
 	/**
 	 * The deadline passed before the request was sent to an upstream.
 	 */
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -36,6 +36,8 @@
 
 	private final ExchangeCompletion completion;
 
+	private final DrainRules drain;
+
 	/**
 	 * Creates a relay without any state loaded.
 	 * @param settings the settings
@@ -46,7 +48,8 @@
 		this.budgets = new BudgetRules(this.state, this.completion);
 		this.site = new SiteRules(this.state, this.budgets);
 		this.texts = new TextRules(this.state, this.completion);
-		this.requests = new RequestRules(this.state, this.budgets, this.texts, this.completion);
+		this.drain = new DrainRules(this.state);
+		this.requests = new RequestRules(this.state, this.budgets, this.texts, this.completion, this.drain);
 		this.quotas = this.requests.quotas();
 		this.responses = new ResponseRules(this.state, this.requests, this.texts, this.completion);
 		this.renewals = new RenewalRules(this.state);
@@ -67,6 +70,7 @@
 				this.state.find(disconnected).ifPresent(this.completion::callerDisconnected);
 			case RelayEvent.CallerBlocked blocked -> this.state.find(blocked)
 				.ifPresent((exchange) -> exchange.callerBlocked(blocked.blocked(), event.now()));
+			case RelayEvent.DrainStarted started -> this.drain.started(started);
 			case RelayEvent.EventLoopDelayed delayed -> this.state.eventLoopDelay = delayed.delay();
 			case RelayEvent.TimerFired fired ->
 				this.state.find(fired).ifPresent((exchange) -> timerFired(exchange, fired.timer()));
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -118,6 +118,18 @@
 
 	}
 
+	/**
+	 * The process was asked to stop.
+	 *
+	 * @param now the time of the event
+	 * @param sendsUntil the time until which requests are sent to upstreams if they
+	 * usually end in time
+	 * @param endsAt the time at which the process ends whatever is in flight
+	 */
+	record DrainStarted(long now, long sendsUntil, long endsAt) implements RelayEvent {
+
+	}
+
 	/**
 	 * A request was written to a connection to its upstream.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayState.java
@@ -48,6 +48,8 @@
 
 	final RequestTargets requestTargets = new RequestTargets();
 
+	final ResponseTimes responseTimes = new ResponseTimes();
+
 	final KeptResponses keptResponses;
 
 	/**
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RequestRules.java
@@ -32,7 +32,11 @@
 
 	private final StreamRules streams;
 
-	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeCompletion completion) {
+	private final DrainRules drain;
+
+	RequestRules(RelayState state, BudgetRules budgets, TextRules texts, ExchangeCompletion completion,
+			DrainRules drain) {
+		this.drain = drain;
 		this.state = state;
 		this.budgets = budgets;
 		this.texts = texts;
@@ -81,6 +85,9 @@
 			refusePoison(exchange);
 			return;
 		}
+		if (refuseIfDraining(exchange)) {
+			return;
+		}
 		this.state.startTimer(exchange, exchange.remaining(this.state.now), TimerKind.DEADLINE);
 		if (exchange.head().turn().isPresent() && (refuseTurn(exchange) || this.admissions.refuse(exchange))) {
 			return;
@@ -140,6 +147,14 @@
 		this.completion.refuse(exchange, Refusal.BLAMED, Optional.empty());
 	}
 
+	private boolean refuseIfDraining(Exchange exchange) {
+		if (this.drain.canFinish(exchange)) {
+			return false;
+		}
+		this.completion.giveUp(exchange, Refusal.DRAINING);
+		return true;
+	}
+
 	private boolean refuseTurn(Exchange exchange) {
 		// A longer text might be dropped from the queue in an outage, or exceed a message
 		// to another relay, and the end of its turn would wait in vain.
@@ -184,6 +199,9 @@
 			refusePoison(exchange);
 			return;
 		}
+		if (refuseIfDraining(exchange)) {
+			return;
+		}
 		if (!exchange.reserved()) {
 			switch (this.budgets.admit(exchange)) {
 				case REFUSED -> {
@@ -225,7 +243,8 @@
 	void replaceIdleUpstream(Exchange exchange) {
 		List<RankedUpstream> next = rank(exchange, this::hasFreeSlot);
 		boolean poison = this.state.isPoison(exchange);
-		if (next.isEmpty() || poison || exchange.sendCount() >= exchange.route().maxAttempts()) {
+		if (next.isEmpty() || poison || exchange.sendCount() >= exchange.route().maxAttempts()
+				|| !this.drain.canFinish(exchange)) {
 			return;
 		}
 		if (exchange.written()) {
@@ -324,7 +343,8 @@
 	void retry(Exchange exchange) {
 		boolean allowed = !exchange.mayHaveRun() || exchange.route().repeatable();
 		boolean poison = this.state.isPoison(exchange);
-		if (allowed && !poison && exchange.sendCount() < exchange.route().maxAttempts()
+		boolean finishes = this.drain.canFinish(exchange);
+		if (allowed && !poison && finishes && exchange.sendCount() < exchange.route().maxAttempts()
 				&& this.state.now < exchange.deadline()) {
 			List<RankedUpstream> next = rank(exchange);
 			if (!next.isEmpty()) {
@@ -336,6 +356,10 @@
 			refusePoison(exchange);
 			return;
 		}
+		if (!finishes && !exchange.mayHaveRun()) {
+			this.completion.giveUp(exchange, Refusal.DRAINING);
+			return;
+		}
 		this.completion.giveUp(exchange, reasonWithoutUpstream(exchange));
 	}
 
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/SiteRules.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.lentilslip.core.relay.RelayEvent.Connectivity;
 import io.lentilslip.core.relay.Upstreams.UpstreamState;
@@ -68,6 +69,7 @@
 			.ifPresent((previous) -> this.state.earlierRoutes.replaced(previous, table, this.state.now));
 		this.state.routeTable = Optional.of(table);
 		this.state.updateStreamRetention(table.longestResumableTimeout().multipliedBy(RelaySettings.STREAM_ATTEMPTS));
+		this.state.responseTimes.retain(table.routes().stream().map(Route::name).collect(Collectors.toSet()));
 		this.state.emit(new RelayEffect.ApplyLimits(table.limits()));
 		this.state.report(RelayNotices.routesAccepted(table));
 	}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -477,12 +477,19 @@
 			// On failure, the other relays find the port closed and back off.
 		});
 		long startedAt = this.timers.now();
-		this.timers.schedule(DRAIN_ACCEPT_TIME, this.callers::stopAccepting);
-		this.timers.schedule(MIN_DRAIN_TIME, () -> endDrain(startedAt));
+		Duration limit = this.setup.drainLimit();
+		Duration acceptTime = min(DRAIN_ACCEPT_TIME, limit.dividedBy(2));
+		on(new RelayEvent.DrainStarted(startedAt, startedAt + acceptTime.toMillis(), startedAt + limit.toMillis()));
+		this.timers.schedule(acceptTime, this.callers::stopAccepting);
+		this.timers.schedule(min(MIN_DRAIN_TIME, limit), () -> endDrain(startedAt));
+	}
+
+	private static Duration min(Duration one, Duration other) {
+		return (one.compareTo(other) < 0) ? one : other;
 	}
 
 	private void endDrain(long startedAt) {
-		boolean timedOut = this.timers.now() - startedAt > this.setup.drainLimit().toMillis();
+		boolean timedOut = this.timers.now() - startedAt >= this.setup.drainLimit().toMillis();
 		boolean idle = this.exchanges.size() == 0 && this.writer.size() == 0 && this.textWriter.size() == 0
 				&& this.callers.connectionCount() == 0;
 		if (timedOut || idle) {
