Answer what is in flight before a draining relay ends

Callers saw: at the end of the grace period the connections of requests without a response were closed, so that their callers could not tell what had become of them; also those of requests that were never sent.

Cause: the end of the drain closed all connections.

With DrainRulesTests: requestsInFlightAreAnsweredAtTheEnd and streamInFlightIsBrokenOffAtTheEnd.

Fix: when the time of the drain is over, each request in flight is ended by what is known of it: 503 DRAINING if it was not sent, 502 if it may have run; a stream that has begun is aborted, as an end would look whole.

--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/DrainRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/DrainRules.java
@@ -1,6 +1,7 @@
 package io.lentilslip.core.relay;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -13,10 +14,13 @@
 
 	private final RelayState state;
 
+	private final ExchangeCompletion completion;
+
 	private Optional<RelayEvent.DrainStarted> drain = Optional.empty();
 
-	DrainRules(RelayState state) {
+	DrainRules(RelayState state, ExchangeCompletion completion) {
 		this.state = state;
+		this.completion = completion;
 	}
 
 	void started(RelayEvent.DrainStarted started) {
@@ -39,4 +43,12 @@
 				&& this.state.now + usual.toMillis() <= this.drain.get().endsAt();
 	}
 
+	/**
+	 * Answers all requests in flight, each with what is known about its execution.
+	 */
+	void ended() {
+		List.copyOf(this.state.exchanges.values())
+			.forEach((exchange) -> this.completion.endEarly(exchange, Refusal.DRAINING, Refusal.ANSWER_LOST));
+	}
+
 }
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ExchangeCompletion.java
@@ -141,10 +141,27 @@
 			case WAITING_FOR_VERSION -> refuse(exchange, Refusal.EXPIRED, Optional.empty());
 			case WAITING_FOR_CHAIN -> chainTimedOut(exchange);
 			case WAITING_FOR_BUDGET -> budgetUndecided(exchange);
+			case RUNNING, STORING -> endEarly(exchange, Refusal.EXPIRED, Refusal.NO_ANSWER_IN_TIME);
+		}
+	}
+
+	/**
+	 * Ends an exchange without a response of an upstream.
+	 * @param exchange the exchange
+	 * @param notRun the reason if the request has not run
+	 * @param mayHaveRun the reason if it may have run
+	 */
+	void endEarly(Exchange exchange, Refusal notRun, Refusal mayHaveRun) {
+		switch (exchange.phase()) {
+			case WAITING_FOR_PERMIT, WAITING_FOR_VERSION, WAITING_FOR_CHAIN -> giveUp(exchange, notRun);
+			case WAITING_FOR_BUDGET -> {
+				// The log may still admit the reservation.
+				exchange.markReserved();
+				giveUp(exchange, notRun);
+			}
 			case RUNNING -> {
 				cancelAttempt(exchange);
-				boolean mayHaveRun = exchange.mayHaveRun() || exchange.written();
-				giveUp(exchange, mayHaveRun ? Refusal.NO_ANSWER_IN_TIME : Refusal.EXPIRED);
+				giveUp(exchange, (exchange.mayHaveRun() || exchange.written()) ? mayHaveRun : notRun);
 			}
 			case STORING -> abort(exchange, Refusal.NOT_STORED_IN_TIME);
 		}
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/Relay.java
@@ -48,7 +48,7 @@
 		this.budgets = new BudgetRules(this.state, this.completion);
 		this.site = new SiteRules(this.state, this.budgets);
 		this.texts = new TextRules(this.state, this.completion);
-		this.drain = new DrainRules(this.state);
+		this.drain = new DrainRules(this.state, this.completion);
 		this.requests = new RequestRules(this.state, this.budgets, this.texts, this.completion, this.drain);
 		this.quotas = this.requests.quotas();
 		this.responses = new ResponseRules(this.state, this.requests, this.texts, this.completion);
@@ -71,6 +71,7 @@
 			case RelayEvent.CallerBlocked blocked -> this.state.find(blocked)
 				.ifPresent((exchange) -> exchange.callerBlocked(blocked.blocked(), event.now()));
 			case RelayEvent.DrainStarted started -> this.drain.started(started);
+			case RelayEvent.DrainEnded ignored -> this.drain.ended();
 			case RelayEvent.EventLoopDelayed delayed -> this.state.eventLoopDelay = delayed.delay();
 			case RelayEvent.TimerFired fired ->
 				this.state.find(fired).ifPresent((exchange) -> timerFired(exchange, fired.timer()));
@@ -180,8 +181,6 @@
 		return List.of(
 				new Measurement.CollectionSize(CollectionName.STREAM_VERSIONS, this.state.streamVersions.size(),
 						StreamVersions.MAX_STREAMS),
-				new Measurement.CollectionSize(CollectionName.KEPT_RESPONSES, this.state.keptResponses.total(),
-						this.state.keptResponses.limit()),
 				new Measurement.CollectionSize(CollectionName.RETAINED_TURNS, this.state.retainedTurns.size(),
 						RetainedTurns.MAX_TURNS),
 				new Measurement.CollectionSize(CollectionName.RETAINED_PROGRAMS, this.state.retainedPrograms.size(),
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/RelayEvent.java
@@ -130,6 +130,15 @@
 
 	}
 
+	/**
+	 * The process is about to end.
+	 *
+	 * @param now the time of the event
+	 */
+	record DrainEnded(long now) implements RelayEvent {
+
+	}
+
 	/**
 	 * A request was written to a connection to its upstream.
 	 *
--- a/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
+++ b/lentilslip-core/src/main/java/io/lentilslip/core/relay/ResponseRules.java
@@ -150,8 +150,7 @@
 	private void abandon(Exchange exchange) {
 		this.state.upstreamOf(exchange).ifPresent((upstream) -> upstream.recordFailure(this.state.now));
 		this.state.report(RelayNotices.attemptFailed(exchange, FailureCause.UNREADABLE, this.state));
-		this.completion.cancelAttempt(exchange);
-		this.completion.giveUp(exchange, Refusal.ANSWER_LOST);
+		this.completion.endEarly(exchange, Refusal.ANSWER_LOST, Refusal.ANSWER_LOST);
 	}
 
 	/**
--- a/lentilslip-core/src/test/java/io/lentilslip/core/relay/DrainRulesTests.java
+++ b/lentilslip-core/src/test/java/io/lentilslip/core/relay/DrainRulesTests.java
@@ -128,6 +128,31 @@
 		assertThat(RelayFixture.ofType(effects, RelayEffect.AbortConnection.class)).hasSize(1);
 	}
 
+	// Guards against connections that end without a response.
+	@Test
+	void requestsInFlightAreAnsweredAtTheEnd() {
+		this.relay.sendRequest("r1", "order");
+		this.relay.written(1);
+		this.relay.sendRequest("r2", "order");
+		this.relay.handle(new RelayEvent.ProcessResumed(this.relay.now(), Duration.ofSeconds(4)));
+		this.relay.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null));
+		drain();
+		List<RelayEffect> effects = this.relay.handle(new RelayEvent.DrainEnded(this.relay.now()));
+		assertThat(RelayFixture.ofType(effects, RelayEffect.Refuse.class)).extracting(RelayEffect.Refuse::refusal)
+			.containsExactlyInAnyOrder(Refusal.ANSWER_LOST, Refusal.DRAINING, Refusal.DRAINING);
+		assertThat(RelayFixture.ofType(effects, RelayEffect.CancelAttempt.class)).hasSize(2);
+	}
+
+	@Test
+	void streamInFlightIsBrokenOffAtTheEnd() {
+		this.relay.sendTurn("t1", "draft", RelayFixture.turn("p", 1000, 100, null));
+		this.relay.written(1);
+		this.relay.open(1);
+		drain();
+		List<RelayEffect> effects = this.relay.handle(new RelayEvent.DrainEnded(this.relay.now()));
+		assertThat(RelayFixture.ofType(effects, RelayEffect.AbortConnection.class)).hasSize(1);
+	}
+
 	private void drain() {
 		this.relay.handle(new RelayEvent.DrainStarted(this.relay.now(), this.relay.now() + ACCEPT_MILLIS,
 				this.relay.now() + DRAIN_MILLIS));
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/process/RelayProcess.java
@@ -496,7 +496,9 @@
 			this.notices.write(NoticeCode.DRAINING_ENDED.with(FieldName.ROLE, ROLE)
 				.with(FieldName.COUNT, this.exchanges.size())
 				.with(FieldName.MILLISECONDS, this.timers.now() - startedAt));
-			this.drained.complete(null);
+			on(new RelayEvent.DrainEnded(this.timers.now()));
+			// The responses to what is still in flight are written first.
+			this.timers.schedule(DRAIN_CHECK_INTERVAL, () -> this.drained.complete(null));
 			return;
 		}
 		this.callers.stopAccepting();
