--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/upstream/EndlessResponseTests.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -108,6 +109,22 @@
 		}
 	}
 
+	// Guards against taking a body that no response may have for the next response.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 204 None\r\n\r\nbody", "HTTP/1.1 304 None\r\nContent-Length: 4\r\n\r\nbody" })
+	void connectionWithABodyAfterAResponseWithoutContentIsNotReused(String response) throws Exception {
+		send(1, false);
+		try (Socket connection = this.server.accept()) {
+			assertThat(connection.getInputStream().read()).isPositive();
+			connection.getOutputStream().write(bytes(response));
+			assertThat(this.responses.poll(60, TimeUnit.SECONDS)).isNotNull();
+			send(2, false);
+			try (Socket other = this.server.accept()) {
+				assertThat(other.getInputStream().read()).isPositive();
+			}
+		}
+	}
+
 	// Guards against reading megabytes of a response whose head says that it is too long.
 	@Test
 	void responseWithATooLargeLengthFailsAtItsHead() throws Exception {
