Check the lines of a head as bytes

Cause: the checks of a response's head went through its lines as character sequences, of which each part is a copy.

Change: they work on the bytes of a line, with a table of those that a name may have.

--- a/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
+++ b/lentilslip-client/src/main/java/io/lentilslip/client/http/AnswerValidation.java
@@ -18,7 +18,7 @@
 	@Override
 	public Response intercept(Chain chain) throws IOException {
 		Response response = chain.proceed(chain.request());
-		if (!ResponseSyntax.isFinalStatus(response.code()) || !ResponseSyntax.isFieldValue(response.message())) {
+		if (!ResponseSyntax.isFinalStatus(response.code()) || !ResponseSyntax.isReason(response.message())) {
 			throw new InvalidAnswerException("the status line is not valid; its status is " + response.code());
 		}
 		if (!hasValidFields(response.headers())) {
@@ -33,7 +33,7 @@
 
 	private static boolean hasValidFields(Headers fields) {
 		for (int i = 0; i < fields.size(); i++) {
-			if (!ResponseSyntax.isFieldName(fields.name(i)) || !ResponseSyntax.isFieldValue(fields.value(i))) {
+			if (!ResponseSyntax.isField(fields.name(i), fields.value(i))) {
 				return false;
 			}
 		}
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/http/StrictResponseDecoder.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/http/StrictResponseDecoder.java
@@ -1,11 +1,11 @@
 package io.lentilslip.relay.http;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
 import io.lentilslip.core.http.ResponseSyntax;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -85,7 +85,7 @@
 				this.checkedBytes = 0;
 				return true;
 			}
-			if (!isValid(buffer.getCharSequence(start, length, StandardCharsets.ISO_8859_1))) {
+			if (!isValid(ByteBufUtil.getBytes(buffer, start, length))) {
 				fail(buffer, out, (this.checkedLines == 0) ? InvalidPart.STATUS_LINE : InvalidPart.FIELD);
 				return false;
 			}
@@ -111,7 +111,7 @@
 			.map((cause) -> ((InvalidResponseException) cause).part);
 	}
 
-	private boolean isValid(CharSequence line) {
+	private boolean isValid(byte[] line) {
 		return (this.checkedLines == 0) ? ResponseSyntax.isStatusLine(line)
 				: ResponseSyntax.isFieldLine(line, this.checkedLines == 1);
 	}
