Leave room for requests beside responses that are not complete

Callers could see: 503 for their requests for as long as upstreams left large responses incomplete, up to the timeouts of their routes: such responses held the whole budget, and nothing of them gives way.

Cause: responses that are not complete counted in the budget as what callers send, without a share of their own.

Evidence: incompleteResponsesLeaveRoomForRequests fails without the bound. Not seen in FloodedRelayTests, whose ordinary callers found some bytes free each time. CostlyRequestTests and FloodedRelayTests pass.

Fix: such responses hold at most three quarters of the budget. An attempt that needs more fails as before.

--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/net/HeldBytes.java
@@ -12,8 +12,9 @@
  * an account of its connection and may be evicted: if the budget is used up, the largest
  * accounts are evicted in favor of smaller ones, so that many costly requests don't keep
  * out an ordinary one. A request that is passed on is held until its response is
- * complete; large ones together take at most half of the budget. A small response is
- * always held. Used by the event loop's thread.
+ * complete; large ones together take at most half of the budget, and responses that are
+ * not complete three quarters, so that upstreams that don't end theirs keep out nobody. A
+ * small response is always held. Used by the event loop's thread.
  */
 public final class HeldBytes {
 
@@ -27,6 +28,12 @@
 	 */
 	private static final int LARGE_SHARE_DIVISOR = 2;
 
+	/**
+	 * The divisor of the limit that gives what responses that are not complete leave to
+	 * requests.
+	 */
+	private static final int REQUEST_SHARE_DIVISOR = 4;
+
 	private final long limit;
 
 	/**
@@ -39,6 +46,8 @@
 
 	private long heldByLargeRequests;
 
+	private long heldByIncomplete;
+
 	/**
 	 * Creates an empty budget.
 	 * @param limit the number of bytes from which on nothing more is accepted
@@ -60,18 +69,36 @@
 	}
 
 	/**
-	 * Holds bytes if the limit allows it, perhaps after accounts were evicted.
+	 * Holds bytes of a response that is not complete if the limit allows it, perhaps
+	 * after accounts were evicted, and if such responses leave room for requests.
 	 * @param bytes the number of bytes
 	 * @return whether they are held
 	 */
-	public boolean tryHold(long bytes) {
-		if (!makeRoom(bytes, 0)) {
+	public boolean tryHoldIncomplete(long bytes) {
+		if (this.heldByIncomplete + bytes > this.limit - this.limit / REQUEST_SHARE_DIVISOR || !makeRoom(bytes, 0)) {
 			return false;
 		}
-		this.held += bytes;
+		holdIncomplete(bytes);
 		return true;
 	}
 
+	/**
+	 * Holds bytes of a response that is not complete.
+	 * @param bytes the number of bytes
+	 */
+	public void holdIncomplete(long bytes) {
+		this.held += bytes;
+		this.heldByIncomplete += bytes;
+	}
+
+	/**
+	 * Releases bytes of a response that was not complete.
+	 * @param bytes the number of bytes
+	 */
+	public void releaseIncomplete(long bytes) {
+		holdIncomplete(-bytes);
+	}
+
 	/**
 	 * Holds the bytes of a request that is about to be passed on, if the limit allows it,
 	 * perhaps after larger accounts were evicted.
--- a/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
+++ b/lentilslip-relay/src/main/java/io/lentilslip/relay/upstream/UpstreamConnection.java
@@ -417,9 +417,9 @@
 	private boolean hold(int bytes) {
 		long more = bytes - this.held;
 		if (more <= 0 || bytes <= SMALL_RESPONSE_BYTES) {
-			this.heldBytes.hold(more);
+			this.heldBytes.holdIncomplete(more);
 		}
-		else if (!this.heldBytes.tryHold(more)) {
+		else if (!this.heldBytes.tryHoldIncomplete(more)) {
 			return false;
 		}
 		this.held = bytes;
@@ -427,7 +427,7 @@
 	}
 
 	private void releaseResponse() {
-		this.heldBytes.release(this.held);
+		this.heldBytes.releaseIncomplete(this.held);
 		this.held = 0;
 		this.body = new ByteArrayOutputStream();
 		this.eventParser = Optional.empty();
--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/net/HeldBytesTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/net/HeldBytesTests.java
@@ -126,4 +126,17 @@
 		return account;
 	}
 
+	// Guards against upstreams that don't end their responses and keep out all callers.
+	@Test
+	void incompleteResponsesLeaveRoomForRequests() {
+		HeldBytes budget = new HeldBytes(1000);
+		while (budget.tryHoldIncomplete(10)) {
+			assertThat(budget.held()).isLessThanOrEqualTo(budget.limit());
+		}
+		assertThat(budget.tryAccept(200)).isTrue();
+		budget.releaseIncomplete(budget.held() - 200);
+		assertThat(budget.held()).isEqualTo(200);
+		assertThat(budget.tryHoldIncomplete(700)).isTrue();
+	}
+
 }
