Test that engines' streams with an invalid status may have run

The reader of engines' streams on the own interface had no test of its own for a malformed head. Without AnswerValidation all three cases fail: a status that is none was taken for a rejection with that status.

--- a/lentilslip-client/src/test/java/io/lentilslip/client/engine/EngineTests.java
+++ b/lentilslip-client/src/test/java/io/lentilslip/client/engine/EngineTests.java
@@ -23,12 +23,14 @@
 import io.lentilslip.standin.engine.EngineStandIn;
 import io.lentilslip.standin.engine.EngineTiming;
 import io.lentilslip.standin.engine.FencingPolicy;
+import io.lentilslip.standin.http.MalformedResponse;
 import io.vavr.control.Either;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -281,6 +283,23 @@
 		}
 	}
 
+	// Guards against a rejection made of a status that is none.
+	@ParameterizedTest
+	@EnumSource(names = { "STATUS_000", "STATUS_099", "STATUS_600" })
+	void answerWithAnInvalidStatusMeansMayHaveRun(MalformedResponse answer) throws IOException {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			RecordingListener listener = generateAt(server, LIMITS);
+			try (Socket socket = server.accept()) {
+				assertThat(socket.getInputStream().read(new byte[4096])).isPositive();
+				socket.getOutputStream().write(answer.bytes(""));
+			}
+			EngineFailure failure = listener.awaitFailed();
+			assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+			assertThat(failure.cause()).isInstanceOf(EngineFailure.Cause.Broken.class);
+			assertThat(listener.ends()).isOne();
+		}
+	}
+
 	@Test
 	void silenceAfterSendingMeansMayHaveRun() throws IOException {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
