--- a/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
+++ b/lentilslip-relay/src/test/java/io/lentilslip/relay/http/SerialHttpClientTests.java
@@ -100,9 +100,7 @@
 		}
 	}
 
-	// Guards against taking an append for stored, or a list for empty, because of a
-	// response
-	// that is none.
+	// Guards against taking an append for stored because of a response that is none.
 	@ParameterizedTest
 	@EnumSource
 	void malformedResponseFails(MalformedResponse response) {
